--- /dev/null
+++ b/cherrycove/__init__.py
@@ -0,0 +1,1 @@
+"""The storage broker: real sockets round the decision module finchrack."""
--- /dev/null
+++ b/cherrycove/core.py
@@ -0,0 +1,382 @@
+"""The broker's core: requests, attempts, endings and final answers, whatever wire they travel on.
+
+It owns the one decision module of the process, its clock, its timers and its batches, and gives the fronts a
+facade in blocking style: ``pick`` the next step of a request, ``report`` how an attempt ended, ``tick``. It
+is the only place that sees finchrack's events and actions, the only one that turns an ``Ending`` into an
+``Outcome``, and the one that sees to it that each request gets exactly one final answer before its client
+gives up. It must never open a socket, know a header or a frame, decide where or when a request is sent, or
+hold back an answer the module has given.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections import Counter
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+from math import inf
+from typing import Protocol
+
+from finchrack import interface as api
+from finchrack.decide import Scheduler
+
+log = logging.getLogger("cherrycove.core")
+
+MARGIN = 0.010  # s before the client's deadline at which the module's budget ends: time to write the answer
+LAST_RESORT = 0.003  # s before the deadline at which the core answers by itself if the module is silent
+
+
+class Ending(Enum):
+    """Every way in which an attempt and the connection that carried it can end."""
+
+    SERVED = "served"  # the node's whole answer has come
+    NODE_ERROR = "node error"  # the node answered that it failed, or something that is no answer to this
+    TURNED_AWAY = "turned away"  # the node vouches that it did not run the request
+    CONNECT_REFUSED = "connect refused"
+    CONNECT_TIMEOUT = "connect timeout"  # the connection never came up, or no place in the pool came free
+    BROKEN_UNSENT = "broken unsent"  # the connection broke before the request's last byte was written
+    BROKEN = "broken"  # it broke after that, or nobody can tell
+    CUT_SHORT = "cut short"  # it broke or went wrong within the answer
+    TIMED_OUT = "timed out"  # written whole, no whole answer in time
+    GIVEN_UP = "given up"  # the module called the attempt off, or the client has gone
+    NOT_STARTED = "not started"  # nothing was sent: the request was over, or the node has no address
+
+
+OUTCOMES: Mapping[Ending, api.Outcome] = {
+    Ending.SERVED: api.Outcome.SERVED,
+    Ending.NODE_ERROR: api.Outcome.ERROR,
+    Ending.TURNED_AWAY: api.Outcome.FULL,
+    Ending.CONNECT_REFUSED: api.Outcome.CONNECT_FAILED,
+    Ending.CONNECT_TIMEOUT: api.Outcome.CONNECT_FAILED,
+    Ending.BROKEN_UNSENT: api.Outcome.CONNECT_FAILED,
+    Ending.BROKEN: api.Outcome.RESET,
+    Ending.CUT_SHORT: api.Outcome.RESET,
+    Ending.TIMED_OUT: api.Outcome.TIMEOUT,
+    Ending.GIVEN_UP: api.Outcome.CANCELLED,
+    Ending.NOT_STARTED: api.Outcome.MOOT,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One node of the list, as any source of lists tells it."""
+
+    name: str
+    address: str
+    shard: int
+    zone: int = 0
+    weight: float = 1.0
+    since_ms: float = 0.0  # Unix time of its last start; 0: long ago
+    state: api.NodeState = api.NodeState.UP
+
+
+@dataclass(frozen=True, slots=True)
+class NodeList:
+    version: int
+    full: bool  # otherwise only what has changed
+    members: tuple[Member, ...]
+
+
+@dataclass(slots=True, eq=False)
+class Request:
+    """What the core must know of a request. What it carries is the backend's business."""
+
+    cls: int
+    plan: int
+    volume: str
+    units: float
+    shard: int | None
+    hosts: int
+    deadline: float  # on the core's clock: when the client stops waiting
+    key: str | None = None
+    repeat: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """Permission to send a request to a node, once, until ``expires``."""
+
+    request: int
+    number: int
+    node: str
+    address: str
+    expires: float
+    began: float
+    written: bool = False  # set by the backend once the last byte may have left this machine
+    scope: asyncio.Timeout | None = None
+    given_up: bool = False
+    reported: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """How an attempt ended, and what the node sent along."""
+
+    ending: Ending
+    body: bytes = b""
+    kind: str = ""  # the media type of the body, where the wire has one
+    use: float | None = None  # the volume's use in a finished period, in usual rates
+    elsewhere: float = 0.0
+    load: Mapping[str, float] = field(default_factory=dict)
+
+
+class Verdict(Enum):
+    SERVED = "served"
+    REFUSED = "refused"  # a new try does no harm
+    FAILED = "failed"  # no claim on whether it took effect
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The one final answer to a request."""
+
+    verdict: Verdict
+    reply: Reply | None = None
+    retry_after: float = 0.0
+    cause: Ending | None = None  # how the last attempt ended, if there was one
+
+
+class Backend(Protocol):
+    """One request on one wire: carries out an attempt. Cancelled, it must close the connection it used."""
+
+    async def attempt(self, attempt: Attempt) -> Reply: ...
+
+
+@dataclass(slots=True, eq=False)
+class _Ticket:
+    id: int
+    request: Request
+    waiter: asyncio.Future[Attempt | Answer] | None = None
+    step: Attempt | Answer | None = None  # given before anybody waited for it
+    attempts: int = 0
+    current: Attempt | None = None
+    cause: Ending | None = None
+    over: bool = False  # it has its answer, or its client has gone; kept until the module has been told
+
+
+class Core:
+    """The facade over the decision module, for one event loop."""
+
+    def __init__(self, settings: api.Settings, seed: int) -> None:
+        self.settings = settings
+        self.counts: Counter[str] = Counter()
+        self.endings: Counter[Ending] = Counter()
+        self.version = 0
+        self.watching = asyncio.Event()  # set whenever the module asks for the list's changes
+        self._scheduler = Scheduler(settings, seed)
+        self._loop = asyncio.get_running_loop()
+        # Guard: one fixed step between the clocks. A node's start must not seem to move with the wall clock.
+        self._unix_offset = time.time() - self._loop.time()
+        self._events: list[api.Event] = []
+        self._wake: asyncio.TimerHandle | None = None
+        self._last_tick = -inf
+        self._tickets: dict[int, _Ticket] = {}
+        self._over: list[int] = []  # tickets to forget once the next batch has told the module
+        self._open = 0
+        self._serial = 0
+        self._members: dict[str, Member] = {}
+        self._addresses: dict[str, str] = {}  # of all nodes ever listed: the module may still name one
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    # What the fronts use.
+
+    async def serve(self, request: Request, backend: Backend) -> Answer:
+        """Take a request to its one final answer. Cancelled, the client has gone and nothing is owed."""
+        ticket = self._take(request)
+        answer: Answer | None = None
+        try:
+            async with asyncio.timeout_at(request.deadline - LAST_RESORT):
+                while answer is None:
+                    step = await self.pick(ticket)
+                    if isinstance(step, Answer):
+                        answer = step
+                    else:
+                        reply = await self._carry_out(step, backend)
+                        self.report(step, reply)
+                        if reply.ending is Ending.SERVED:
+                            answer = Answer(Verdict.SERVED, reply)
+        except TimeoutError:
+            # Guard: a module that gives no word, or a loop that ran late, must not leave a client unanswered.
+            log.warning("request %d reached its deadline without a decision", ticket.id)
+            self._push(api.Lapsed(ticket.id))
+            answer = Answer(Verdict.FAILED, cause=ticket.cause)
+        finally:
+            self._finish(ticket, answer)
+        return answer
+
+    async def pick(self, ticket: _Ticket) -> Attempt | Answer:
+        """The next step of a request: an attempt to carry out, or its final refusal or failure."""
+        if ticket.step is None:
+            ticket.waiter = self._loop.create_future()
+            try:
+                return await ticket.waiter
+            finally:
+                ticket.waiter = None
+        step, ticket.step = ticket.step, None
+        return step
+
+    def report(self, attempt: Attempt, reply: Reply) -> None:
+        """How an attempt ended; each is reported once."""
+        if attempt.reported:
+            return
+        attempt.reported = True
+        self.endings[reply.ending] += 1
+        ticket = self._tickets.get(attempt.request)
+        closed = ticket is None or ticket.over or reply.ending is Ending.SERVED
+        if ticket is not None:
+            ticket.cause, ticket.current = reply.ending, None
+        self._push(api.AttemptEnded(
+            attempt.request, attempt.number, attempt.node, OUTCOMES[reply.ending], closed,
+            self._loop.time() - attempt.began, reply.use, reply.elsewhere, reply.load))
+
+    def tick(self) -> None:
+        """Hand the module what has happened since the last tick and carry out what it says."""
+        self._wake = None
+        self._last_tick = now = self._loop.time()
+        events, self._events = self._events, []
+        over, self._over = self._over, []
+        try:
+            for action in self._scheduler.handle(now, events):
+                self._act(action)
+        except Exception:
+            # Guard: the requests concerned fail at their deadlines; the broker goes on serving the others.
+            log.exception("the decision module failed on %d events", len(events))
+        for number in over:
+            del self._tickets[number]
+
+    def update(self, news: NodeList, restored: bool = False) -> None:
+        """Take in a node list, or changes of it."""
+        self.version = news.version
+        before = {} if news.full else self._members
+        self._members = before | {m.name: m for m in news.members if m.state is not api.NodeState.GONE}
+        for member in news.members:
+            self._addresses[member.name] = member.address
+            if member.state is api.NodeState.GONE:
+                self._members.pop(member.name, None)
+        kind = api.ListKind.FULL if news.full else api.ListKind.CHANGES
+        self._push(api.NodesListed(news.version, api.ListKind.RESTORED if restored else kind, tuple(
+            api.Node(m.name, m.shard, m.zone, m.weight, self._clock(m.since_ms), m.state)
+            for m in news.members)))
+
+    def list_unavailable(self) -> None:
+        self._push(api.ListUnavailable())
+
+    @property
+    def members(self) -> tuple[Member, ...]:
+        return tuple(self._members.values())
+
+    @property
+    def ready(self) -> bool:
+        """Whether there is a node to send to."""
+        return any(member.state is api.NodeState.UP for member in self._members.values())
+
+    @property
+    def open_requests(self) -> int:
+        return self._open
+
+    async def idle(self) -> None:
+        """Wait until no request is open."""
+        await self._idle.wait()
+
+    # Between the facade and the module.
+
+    def _clock(self, since_ms: float) -> float | None:
+        return since_ms / 1000 - self._unix_offset if since_ms > 0 else None
+
+    def _take(self, request: Request) -> _Ticket:
+        self._serial += 1
+        ticket = self._tickets[self._serial] = _Ticket(self._serial, request)
+        self._open += 1
+        self._idle.clear()
+        self.counts["taken"] += 1
+        budget = max(request.deadline - MARGIN - self._loop.time(), 0.0)
+        self._push(api.Arrived(ticket.id, request.cls, request.plan, request.volume, request.units,
+                               request.shard, request.hosts, budget, request.key, request.repeat))
+        return ticket
+
+    def _finish(self, ticket: _Ticket, answer: Answer | None) -> None:
+        self._open -= 1
+        if not self._open:
+            self._idle.set()
+        self.counts[answer.verdict.value if answer else "client gone"] += 1
+        # An attempt handed out in the moment the client left was never carried out, and still gets its end.
+        for attempt in (ticket.current, ticket.step):
+            if isinstance(attempt, Attempt):
+                self.report(attempt, Reply(Ending.GIVEN_UP if attempt.scope else Ending.NOT_STARTED))
+        if answer is None:
+            self._push(api.Lapsed(ticket.id))
+        ticket.over = True
+        self._over.append(ticket.id)
+
+    async def _carry_out(self, attempt: Attempt, backend: Backend) -> Reply:
+        try:
+            async with asyncio.timeout_at(attempt.expires) as attempt.scope:
+                return await backend.attempt(attempt)
+        except TimeoutError:
+            if attempt.given_up:
+                return Reply(Ending.GIVEN_UP if attempt.written else Ending.BROKEN_UNSENT)
+            return Reply(Ending.TIMED_OUT if attempt.written else Ending.CONNECT_TIMEOUT)
+        except Exception:
+            log.exception("an attempt at %s failed unforeseen", attempt.node)
+            return Reply(Ending.BROKEN)
+
+    def _push(self, event: api.Event) -> None:
+        """Into the next batch. Batches are a tick apart, so that a burst costs the module one call."""
+        self._events.append(event)
+        if self._wake is None:
+            when = max(self._last_tick + self.settings.tick, self._loop.time())
+            self._wake = self._loop.call_at(when, self.tick)
+
+    def _act(self, action: api.Action) -> None:
+        match action:
+            case api.Send(request, node, timeout):
+                self._send(request, node, timeout)
+            case api.Refuse(request, retry_after):
+                self._decided(request, Verdict.REFUSED, retry_after)
+            case api.Fail(request):
+                self._decided(request, Verdict.FAILED)
+            case api.Cancel(request, number):
+                ticket = self._tickets.get(request)
+                attempt = ticket.current if ticket else None
+                if attempt and attempt.number == number and attempt.scope and not attempt.scope.expired():
+                    attempt.given_up = True
+                    attempt.scope.reschedule(self._loop.time())
+            case api.SetTimer(token, delay):
+                self._loop.call_later(delay, self._push, api.TimerFired(token))
+            case api.Watch():
+                self.watching.set()
+            case api.Note(text):
+                log.info("module: %s", text)
+            case api.Probe(node):
+                # No deployment of ours lets the module probe: settings say so, and it asks for none.
+                self._push(api.ProbeEnded(node, api.Outcome.MOOT, 0.0))
+
+    def _send(self, request: int, node: str, timeout: float | None) -> None:
+        ticket, now = self._tickets.get(request), self._loop.time()
+        address = self._addresses.get(node)
+        number = ticket.attempts if ticket else 0
+        expires = min(ticket.request.deadline - MARGIN if ticket else now, now + (timeout or inf))
+        attempt = Attempt(request, number, node, address or "", expires, now)
+        if ticket is not None:
+            ticket.attempts += 1
+        if ticket is None or ticket.over or address is None:
+            # Guard: the client left while this was decided, or the list never told where the node is.
+            self.report(attempt, Reply(Ending.NOT_STARTED))
+            return
+        ticket.current = attempt
+        self._give(ticket, attempt)
+
+    def _decided(self, request: int, verdict: Verdict, retry_after: float = 0.0) -> None:
+        ticket = self._tickets.get(request)
+        if ticket is not None:
+            self._give(ticket, Answer(verdict, retry_after=retry_after, cause=ticket.cause))
+
+    def _give(self, ticket: _Ticket, step: Attempt | Answer) -> None:
+        if ticket.waiter is not None and not ticket.waiter.done():
+            ticket.waiter.set_result(step)
+        else:
+            ticket.step = step
--- /dev/null
+++ b/cherrycove/http1.py
@@ -0,0 +1,430 @@
+"""HTTP/1.1: the front that clients come to, the back that disk nodes are asked through, the discovery watch.
+
+It owns the platform's wire: which headers make a request, what an answer looks like, and how each way a
+connection ends is named as an ``Ending``. It must never decide anything about a request that is well formed,
+send one twice by itself, answer 200 with anything but a node's whole 200 body, or use a connection again on
+which an answer is still to come.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import re
+from collections.abc import Mapping
+from dataclasses import dataclass
+from math import isfinite
+from types import SimpleNamespace
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+from multidict import CIMultiDict
+from yarl import URL
+
+from cherrycove.core import Answer, Attempt, Core, Ending, Member, NodeList, Reply, Request, Verdict
+from finchrack.interface import NodeState, Settings
+
+log = logging.getLogger("cherrycove.http1")
+
+MOST_BODY = 64 * 1024
+HEX16 = re.compile(r"[0-9a-f]{16}", re.ASCII | re.IGNORECASE)
+WHOLE = re.compile(r"[0-9]{1,9}", re.ASCII)
+REQUEST_ID = re.compile(r"[!-~]{1,128}", re.ASCII)
+STATES = {"up": NodeState.UP, "draining": NodeState.DRAINING, "removed": NodeState.GONE}
+WATCH_WAIT = 5.0  # s that a watch may wait for news
+WATCH_SLACK = 1.0  # s past that until it counts as silent
+WATCH_AGAIN = 0.1  # s before a watch that failed is renewed: within the 200 ms in which one continues
+ANSWER_TIME = 1.0  # s that a client has to take its answer when the broker ends
+
+
+class RequestError(ValueError):
+    """What a client sent is not a request of this deployment; the message says why."""
+
+
+class ListError(ValueError):
+    """What discovery sent is not a node list."""
+
+
+# Parsers. They take text that anybody may have written.
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """What the front reads of a request's head, before the core's view of it."""
+
+    cls: int
+    plan: int
+    volume: str
+    units: float
+    shard: int | None
+    hosts: int
+    budget: float
+    key: str
+    id: str
+    repeat: bool
+
+
+def _field(headers: Mapping[str, str], name: str) -> str:
+    value = headers.get(name)
+    if value is None:
+        raise RequestError(f"{name} is missing")
+    return value
+
+
+def _matched(pattern: re.Pattern[str], text: str, what: str) -> str:
+    if not pattern.fullmatch(text):
+        raise RequestError(f"{what} is malformed")
+    return text
+
+
+def _units(text: str, settings: Settings) -> float:
+    try:
+        units = float(_matched(re.compile(r"[0-9.]{1,12}", re.ASCII), text, "units"))
+    except ValueError:
+        raise RequestError("units is malformed") from None
+    if not 0 < units <= settings.max_units:
+        raise RequestError("units is out of range")
+    return units
+
+
+def _cookie(text: str, name: str) -> str:
+    for part in text.split(";"):
+        key, mark, value = part.strip().partition("=")
+        if mark and key == name:
+            return value.strip('"')
+    raise RequestError(f"the cookie {name} is missing")
+
+
+def parse_head(path: str, headers: Mapping[str, str], settings: Settings) -> Head:
+    """A request's head, or RequestError. A path that names no class is the caller's to answer."""
+    names = [cls.name for cls in settings.classes]
+    word = _field(headers, "X-Class")
+    if word not in names:
+        raise RequestError("X-Class names no class")
+    if path.partition("?")[0].split("/")[1:2] != [word]:
+        raise RequestError("the path and X-Class differ")
+    plans = [plan.name for plan in settings.plans]
+    tier = _field(headers, "Tier")
+    if tier not in plans:
+        raise RequestError("Tier names no plan")
+    info = dict(part.strip().partition("=")[::2] for part in _field(headers, "IO-Info").split(","))
+    for name in ("volume", "units", "shard", "hosts"):
+        if name not in info:
+            raise RequestError(f"IO-Info lacks {name}")
+    shard = -1 if info["shard"] == "-1" else int(_matched(WHOLE, info["shard"], "shard"))
+    return Head(
+        cls=names.index(word), plan=plans.index(tier), volume=_matched(HEX16, info["volume"], "volume"),
+        units=_units(info["units"], settings), shard=None if shard < 0 else shard,
+        hosts=max(int(_matched(WHOLE, info["hosts"], "hosts")), 1),
+        budget=int(_matched(WHOLE, _field(headers, "X-Deadline-Ms"), "X-Deadline-Ms")) / 1000,
+        key=_matched(HEX16, _cookie(_field(headers, "Cookie"), "object"), "the cookie object"),
+        id=_matched(REQUEST_ID, _field(headers, "X-Request-Id"), "X-Request-Id"),
+        repeat=headers.get("X-Retry") == "1")
+
+
+def _entry(raw: Any, zones: Mapping[str, int]) -> Member:
+    if not isinstance(raw, dict):
+        raise ListError("an entry is no object")
+    try:
+        name, state = raw["name"], STATES[raw["status"]]
+        address, shard = raw.get("address", ""), raw.get("group", -1)
+        weight, since = raw.get("weight", 1.0), raw.get("since_ms", 0)
+    except (KeyError, TypeError) as error:
+        raise ListError(f"an entry lacks or misstates {error}") from None
+    numbers = all(type(x) in (int, float) and isfinite(x) for x in (weight, since))
+    if not (isinstance(name, str) and name and isinstance(address, str) and type(shard) is int and numbers):
+        raise ListError("an entry has a value of the wrong type")
+    host, _, port = address.rpartition(":")
+    if state is not NodeState.GONE and not (
+            host and re.fullmatch(r"[0-9A-Za-z.\[\]:_-]+", host) and WHOLE.fullmatch(port)
+            and 0 < int(port) < 65536 and shard >= 0):
+        raise ListError("an entry has no usable address or group")
+    zone = raw.get("zone")
+    return Member(name, address, shard, zones.get(zone, 0) if isinstance(zone, str) else 0,
+                  float(weight), float(since), state)
+
+
+def parse_list(text: bytes | str, zones: Mapping[str, int]) -> NodeList:
+    """Discovery's answer, or ListError: a list that is wrong in one place is trusted in none."""
+    try:
+        raw = json.loads(text)
+    except (ValueError, RecursionError):
+        raise ListError("not JSON") from None
+    return read_list(raw, zones)
+
+
+def read_list(raw: Any, zones: Mapping[str, int]) -> NodeList:
+    if not isinstance(raw, dict):
+        raise ListError("no object")
+    index, full, entries = raw.get("index"), raw.get("snapshot"), raw.get("endpoints")
+    if type(index) is not int or index < 0 or type(full) is not bool or not isinstance(entries, list):
+        raise ListError("index, snapshot or endpoints is missing or of the wrong type")
+    return NodeList(index, full, tuple(_entry(entry, zones) for entry in entries))
+
+
+def parse_load(text: str | None) -> dict[str, float]:
+    """A load report; what cannot be read is left out, for it is advice at most."""
+    try:
+        raw = json.loads(text) if text else {}
+    except (ValueError, RecursionError):
+        return {}
+    if not isinstance(raw, dict):
+        return {}
+    return {name: float(x) for name, x in raw.items() if type(x) in (int, float) and abs(x) < 1e18}
+
+
+def parse_use(text: str | None) -> float | None:
+    """The volume's use, told in percent of its plan's rate."""
+    return int(text) / 100 if text and WHOLE.fullmatch(text) else None
+
+
+# The back.
+
+
+class Pool:
+    """Connections to disk nodes, and how each attempt over them ended."""
+
+    def __init__(self, dial_timeout: float, conn_idle: float, most: int) -> None:
+        trace = aiohttp.TraceConfig()
+        trace.on_request_headers_sent.append(self._headers_sent)
+        trace.on_request_chunk_sent.append(self._chunk_sent)
+        # Guard: a node closes what stood idle for conn_idle, and what is written to it then is lost.
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=most, keepalive_timeout=min(conn_idle * 0.4, 15.0),
+                                           happy_eyeballs_delay=None, use_dns_cache=False),
+            cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False, trace_configs=[trace],
+            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
+            timeout=aiohttp.ClientTimeout(total=None, connect=dial_timeout, sock_connect=dial_timeout))
+        # Guard: the library sends a GET or PUT again by itself when a kept connection turns out to be dead.
+        # That is a second copy which nobody decided; it has no public switch.
+        self._session._retry_connection = False
+
+    async def close(self) -> None:
+        await self._session.close()
+
+    async def _headers_sent(self, session: Any, context: SimpleNamespace, params: Any) -> None:
+        call: Call | None = context.trace_request_ctx
+        if call is not None and not call.body:
+            call.written()
+
+    async def _chunk_sent(self, session: Any, context: SimpleNamespace,
+                          params: aiohttp.TraceRequestChunkSentParams) -> None:
+        call: Call | None = context.trace_request_ctx
+        if call is not None:
+            call.count(len(params.chunk))
+
+    async def exchange(self, call: Call, address: str, headers: Mapping[str, str]) -> Reply:
+        try:
+            async with self._session.request(
+                    call.method, URL(f"http://{address}{call.target}", encoded=True), headers=headers,
+                    data=call.body or None, allow_redirects=False, trace_request_ctx=call) as answer:
+                body = await _whole_body(answer)
+                return _reply(answer.status, answer.headers, body)
+        except aiohttp.ConnectionTimeoutError:
+            return Reply(Ending.CONNECT_TIMEOUT)
+        except aiohttp.ClientConnectorError:
+            return Reply(Ending.CONNECT_REFUSED)
+        except aiohttp.ClientPayloadError:
+            return Reply(Ending.CUT_SHORT)
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            if isinstance(error, TimeoutError):
+                raise
+            return Reply(Ending.BROKEN if call.sent else Ending.BROKEN_UNSENT)
+
+
+async def _whole_body(answer: aiohttp.ClientResponse) -> bytes | None:
+    """The body, or None where it is too large, or has no framing by which one could tell it whole."""
+    framed = answer.headers.get("Content-Length") is not None or "chunked" in answer.headers.get(
+        "Transfer-Encoding", "").lower()
+    body = b""
+    async for chunk in answer.content.iter_any():
+        body += chunk
+        if len(body) > MOST_BODY:
+            answer.close()
+            return None
+    return body if framed else None
+
+
+def _reply(status: int, headers: Mapping[str, str], body: bytes | None) -> Reply:
+    if status == 200:
+        ending = Ending.SERVED if body is not None else Ending.CUT_SHORT
+    elif status in (503, 504) and headers.get("X-Not-Run") == "1":
+        ending = Ending.TURNED_AWAY
+    else:
+        ending = Ending.NODE_ERROR
+    return Reply(ending, body or b"", headers.get("Content-Type", ""), parse_use(headers.get("Volume-Load")),
+                 load=parse_load(headers.get("X-Load")))
+
+
+class Call:
+    """One client's request as the back sends it; the core's Backend."""
+
+    def __init__(self, pool: Pool, method: str, target: str, request_id: str, body: bytes) -> None:
+        self.method, self.target, self.body = method, target, body
+        self.sent = False
+        self._pool, self._id = pool, request_id
+        self._left = len(body)
+        self._current: Attempt | None = None
+
+    def written(self) -> None:
+        self.sent = True
+        if self._current is not None:
+            self._current.written = True
+
+    def count(self, size: int) -> None:
+        self._left -= size
+        if self._left <= 0:
+            self.written()
+
+    async def attempt(self, attempt: Attempt) -> Reply:
+        self._current = attempt
+        self.sent, self._left = False, len(self.body)
+        wait = max(int((attempt.expires - asyncio.get_running_loop().time()) * 1000), 1)
+        return await self._pool.exchange(
+            self, attempt.address, {"X-Request-Id": self._id, "X-Deadline-Ms": str(wait)})
+
+
+# The front.
+
+
+class Front:
+    """Clients' connections. ``drain`` makes every further answer close its connection."""
+
+    def __init__(self, core: Core, pool: Pool, most_connections: int) -> None:
+        self._core, self._pool, self._most = core, pool, most_connections
+        self._classes = {cls.name for cls in core.settings.classes}
+        self._draining = False
+        self._server: asyncio.Server | None = None
+        self._web = web.Server(self._handle, handler_cancellation=True, access_log=None, tcp_keepalive=False,
+                               auto_decompress=False, lingering_time=1.0)
+        self.last_request = 0.0
+
+    async def listen(self, host: str, port: int) -> int:
+        """Start to accept; the port, should the system have chosen it."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(self._web, host, port, backlog=1024, reuse_address=True)
+        bound: int = self._server.sockets[0].getsockname()[1]
+        return bound
+
+    def drain(self) -> None:
+        self._draining = True
+        self.last_request = asyncio.get_running_loop().time()
+
+    async def close(self) -> None:
+        """Stop accepting, finish whatever is open, then close the connections."""
+        if self._server is not None:
+            self._server.close()
+        await self._core.idle()
+        self._web.pre_shutdown()  # those between requests; the others close behind their answer
+        await self._web.shutdown(ANSWER_TIME)
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        path = request.raw_path.partition("?")[0]
+        if path == "/-/ready":
+            ok = self._core.ready and not self._draining
+            return self._response(200 if ok else 503, "ready\n" if ok else "not ready\n")
+        self.last_request = began
+        if path.split("/")[1:2] == [] or path.split("/")[1] not in self._classes:
+            return self._response(404, "no such path\n", whole=not request.body_exists)
+        try:
+            if request.method not in ("GET", "PUT"):
+                raise RequestError("the method is neither GET nor PUT")
+            head = parse_head(request.raw_path, _single(request.headers), self._core.settings)
+            if URL(f"http://h{request.raw_path}", encoded=True).raw_path_qs != request.raw_path:
+                raise RequestError("the path cannot be passed on unchanged")
+        except (RequestError, ValueError) as error:
+            return self._response(400, f"{error}\n", whole=not request.body_exists)
+        body = await _bounded(request)
+        if body is None:
+            return self._response(413, f"more than {MOST_BODY} bytes\n", whole=False)
+        call = Call(self._pool, request.method, request.raw_path, head.id, body)
+        answer = await self._core.serve(
+            Request(head.cls, head.plan, head.volume, head.units, head.shard, head.hosts,
+                    began + head.budget, head.key, head.repeat), call)
+        return self._answer(answer)
+
+    def _answer(self, answer: Answer) -> web.StreamResponse:
+        if answer.verdict is Verdict.SERVED and answer.reply is not None:
+            return self._response(200, answer.reply.body, answer.reply.kind)
+        if answer.verdict is Verdict.REFUSED:
+            response = self._response(503, "refused: a new try does no harm\n")
+            if answer.retry_after > 0:
+                response.headers["Retry-After"] = f"{answer.retry_after:.3f}"
+            return response
+        late = answer.cause in (Ending.TIMED_OUT, Ending.CONNECT_TIMEOUT)
+        return self._response(504 if late else 500, "failed: it may have taken effect\n")
+
+    def _response(self, status: int, body: str | bytes, kind: str = "", whole: bool = True) -> web.Response:
+        data = body.encode() if isinstance(body, str) else body
+        response = web.Response(status=status, body=data, headers={
+            "Content-Type": kind or ("text/plain" if isinstance(body, str) else "application/octet-stream")})
+        # Guard: sockets are limited; past the bound a connection serves the request it brought, no more.
+        if self._draining or not whole or len(self._web.connections) > self._most:
+            response.force_close()
+        return response
+
+
+def _single(headers: Mapping[str, str]) -> Mapping[str, str]:
+    """The headers; a repeat of one that says what the request is leaves open which one counts."""
+    seen: CIMultiDict[str] = CIMultiDict()
+    for name, value in headers.items():
+        if name.lower() in _ONCE and name in seen:
+            raise RequestError(f"{name} comes twice")
+        seen[name] = value
+    return seen
+
+
+_ONCE = {"x-request-id", "x-class", "tier", "x-deadline-ms", "io-info"}
+
+
+async def _bounded(request: web.BaseRequest) -> bytes | None:
+    """The body, or None where it is over the bound; no more than that is ever held."""
+    if not request.body_exists:
+        return b""
+    if (request.content_length or 0) > MOST_BODY:
+        return None
+    body = b""
+    async for chunk in request.content.iter_any():
+        body += chunk
+        if len(body) > MOST_BODY:
+            return None
+    return body
+
+
+# Discovery.
+
+
+async def watch(core: Core, address: str, zones: Mapping[str, int]) -> None:
+    """Follow discovery's list for ever. Whatever it answers, the last good list stands until a better one."""
+    limit = aiohttp.ClientTimeout(total=WATCH_WAIT + WATCH_SLACK, sock_connect=WATCH_SLACK)
+    async with aiohttp.ClientSession(cookie_jar=aiohttp.DummyCookieJar(), timeout=limit) as session:
+        known, silent = core.version > 0, False
+        while True:
+            query = f"?since={core.version}&timeout_ms={int(WATCH_WAIT * 1000)}" if known else ""
+            try:
+                url = URL(f"http://{address}/api/targets{query}", encoded=True)
+                async with session.get(url, allow_redirects=False) as answer:
+                    if answer.status != 200:
+                        raise ListError(f"status {answer.status}")
+                    news = parse_list(await answer.read(), zones)
+                if not news.full and (not known or news.version < core.version):
+                    known = False  # it has started over: changes of an unknown list say nothing
+                    continue
+                if news.full or news.members or news.version != core.version:
+                    log.info("node list %d: %s", news.version, _told(news))
+                    core.update(news)
+                known, silent = True, False
+            except (ListError, aiohttp.ClientError, OSError, ValueError) as error:
+                if not silent:
+                    log.warning("discovery: %s; the last list stands", str(error) or type(error).__name__)
+                silent = True
+                core.list_unavailable()
+                await asyncio.sleep(WATCH_AGAIN)
+
+
+def _told(news: NodeList) -> str:
+    return " ".join(f"{m.name}={m.state.value}" for m in news.members) or "no change"
