Leave retries that bring hardly any time to the module's decision

Checked: they are clients' retries whose X-Deadline-Ms is less than LAST_RESORT (core.py, serve): the timer lay in the past and fired before the module's first tick, so they failed where a refusal was due. Change: the last resort leaves the module five ticks in any case. Test in tests/test_core.py.

--- a/cherrycove/core.py
+++ b/cherrycove/core.py
@@ -29,6 +29,7 @@
 # the client's deadline is a request lost. What these give away are answers too late to be worth much.
 MARGIN = 0.050  # s before the client's deadline at which the module's budget ends
 LAST_RESORT = 0.025  # s before the deadline at which the core answers by itself if the module is silent
+DECISION_TICKS = 5  # that the module has in any case
 
 
 class Ending(Enum):
@@ -193,8 +194,10 @@
         """Take a request to its one final answer. Cancelled, the client has gone and nothing is owed."""
         ticket = self._take(request)
         answer: Answer | None = None
+        # Guard: a client's late retry may bring less time than the last resort takes; the module decides.
+        latest = max(request.deadline - LAST_RESORT, self._loop.time() + DECISION_TICKS * self.settings.tick)
         try:
-            async with asyncio.timeout_at(request.deadline - LAST_RESORT):
+            async with asyncio.timeout_at(latest):
                 while answer is None:
                     step = await self.pick(ticket)
                     if isinstance(step, Answer):
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -91,6 +91,14 @@
     run(story())
 
 
+def test_a_retry_with_hardly_any_time_left_is_still_the_modules_to_refuse() -> None:
+    async def story() -> None:
+        core, backend = core_with(), Scripted(core_with())
+        found = await core.serve(request(WRITE, 0.001), backend)
+        assert found.verdict is Verdict.REFUSED and found.retry_after > 0 and not backend.made
+    run(story())
+
+
 def test_a_silent_module_leaves_nobody_unanswered() -> None:
     async def story() -> None:
         core = core_with()
