--- /dev/null
+++ b/Makefile
@@ -0,0 +1,22 @@
+# Tasks of this project. `make test` is what CI calls, with PYTHON set to its own environment's.
+PYTHON ?= .venv/bin/python
+
+.PHONY: build dev test lint run
+build: .venv
+.venv: requirements.txt
+	test -d .venv || python3 -m venv .venv
+	.venv/bin/pip -q install -r requirements.txt
+	touch .venv
+
+dev: .venv
+	.venv/bin/pip -q install -r requirements-dev.txt
+
+test: $(if $(filter .venv/%,$(PYTHON)),dev)
+	$(PYTHON) -m pytest
+
+lint: $(if $(filter .venv/%,$(PYTHON)),dev)
+	$(PYTHON) -m ruff check --no-cache finchrack cherrycove tests examples
+	$(PYTHON) -m mypy --cache-dir=/dev/null
+
+run: build
+	RELAY_CONFIG=$${RELAY_CONFIG:-examples/config.json} $(PYTHON) -m cherrycove
--- a/cherrycove/core.py
+++ b/cherrycove/core.py
@@ -192,6 +192,10 @@
 
     async def serve(self, request: Request, backend: Backend) -> Answer:
         """Take a request to its one final answer. Cancelled, the client has gone and nothing is owed."""
+        # Guard: the module takes the longest wait it has seen in a class for that of a first try. One client
+        # that claims to wait longer than the class allows would make all others look like late retries.
+        allowed = self._loop.time() + self.settings.classes[request.cls].deadline
+        request.deadline = min(request.deadline, allowed)
         ticket = self._take(request)
         answer: Answer | None = None
         # Guard: a client's late retry may bring less time than the last resort takes; the module decides.
--- a/cherrycove/http1.py
+++ b/cherrycove/http1.py
@@ -362,6 +362,7 @@
     def _response(self, status: int, body: str | bytes, kind: str = "", whole: bool = True) -> web.Response:
         data = body.encode() if isinstance(body, str) else body
         response = web.Response(status=status, body=data, headers={
+            "Server": "cherrycove",
             "Content-Type": kind or ("text/plain" if isinstance(body, str) else "application/octet-stream")})
         # Guard: sockets are limited; past the bound a connection serves the request it brought, no more.
         if self._draining or not whole or len(self._web.connections) > self._most:
--- /dev/null
+++ b/examples/nbd_copy.py
@@ -0,0 +1,49 @@
+"""Writes one block to an NBD export, flushes, reads it back and says whether it is the same.
+
+    python examples/nbd_copy.py HOST:PORT EXPORT
+"""
+
+from __future__ import annotations
+
+import asyncio
+import struct
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parent.parent))
+from cherrycove import nbd  # noqa: E402
+
+
+async def main(address: str, export: str) -> int:
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    await reader.readexactly(18)
+    writer.write(struct.pack(">I", nbd.FIXED_NEWSTYLE | nbd.NO_ZEROES))
+    writer.write(nbd.option(nbd.Option.STRUCTURED_REPLY))
+    await nbd.read_option_reply(reader, nbd.Option.STRUCTURED_REPLY)
+    writer.write(nbd.option(nbd.Option.GO, nbd.go(export)))
+    while (reply := await nbd.read_option_reply(reader, nbd.Option.GO))[0] == nbd.INFO:
+        pass
+    if reply[0] != nbd.ACK:
+        print(f"the export {export} is not to be had: {reply[0]:#x}")
+        return 1
+    block = bytes(range(256)) * 16
+    steps = [(nbd.Command.WRITE, 0, len(block), block), (nbd.Command.FLUSH, 0, 0, b""),
+             (nbd.Command.READ, 0, len(block), b"")]
+    same = False
+    for cookie, (command, offset, length, payload) in enumerate(steps, 1):
+        call = nbd.Call(command, 0, cookie, offset, length)
+        writer.write(call.pack() + payload)
+        done = await nbd.read_reply(reader, call, structured=True)
+        print(f"{command.name}: {'done' if not done.errno else f'error {done.errno}: {done.message}'}")
+        same = bytes(done.data) == block
+    writer.write(nbd.Call(nbd.Command.DISC, 0, 9, 0, 0).pack())
+    writer.close()
+    print("the block came back unchanged" if same else "the block did NOT come back")
+    return 0 if same else 1
+
+
+if __name__ == "__main__":
+    if len(sys.argv) != 3:
+        sys.exit((__doc__ or "").strip())
+    sys.exit(asyncio.run(main(sys.argv[1], sys.argv[2])))
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -99,6 +99,15 @@
     run(story())
 
 
+def test_a_client_that_claims_to_wait_for_ever_harms_no_other() -> None:
+    async def story() -> None:
+        core = core_with()
+        backend = Scripted(core)
+        for wait in (10_000.0, PLATFORM.settings.classes[READ].deadline):
+            assert (await core.serve(request(READ, wait), backend)).verdict is Verdict.SERVED
+    run(story())
+
+
 def test_a_silent_module_leaves_nobody_unanswered() -> None:
     async def story() -> None:
         core = core_with()
