--- a/Makefile
+++ b/Makefile
@@ -19,4 +19,4 @@
 	$(PYTHON) -m mypy --cache-dir=/dev/null
 
 run: build
-	RELAY_CONFIG=$${RELAY_CONFIG:-examples/config.json} $(PYTHON) -m cherrycove
+	export RELAY_CONFIG=$${RELAY_CONFIG:-examples/config.json}; exec $(PYTHON) -m cherrycove
