Tell the module nothing of a node when an attempt ran out of its own time unsent

Checked: finchrack/decide.py counts CONNECT_FAILED as a failure of the node (_judge), which rests it and lets one request at a time try it. Ruled out: a hung machine; the dial timeout of 250 ms reports those by itself. Change: Ending.EXPIRED, mapped to MOOT ("its time had expired"): never ran, no evidence.

--- a/cherrycove/core.py
+++ b/cherrycove/core.py
@@ -44,6 +44,7 @@
     BROKEN = "broken"  # it broke after that, or nobody can tell
     CUT_SHORT = "cut short"  # it broke or went wrong within the answer
     TIMED_OUT = "timed out"  # written whole, no whole answer in time
+    EXPIRED = "expired unsent"  # called off, or out of time, before its last byte was written
     GIVEN_UP = "given up"  # the module called the attempt off, or the client has gone
     NOT_STARTED = "not started"  # nothing was sent: the request was over, or the node has no address
 
@@ -58,6 +59,8 @@
     Ending.BROKEN: api.Outcome.RESET,
     Ending.CUT_SHORT: api.Outcome.RESET,
     Ending.TIMED_OUT: api.Outcome.TIMEOUT,
+    # Guard: it never ran, and it is no evidence against the node: the request's own time was too short.
+    Ending.EXPIRED: api.Outcome.MOOT,
     Ending.GIVEN_UP: api.Outcome.CANCELLED,
     Ending.NOT_STARTED: api.Outcome.MOOT,
 }
@@ -340,9 +343,9 @@
             async with asyncio.timeout_at(attempt.expires) as attempt.scope:
                 return await backend.attempt(attempt)
         except TimeoutError:
-            if attempt.given_up:
-                return Reply(Ending.GIVEN_UP if attempt.written else Ending.BROKEN_UNSENT)
-            return Reply(Ending.TIMED_OUT if attempt.written else Ending.CONNECT_TIMEOUT)
+            if not attempt.written:
+                return Reply(Ending.EXPIRED)
+            return Reply(Ending.GIVEN_UP if attempt.given_up else Ending.TIMED_OUT)
         except Exception:
             log.exception("an attempt at %s failed unforeseen", attempt.node)
             return Reply(Ending.BROKEN)
