Answer Expect: 100-continue, which the low-level server leaves to its handler

Seen: reading aiohttp's web.Server: only its application routes answer "Expect: 100-continue"; a client that waits for it (curl does, for a second) loses that time or all of it. Ruled out: the parser or the stream doing it. Change: http1.py, _bounded. The new test waits for the 100 line and hangs without the change; it also holds bodies in chunks to 64 KiB, which had no test.

--- a/cherrycove/http1.py
+++ b/cherrycove/http1.py
@@ -384,6 +384,10 @@
         return b""
     if (request.content_length or 0) > MOST_BODY:
         return None
+    if request.headers.get("Expect", "").lower() == "100-continue":
+        # Guard: the low-level server leaves this to us; a client that waits for it would lose its time.
+        await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        request.writer.output_size = 0  # what follows is the answer's head, not its middle
     body = b""
     async for chunk in request.content.iter_any():
         body += chunk
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -133,6 +133,25 @@
     run(story())
 
 
+def test_a_body_in_chunks_is_bounded_and_one_that_is_asked_for_comes() -> None:
+    async def story() -> None:
+        node = await Node().start()
+        async with World(node) as world:
+            head = message(cls="claim-write", method="PUT", Transfer_Encoding="chunked")
+            chunk = b"4000\r\n" + b"x" * 0x4000 + b"\r\n"
+            assert (await world.ask(head + chunk * 5 + b"0\r\n\r\n"))[0] == 413
+            assert (await world.ask(head + chunk * 4 + b"0\r\n\r\n"))[0] == 200
+            reader, writer = await asyncio.open_connection("127.0.0.1", world.port)
+            whole = message(**WRITE, Expect="100-continue")
+            writer.write(whole[:-len(WRITE["body"])])
+            assert await reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
+            writer.write(WRITE["body"])
+            assert (await answer(reader))[0] == 200
+            assert [len(seen["body"]) for seen in node.seen] == [65536, len(WRITE["body"])]
+            writer.close()
+    run(story())
+
+
 @fuzz
 @given(cuts(message(**WRITE)))
 def test_cuts_of_a_request_change_nothing(pieces: list[bytes]) -> None:
