Take SIGHUP: read the configuration again and move the discovery watch

Nothing in __main__.run() handled the signal, so its default ended the process.

Now Broker.reload() reads RELAY_CONFIG again. A bad file leaves everything as it was, with a plain error. A new discovery address gets a watch that begins with the whole list (the former address's versions mean nothing there). SIGHUP is ignored before the broker serves, and blocked with SIGTERM once it has ended: the loop's end restores the signals' defaults, and one that came then would change the exit status (ruled out by the test's SIGHUP after SIGTERM).

The test fails without the change (process ends with -1).

--- a/cherrycove/__main__.py
+++ b/cherrycove/__main__.py
@@ -1,7 +1,7 @@
 """Starts one broker: reads the configuration, wires fronts, core and backs together, and ends in good order.
 
 It owns the life of the process: its signals, its tasks, its exit status. It must never hold logic of a wire
-or of a request, and never exit while something it has taken is unanswered.
+or of a request, never exit while something it has taken is unanswered, and never let a SIGHUP end it.
 """
 
 from __future__ import annotations
@@ -13,6 +13,7 @@
 import signal
 import sys
 from collections.abc import Coroutine
+from dataclasses import replace
 from pathlib import Path
 
 from cherrycove import config, consul, http1, nbd, store
@@ -34,7 +35,8 @@
         self.pool = http1.Pool(platform.dial_timeout, platform.conn_idle, most=platform.sockets // 3)
         self.front = http1.Front(self.core, self.pool, most_connections=platform.sockets // 2)
         self.stop = asyncio.Event()
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._watch: asyncio.Task[None] | None = None  # of the platform's discovery
         self._nbd: nbd.Front | None = None
         self._nbd_pool: nbd.Pool | None = None
         self._consul: consul.Consul | None = None
@@ -55,7 +57,7 @@
                 self._stored(entry)
             log.info("NBD on port %d: %s", await self._nbd.listen(), ", ".join(operator.nbd.exports))
         if operator.consul is None:
-            self._run(http1.watch(self.core, platform.discovery, platform.zones))
+            self._watch = self._run(http1.watch(self.core, platform.discovery, platform.zones))
         else:
             self._consul = consul.Consul(self.core, operator.consul, platform.zones, platform.name,
                                          (platform.listen[0], port))
@@ -64,6 +66,25 @@
                 self._run(self._consul.keep_registered())
         return port
 
+    def reload(self) -> None:
+        """Read the platform's file again and follow its discovery; nothing in flight is touched."""
+        try:
+            fresh = config.platform()
+        except config.ConfigError as error:
+            log.error("the configuration was read again and is not used, the old one stands: %s", error)
+            return
+        old = self.platform
+        for name in ("listen", "sockets", "settings", "dial_timeout", "conn_idle"):
+            if getattr(fresh, name) != getattr(old, name):
+                log.warning("the new configuration's %s takes effect with the next start only", name)
+        moved = fresh.discovery != old.discovery
+        self.platform = replace(old, discovery=fresh.discovery)
+        log.info("configuration read again: discovery %s %s", "is now" if moved else "stays", fresh.discovery)
+        if moved and self._watch is not None:
+            # Guard: the former address's versions say nothing here: the list is asked for whole.
+            self._watch.cancel()
+            self._watch = self._run(http1.watch(self.core, fresh.discovery, old.zones, afresh=True))
+
     async def end(self) -> None:
         """Serve on while clients still come, finish what was taken, then leave."""
         log.info("draining: %d requests open", self.core.open_requests)
@@ -79,6 +100,7 @@
             await self._nbd.close()
             self._nbd_pool.close()
         await self.front.close()
+        self._watch = None  # a SIGHUP from now on finds nothing to move
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -90,12 +112,14 @@
         log.info("ended: %s; attempts: %s", dict(self.core.counts),
                  {ending.value: count for ending, count in self.core.endings.items()})
 
-    def _run(self, work: Coroutine[None, None, None]) -> None:
+    def _run(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
         task = asyncio.create_task(work)
         task.add_done_callback(self._over)
-        self._tasks.append(task)
+        self._tasks.add(task)
+        return task
 
     def _over(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
         if not task.cancelled():
             log.critical("a part of the broker ended by a fault; it drains", exc_info=task.exception())
             self.stop.set()
@@ -128,13 +152,17 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, broker.stop.set)
     await broker.start()
+    loop.add_signal_handler(signal.SIGHUP, broker.reload)
     gc.collect()
     gc.freeze()
     await broker.stop.wait()
     await broker.end()
+    # Guard: the loop's end gives signals their default back, and a late SIGHUP would change the exit status.
+    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP, signal.SIGTERM, signal.SIGINT))
 
 
 def main() -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to read again
     logging.basicConfig(level=logging.INFO, stream=sys.stderr, format="%(levelname)s %(name)s: %(message)s")
     try:
         platform = config.platform()
--- a/cherrycove/http1.py
+++ b/cherrycove/http1.py
@@ -399,11 +399,11 @@
 # Discovery.
 
 
-async def watch(core: Core, address: str, zones: Mapping[str, int]) -> None:
+async def watch(core: Core, address: str, zones: Mapping[str, int], afresh: bool = False) -> None:
     """Follow discovery's list for ever. Whatever it answers, the last good list stands until a better one."""
     limit = aiohttp.ClientTimeout(total=WATCH_WAIT + WATCH_SLACK, sock_connect=WATCH_SLACK)
     async with aiohttp.ClientSession(cookie_jar=aiohttp.DummyCookieJar(), timeout=limit) as session:
-        known, silent = core.version is not None, False
+        known, silent = core.version is not None and not afresh, False
         while True:
             query = f"?since={core.version}&timeout_ms={int(WATCH_WAIT * 1000)}" if known else ""
             try:
--- a/tests/support.py
+++ b/tests/support.py
@@ -129,6 +129,31 @@
         return True
 
 
+class Discovery:
+    """A stand-in for discovery: tells this list at once, then has no news; ``asked`` holds the queries."""
+
+    def __init__(self, body: bytes) -> None:
+        self.body, self.asked = body, asyncio.Queue[str]()
+        self.gone = asyncio.Event()  # the watch has closed its connection
+
+    async def start(self) -> str:
+        server = await asyncio.start_server(self._tell, "127.0.0.1", 0)
+        return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+    async def _tell(self, reader: asyncio.StreamReader, writer: Writer) -> None:
+        try:
+            while True:
+                target = (await reader.readuntil(b"\r\n\r\n")).split()[1].decode()
+                self.asked.put_nowait(target)
+                if "since" not in target:
+                    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(self.body)
+                    writer.write(head + self.body)
+        except (EOFError, OSError):
+            self.gone.set()
+        finally:
+            writer.close()
+
+
 class World:
     """A core, its fronts and its backs on ephemeral ports; shard i is held by the i-th node."""
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -13,7 +13,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from support import PLATFORM, RAW, ROOT, Node, answer, fuzz, message, raw, run, spoiled
+from support import PLATFORM, RAW, ROOT, Discovery, Node, answer, fuzz, message, raw, run, spoiled
 
 from cherrycove import config
 from cherrycove.core import MARGIN, OUTCOMES, Attempt, Core, Ending, Member, NodeList, Reply, Request, Verdict
@@ -223,3 +223,45 @@
             if process.returncode is None:
                 process.kill()
     run(story())
+
+
+def test_sighup_moves_the_watch_and_whatever_the_file_holds_ends_nothing(tmp_path: Path) -> None:
+    """Unhandled, SIGHUP ends the process: every request it held is lost."""
+    async def story() -> None:
+        node = await Node("hang").start()
+        whole = raw()
+        whole["known"]["endpoints"][0]["address"] = f"127.0.0.1:{node.port}"
+        places = [Discovery(json.dumps(whole["known"]).encode()) for _ in range(2)]
+        whole |= {"listen": "127.0.0.1:0", "discovery": await places[0].start()}
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(whole))
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "cherrycove", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
+            env=os.environ | {"RELAY_CONFIG": str(path)})
+        assert process.stderr is not None
+        try:
+            while b" serves on " not in (line := await process.stderr.readline()):
+                assert line, "it ended early"
+            assert "since" in await places[0].asked.get()
+            reader, writer = await asyncio.open_connection("127.0.0.1", int(line.rpartition(b":")[2]))
+            writer.write(message(id="held", ms=2500))
+            await node.until(1)
+            path.write_text("{")
+            process.send_signal(signal.SIGHUP)
+            while b"is not used" not in (line := await process.stderr.readline()):
+                assert line, "a bad file ended it"
+            path.write_text(json.dumps(whole | {"discovery": await places[1].start()}))
+            process.send_signal(signal.SIGHUP)
+            await places[0].gone.wait()
+            assert await places[1].asked.get() == "/api/targets"  # the other's versions mean nothing here
+            assert "since=1&" in await places[1].asked.get()
+            for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP):
+                process.send_signal(number)
+            assert (await answer(reader))[0] == 503  # still held through all of it, and answered
+            log = await process.stderr.read()
+            assert await process.wait() == 0 and b"Traceback" not in log
+            assert places[0].asked.empty() and places[1].asked.empty()
+        finally:
+            if process.returncode is None:
+                process.kill()
+    run(story())
