Bound clients' connections, time heads and bodies, turn away reused open ids

Seen on rude+garble+fleet: descriptors 384 of 384, 19,833 times "socket.accept() out of system resource", each stopping the accepting for a second; 18 to 22% of requests from 10 s on never taken up; 127 bad clients left with neither an error nor a close; 617 traces written for unreadable requests.

Checked, by a probe of 41 malformed requests against the front: framing in two ways, negative, doubled and huge lengths, bad chunks and long heads are answered 400 by the library (ruled out as a cause). Left waiting: silence, half a head, a head without end, a body that stops. Passed on: `gzip, chunked`, a body on a GET, and the id of another's open request. At fault: web.Server's defaults in Front.__init__ (an hour for a head), the bound that was looked at only when answering, and create_server's backlog, which is also how many are accepted in one turn.

Each new test fails on the code before.

--- a/cherrycove/http1.py
+++ b/cherrycove/http1.py
@@ -12,7 +12,8 @@
 import json
 import logging
 import re
-from collections.abc import Mapping
+import socket
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 from math import isfinite
 from types import SimpleNamespace
@@ -20,6 +21,7 @@
 
 import aiohttp
 from aiohttp import web
+from aiohttp.http import HttpProcessingError
 from multidict import MultiMapping
 from yarl import URL
 
@@ -27,6 +29,7 @@
 from finchrack.interface import NodeState, Settings
 
 log = logging.getLogger("cherrycove.http1")
+clients_log = logging.getLogger("cherrycove.http1.clients")  # the library's own, of what it could not read
 
 MOST_BODY = 64 * 1024
 HEX16 = re.compile(r"[0-9a-f]{16}", re.ASCII | re.IGNORECASE)
@@ -39,9 +42,22 @@
 WATCH_WAIT = 5.0  # s that a watch may wait for news
 WATCH_SLACK = 1.0  # s past that until it counts as silent
 WATCH_AGAIN = 0.1  # s before a watch that failed is renewed: within the 200 ms in which one continues
+IDLE_TIME = 2.0  # s that a connection may stay without a whole head, at its start or between requests
+BODY_TIME = 0.7  # s for the rest of a request, once its head has come
+MOST_READ = 1 << 20  # bytes of a body that are read and dropped, so that the client sees its answer
+UNREAD_TIME = 5.0  # s after which a client that takes nothing of what it is sent is cut off
+ACCEPTED_AT_ONCE = 16  # connections in one turn of the loop
 ANSWER_TIME = 1.0  # s that a client has to take its answer when the broker ends
 
 
+def _own_fault(record: logging.LogRecord) -> bool:
+    """Guard: the library writes a trace for each unreadable request; any client could make it busy so."""
+    return not (record.exc_info and isinstance(record.exc_info[1], HttpProcessingError | ConnectionError))
+
+
+clients_log.addFilter(_own_fault)
+
+
 class RequestError(ValueError):
     """What a client sent is not a request of this deployment; the message says why."""
 
@@ -290,23 +306,72 @@
 # The front.
 
 
+class Clients(web.Server):
+    """The library's server, bounded: past the bound, the connection that has been without a request for
+    longest gives way to a new one. One that has sent no whole head counts as without a request."""
+
+    def __init__(self, handle: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]], most: int) -> None:
+        # Guard: by itself the library waits an hour for a head, and reads on after an error for ten seconds.
+        super().__init__(handle, handler_cancellation=True, access_log=None, tcp_keepalive=False,
+                         auto_decompress=False, keepalive_timeout=IDLE_TIME, lingering_time=0.0,
+                         logger=clients_log)
+        self._most = most
+        self._idle: dict[web.RequestHandler, None] = {}  # in the order in which they became so
+        self._busy: set[web.RequestHandler] = set()
+
+    def connection_made(self, handler: web.RequestHandler, transport: asyncio.Transport) -> None:
+        super().connection_made(handler, transport)
+        self._idle[handler] = None
+        if len(self._idle) + len(self._busy) > self._most:
+            # Guard: descriptors used up stop the accepting of anybody; nothing taken is ever cut off.
+            victim = next(iter(self._idle))
+            del self._idle[victim]
+            self._connections[victim].abort()
+
+    def connection_lost(self, handler: web.RequestHandler, exc: BaseException | None = None) -> None:
+        super().connection_lost(handler, exc)
+        self._idle.pop(handler, None)
+        self._busy.discard(handler)
+
+    def begin(self, handler: web.RequestHandler) -> None:
+        if self._idle.pop(handler, self) is None:
+            self._busy.add(handler)
+
+    def finish(self, handler: web.RequestHandler) -> None:
+        if handler in self._busy:
+            self._busy.discard(handler)
+            self._idle[handler] = None
+
+
 class Front:
     """Clients' connections. ``drain`` makes every further answer close its connection."""
 
     def __init__(self, core: Core, pool: Pool, most_connections: int) -> None:
-        self._core, self._pool, self._most = core, pool, most_connections
+        self._core, self._pool = core, pool
         self._names = Names(core.settings)
         self._draining = False
         self._server: asyncio.Server | None = None
-        self._web = web.Server(self._handle, handler_cancellation=True, access_log=None, tcp_keepalive=False,
-                               auto_decompress=False, lingering_time=1.0)
+        self._web = Clients(self._handle, most_connections)
+        self._open: set[str] = set()  # the ids of open requests
         self.last_request = 0.0
 
     async def listen(self, host: str, port: int) -> int:
         """Start to accept; the port, should the system have chosen it."""
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(self._web, host, port, backlog=1024, reuse_address=True)
-        bound: int = self._server.sockets[0].getsockname()[1]
+        family, kind, proto, _, place = (await loop.getaddrinfo(host, port, type=socket.SOCK_STREAM))[0]
+        listener = socket.socket(family, kind, proto)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Guard: a client that never reads its answer would keep its connection for good. Inherited on accept.
+        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(UNREAD_TIME * 1000))
+        try:
+            listener.bind(place)
+            # Guard: the loop accepts as many at a time as it queues; a crowd would take all descriptors.
+            self._server = await loop.create_server(self._web, sock=listener, backlog=ACCEPTED_AT_ONCE)
+        except OSError:
+            listener.close()
+            raise
+        listener.listen(1024)
+        bound: int = listener.getsockname()[1]
         return bound
 
     def drain(self) -> None:
@@ -322,6 +387,13 @@
         await self._web.shutdown(ANSWER_TIME)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        self._web.begin(request.protocol)
+        try:
+            return await self._respond(request)
+        finally:
+            self._web.finish(request.protocol)
+
+    async def _respond(self, request: web.BaseRequest) -> web.StreamResponse:
         loop = asyncio.get_running_loop()
         began = loop.time()
         path = request.raw_path.partition("?")[0]
@@ -337,15 +409,25 @@
             head = parse_head(request.raw_path, _single(request.headers), self._names)
             if URL(f"http://h{request.raw_path}", encoded=True).raw_path_qs != request.raw_path:
                 raise RequestError("the path cannot be passed on unchanged")
-        except (RequestError, ValueError) as error:
+            async with asyncio.timeout(BODY_TIME):
+                body = await _bounded(request)
+        except (RequestError, ValueError, web.RequestPayloadError, HttpProcessingError) as error:
             return self._response(400, f"{error}\n", whole=not request.body_exists)
-        body = await _bounded(request)
+        except TimeoutError:
+            return self._response(408, "the rest of the request did not come\n", whole=False)
         if body is None:
             return self._response(413, f"more than {MOST_BODY} bytes\n", whole=False)
-        call = Call(self._pool, request.method, request.raw_path, head.id, body)
-        answer = await self._core.serve(
-            Request(head.cls, head.plan, head.volume, head.units, head.shard, head.hosts,
-                    began + head.budget, head.key, head.repeat), call)
+        if head.id in self._open:
+            # Guard: sent on, it would be a second copy of a request that is still out.
+            return self._response(409, "a request with this X-Request-Id is open\n")
+        self._open.add(head.id)
+        try:
+            answer = await self._core.serve(
+                Request(head.cls, head.plan, head.volume, head.units, head.shard, head.hosts,
+                        began + head.budget, head.key, head.repeat),
+                Call(self._pool, request.method, request.raw_path, head.id, body))
+        finally:
+            self._open.discard(head.id)
         return self._answer(answer)
 
     def _answer(self, answer: Answer) -> web.StreamResponse:
@@ -364,8 +446,7 @@
         response = web.Response(status=status, body=data, headers={
             "Server": "cherrycove",
             "Content-Type": kind or ("text/plain" if isinstance(body, str) else "application/octet-stream")})
-        # Guard: sockets are limited; past the bound a connection serves the request it brought, no more.
-        if self._draining or not whole or len(self._web.connections) > self._most:
+        if self._draining or not whole:
             response.force_close()
         return response
 
@@ -382,18 +463,24 @@
     """The body, or None where it is over the bound; no more than that is ever held."""
     if not request.body_exists:
         return b""
-    if (request.content_length or 0) > MOST_BODY:
+    if request.method == "GET":
+        raise RequestError("a read has no body")
+    if request.headers.get("Transfer-Encoding", "chunked").strip().lower() != "chunked":
+        raise RequestError("a Transfer-Encoding other than chunked")
+    if (request.content_length or 0) > MOST_READ:
         return None
     if request.headers.get("Expect", "").lower() == "100-continue":
         # Guard: the low-level server leaves this to us; a client that waits for it would lose its time.
         await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         request.writer.output_size = 0  # what follows is the answer's head, not its middle
-    body = b""
+    body, size = b"", 0
     async for chunk in request.content.iter_any():
-        body += chunk
-        if len(body) > MOST_BODY:
+        size += len(chunk)
+        if size <= MOST_BODY:
+            body += chunk
+        elif size > MOST_READ:
             return None
-    return body
+    return body if size <= MOST_BODY else None
 
 
 # Discovery.
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 
 import pytest
@@ -152,6 +153,84 @@
     run(story())
 
 
+def test_bodies_that_are_framed_in_two_ways_or_too_far_off_are_not_passed_on() -> None:
+    async def story() -> None:
+        node = await Node().start()
+        async with World(node) as world:
+            write = {"cls": "claim-write", "method": "PUT"}
+            for extra in ({"Content_Length": "4", "Transfer_Encoding": "chunked"}, {"Content_Length": "-4"},
+                          {"Transfer_Encoding": "chunked", "Content_Length": "4"},
+                          {"Transfer_Encoding": "gzip, chunked"}, {"Content_Length": "9" * 30}):
+                whole = message(**write, **extra) + b"4\r\nabcd\r\n0\r\n\r\n"
+                assert (await world.ask(whole))[0] == 400, extra
+            assert (await world.ask(message(body=b"a read has none")))[0] == 400
+            # Guard: 60 MB are not waited for; the answer comes before them.
+            status, headers, _ = await world.ask(message(**write, Content_Length="60000000"))
+            assert status == 413 and headers["connection"] == "close"
+            assert not node.seen and not world.core.counts["taken"]
+    run(story())
+
+
+@pytest.mark.parametrize("kept", range(0, len(message(**WRITE)), 41))
+def test_a_request_that_never_ends_gets_an_error_or_a_close(
+        kept: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """By itself the library waits an hour for a head, and for ever for a body."""
+    monkeypatch.setattr(http1, "IDLE_TIME", 0.05)
+    monkeypatch.setattr(http1, "BODY_TIME", 0.05)
+
+    async def story() -> None:
+        async with World(await Node().start()) as world:
+            reader, writer = await asyncio.open_connection("127.0.0.1", world.port)
+            writer.write(message(**WRITE)[:kept])
+            said = await reader.read()  # to its end
+            assert said.startswith(b"HTTP/1.1 408 ") if b"\r\n\r\n" in message(**WRITE)[:kept] else not said
+            assert not world.core.counts["taken"]
+            writer.close()
+    run(story())
+
+
+def test_a_silent_crowd_takes_no_place_from_those_who_ask() -> None:
+    """Held connections used up all descriptors; then nobody was accepted any more."""
+    async def story() -> None:
+        node = await Node("hang").start()
+        async with World(node) as world:
+            held, owner = await asyncio.open_connection("127.0.0.1", world.port)
+            owner.write(message(id="held", ms=2000))
+            await node.until(1)
+            crowd = [await asyncio.open_connection("127.0.0.1", world.port) for _ in range(200)]
+            for reader, _ in crowd[:130]:  # the longest without a request go first, one for each that comes
+                with contextlib.suppress(OSError):
+                    assert not await reader.read()
+            assert len(world.front._web._idle) + len(world.front._web._busy) <= 64
+            assert (await answer(held))[0] == 503 and (await world.ask(id="after"))[0] == 200
+            for _, writer in [*crowd, (held, owner)]:
+                writer.close()
+    run(story())
+
+
+def test_the_id_of_an_open_request_is_not_taken_twice() -> None:
+    async def story() -> None:
+        node = await Node("hang").start()
+        async with World(node) as world:
+            first = asyncio.create_task(world.ask(**WRITE, id="W", ms=1500))
+            await node.until(1)
+            assert (await world.ask(**WRITE, id="W"))[0] == 409 and len(node.seen) == 1
+            assert (await first)[0] == 504
+            assert (await world.ask(**WRITE, id="W"))[0] == 200  # nobody else has it now
+    run(story())
+
+
+def test_unreadable_requests_leave_no_traces_in_the_log(caplog: pytest.LogCaptureFixture) -> None:
+    async def story() -> None:
+        async with World(await Node().start()) as world:
+            reader, writer = await asyncio.open_connection("127.0.0.1", world.port)
+            writer.write(b"GET / HTTP/1.1\r\na line with no colon\r\n\r\n")
+            assert b" 400 " in await reader.read()
+            writer.close()
+            assert not caplog.records
+    run(story())
+
+
 @fuzz
 @given(cuts(message(**WRITE)))
 def test_cuts_of_a_request_change_nothing(pieces: list[bytes]) -> None:
