Leave clients in a hurry most of their time, and decide on them early

Traced: why requests are given up, and with which waits they come. Ruled out: L (raising it would change nothing at idle nodes), client retries (1.00 tries a request), CPU (0.25 of 0.85).

At fault: core._take() kept back MARGIN = 50 ms whatever the wait, so the module had 0 to 15 ms and refused. _spare_refill() stopped at a lane's first request when that one would be late, though _past_hope() still held it: all behind it in the volume waited too.

Now the margin is a tenth of the wait, 50 ms at most; a request that would be late holds up nobody; one never sent is answered by half of its time (Scheduler._halfway).

Each new test fails without its change.

--- a/cherrycove/core.py
+++ b/cherrycove/core.py
@@ -27,8 +27,9 @@
 
 # Guard: a machine busy with others can hold this process up for tens of ms, and an answer that goes out after
 # the client's deadline is a request lost. What these give away are answers too late to be worth much.
-MARGIN = 0.050  # s before the client's deadline at which the module's budget ends
-LAST_RESORT = 0.025  # s before the deadline at which the core answers by itself if the module is silent
+MARGIN = 0.050  # s before the client's deadline at which the module's budget ends, but
+MARGIN_PART = 0.1  # no more than this part of what the client waits: many wait hardly longer than MARGIN
+LAST_RESORT = 0.5  # part of the margin that is left when the core answers by itself, the module being silent
 DECISION_TICKS = 5  # that the module has in any case
 
 
@@ -159,6 +160,7 @@
 class _Ticket:
     id: int
     request: Request
+    margin: float  # s before its deadline at which its budget ends
     waiter: asyncio.Future[Attempt | Answer] | None = None
     step: Attempt | Answer | None = None  # given before anybody waited for it
     attempts: int = 0
@@ -205,7 +207,7 @@
         ticket = self._take(request)
         answer: Answer | None = None
         # Guard: a client's late retry may bring less time than the last resort takes; the module decides.
-        latest = max(request.deadline - LAST_RESORT, self._loop.time() + DECISION_TICKS * self.settings.tick)
+        latest = max(request.deadline - LAST_RESORT * ticket.margin, self._loop.time() + DECISION_TICKS * self.settings.tick)
         try:
             async with asyncio.timeout_at(latest):
                 while answer is None:
@@ -318,13 +320,14 @@
 
     def _take(self, request: Request) -> _Ticket:
         self._serial += 1
-        ticket = self._tickets[self._serial] = _Ticket(self._serial, request)
+        wait = max(request.deadline - self._loop.time(), 0.0)
+        margin = min(MARGIN, MARGIN_PART * wait)
+        ticket = self._tickets[self._serial] = _Ticket(self._serial, request, margin)
         self._open += 1
         self._idle.clear()
         self.counts["taken"] += 1
-        budget = max(request.deadline - MARGIN - self._loop.time(), 0.0)
         self._push(api.Arrived(ticket.id, request.cls, request.plan, request.volume, request.units,
-                               request.shard, request.hosts, budget, request.key, request.repeat))
+                               request.shard, request.hosts, wait - margin, request.key, request.repeat))
         return ticket
 
     def _finish(self, ticket: _Ticket, answer: Answer | None) -> None:
@@ -388,7 +391,7 @@
         ticket, now = self._tickets.get(request), self._loop.time()
         address = self._addresses.get(node)
         number = ticket.attempts if ticket else 0
-        expires = min(ticket.request.deadline - MARGIN if ticket else now, now + (timeout or inf))
+        expires = min(ticket.request.deadline - ticket.margin if ticket else now, now + (timeout or inf))
         member = self._members.get(node)
         life = f"{node}@{member.since_ms if member else 0}"
         attempt = Attempt(request, number, node, address or "", expires, now, life)
--- a/finchrack/decide.py
+++ b/finchrack/decide.py
@@ -28,6 +28,7 @@
 FAR_SLOWER = 5.0  # attempt no longer counts as out
 MEMORY = 4.0  # s after which what a node answered like weighs half, against all nodes' typical latency
 PAUSE = 0.1  # part of the aim between a request's attempts; doubles up to it for a node that does not answer
+HALF = 0.49  # part of a request's time after which it is not held any longer if it was never sent
 REPORT = 5.0  # s between the lines for the report
 ASK_AGAIN = 0.2  # part of ask_within between calls for the node list after one failed
 
@@ -113,6 +114,7 @@
         request = Request(event.request, cls, volume, event.units, heavy, event.shard, event.key, due, end)
         self.requests[request.id] = request
         self.agenda.at(end, self._retry, request)
+        self.agenda.at(self.now + HALF * event.budget, self._halfway, request)
         self._review(request)
         if request.done:
             return
@@ -219,6 +221,11 @@
         if hope >= self.now:
             self.agenda.at(hope + self.settings.tick, self._review, request)
 
+    def _halfway(self, request: Request) -> None:
+        """Guard: one turned away late costs its client the time to ask again; half of it has to do here."""
+        if not request.done and not request.attempts:
+            self._give_up(request)
+
     def _expected(self, node: NodeQueue) -> float:
         """The latency of an attempt sent now: the node's own, which fades into what all nodes answer like."""
         known: float = 0.5 ** ((self.now - node.heard) / MEMORY)
@@ -253,11 +260,14 @@
                 if self.crowded and over and busy:
                     continue
                 spent, latest = 0.0, self.now + self._expected(node)
-                while (lane and spent < volume.full and lane[0].due >= latest
-                       and node.out + node.waiting < node.threshold
-                       and self._within_limit(volume, lane[0])):
-                    spent += lane[0].units
-                    self._enqueue(lane[0])
+                for request in list(lane):
+                    room = node.out + node.waiting < node.threshold
+                    if spent >= volume.full or not room or not self._within_limit(volume, request):
+                        break
+                    # Guard: one that would be late, of a client in a hurry, must not hold up those behind it.
+                    if request.due >= latest:
+                        spent += request.units
+                        self._enqueue(request)
                 if lane:
                     place.lanes[name] = place.lanes.pop(name)  # the next refill begins with the others
                 if spent:
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -86,6 +86,34 @@
     assert len(rig.sends) == sent == 40
 
 
+def test_one_that_would_be_late_does_not_hold_up_its_volume() -> None:
+    rig = Rig()
+    node = rig.scheduler.nodes[0]
+    node.service, node.heard, rig.scheduler.volumes = 0.2, rig.now, {}
+    rig.arrive(shard=1)  # its volume is known from now on, and out of credit
+    rig.scheduler.volumes["v"].credits = 0.0
+    node.resting_until = rig.now + 0.05  # both wait
+    hurried, patient = rig.arrive(budget=0.21), rig.arrive()
+    rig.wait(0.06)  # the first would be late now, by a little
+    rig.arrive(volume="w")
+    assert hurried not in rig.sent() and patient in rig.sent()
+
+
+def test_what_was_never_sent_is_answered_before_half_of_its_time_is_over() -> None:
+    """Held for the rest of it, the client has no time left to ask again."""
+    rig = Rig(nodes=1)
+    rig.listed(replace(Node("n0", 0), state=NodeState.DRAINING))
+    hurried = rig.arrive(budget=0.4)
+    rig.wait(0.195)
+    assert hurried not in rig.answers
+    rig.wait(0.005)
+    assert isinstance(rig.answers[hurried], Refuse)
+    rig.listed(Node("n0", 0))
+    sent = rig.arrive(budget=0.4)
+    rig.wait(0.3)
+    assert sent in rig.sent() and sent not in rig.answers
+
+
 def test_a_node_in_overload_that_has_run_dry_takes_spare_refills() -> None:
     rig = Rig()
     rig.scheduler.nodes[0].overload = True
