--- a/cherrycove/core.py
+++ b/cherrycove/core.py
@@ -207,7 +207,8 @@
         ticket = self._take(request)
         answer: Answer | None = None
         # Guard: a client's late retry may bring less time than the last resort takes; the module decides.
-        latest = max(request.deadline - LAST_RESORT * ticket.margin, self._loop.time() + DECISION_TICKS * self.settings.tick)
+        latest = max(request.deadline - LAST_RESORT * ticket.margin,
+                     self._loop.time() + DECISION_TICKS * self.settings.tick)
         try:
             async with asyncio.timeout_at(latest):
                 while answer is None:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -16,7 +16,19 @@
 from support import PLATFORM, RAW, ROOT, Discovery, Node, answer, fuzz, message, raw, run, spoiled
 
 from cherrycove import config
-from cherrycove.core import MARGIN, MARGIN_PART, OUTCOMES, Attempt, Core, Ending, Member, NodeList, Reply, Request, Verdict
+from cherrycove.core import (
+    MARGIN,
+    MARGIN_PART,
+    OUTCOMES,
+    Attempt,
+    Core,
+    Ending,
+    Member,
+    NodeList,
+    Reply,
+    Request,
+    Verdict,
+)
 from finchrack.interface import NodeState, Outcome
 
 READ, WRITE = 0, 1
