With few hosts let a slow answer move a node's mean, not replace it

Compared belief with traffic: the belief was the slowest answer of the last second or so.

At fault: _judge() called _waited() for each answer, which sets the mean to the answer's latency if that is higher. Every pause of a node (65 to 240 ms, every few seconds) so put the belief over the aim, and _past_hope() refused all that came for its shard until it had decayed. In a crowd of hosts, where answers are rare, that is wanted; with few hosts the mean suffices.

The new test fails without the change.

--- a/finchrack/decide.py
+++ b/finchrack/decide.py
@@ -315,7 +315,7 @@
         or a hang. Harmful to a node that stays that slow: it is tried again some seconds early."""
         self._touch(node)
         waited = min((self.now - request.sent_at) / request.heavy, NO_ANSWER * self.aim)
-        if not self.stalled and waited > node.service > 0 and (self.crowded or not request.out):
+        if self.crowded and not self.stalled and waited > node.service > 0:
             node.service, node.heard = waited, self.now
 
     def _ended(self, event: api.AttemptEnded) -> None:
@@ -361,7 +361,8 @@
             pause = min(PAUSE * 2 ** min(node.failures - 1, 8), 1.0) * request.cls.aim
             node.resting_until = max(node.resting_until, self.now + pause)
             self.agenda.at(node.resting_until, self._touch, node)
-        if event.outcome is api.Outcome.SERVED or (self.crowded and event.outcome is api.Outcome.TIMEOUT):
+        # Guard: with few hosts answers come often enough for the mean; a pause would shut its node.
+        if self.crowded and event.outcome in (api.Outcome.SERVED, api.Outcome.TIMEOUT):
             self._waited(node, request)
 
     def _retry(self, request: Request) -> None:
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -643,6 +643,17 @@
     assert (node.service > 0.3) == slow
 
 
+def test_one_slow_answer_does_not_shut_a_quick_node() -> None:
+    """Nodes pause now and then: taken whole, one answer over the aim had all that followed refused."""
+    rig = Rig()
+    for latency in (0.05, 0.05, 0.05, 0.05, 0.7):
+        request = rig.arrive()
+        rig.wait(latency)
+        rig.end(request, latency=latency)
+    assert rig.arrive() in rig.sent() and not rig.answers
+    assert rig.scheduler.nodes[0].service < 0.4
+
+
 def test_answers_found_after_a_stall_are_no_evidence() -> None:
     rig = Rig()
     node = rig.scheduler.nodes[0]
