--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -643,6 +643,16 @@
     assert (node.service > 0.3) == slow
 
 
+def test_a_mean_latency_over_a_fifth_of_the_aim_lowers_the_threshold() -> None:
+    """The bound was set when the belief was the latest peak; the mean of quiet nodes lies far lower."""
+    rig = Rig()
+    node = rig.scheduler.nodes[0]
+    node.threshold, node.service = 8.0, 0.25 * READ.aim
+    window = Window(most_out=8, arrivals=8, served=8, latencies={"read": [0.1] * 8})
+    rig.scheduler._set_threshold(node, window)
+    assert node.threshold == pytest.approx(6.4)
+
+
 def test_one_slow_answer_does_not_shut_a_quick_node() -> None:
     """Nodes pause now and then: taken whole, one answer over the aim had all that followed refused."""
     rig = Rig()
