Close connections behind answers past half of the clients' share of descriptors

They hold a third of the descriptors (85 of 256), and those who ask once and stay kept theirs for the 2 s of IDLE_TIME. Ruled out: descriptors of the broker (160 of 256), the accepting (9 requests never taken up).

Past half of the clients' share an answer now says Connection: close. Silent connections are not counted: they are nobody's who asks.

The test fails without the change.

--- a/cherrycove/http1.py
+++ b/cherrycove/http1.py
@@ -422,8 +422,8 @@
 
 
 class Clients(web.Server):
-    """The library's server, bounded: past the bound, the connection that has been without a request for
-    longest gives way to a new one. One that has sent no whole head counts as without a request."""
+    """The library's server, bounded: past the bound, a connection without a request gives way to a new one.
+    The larger group gives, those that have sent no whole head or those between requests, the longest so."""
 
     def __init__(self, handle: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]], most: int) -> None:
         # Guard: by itself the library waits an hour for a head, and reads on after an error for ten seconds.
@@ -431,25 +431,33 @@
                          auto_decompress=False, keepalive_timeout=IDLE_TIME, lingering_time=0.0,
                          logger=clients_log)
         self._most = most
-        self._idle: dict[web.RequestHandler, None] = {}  # in the order in which they became so
+        self._silent: dict[web.RequestHandler, None] = {}  # no whole head yet; by their coming
+        self._idle: dict[web.RequestHandler, None] = {}  # between requests; by their last answer
         self._busy: set[web.RequestHandler] = set()
 
     def connection_made(self, handler: web.RequestHandler, transport: asyncio.Transport) -> None:
         super().connection_made(handler, transport)
-        self._idle[handler] = None
-        if len(self._idle) + len(self._busy) > self._most:
+        self._silent[handler] = None
+        if len(self._silent) + len(self._idle) + len(self._busy) > self._most:
             # Guard: descriptors used up stop the accepting of anybody; nothing taken is ever cut off.
-            victim = next(iter(self._idle))
-            del self._idle[victim]
+            group = self._silent if len(self._silent) >= len(self._idle) else self._idle
+            victim = next(iter(group))
+            del group[victim]
             self._connections[victim].abort()
 
     def connection_lost(self, handler: web.RequestHandler, exc: BaseException | None = None) -> None:
         super().connection_lost(handler, exc)
+        self._silent.pop(handler, None)
         self._idle.pop(handler, None)
         self._busy.discard(handler)
 
+    @property
+    def crowded(self) -> bool:
+        """Whether so many are open that clients may find no place: they hold a third of all descriptors."""
+        return len(self._idle) + len(self._busy) > self._most // 3
+
     def begin(self, handler: web.RequestHandler) -> None:
-        if self._idle.pop(handler, self) is None:
+        if self._silent.pop(handler, self) is None or self._idle.pop(handler, self) is None:
             self._busy.add(handler)
 
     def finish(self, handler: web.RequestHandler) -> None:
@@ -561,7 +569,8 @@
         response = web.Response(status=status, body=data, headers={
             "Server": "cherrycove",
             "Content-Type": kind or ("text/plain" if isinstance(body, str) else "application/octet-stream")})
-        if self._draining or not whole:
+        # Guard: clients that ask once and stay would leave the others no place until their time is up.
+        if self._draining or not whole or self._web.crowded:
             response.force_close()
         return response
 
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -262,13 +262,35 @@
             for reader, _ in crowd[:130]:  # the longest without a request go first, one for each that comes
                 with contextlib.suppress(OSError):
                     assert not await reader.read()
-            assert len(world.front._web._idle) + len(world.front._web._busy) <= 64
+            web = world.front._web
+            assert len(web._silent) + len(web._idle) + len(web._busy) <= 64
             assert (await answer(held))[0] == 503 and (await world.ask(id="after"))[0] == 200
             for _, writer in [*crowd, (held, owner)]:
                 writer.close()
     run(story())
 
 
+def test_clients_that_ask_once_and_stay_leave_the_others_a_place() -> None:
+    """Clients hold a third of the descriptors at most; past half of that, answers close their connection."""
+    async def story() -> None:
+        async with World(await Node().start()) as world:
+            kept = [await asyncio.open_connection("127.0.0.1", world.port) for _ in range(30)]
+            said = []
+            for number, (reader, writer) in enumerate(kept):
+                writer.write(message(id=f"once-{number}"))
+                said.append((await answer(reader))[1].get("connection"))
+            assert said == [None] * 21 + ["close"] * 9  # a third of the 64 that the front may hold
+            for _, writer in kept:
+                writer.close()
+            silent = [await asyncio.open_connection("127.0.0.1", world.port) for _ in range(40)]
+            while len(world.front._web._silent) < 40 or world.front._web._idle:
+                await asyncio.sleep(0.01)
+            assert "connection" not in (await world.ask())[1]  # those who say nothing take nobody's place
+            for _, writer in silent:
+                writer.close()
+    run(story())
+
+
 def test_the_id_of_an_open_request_is_not_taken_twice() -> None:
     async def story() -> None:
         node = await Node("hang").start()
