After SIGTERM take requests for 2 s at most, whoever still asks

With Connection: close on every answer it takes clients that never stop asking to get there, but what is open at SIGKILL would be lost.

The test waits for ever without the bound.

--- a/cherrycove/__main__.py
+++ b/cherrycove/__main__.py
@@ -23,6 +23,7 @@
 
 OPERATOR = "deploy/operator.toml"
 LINGER = 0.8  # s without a request after SIGTERM until no more are taken: clients may learn of it late
+MOST_LINGER = 2.0  # s after SIGTERM until no more are taken, whoever still asks: SIGKILL may come at 3
 LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
 
@@ -94,7 +95,9 @@
         if self._consul is not None and self.operator.consul and self.operator.consul.register:
             await self._consul.deregister()
         # Guard: clients go on coming for a while after SIGTERM; a listener closed at once would lose them.
-        while (left := self.front.last_request + LINGER - asyncio.get_running_loop().time()) > 0:
+        loop = asyncio.get_running_loop()
+        last = loop.time() + MOST_LINGER
+        while (left := min(self.front.last_request + LINGER, last) - loop.time()) > 0:
             await asyncio.sleep(left)
         if self._nbd is not None and self._nbd_pool is not None:
             await self._nbd.close()
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -15,6 +15,7 @@
 from hypothesis import strategies as st
 from support import PLATFORM, RAW, ROOT, Discovery, Node, answer, fuzz, message, raw, run, spoiled
 
+from cherrycove import __main__ as main
 from cherrycove import config
 from cherrycove.core import (
     MARGIN,
@@ -303,3 +304,23 @@
             if process.returncode is None:
                 process.kill()
     run(story())
+
+
+def test_clients_that_never_stop_asking_do_not_keep_a_broker_from_its_end(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    """Held up until SIGKILL, it would lose what it has open."""
+    monkeypatch.setattr(main, "MOST_LINGER", 0.2)
+
+    async def story() -> None:
+        platform = config.read_platform(raw() | {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:9"}, {})
+        broker = main.Broker(platform, config.Operator())
+        await broker.start()
+
+        async def ask() -> None:
+            while True:
+                broker.front.last_request = asyncio.get_running_loop().time()
+                await asyncio.sleep(0.01)
+        asking = asyncio.create_task(ask())
+        await broker.end()
+        asking.cancel()
+    run(story())
