--- a/cherrycove/__main__.py
+++ b/cherrycove/__main__.py
@@ -16,7 +16,7 @@
 from dataclasses import replace
 from pathlib import Path
 
-from cherrycove import config, consul, http1, nbd, store
+from cherrycove import admin, config, consul, http1, nbd, store
 from cherrycove.core import Core, NodeList
 
 log = logging.getLogger("cherrycove")
@@ -42,6 +42,7 @@
         self._nbd_pool: nbd.Pool | None = None
         self._consul: consul.Consul | None = None
         self._gossip: store.Gossip | None = None
+        self._desk = admin.Desk(self._call)
 
     async def start(self) -> int:
         """Begin to serve; the port of the platform's front."""
@@ -51,6 +52,8 @@
             self.core.update(platform.known, restored=True)
         port = await self.front.listen(*platform.listen)
         log.info("%s serves on %s:%d", platform.name, platform.listen[0], port)
+        if platform.admin is not None:
+            log.info("operators' calls on port %d", await self._desk.listen(*platform.admin))
         if operator.nbd is not None:
             self._nbd_pool = nbd.Pool(operator.nbd, platform.dial_timeout, most=platform.sockets // 16)
             self._nbd = nbd.Front(self.core, self._nbd_pool, operator.nbd)
@@ -112,9 +115,23 @@
         if self._consul is not None:
             await self._consul.close()
         await self.pool.close()
+        await self._desk.close()
         log.info("ended: %s; attempts: %s", dict(self.core.counts),
                  {ending.value: count for ending, count in self.core.endings.items()})
 
+    async def _call(self, call: admin.Call) -> str:
+        if call.word == "stats":
+            return admin.report(self.core.figures())
+        if call.word == "status":
+            return admin.yes_or_no(self._obstacle(), "serving")
+        return "NO not yet"
+
+    def _obstacle(self) -> str | None:
+        """Why this process cannot serve, if it cannot."""
+        if self.stop.is_set():
+            return "it drains"
+        return None if self.core.ready else "no disk node is known to be up"
+
     def _run(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
         task = asyncio.create_task(work)
         task.add_done_callback(self._over)
--- a/cherrycove/config.py
+++ b/cherrycove/config.py
@@ -42,6 +42,7 @@
     dial_timeout: float
     conn_idle: float
     known: NodeList | None
+    admin: tuple[str, int] | None = None  # where operators call
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,6 +111,7 @@
         seed = int(str(raw.get("seed", "")), 16)
     except ValueError:
         raise ConfigError(f"seed must be hex digits, not {raw.get('seed')!r}") from None
+    admin = raw.get("admin") or env.get("RELAY_ADMIN")
     discovery = raw.get("discovery") or env.get("RELAY_DISCOVERY")
     host_port(discovery, "discovery")
     return Platform(
@@ -117,7 +119,7 @@
         listen=host_port(raw.get("listen") or env.get("RELAY_LISTEN"), "listen"), discovery=str(discovery),
         seed=seed, sockets=sockets, settings=module, zones=places,
         dial_timeout=_seconds(settings, "dialTimeoutNs"), conn_idle=_seconds(settings, "connIdleNs"),
-        known=known)
+        known=known, admin=host_port(admin, "admin") if admin else None)
 
 
 class _Table:
--- a/cherrycove/core.py
+++ b/cherrycove/core.py
@@ -116,11 +116,19 @@
     expires: float
     began: float
     life: str = ""  # the node's name and start: another life of it does not know what this one was told
-    written: bool = False  # set by the backend once the last byte may have left this machine
+    written: bool = False  # the last byte may have left this machine
+    on_written: Callable[[], None] | None = None
     scope: asyncio.Timeout | None = None
     given_up: bool = False
     reported: bool = False
 
+    def wrote(self) -> None:
+        """Called by the backend once the last byte may have left."""
+        if not self.written:
+            self.written = True
+            if self.on_written is not None:
+                self.on_written()
+
 
 @dataclass(frozen=True, slots=True)
 class Reply:
@@ -150,6 +158,17 @@
     cause: Ending | None = None  # how the last attempt ended, if there was one
 
 
+@dataclass(frozen=True, slots=True)
+class Figures:
+    """What operators read of a broker, as it is now."""
+
+    answers: Mapping[str, Mapping[Verdict, int]]  # by class, since the start
+    tries: int  # attempts written whole
+    open: int  # requests
+    known: int  # nodes in the list
+    skipped: int  # nodes of these that get nothing now
+
+
 class Backend(Protocol):
     """One request on one wire: carries out an attempt. Cancelled, it must close the connection it used."""
 
@@ -176,6 +195,8 @@
         self.settings = settings
         self.counts: Counter[str] = Counter()
         self.endings: Counter[Ending] = Counter()
+        self._answers = {cls.name: dict.fromkeys(Verdict, 0) for cls in settings.classes}
+        self._tries = 0
         self.version: int | None = None  # of the node list; None: none has been told yet
         self.on_list: Callable[[NodeList], None] | None = None  # told of each list from the source itself
         self.silent = False  # whether the source of the node list has stopped to answer
@@ -228,6 +249,15 @@
             self._finish(ticket, answer)
         return answer
 
+    def turned_away(self, cls: int, verdict: Verdict = Verdict.FAILED) -> None:
+        """A front has answered a request of this class by itself: it is not one that the core could take."""
+        self._answers[self.settings.classes[cls].name][verdict] += 1
+
+    def figures(self) -> Figures:
+        used = self._scheduler.in_use()
+        return Figures(self._answers, self._tries, self._open, len(self._members),
+                       sum(name not in used for name in self._members))
+
     async def pick(self, ticket: _Ticket) -> Attempt | Answer:
         """The next step of a request: an attempt to carry out, or its final refusal or failure."""
         if ticket.step is None:
@@ -334,6 +364,8 @@
         if not self._open:
             self._idle.set()
         self.counts[answer.verdict.value if answer else "client gone"] += 1
+        if answer is not None:
+            self._answers[self.settings.classes[ticket.request.cls].name][answer.verdict] += 1
         # An attempt handed out in the moment the client left was never carried out, and still gets its end.
         for attempt in (ticket.current, ticket.step):
             if isinstance(attempt, Attempt):
@@ -392,7 +424,8 @@
         number = ticket.attempts if ticket else 0
         expires = min(ticket.request.deadline - ticket.margin if ticket else now, now + (timeout or inf))
         life = f"{node}@{member.since_ms if member else 0}"
-        attempt = Attempt(request, number, node, member.address if member else "", expires, now, life)
+        attempt = Attempt(request, number, node, member.address if member else "", expires, now, life,
+                          on_written=self._written)
         if ticket is not None:
             ticket.attempts += 1
         if ticket is None or ticket.over or member is None:
@@ -402,6 +435,9 @@
         ticket.current = attempt
         self._give(ticket, attempt)
 
+    def _written(self) -> None:
+        self._tries += 1
+
     def _decided(self, request: int, verdict: Verdict, retry_after: float = 0.0) -> None:
         ticket = self._tickets.get(request)
         if ticket is not None:
--- a/cherrycove/http1.py
+++ b/cherrycove/http1.py
@@ -403,7 +403,7 @@
     def written(self) -> None:
         self.sent = True
         if self._current is not None:
-            self._current.written = True
+            self._current.wrote()
 
     def count(self, size: int) -> None:
         self._left -= size
@@ -524,7 +524,8 @@
             ok = self._core.ready and not self._draining
             return self._response(200 if ok else 503, "ready\n" if ok else "not ready\n")
         self.last_request = began
-        if (path.split("/", 2) + [""])[1] not in self._names.classes:
+        cls = self._names.classes.get((path.split("/", 2) + [""])[1])
+        if cls is None:
             return self._response(404, "no such path\n", whole=not request.body_exists)
         try:
             if request.method not in ("GET", "PUT"):
@@ -535,14 +536,14 @@
             async with asyncio.timeout(BODY_TIME):
                 body = await _bounded(request)
         except (RequestError, ValueError, web.RequestPayloadError, HttpProcessingError) as error:
-            return self._response(400, f"{error}\n", whole=not request.body_exists)
+            return self._turn_away(cls, 400, f"{error}\n", whole=not request.body_exists)
         except TimeoutError:
-            return self._response(408, "the rest of the request did not come\n", whole=False)
+            return self._turn_away(cls, 408, "the rest of the request did not come\n", whole=False)
         if body is None:
-            return self._response(413, f"more than {MOST_BODY} bytes\n", whole=False)
+            return self._turn_away(cls, 413, f"more than {MOST_BODY} bytes\n", whole=False)
         if head.id in self._open:
             # Guard: sent on, it would be a second copy of a request that is still out.
-            return self._response(409, "a request with this X-Request-Id is open\n")
+            return self._turn_away(cls, 409, "a request with this X-Request-Id is open\n")
         self._open.add(head.id)
         try:
             answer = await self._core.serve(
@@ -553,6 +554,10 @@
             self._open.discard(head.id)
         return self._answer(answer)
 
+    def _turn_away(self, cls: int, status: int, why: str, whole: bool = True) -> web.StreamResponse:
+        self._core.turned_away(cls)
+        return self._response(status, why, whole=whole)
+
     def _answer(self, answer: Answer) -> web.StreamResponse:
         if answer.verdict is Verdict.SERVED and answer.reply is not None:
             return self._response(200, answer.reply.body, answer.reply.kind)
--- a/cherrycove/nbd.py
+++ b/cherrycove/nbd.py
@@ -445,7 +445,7 @@
                 call = Call(self._call.command, 0, link.cookie, self._call.offset, self._call.length)
                 if link.writer.is_closing():
                     return Reply(Ending.BROKEN_UNSENT)
-                attempt.written = True  # from here on nobody can tell what has left
+                attempt.wrote()  # from here on nobody can tell what has left
                 link.writer.write(call.pack() + self._payload)
                 reply = await read_reply(link.reader, call, link.structured)
         except NotServedError as error:
@@ -683,7 +683,10 @@
     async def _serve(self, call: Call, payload: bytes | None) -> None:
         errno, data = check(call, self._export, self._structured), b""
         message = "not a command that this export takes"
-        if errno is None and payload is not None:
+        if errno is not None or payload is None:
+            if call.command in self._setup.classes:
+                self._core.turned_away(self._setup.classes[Command(call.command)])
+        else:
             settings, command = self._core.settings, Command(call.command)
             cls, export = self._setup.classes[command], self._export
             deadline = asyncio.get_running_loop().time() + settings.classes[cls].deadline
--- a/finchrack/decide.py
+++ b/finchrack/decide.py
@@ -92,6 +92,10 @@
             self.actions.append(api.SetTimer(0, self.armed - self.now))
         return self.actions
 
+    def in_use(self) -> set[str]:
+        """The nodes that get requests as they come: none that drains, none at which nobody answers."""
+        return {node.id for node in self.nodes.values() if node.id is not None and not node.failures}
+
     def _watch(self, _: None) -> None:
         self.actions.append(api.Watch())
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -50,7 +50,7 @@
             await asyncio.sleep(0)
             ending = self.endings.pop(0) if self.endings else Ending.SERVED
             if ending is Ending.TIMED_OUT:
-                attempt.written = True
+                attempt.wrote()
                 await asyncio.Event().wait()
             return Reply(ending, b"whole")
         finally:
