Hand the listening sockets to a second process of the broker and share its budgets

Seen in a probe of open connections every 50 ms: none during the handover itself; they come before it, while the second process starts. It takes half of the CPU for about 0.7 s, the first one's loop lags by 10 to 50 ms, and clients run out of connections. Ruled out: connections dropped by the bound on descriptors (none were), those closed at the first one's end (0 to 12, idle). Found on the way: answers closed their connections past a third of the bound for clients, which the handover lowers; that threshold now stays.

--- a/cherrycove/__main__.py
+++ b/cherrycove/__main__.py
@@ -11,12 +11,13 @@
 import logging
 import os
 import signal
+import socket
 import sys
 from collections.abc import Coroutine
 from dataclasses import replace
 from pathlib import Path
 
-from cherrycove import admin, config, consul, http1, nbd, store
+from cherrycove import admin, config, consul, handover, http1, nbd, store
 from cherrycove.core import Core, NodeList
 
 log = logging.getLogger("cherrycove")
@@ -24,6 +25,7 @@
 OPERATOR = "deploy/operator.toml"
 LINGER = 0.8  # s without a request after SIGTERM until no more are taken: clients may learn of it late
 MOST_LINGER = 2.0  # s after SIGTERM until no more are taken, whoever still asks: SIGKILL may come at 3
+SHARED = 0.5  # the part of a broker's budgets that a process has while another one lives
 LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
 
@@ -43,33 +45,99 @@
         self._consul: consul.Consul | None = None
         self._gossip: store.Gossip | None = None
         self._desk = admin.Desk(self._call)
+        self._place = handover.Place(platform.name, platform.listen)
+        self._links: set[handover.Link] = set()  # to other processes of this broker
+        self._handed: list[socket.socket] = []  # what a successor accepts from, in case it dies
 
     async def start(self) -> int:
-        """Begin to serve; the port of the platform's front."""
+        """Begin to serve, in place of another process of this broker if there is one; the front's port."""
         platform, operator = self.platform, self.operator
         kept = await self._start_store(operator.store) if operator.store is not None else None
+        met = await self._place.meet({"hello": 1})
         if platform.known is not None:
             self.core.update(platform.known, restored=True)
-        port = await self.front.listen(*platform.listen)
-        log.info("%s serves on %s:%d", platform.name, platform.listen[0], port)
-        if platform.admin is not None:
-            log.info("operators' calls on port %d", await self._desk.listen(*platform.admin))
+        given: list[socket.socket] = []
+        if met is not None:
+            link, state, given = met
+            self._take_over(state)
+            following = asyncio.create_task(self._follow(link))  # it ends with the other process
+            self._tasks.add(following)
+            following.add_done_callback(self._tasks.discard)
+        if operator.consul is None:
+            self._watch = self._run(http1.watch(self.core, platform.discovery, platform.zones))
         if operator.nbd is not None:
             self._nbd_pool = nbd.Pool(operator.nbd, platform.dial_timeout, most=platform.sockets // 16)
             self._nbd = nbd.Front(self.core, self._nbd_pool, operator.nbd)
             for entry in kept.items("config/").values() if kept is not None else ():
                 self._stored(entry)
-            log.info("NBD on port %d: %s", await self._nbd.listen(), ", ".join(operator.nbd.exports))
-        if operator.consul is None:
-            self._watch = self._run(http1.watch(self.core, platform.discovery, platform.zones))
-        else:
+            ports = await self._nbd.listen(given[1] if len(given) > 1 else None)
+            log.info("NBD on port %d: %s", ports, ", ".join(operator.nbd.exports))
+        port = await (self.front.accept(given[0]) if given else self.front.listen(*platform.listen))
+        log.info("%s serves on %s:%d", platform.name, platform.listen[0], port)
+        if operator.consul is not None:
             self._consul = consul.Consul(self.core, operator.consul, platform.zones, platform.name,
                                          (platform.listen[0], port))
             self._run(self._consul.watch())
             if operator.consul.register:
                 self._run(self._consul.keep_registered())
+        if platform.admin is not None:
+            log.info("operators' calls on port %d", await self._desk.listen(*platform.admin))
+        if met is not None:
+            met[0].tell({"serving": True})
+        await self._place.await_successor(self._hand_over, self._follow)
         return port
 
+    # Two processes of this broker.
+
+    def _hand_over(self, hello: handover.Message) -> tuple[handover.Message, list[socket.socket]]:
+        log.info("a successor has started; it gets the listening sockets")
+        members = [handover.pack_member(member) for member in self.core.members]
+        given = [self.front.listener] + ([self._nbd.listener] if self._nbd is not None else [])
+        return {"version": self.core.version, "members": members, "sent": self.core.sent()}, given
+
+    def _take_over(self, state: handover.Message) -> None:
+        log.info("taking over from the process in service")
+        try:
+            members = tuple(handover.parse_member(raw) for raw in state["members"])
+            sent = {str(name): float(units) for name, units in state["sent"].items()}
+            if type(state["version"]) is int:
+                self.core.update(NodeList(state["version"], True, members), restored=True)
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            log.warning("what it told is not used: %s", error)
+            sent = {}
+        self.core.share(SHARED, sent)
+
+    async def _follow(self, link: handover.Link) -> None:
+        """Share with the other process, successor or predecessor, while it lives."""
+        self._links.add(link)
+        self._share()
+        try:
+            await link.follow(self._told)
+        finally:
+            self._links.discard(link)
+            self._share()
+        log.info("the other process has ended")
+        if self._handed and not self._links and not self.stop.is_set():
+            log.warning("the successor has gone before this process was told to end; serving again")
+            handed, self._handed = self._handed, []
+            await self.front.accept(handed[0])
+            if self._nbd is not None:
+                await self._nbd.listen(handed[1])
+
+    def _share(self) -> None:
+        """Guard: the processes count as one broker, in the rules and in the limits."""
+        alone = not self._links
+        self.core.share(1.0 if alone else SHARED)
+        self.pool.resize(self.platform.sockets // (3 if alone else 8))
+        self.front.resize(self.platform.sockets // (2 if alone else 3))
+
+    async def _told(self, message: handover.Message) -> None:
+        if message.get("serving") and not self._handed and not self.stop.is_set():
+            log.info("the successor serves; connections here end with their next answer")
+            self._handed.append(self.front.hand_over())
+            if self._nbd is not None:
+                self._handed.append(self._nbd.hand_over())
+
     def reload(self) -> None:
         """Read the platform's file again and follow its discovery; nothing in flight is touched."""
         try:
@@ -95,7 +163,8 @@
         self.front.drain()
         if self._nbd is not None:
             self._nbd.drain()
-        if self._consul is not None and self.operator.consul and self.operator.consul.register:
+        registered = self.operator.consul is not None and self.operator.consul.register
+        if self._consul is not None and registered and not self._handed:
             await self._consul.deregister()
         # Guard: clients go on coming for a while after SIGTERM; a listener closed at once would lose them.
         loop = asyncio.get_running_loop()
@@ -116,6 +185,9 @@
             await self._consul.close()
         await self.pool.close()
         await self._desk.close()
+        for link in list(self._links):
+            link.close()
+        await self._place.close()
         log.info("ended: %s; attempts: %s", dict(self.core.counts),
                  {ending.value: count for ending, count in self.core.endings.items()})
 
--- a/cherrycove/core.py
+++ b/cherrycove/core.py
@@ -316,6 +316,13 @@
             api.Node(m.name, m.shard, m.zone, m.weight, self._clock(m.since_ms), m.state)
             for m in news.members)))
 
+    def share(self, part: float, sent: Mapping[str, float] | None = None) -> None:
+        """This process is one of several that count as one broker; what the others sent to nodes of late."""
+        self._push(api.Shared(part, sent or {}))
+
+    def sent(self) -> dict[str, float]:
+        return self._scheduler.sent()
+
     def list_unavailable(self) -> None:
         self.silent = True
         self._push(api.ListUnavailable())
--- /dev/null
+++ b/cherrycove/handover.py
@@ -0,0 +1,227 @@
+"""What two processes of one broker share: the listening sockets, the node list, and word of each other's end.
+
+It owns the broker's directory in $TMPDIR, the Unix socket in it, and the link between a process and its
+successor. It must never decide what either serves, never trust what it finds in the directory, and never keep
+a process from starting: without it a broker still serves, alone.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import hashlib
+import json
+import logging
+import os
+import socket
+import tempfile
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+from cherrycove.core import Member
+from finchrack.interface import NodeState
+
+log = logging.getLogger("cherrycove.handover")
+
+SOCKET = "process.sock"
+ANSWER_TIME = 1.0  # s in which a process in service must answer its successor; else it is as none
+ACK_TIME = 0.5  # s in which the other process must have taken in what it is told
+MOST_MESSAGE = 1 << 20
+MOST_LISTENERS = 4
+Message = dict[str, Any]
+
+
+class HandoverError(ValueError):
+    """What the other process sent is not understood; the message says why."""
+
+
+def pack_member(member: Member) -> list[Any]:
+    return [member.name, member.address, member.shard, member.zone, member.weight, member.since_ms,
+            member.state.value]
+
+
+def parse_member(raw: Any) -> Member:
+    try:
+        name, address, shard, zone, weight, since, state = raw
+        member = Member(name, address, shard, zone, float(weight), float(since), NodeState(state))
+    except (TypeError, ValueError):
+        raise HandoverError("an entry of the node list is malformed") from None
+    if not (isinstance(name, str) and name and isinstance(address, str)
+            and type(shard) is int and type(zone) is int):
+        raise HandoverError("an entry of the node list is malformed")
+    return member
+
+
+def parse_message(line: bytes) -> Message:
+    try:
+        message = json.loads(line)
+    except (ValueError, RecursionError):
+        raise HandoverError("not JSON") from None
+    if not isinstance(message, dict):
+        raise HandoverError("no object")
+    return message
+
+
+class Link:
+    """The connection to the other process, over which each tells the other what binds both."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._reader, self._writer = reader, writer
+        self._acks: dict[int, asyncio.Future[None]] = {}
+        self._serial = 0
+
+    async def follow(self, on_message: Callable[[Message], Awaitable[None]]) -> None:
+        """Take messages until the other process ends."""
+        with contextlib.suppress(OSError, EOFError, HandoverError):
+            while line := await self._reader.readline():
+                message = parse_message(line)
+                if "ack" in message:
+                    waiter = self._acks.pop(message["ack"], None)
+                    if waiter is not None and not waiter.done():
+                        waiter.set_result(None)
+                    continue
+                await on_message(message)
+                if "serial" in message:
+                    self.tell({"ack": message["serial"]})
+        self.close()
+
+    def tell(self, message: Message) -> None:
+        if not self._writer.is_closing():
+            self._writer.write(json.dumps(message).encode() + b"\n")
+
+    async def ask(self, message: Message) -> bool:
+        """Tell, and wait until the other has taken it in; False if it did not in time, or has gone."""
+        self._serial += 1
+        waiter = self._acks[self._serial] = asyncio.get_running_loop().create_future()
+        self.tell(message | {"serial": self._serial})
+        try:
+            async with asyncio.timeout(ACK_TIME):
+                await waiter
+            return True
+        except (TimeoutError, asyncio.CancelledError):
+            return False
+        finally:
+            self._acks.pop(self._serial, None)
+
+    def close(self) -> None:
+        for waiter in self._acks.values():
+            waiter.cancel()
+        self._writer.close()
+
+
+class Place:
+    """The broker's directory. Without one (it cannot be made) there is nobody to meet and nothing is kept."""
+
+    def __init__(self, name: str, listen: tuple[str, int], root: str | None = None) -> None:
+        identity = hashlib.sha256(f"{name}\n{listen[0]}\n{listen[1]}".encode()).hexdigest()[:16]
+        self.path = Path(root or tempfile.gettempdir()) / f"cherrycove-{identity}"
+        self._server: asyncio.Server | None = None
+        self._talks: set[asyncio.Task[None]] = set()
+        try:
+            self.path.mkdir(mode=0o700, exist_ok=True)
+        except OSError as error:
+            log.warning("%s cannot be used: %s; no successor can take over", self.path, error.strerror)
+
+    async def meet(self, hello: Message) -> tuple[Link, Message, list[socket.socket]] | None:
+        """The process in service: the link to it, its state, its listening sockets. None: there is none."""
+        peer = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        peer.setblocking(False)
+        loop, taken = asyncio.get_running_loop(), []  # type: asyncio.AbstractEventLoop, list[int]
+        try:
+            async with asyncio.timeout(ANSWER_TIME):
+                with _short(self.path) as folder:
+                    await loop.sock_connect(peer, f"{folder}/{SOCKET}")
+                await loop.sock_sendall(peer, json.dumps(hello).encode() + b"\n")
+                readable = loop.create_future()
+                loop.add_reader(peer, _wake, readable)
+                try:
+                    await readable
+                finally:
+                    loop.remove_reader(peer)
+                # Guard: one byte and no more, so that the descriptors come with it and the state behind it.
+                mark, taken, _, _ = socket.recv_fds(peer, 1, MOST_LISTENERS)
+                if not mark or not taken:
+                    raise HandoverError("it hands nothing over")
+                reader, writer = await asyncio.open_connection(sock=peer, limit=MOST_MESSAGE)
+                state = parse_message(await reader.readline())
+                listeners = [socket.socket(fileno=number) for number in taken]
+                return Link(reader, writer), state, listeners
+        except (OSError, EOFError, HandoverError, asyncio.LimitOverrunError, ValueError) as error:
+            if not isinstance(error, FileNotFoundError | ConnectionRefusedError):
+                log.warning("nobody to take over from: %s", error or type(error).__name__)
+            for number in taken:
+                os.close(number)
+            peer.close()
+            return None
+
+    async def await_successor(self, take: Callable[[Message], tuple[Message, list[socket.socket]]],
+                              link: Callable[[Link], Awaitable[None]]) -> None:
+        """Be found by the next process: ``take`` gives the state and the sockets, ``link`` keeps the link."""
+
+        async def found(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            talk = asyncio.current_task()
+            assert talk is not None
+            self._talks.add(talk)
+            try:
+                state, listeners = take(parse_message(await reader.readline()))
+                with writer.get_extra_info("socket").dup() as peer:
+                    socket.send_fds(peer, [b"\n"], [each.fileno() for each in listeners])
+                writer.write(json.dumps(state).encode() + b"\n")
+                await link(Link(reader, writer))
+            except (OSError, ValueError) as error:
+                log.warning("a successor came to nothing: %s", error)
+            finally:
+                self._talks.discard(talk)
+                writer.close()
+        own = f"{os.getpid()}.sock"
+        try:
+            with _short(self.path) as folder:
+                with contextlib.suppress(FileNotFoundError):
+                    os.unlink(f"{folder}/{own}")
+                self._server = await asyncio.start_unix_server(found, f"{folder}/{own}", limit=MOST_MESSAGE)
+            # Guard: whatever lies there, of the process before this one or of one long dead, is replaced.
+            os.replace(self.path / own, self.path / SOCKET)
+        except OSError as error:
+            log.warning("%s cannot be used: %s; no successor can take over", self.path, error)
+
+    async def close(self) -> None:
+        """Be found no more. The links are closed by their owner, and waited for here."""
+        if self._server is not None:
+            self._server.close()
+        await asyncio.gather(*self._talks, return_exceptions=True)
+
+
+def _wake(waiter: asyncio.Future[None]) -> None:
+    if not waiter.done():
+        waiter.set_result(None)
+
+
+@contextlib.contextmanager
+def _short(path: Path) -> Any:
+    """A name for the directory that leaves room in a Unix socket's address, which holds 108 bytes."""
+    if len(os.fsencode(path)) < 80:
+        yield str(path)
+        return
+    number = os.open(path, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        yield f"/proc/self/fd/{number}"
+    finally:
+        os.close(number)
+
+
+def listener(host: str, port: int, **options: int) -> socket.socket:
+    """A socket for clients, not listening yet. A process that did not answer its successor may still hold the
+    address, so it is shared; where it did answer, one socket serves both."""
+    family, kind, proto, _, place = socket.getaddrinfo(host, port, type=socket.SOCK_STREAM)[0]
+    made = socket.socket(family, kind, proto)
+    try:
+        made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        for name, value in options.items():
+            made.setsockopt(socket.IPPROTO_TCP, getattr(socket, name), value)
+        made.bind(place)
+    except OSError:
+        made.close()
+        raise
+    return made
--- a/cherrycove/http1.py
+++ b/cherrycove/http1.py
@@ -29,6 +29,7 @@
 from yarl import URL
 
 from cherrycove.core import Answer, Attempt, Core, Ending, Member, NodeList, Reply, Request, Verdict
+from cherrycove.handover import listener
 from finchrack.interface import NodeState, Settings
 
 log = logging.getLogger("cherrycove.http1")
@@ -317,9 +318,10 @@
         trace.on_request_headers_sent.append(self._headers_sent)
         trace.on_request_chunk_sent.append(self._chunk_sent)
         # Guard: a node closes what stood idle for conn_idle, and what is written to it then is lost.
+        self._connector = Connector(limit=most, keepalive_timeout=min(conn_idle * 0.4, 15.0),
+                                    happy_eyeballs_delay=None, use_dns_cache=False)
         self._session = aiohttp.ClientSession(
-            connector=Connector(limit=most, keepalive_timeout=min(conn_idle * 0.4, 15.0),
-                                happy_eyeballs_delay=None, use_dns_cache=False),
+            connector=self._connector,
             cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False, trace_configs=[trace],
             skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
             timeout=aiohttp.ClientTimeout(total=None, connect=dial_timeout, sock_connect=dial_timeout))
@@ -327,6 +329,9 @@
         # That is a second copy which nobody decided; it has no public switch.
         self._session._retry_connection = False
 
+    def resize(self, most: int) -> None:
+        self._connector._limit = most
+
     async def close(self) -> None:
         await self._session.close()
 
@@ -430,7 +435,7 @@
         super().__init__(handle, handler_cancellation=True, access_log=None, tcp_keepalive=False,
                          auto_decompress=False, keepalive_timeout=IDLE_TIME, lingering_time=0.0,
                          logger=clients_log)
-        self._most = most
+        self._most, self._crowd = most, most // 3
         self._silent: dict[web.RequestHandler, None] = {}  # no whole head yet; by their coming
         self._idle: dict[web.RequestHandler, None] = {}  # between requests; by their last answer
         self._busy: set[web.RequestHandler] = set()
@@ -438,9 +443,18 @@
     def connection_made(self, handler: web.RequestHandler, transport: asyncio.Transport) -> None:
         super().connection_made(handler, transport)
         self._silent[handler] = None
-        if len(self._silent) + len(self._idle) + len(self._busy) > self._most:
+        self.trim()
+
+    def resize(self, most: int) -> None:
+        self._most = most
+        self.trim()
+
+    def trim(self) -> None:
+        while len(self._silent) + len(self._idle) + len(self._busy) > self._most:
             # Guard: descriptors used up stop the accepting of anybody; nothing taken is ever cut off.
             group = self._silent if len(self._silent) >= len(self._idle) else self._idle
+            if not group:
+                return
             victim = next(iter(group))
             del group[victim]
             self._connections[victim].abort()
@@ -454,7 +468,7 @@
     @property
     def crowded(self) -> bool:
         """Whether so many are open that clients may find no place: they hold a third of all descriptors."""
-        return len(self._idle) + len(self._busy) > self._most // 3
+        return len(self._idle) + len(self._busy) > self._crowd
 
     def begin(self, handler: web.RequestHandler) -> None:
         if self._silent.pop(handler, self) is None or self._idle.pop(handler, self) is None:
@@ -474,29 +488,37 @@
         self._names = Names(core.settings)
         self._draining = False
         self._server: asyncio.Server | None = None
+        self.listener: socket.socket
         self._web = Clients(self._handle, most_connections)
         self._open: set[str] = set()  # the ids of open requests
         self.last_request = 0.0
 
     async def listen(self, host: str, port: int) -> int:
         """Start to accept; the port, should the system have chosen it."""
-        loop = asyncio.get_running_loop()
-        family, kind, proto, _, place = (await loop.getaddrinfo(host, port, type=socket.SOCK_STREAM))[0]
-        listener = socket.socket(family, kind, proto)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         # Guard: a client that never reads its answer would keep its connection for good. Inherited on accept.
-        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(UNREAD_TIME * 1000))
-        try:
-            listener.bind(place)
-            # Guard: the loop accepts as many at a time as it queues; a crowd would take all descriptors.
-            self._server = await loop.create_server(self._web, sock=listener, backlog=ACCEPTED_AT_ONCE)
-        except OSError:
-            listener.close()
-            raise
-        listener.listen(1024)
-        bound: int = listener.getsockname()[1]
+        return await self.accept(listener(host, port, TCP_USER_TIMEOUT=int(UNREAD_TIME * 1000)))
+
+    async def accept(self, given: socket.socket) -> int:
+        """Start to accept from a socket that another process may have opened, and may accept from too."""
+        # Guard: the loop accepts as many at a time as it queues; a crowd would take all descriptors.
+        self._server = await asyncio.get_running_loop().create_server(
+            self._web, sock=given, backlog=ACCEPTED_AT_ONCE)
+        given.listen(1024)
+        self.listener, self._draining = given, False
+        bound: int = given.getsockname()[1]
         return bound
 
+    def hand_over(self) -> socket.socket:
+        """Another process accepts from now on; the socket, should it have to be taken back."""
+        kept = self.listener.dup()
+        if self._server is not None:
+            self._server.close()
+        self.drain()
+        return kept
+
+    def resize(self, most: int) -> None:
+        self._web.resize(most)
+
     def drain(self) -> None:
         self._draining = True
         self.last_request = asyncio.get_running_loop().time()
--- a/cherrycove/nbd.py
+++ b/cherrycove/nbd.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import logging
+import socket
 import struct
 from collections import deque
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Mapping
@@ -19,6 +20,7 @@
 from math import ceil
 
 from cherrycove.core import Answer, Attempt, Core, Ending, Reply, Request, Verdict
+from cherrycove.handover import listener
 
 log = logging.getLogger("cherrycove.nbd")
 
@@ -481,13 +483,23 @@
         self._draining = False
         self._closed: set[str] = set()
         self._server: asyncio.Server | None = None
-
-    async def listen(self) -> int:
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(lambda: _Protocol(self._accept), *self._setup.listen)
-        port: int = self._server.sockets[0].getsockname()[1]
+        self.listener: socket.socket
+
+    async def listen(self, given: socket.socket | None = None) -> int:
+        """Start to accept, from a socket that another process opened if there is one."""
+        self.listener = given or listener(*self._setup.listen)
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: _Protocol(self._accept), sock=self.listener)
+        port: int = self.listener.getsockname()[1]
         return port
 
+    def hand_over(self) -> socket.socket:
+        """Another process accepts from now on; the socket, should it have to be taken back."""
+        kept = self.listener.dup()
+        if self._server is not None:
+            self._server.close()
+        return kept
+
     def drain(self) -> None:
         """No export is handed out any more; those in use go on until ``close``."""
         self._draining = True
--- a/cherrycove/store.py
+++ b/cherrycove/store.py
@@ -213,7 +213,9 @@
 
     async def start(self) -> int:
         loop = asyncio.get_running_loop()
-        self._transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=self._setup.listen)
+        # Shared, for the time in which one process of the broker replaces another.
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=self._setup.listen, reuse_port=True)
         for peer in self._setup.peers:  # a restart catches up from whoever answers
             self._send(self._store.digest(), peer)
         self._next()
--- a/finchrack/decide.py
+++ b/finchrack/decide.py
@@ -8,7 +8,7 @@
 
 import random
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from math import inf
 
 from finchrack import interface as api
@@ -57,6 +57,8 @@
         self.touched: dict[int | None, NodeQueue] = {}
         self.aim = min(cls.aim for cls in settings.classes)
         self.typical = 0.0  # median latency of the nodes heard lately
+        self.part, self.others_until = 1.0, -inf  # of this host's budgets, while another process shares them
+        self.others: Mapping[str, float] = {}
         part = FLEET_L / settings.schedulers
         self.crowded, self.start_l = part < LEAST_L, max(min(START_L, part), LEAST_L)
 
@@ -80,6 +82,8 @@
                     self._close(self.requests[event.request])
                 case api.NodesListed():
                     self._listed(event)
+                case api.Shared():
+                    self._shared(event)
                 case api.ListUnavailable() if self.settings.list_on_request:
                     self.agenda.at(self.now + ASK_AGAIN * self.settings.ask_within, self._watch)
                 case api.TimerFired():
@@ -92,6 +96,18 @@
             self.actions.append(api.SetTimer(0, self.armed - self.now))
         return self.actions
 
+    def _shared(self, event: api.Shared) -> None:
+        """Guard: two processes of one host, as one replaces the other, are one to limits and cold nodes."""
+        self.part = event.part
+        if event.sent:
+            self.others, self.others_until = event.sent, self.now + self.settings.fall_window
+        for volume in self.volumes.values():
+            volume.share(self.now, self.part)
+
+    def sent(self) -> dict[str, float]:
+        """What each node was sent within the window of the rule on cold nodes, in units."""
+        return {node.id: node.recent.total(self.now) for node in self.nodes.values() if node.id is not None}
+
     def in_use(self) -> set[str]:
         """The nodes that get requests as they come: none that drains, none at which nobody answers."""
         return {node.id for node in self.nodes.values() if node.id is not None and not node.failures}
@@ -110,8 +126,8 @@
         if volume is None:
             # Guard: this may be a restart whose former life spent the burst: the store fills from the start.
             volume = self.volumes[event.volume] = Volume(
-                event.volume, plan, (plan.reserve or plan.usual) / hosts * PERIOD, plan.limit / hosts,
-                plan.burst / hosts, filled_at=self.started)
+                event.volume, plan, (plan.reserve or plan.usual) / hosts * PERIOD, self.started, hosts)
+            volume.share(self.now, self.part)
         volume.asked_at = self.now
         # A client's repeat keeps the aim of its first try; its smaller budget tells how long ago that was.
         budget = self.budgets[event.cls] = max(self.budgets.get(event.cls, 0.0), event.budget)
@@ -493,7 +509,8 @@
         if not self._cold(node):
             return True
         growth = 1 + (1 / s.start_capacity - 1) * max(age, 0.0) / s.warm_after
-        part = s.cold_units / s.schedulers * growth
+        part = s.cold_units / s.schedulers * growth * self.part
+        part -= self.others.get(node.id or "", 0.0) if self.now < self.others_until else 0.0
         if part >= s.max_units:
             if node.recent.total(self.now) + request.units <= part:
                 return True
--- a/finchrack/interface.py
+++ b/finchrack/interface.py
@@ -233,6 +233,14 @@
     nodes: tuple[Node, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class Shared:
+    """This scheduler is one of several that count as one for a while, and may use a part of its budgets."""
+
+    part: float  # above 0; 1: it is alone (again)
+    sent: Mapping[str, float] = field(default_factory=dict)  # units that the others sent to nodes of late
+
+
 @dataclass(frozen=True, slots=True)
 class ListUnavailable:
     """A call for the node list failed, or the subscription broke; the old list stands."""
@@ -251,7 +259,7 @@
     load: Mapping[str, float] = field(default_factory=dict)
 
 
-Event = (Arrived | AttemptEnded | StreamStarted | Lapsed | NodesListed | ListUnavailable | TimerFired
+Event = (Arrived | AttemptEnded | StreamStarted | Lapsed | NodesListed | Shared | ListUnavailable | TimerFired
          | ProbeEnded)
 
 
--- a/finchrack/state.py
+++ b/finchrack/state.py
@@ -117,9 +117,10 @@
     name: str
     plan: Plan
     full: float  # units of credit at a refill
-    limit: float  # units a second of the limit that are this host's, 0: none
-    burst: float
     filled_at: float
+    hosts: int = 1  # through which its requests come
+    limit: float = 0.0  # units a second of the limit that are this host's, 0: none
+    burst: float = 0.0
     store: float = 0.0  # units that the limit still lets through
     pending: float = 0.0  # units released to a node's queue and not sent yet
     credits: float = 0.0
@@ -130,6 +131,12 @@
     waking: bool = False
     lanes: dict[int | None, deque[Request]] = field(default_factory=dict)  # its first-in queue, by shard
 
+    def share(self, now: float, part: float) -> None:
+        """From now on this part of what the limit leaves to this host may be used."""
+        if self.limit:
+            self.level(now)
+        self.limit, self.burst = self.plan.limit / self.hosts * part, self.plan.burst / self.hosts * part
+
     def level(self, now: float) -> float:
         """What the limit's store holds: it fills at the limit's rate, up to the burst."""
         self.store = min(self.burst, self.store + (now - self.filled_at) * self.limit)
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,213 @@
+"""Two processes of one broker: what they pass on, share, and survive."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+
+import pytest
+from helpers import Rig
+from hypothesis import given
+from support import ROOT, Node, answer, fuzz, message, raw, run, spoiled
+
+from cherrycove import handover
+from cherrycove.core import Member
+from finchrack import interface as api
+from finchrack.state import Volume
+
+MEMBER = Member("d0", "127.0.0.1:1", 3, 1, 1.0, 5.0, api.NodeState.DRAINING)
+STATE = {"version": 7, "members": [handover.pack_member(MEMBER)], "sent": {"d0": 3.0}}
+
+
+class Process:
+    """A broker's process, and what its log says."""
+
+    def __init__(self, whole: dict[str, object], folder: Path) -> None:
+        self.whole, self.folder = whole, folder
+
+    async def __aenter__(self) -> Process:
+        path = self.folder / f"{id(self)}.json"
+        path.write_text(json.dumps(self.whole))
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "cherrycove", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
+            env=os.environ | {"RELAY_CONFIG": str(path), "TMPDIR": str(self.folder)})
+        self.admin = int((await self.line("operators' calls on port ")).rpartition(" ")[2])
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        if self.process.returncode is None:
+            self.process.kill()
+
+    async def line(self, text: str) -> str:
+        assert self.process.stderr is not None
+        while text not in (line := (await self.process.stderr.readline()).decode()):
+            assert line, f"it ended before it said {text!r}"
+        return line.strip()
+
+    async def call(self, line: str) -> str:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.admin)
+        writer.write(line.encode() + b"\n")
+        said = (await reader.read()).decode()
+        writer.close()
+        return said
+
+    async def end(self) -> None:
+        self.process.send_signal(signal.SIGTERM)
+        assert self.process.stderr is not None
+        assert b"Traceback" not in await self.process.stderr.read() and await self.process.wait() == 0
+
+
+def settings(node: Node) -> dict[str, object]:
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        port = free.getsockname()[1]
+    whole = raw() | {"listen": f"127.0.0.1:{port}", "discovery": "127.0.0.1:9", "admin": "127.0.0.1:0"}
+    whole["known"]["endpoints"][0] |= {"name": "d0", "address": f"127.0.0.1:{node.port}"}
+    return whole
+
+
+def test_a_second_process_takes_the_place_of_the_first_and_nobody_is_turned_away(tmp_path: Path) -> None:
+    """It ended with the address in use; a socket of its own would drop the first one's queue."""
+    async def story() -> None:
+        node = await Node("ok", "hang").start()
+        whole = settings(node)
+        place = ("127.0.0.1", int(str(whole["listen"]).rpartition(":")[2]))
+        async with Process(whole, tmp_path) as first:
+            kept, writer = await asyncio.open_connection(*place)
+            writer.write(message(id="kept"))
+            assert "connection" not in (await answer(kept))[1]
+            held, holder = await asyncio.open_connection(*place)
+            holder.write(message(id="held", ms=2500))
+            await node.until(2)
+            async with Process(whole, tmp_path) as second:
+                assert (await second.call("status")).startswith("YES")
+                await first.line("the successor serves")
+                writer.write(message(id="last"))  # a kept connection ends with its request
+                status, headers, body = await answer(kept)
+                assert (status, headers["connection"], body) == (200, "close", b"data of last")
+                assert not await kept.read()
+                ending = asyncio.create_task(first.end())
+                assert (await answer(held))[0] == 503  # taken before, answered before the end
+                await ending
+                await second.line("the other process has ended")
+                reader, asker = await asyncio.open_connection(*place)
+                asker.write(message(id="new"))
+                assert (await answer(reader))[2] == b"data of new"
+                for each in (writer, holder, asker):
+                    each.close()
+                await second.end()
+    run(story())
+
+
+def test_should_the_successor_die_the_process_in_service_goes_on(tmp_path: Path) -> None:
+    async def story() -> None:
+        whole = settings(await Node().start())
+        async with Process(whole, tmp_path) as first:
+            async with Process(whole, tmp_path) as second:
+                second.process.kill()
+            await first.line("serving again")
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", int(str(whole["listen"]).rpartition(":")[2]))
+            writer.write(message(id="after"))
+            assert (await answer(reader))[2] == b"data of after"
+            writer.close()
+            await first.end()
+    run(story())
+
+
+@pytest.mark.parametrize("left", ["nothing", "a file", "a socket of the dead", "one that never answers"])
+def test_whatever_lies_in_the_directory_a_process_starts_and_can_be_found(
+        left: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(handover, "ANSWER_TIME", 0.2)
+
+    async def story() -> None:
+        deep = tmp_path / ("x" * 100)  # longer than the address of a Unix socket may be
+        deep.mkdir()
+        place = handover.Place("n0", ("h", 1), str(deep))
+        stale = socket.socket(socket.AF_UNIX)
+        if left == "a file":
+            (place.path / handover.SOCKET).write_bytes(b"garbage")
+        elif left != "nothing":
+            with handover._short(place.path) as folder:
+                stale.bind(f"{folder}/{handover.SOCKET}")
+        if left == "one that never answers":
+            stale.listen()
+        else:
+            stale.close()
+        assert await place.meet({}) is None
+        with socket.create_server(("127.0.0.1", 0)) as front:
+            talks: list[handover.Link] = []
+
+            async def keep(link: handover.Link) -> None:
+                talks.append(link)
+                await link.follow(took)
+
+            async def took(message: handover.Message) -> None:
+                assert message["tell"] == 1
+            await place.await_successor(lambda hello: (STATE, [front]), keep)
+            met = await handover.Place("n0", ("h", 1), str(deep)).meet({"hello": 1})
+            assert met is not None and met[1] == STATE
+            assert met[2][0].getsockname() == front.getsockname()
+            following = asyncio.create_task(met[0].follow(took))
+            assert await met[0].ask({"tell": 1})  # told, taken in, acknowledged
+            met[2][0].close()
+            met[0].close()
+            talks[0].close()
+            await place.close()
+            await following
+        stale.close()
+    run(story())
+
+
+def test_a_place_that_cannot_be_made_keeps_no_process_from_starting(tmp_path: Path) -> None:
+    async def story() -> None:
+        (tmp_path / "file").write_bytes(b"")
+        place = handover.Place("n0", ("h", 1), str(tmp_path / "file"))
+        assert await place.meet({}) is None
+        await place.await_successor(lambda hello: (STATE, []), lambda link: link.follow(None))  # type: ignore
+        await place.close()
+    run(story())
+
+
+@fuzz
+@given(spoiled(json.dumps(STATE).encode()))
+def test_spoiled_messages_are_refused_in_words_or_usable(garbage: bytes) -> None:
+    try:
+        state = handover.parse_message(garbage)
+        members = [handover.parse_member(each) for each in state.get("members", [])]
+    except (handover.HandoverError, TypeError) as error:
+        assert str(error)
+    else:
+        assert all(member.name for member in members)
+
+
+def test_two_processes_send_a_cold_node_what_one_may() -> None:
+    """Each with the whole of the broker's part, together they push it over."""
+    def units(shared: api.Shared) -> float:
+        rig = Rig(cold_units=80.0)
+        rig.listed(api.Node("n0", 0, started=rig.now - 0.5))
+        rig.give(shared)
+        for number in range(200):
+            rig.arrive(volume=f"v{number}")
+            for request in rig.sent():
+                if rig.attempts[request] == 0 and request not in rig.answers:
+                    rig.answers[request] = rig.sends[-1]
+                    rig.end(request)
+        return rig.scheduler.sent()["n0"]
+    whole, half = units(api.Shared(1.0)), units(api.Shared(0.5))
+    assert whole / 2 - 2 <= half <= whole / 2
+    assert units(api.Shared(0.5, {"n0": 12.0})) <= half - 10  # what the other sent of late counts too
+
+
+def test_limits_are_shared_and_whole_again() -> None:
+    volume = Volume("v", api.Plan("p", 1.0, limit=20.0, burst=8.0), 1.0, 0.0, hosts=2)
+    volume.share(0.0, 1.0)
+    assert (volume.limit, volume.burst) == (10.0, 4.0)
+    volume.share(0.0, 0.5)
+    assert (volume.limit, volume.burst, volume.level(10.0)) == (5.0, 2.0, 2.0)
+    volume.share(10.0, 1.0)
+    assert volume.level(10.1) == pytest.approx(3.0)
