Take disk nodes out and put them back by operators' calls, kept across an upgrade

The state is joined with discovery's in the core; the node counts as started when it is put back, until discovery tells its start.

--- a/cherrycove/__main__.py
+++ b/cherrycove/__main__.py
@@ -13,6 +13,7 @@
 import signal
 import socket
 import sys
+import time
 from collections.abc import Coroutine
 from dataclasses import replace
 from pathlib import Path
@@ -53,6 +54,9 @@
         """Begin to serve, in place of another process of this broker if there is one; the front's port."""
         platform, operator = self.platform, self.operator
         kept = await self._start_store(operator.store) if operator.store is not None else None
+        self.core.maintain(self._place.load())
+        if self.core.maintenance.out:
+            log.info("out for maintenance: %s", ", ".join(self.core.maintenance.out))
         met = await self._place.meet({"hello": 1})
         if platform.known is not None:
             self.core.update(platform.known, restored=True)
@@ -93,13 +97,15 @@
         log.info("a successor has started; it gets the listening sockets")
         members = [handover.pack_member(member) for member in self.core.members]
         given = [self.front.listener] + ([self._nbd.listener] if self._nbd is not None else [])
-        return {"version": self.core.version, "members": members, "sent": self.core.sent()}, given
+        return {"version": self.core.version, "members": members, "sent": self.core.sent(),
+                "maintenance": handover.pack_maintenance(self.core.maintenance)}, given
 
     def _take_over(self, state: handover.Message) -> None:
         log.info("taking over from the process in service")
         try:
             members = tuple(handover.parse_member(raw) for raw in state["members"])
             sent = {str(name): float(units) for name, units in state["sent"].items()}
+            self.core.maintain(handover.parse_maintenance(state["maintenance"]))
             if type(state["version"]) is int:
                 self.core.update(NodeList(state["version"], True, members), restored=True)
         except (KeyError, TypeError, ValueError, AttributeError) as error:
@@ -137,6 +143,8 @@
             self._handed.append(self.front.hand_over())
             if self._nbd is not None:
                 self._handed.append(self._nbd.hand_over())
+        if "maint" in message:
+            self._apply(message)
 
     def reload(self) -> None:
         """Read the platform's file again and follow its discovery; nothing in flight is touched."""
@@ -196,7 +204,33 @@
             return admin.report(self.core.figures())
         if call.word == "status":
             return admin.yes_or_no(self._obstacle(), "serving")
-        return "NO not yet"
+        return await self._maintain(call.node, call.word == "maint-on")
+
+    async def _maintain(self, node: str, out: bool) -> str:
+        """Take a node out or put it back: here, in the file, at the other process, and only then say yes."""
+        state, known = self.core.maintenance, {member.name: member for member in self.core.members}
+        if node not in known and node not in state.out:
+            return "NO no disk node of this name is in the list"
+        if out and node not in state.out and len(state.out) >= handover.MOST_OUT:
+            return f"NO {handover.MOST_OUT} nodes are out, as many as may be"
+        changed = {"maint": node, "at": time.time() * 1000, "out": out}
+        if out and node not in state.out:
+            changed["at"] = known[node].since_ms
+        if not self._apply(changed):
+            return "NO it cannot be kept across a restart; the log says why"
+        for link in list(self._links):
+            if not await link.ask(changed):
+                log.warning("the other process did not confirm %s", changed)
+        log.info("%s is %s by an operator's call", node, "out" if out else "back")
+        return f"YES {node} is {'out' if out else 'back'}"
+
+    def _apply(self, changed: handover.Message) -> bool:
+        before, node, at = self.core.maintenance, str(changed["maint"]), float(changed["at"])
+        state = before.taking_out(node, at) if changed["out"] else before.putting_back(node, at)
+        if not self._place.save(state):
+            return False
+        self.core.maintain(state)
+        return True
 
     def _obstacle(self) -> str | None:
         """Why this process cannot serve, if it cannot."""
--- a/cherrycove/core.py
+++ b/cherrycove/core.py
@@ -14,10 +14,10 @@
 import logging
 import time
 from collections import Counter
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field, replace
 from enum import Enum
-from math import inf
+from math import inf, nan
 from typing import Protocol
 
 from finchrack import interface as api
@@ -90,6 +90,35 @@
     members: tuple[Member, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class Maintenance:
+    """Who is out by the operators' word, and who is back but not known by discovery to have restarted."""
+
+    out: Mapping[str, float] = field(default_factory=dict)  # by name: the start discovery had told before
+    back: Mapping[str, tuple[float, float]] = field(default_factory=dict)  # that start, and its return
+
+    def taking_out(self, name: str, since_ms: float) -> Maintenance:
+        if name in self.out:
+            return self
+        return Maintenance({**self.out, name: since_ms}, {k: v for k, v in self.back.items() if k != name})
+
+    def putting_back(self, name: str, returned_ms: float) -> Maintenance:
+        if name not in self.out:
+            return self
+        return Maintenance({k: v for k, v in self.out.items() if k != name},
+                           {**self.back, name: (self.out[name], returned_ms)})
+
+    def joined(self, told: Member) -> Member:
+        """What holds for a node of which discovery told this."""
+        since, returned = self.back.get(told.name, (nan, 0.0))
+        if since == told.since_ms:
+            # Guard: it was restarted while out, and discovery may be seconds late to say so.
+            told = replace(told, since_ms=returned)
+        if told.name in self.out and told.state is api.NodeState.UP:
+            return replace(told, state=api.NodeState.DRAINING)
+        return told
+
+
 @dataclass(slots=True, eq=False)
 class Request:
     """What the core must know of a request. What it carries is the backend's business."""
@@ -212,7 +241,8 @@
         self._over: list[int] = []  # tickets to forget once the next batch has told the module
         self._open = 0
         self._serial = 0
-        self._members: dict[str, Member] = {}
+        self._members: dict[str, Member] = {}  # as told, whoever is out
+        self.maintenance = Maintenance()
         self._idle = asyncio.Event()
         self._idle.set()
 
@@ -312,9 +342,22 @@
         for member in news.members:
             if member.state is api.NodeState.GONE:
                 self._members.pop(member.name, None)
-        self._push(api.NodesListed(news.version, kind, tuple(
+        back = {name: times for name, times in self.maintenance.back.items()
+                if name in self._members and self._members[name].since_ms == times[0]}
+        self.maintenance = replace(self.maintenance, back=back)
+        self._tell(news.version, kind, news.members)
+
+    def _tell(self, version: int, kind: api.ListKind, members: Iterable[Member]) -> None:
+        self._push(api.NodesListed(version, kind, tuple(
             api.Node(m.name, m.shard, m.zone, m.weight, self._clock(m.since_ms), m.state)
-            for m in news.members)))
+            for m in map(self.maintenance.joined, members))))
+
+    def maintain(self, state: Maintenance) -> None:
+        """From now on these nodes are out, and those back."""
+        before, self.maintenance = self.maintenance, state
+        changed = [m for m in self._members.values() if before.joined(m) != state.joined(m)]
+        if changed:
+            self._tell(self.version or 0, api.ListKind.CHANGES, changed)
 
     def share(self, part: float, sent: Mapping[str, float] | None = None) -> None:
         """This process is one of several that count as one broker; what the others sent to nodes of late."""
@@ -334,12 +377,14 @@
 
     @property
     def members(self) -> tuple[Member, ...]:
+        """The list as told."""
         return tuple(self._members.values())
 
     @property
     def ready(self) -> bool:
         """Whether there is a node to send to."""
-        return any(member.state is api.NodeState.UP for member in self._members.values())
+        return any(self.maintenance.joined(member).state is api.NodeState.UP
+                   for member in self._members.values())
 
     @property
     def open_requests(self) -> int:
--- a/cherrycove/handover.py
+++ b/cherrycove/handover.py
@@ -1,6 +1,6 @@
-"""What two processes of one broker share: the listening sockets, the node list, and word of each other's end.
+"""What two processes of one broker share: the listening sockets, the node list, who is out for maintenance.
 
-It owns the broker's directory in $TMPDIR, the Unix socket in it, and the link between a process and its
+It owns the broker's directory in $TMPDIR, what lies in it, and the link between a process and its
 successor. It must never decide what either serves, never trust what it finds in the directory, and never keep
 a process from starting: without it a broker still serves, alone.
 """
@@ -19,12 +19,13 @@
 from pathlib import Path
 from typing import Any
 
-from cherrycove.core import Member
+from cherrycove.core import Maintenance, Member
 from finchrack.interface import NodeState
 
 log = logging.getLogger("cherrycove.handover")
 
-SOCKET = "process.sock"
+SOCKET, MAINTENANCE = "process.sock", "maintenance.json"
+MOST_OUT = 256  # nodes
 ANSWER_TIME = 1.0  # s in which a process in service must answer its successor; else it is as none
 ACK_TIME = 0.5  # s in which the other process must have taken in what it is told
 MOST_MESSAGE = 1 << 20
@@ -53,6 +54,21 @@
     return member
 
 
+def pack_maintenance(state: Maintenance) -> Message:
+    return {"out": dict(state.out), "back": {name: list(times) for name, times in state.back.items()}}
+
+
+def parse_maintenance(raw: Any) -> Maintenance:
+    try:
+        out = {str(name): float(since) for name, since in raw["out"].items()}
+        back = {str(name): (float(since), float(at)) for name, (since, at) in raw["back"].items()}
+    except (KeyError, TypeError, ValueError, AttributeError):
+        raise HandoverError("the state of maintenance is malformed") from None
+    if len(out) > MOST_OUT:
+        raise HandoverError("more nodes are out than may be")
+    return Maintenance(out, back)
+
+
 def parse_message(line: bytes) -> Message:
     try:
         message = json.loads(line)
@@ -123,6 +139,26 @@
         except OSError as error:
             log.warning("%s cannot be used: %s; no successor can take over", self.path, error.strerror)
 
+    def save(self, state: Maintenance) -> bool:
+        """Whether it is safely in its file, from which the next start takes it."""
+        try:
+            fresh = self.path / f"{os.getpid()}.{MAINTENANCE}"
+            fresh.write_text(json.dumps(pack_maintenance(state)))
+            os.replace(fresh, self.path / MAINTENANCE)
+        except OSError as error:
+            log.error("the state of maintenance cannot be kept: %s", error)
+            return False
+        return True
+
+    def load(self) -> Maintenance:
+        try:
+            return parse_maintenance(parse_message((self.path / MAINTENANCE).read_bytes()))
+        except FileNotFoundError:
+            return Maintenance()
+        except (OSError, HandoverError) as error:
+            log.warning("%s is not used: %s", self.path / MAINTENANCE, error)
+            return Maintenance()
+
     async def meet(self, hello: Message) -> tuple[Link, Message, list[socket.socket]] | None:
         """The process in service: the link to it, its state, its listening sockets. None: there is none."""
         peer = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -8,6 +8,7 @@
 import os
 import signal
 import sys
+import time
 from pathlib import Path
 
 import pytest
@@ -195,6 +196,43 @@
     run(story())
 
 
+def test_no_news_lifts_a_ban_and_no_return_lifts_a_drain() -> None:
+    async def story() -> None:
+        core = core_with()
+        core.maintain(core.maintenance.taking_out("d0", 0.0).taking_out("d0", 7.0))
+        for version, news in enumerate((NodeState.UP, NodeState.GONE, NodeState.UP), 2):
+            core.update(NodeList(version, False, (Member("d0", "here", 0, state=news),)))
+            assert (await core.serve(request(READ, 0.3), Scripted(core))).verdict is Verdict.REFUSED
+        core.update(NodeList(5, True, (Member("d0", "here", 0, state=NodeState.DRAINING),)))
+        core.maintain(core.maintenance.putting_back("d0", 1e12))
+        assert not core.ready and core.figures().skipped == 1
+        core.update(NodeList(6, False, (Member("d0", "here", 0),)))
+        assert (await core.serve(request(READ), Scripted(core))).verdict is Verdict.SERVED
+    run(story())
+
+
+def test_a_node_that_is_put_back_is_cold_from_then_until_its_start_is_told() -> None:
+    """Discovery tells of the restart seconds late; sent all its work, a cold node falls over."""
+    async def story() -> None:
+        core = core_with()
+        node = core._scheduler._node(0)
+        core.maintain(core.maintenance.taking_out("d0", 0.0))
+        now = time.time() * 1000
+        core.maintain(core.maintenance.putting_back("d0", now))
+        core.update(NodeList(2, True, (Member("d0", "here", 0),)))  # old news
+        assert (await core.serve(request(READ), Scripted(core))).verdict is Verdict.SERVED  # it gets some
+        assert core._scheduler._cold(node) and node.started == core._clock(now)
+        core.update(NodeList(3, False, (Member("d0", "here", 0, since_ms=now - 3000),)))
+        core.tick()
+        assert node.started == core._clock(now - 3000) and not core.maintenance.back
+        core.maintain(core.maintenance.taking_out("d0", now - 3000))
+        core.update(NodeList(4, False, (Member("d0", "here", 0, since_ms=now - 1000),)))
+        core.maintain(core.maintenance.putting_back("d0", now))  # its restart was told while it was out
+        core.tick()
+        assert node.started == core._clock(now - 1000)
+    run(story())
+
+
 @fuzz
 @given(spoiled(json.dumps(RAW).encode()))
 def test_a_spoiled_configuration_is_refused_in_words_or_usable(garbage: bytes) -> None:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -16,7 +16,7 @@
 from support import ROOT, Node, answer, fuzz, message, raw, run, spoiled
 
 from cherrycove import handover
-from cherrycove.core import Member
+from cherrycove.core import Maintenance, Member
 from finchrack import interface as api
 from finchrack.state import Volume
 
@@ -211,3 +211,41 @@
     assert (volume.limit, volume.burst, volume.level(10.0)) == (5.0, 2.0, 2.0)
     volume.share(10.0, 1.0)
     assert volume.level(10.1) == pytest.approx(3.0)
+
+
+def test_a_ban_binds_both_processes_and_outlasts_the_first(tmp_path: Path) -> None:
+    async def story() -> None:
+        whole = settings(await Node().start())
+        async with Process(whole, tmp_path) as first:
+            assert (await first.call("maint-on nobody")).startswith("NO ")
+            assert (await first.call("maint-off d0")).startswith("YES ")  # it was not out: nothing to undo
+            for _ in range(2):
+                assert (await first.call("maint-on d0")).startswith("YES ")
+            assert "broker.skipped_disk_nodes:1|g" in await first.call("stats")
+            async with Process(whole, tmp_path) as second:
+                assert "broker.skipped_disk_nodes:1|g" in await second.call("stats")
+                assert (await second.call("maint-off d0")).startswith("YES ")  # one undoes both
+                for each in (first, second):
+                    assert "broker.skipped_disk_nodes:0|g" in await each.call("stats")
+                assert (await first.call("maint-on d0")).startswith("YES ")
+                await first.end()
+                assert "broker.skipped_disk_nodes:1|g" in await second.call("stats")
+                second.process.kill()
+                await second.process.wait()
+            async with Process(whole, tmp_path) as third:  # from the file alone
+                assert "broker.skipped_disk_nodes:1|g" in await third.call("stats")
+                await third.end()
+    run(story())
+
+
+def test_a_ban_that_cannot_be_kept_is_owed_a_no(tmp_path: Path) -> None:
+    """A yes that the next process knows nothing of would send to a node that is being worked on."""
+    place = handover.Place("n0", ("h", 1), str(tmp_path))
+    state = Maintenance({"d0": 5.0}, {"d1": (0.0, 9.0)})
+    assert place.save(state) and place.load() == state
+    for garbage in (b"", b"{", b"[]", b'{"out":[]}', b'{"out":{"a":"x"},"back":{}}', b"\xff"):
+        (place.path / handover.MAINTENANCE).write_bytes(garbage)
+        assert place.load() == Maintenance()
+    (place.path / handover.MAINTENANCE).unlink()
+    place.path.rmdir()
+    assert not place.save(state)
