Pass bodies and answers over 64 KiB on in pieces, with backpressure both ways

Before: every body over 64 KiB got 413, every such answer was dropped as spoilt, and a body had 0.7 s.

Also new: answers that end with their connection (if they say so; a reset is no end), and the module's Uploaded event, without which a slow client's sending would be its node's latency.

--- a/cherrycove/core.py
+++ b/cherrycove/core.py
@@ -14,7 +14,7 @@
 import logging
 import time
 from collections import Counter
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from dataclasses import dataclass, field, replace
 from enum import Enum
 from math import inf, nan
@@ -46,6 +46,7 @@
     CUT_SHORT = "cut short"  # it broke within the answer
     SPOILT = "spoilt"  # the node answered, but with what cannot be read or cannot be told whole
     TIMED_OUT = "timed out"  # written whole, no whole answer in time
+    CLIENT_BROKE = "client broke off"  # what the client sent of a long body is not all of it
     EXPIRED = "expired unsent"  # called off, or out of time, before its last byte was written
     GIVEN_UP = "given up"  # the module called the attempt off, or the client has gone
     NOT_STARTED = "not started"  # nothing was sent: the request was over, or the node has no address
@@ -66,6 +67,8 @@
     # Guard: it never ran, and it is no evidence against the node: the request's own time was too short.
     Ending.EXPIRED: api.Outcome.MOOT,
     Ending.GIVEN_UP: api.Outcome.CANCELLED,
+    # Guard: a part of it is with the node, and only the node knows what it makes of that.
+    Ending.CLIENT_BROKE: api.Outcome.CANCELLED,
     Ending.NOT_STARTED: api.Outcome.MOOT,
 }
 
@@ -132,6 +135,7 @@
     deadline: float  # on the core's clock: when the client stops waiting
     key: str | None = None
     repeat: bool = False
+    upload: bool = False  # its last byte is still to come; its deadline counts from then on
 
 
 @dataclass(slots=True, eq=False)
@@ -144,9 +148,11 @@
     address: str
     expires: float
     began: float
+    wait: float = 0.0  # s that the broker waits for the answer
     life: str = ""  # the node's name and start: another life of it does not know what this one was told
     written: bool = False  # the last byte may have left this machine
-    on_written: Callable[[], None] | None = None
+    begun: bool = False  # so may a part of a long body
+    on_written: Callable[[Attempt], None] | None = None
     scope: asyncio.Timeout | None = None
     given_up: bool = False
     reported: bool = False
@@ -156,7 +162,7 @@
         if not self.written:
             self.written = True
             if self.on_written is not None:
-                self.on_written()
+                self.on_written(self)
 
 
 @dataclass(frozen=True, slots=True)
@@ -169,6 +175,7 @@
     use: float | None = None  # the volume's use in a finished period, in usual rates
     elsewhere: float = 0.0
     load: Mapping[str, float] = field(default_factory=dict)
+    relay: Callable[[], Awaitable[Ending]] | None = None  # passes on a long answer, whose start body is
 
 
 class Verdict(Enum):
@@ -208,7 +215,9 @@
 class _Ticket:
     id: int
     request: Request
+    wait: float  # s that its client waits
     margin: float  # s before its deadline at which its budget ends
+    limit: asyncio.Timeout | None = None
     waiter: asyncio.Future[Attempt | Answer] | None = None
     step: Attempt | Answer | None = None  # given before anybody waited for it
     attempts: int = 0
@@ -260,7 +269,7 @@
         latest = max(request.deadline - LAST_RESORT * ticket.margin,
                      self._loop.time() + DECISION_TICKS * self.settings.tick)
         try:
-            async with asyncio.timeout_at(latest):
+            async with asyncio.timeout_at(latest) as ticket.limit:
                 while answer is None:
                     step = await self.pick(ticket)
                     if isinstance(step, Answer):
@@ -271,10 +280,19 @@
                         if reply.ending is Ending.SERVED:
                             answer = Answer(Verdict.SERVED, reply)
         except TimeoutError:
-            # Guard: a module that gives no word, or a loop that ran late, must not leave a client unanswered.
-            log.warning("request %d reached its deadline without a decision", ticket.id)
-            self._push(api.Lapsed(ticket.id))
-            answer = Answer(Verdict.FAILED, cause=ticket.cause)
+            if answer is None:
+                # Guard: a module without a word, or a loop that ran late, must leave no client unanswered.
+                log.warning("request %d reached its deadline without a decision", ticket.id)
+                self._push(api.Lapsed(ticket.id))
+                answer = Answer(Verdict.FAILED, cause=ticket.cause)
+        except BaseException:
+            self._finish(ticket, None)
+            raise
+        try:
+            if answer.reply is not None and answer.reply.relay is not None:
+                begun, relay, answer = answer, answer.reply.relay, None
+                ending = await relay()
+                answer = begun if ending is Ending.SERVED else Answer(Verdict.FAILED, cause=ending)
         finally:
             self._finish(ticket, answer)
         return answer
@@ -309,6 +327,8 @@
         closed = ticket is None or ticket.over or reply.ending is Ending.SERVED
         if ticket is not None:
             ticket.cause, ticket.current = reply.ending, None
+            if ticket.request.upload and ticket.limit is not None and not ticket.limit.expired():
+                ticket.limit.reschedule(self._loop.time() + ticket.wait)
         self._push(api.AttemptEnded(
             attempt.request, attempt.number, attempt.node, OUTCOMES[reply.ending], closed,
             self._loop.time() - attempt.began, reply.use, reply.elsewhere, reply.load))
@@ -403,12 +423,13 @@
         self._serial += 1
         wait = max(request.deadline - self._loop.time(), 0.0)
         margin = min(MARGIN, MARGIN_PART * wait)
-        ticket = self._tickets[self._serial] = _Ticket(self._serial, request, margin)
+        ticket = self._tickets[self._serial] = _Ticket(self._serial, request, wait, margin)
         self._open += 1
         self._idle.clear()
         self.counts["taken"] += 1
         self._push(api.Arrived(ticket.id, request.cls, request.plan, request.volume, request.units,
-                               request.shard, request.hosts, wait - margin, request.key, request.repeat))
+                               request.shard, request.hosts, wait - margin, request.key, request.repeat,
+                               request.upload))
         return ticket
 
     def _finish(self, ticket: _Ticket, answer: Answer | None) -> None:
@@ -429,10 +450,11 @@
 
     async def _carry_out(self, attempt: Attempt, backend: Backend) -> Reply:
         try:
-            async with asyncio.timeout_at(attempt.expires) as attempt.scope:
+            expires = attempt.expires if attempt.expires < inf else None
+            async with asyncio.timeout_at(expires) as attempt.scope:
                 return await backend.attempt(attempt)
         except TimeoutError:
-            if not attempt.written:
+            if not (attempt.written or attempt.begun):
                 return Reply(Ending.EXPIRED)
             return Reply(Ending.GIVEN_UP if attempt.given_up else Ending.TIMED_OUT)
         except Exception:
@@ -475,8 +497,11 @@
         member = self._members.get(node)  # none: it has gone, and no longer has an address
         number = ticket.attempts if ticket else 0
         expires = min(ticket.request.deadline - ticket.margin if ticket else now, now + (timeout or inf))
+        if ticket is not None and ticket.request.upload:
+            expires = inf  # the client's time has not begun; the backend sees to it that the body moves on
+        wait = min(expires - now, ticket.wait if ticket else 0.0)
         life = f"{node}@{member.since_ms if member else 0}"
-        attempt = Attempt(request, number, node, member.address if member else "", expires, now, life,
+        attempt = Attempt(request, number, node, member.address if member else "", expires, now, wait, life,
                           on_written=self._written)
         if ticket is not None:
             ticket.attempts += 1
@@ -485,10 +510,22 @@
             self.report(attempt, Reply(Ending.NOT_STARTED))
             return
         ticket.current = attempt
+        if ticket.request.upload and ticket.limit is not None and not ticket.limit.expired():
+            ticket.limit.reschedule(None)
         self._give(ticket, attempt)
 
-    def _written(self) -> None:
+    def _written(self, attempt: Attempt) -> None:
         self._tries += 1
+        ticket, now = self._tickets.get(attempt.request), self._loop.time()
+        if ticket is None or ticket.over or not ticket.request.upload:
+            return
+        ticket.request.upload, ticket.request.deadline = False, now + ticket.wait
+        attempt.began, attempt.expires = now, now + ticket.wait - ticket.margin
+        if attempt.scope is not None and not attempt.scope.expired():
+            attempt.scope.reschedule(attempt.expires)
+        if ticket.limit is not None and not ticket.limit.expired():
+            ticket.limit.reschedule(now + ticket.wait - LAST_RESORT * ticket.margin)
+        self._push(api.Uploaded(ticket.id))
 
     def _decided(self, request: int, verdict: Verdict, retry_after: float = 0.0) -> None:
         ticket = self._tickets.get(request)
--- a/cherrycove/http1.py
+++ b/cherrycove/http1.py
@@ -14,8 +14,9 @@
 import re
 import select
 import socket
-from collections.abc import Awaitable, Callable, Mapping
-from dataclasses import dataclass
+from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable, Mapping
+from contextlib import aclosing, suppress
+from dataclasses import dataclass, replace
 from functools import partial
 from math import isfinite
 from types import SimpleNamespace
@@ -35,7 +36,9 @@
 log = logging.getLogger("cherrycove.http1")
 clients_log = logging.getLogger("cherrycove.http1.clients")  # the library's own, of what it could not read
 
-MOST_BODY = 64 * 1024
+MOST_BODY = 64 * 1024  # what is longer flows in pieces
+MOST_LONG = 32 * 1024 * 1024  # bytes of a body or an answer at all
+PIECE = 32 * 1024  # bytes in one read of a connection, and about as many in each of its buffers
 MOST_HEADS = 32 * 1024  # bytes of an answer's head and of all that is said ahead of it
 HEX16 = re.compile(r"[0-9a-f]{16}", re.ASCII | re.IGNORECASE)
 DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?", re.ASCII)
@@ -47,10 +50,12 @@
 WATCH_WAIT = 5.0  # s that a watch may wait for news
 WATCH_SLACK = 1.0  # s past that until it counts as silent
 WATCH_AGAIN = 0.1  # s before a watch that failed is renewed: within the 200 ms in which one continues
-IDLE_TIME = 2.0  # s that a connection may stay without a whole head, at its start or between requests
-BODY_TIME = 0.7  # s for the rest of a request, once its head has come
-MOST_READ = 1 << 20  # bytes of a body that are read and dropped, so that the client sees its answer
-UNREAD_TIME = 5.0  # s after which a client that takes nothing of what it is sent is cut off
+IDLE_TIME = 2.4  # s that a connection may stay without a whole head, at its start or between requests
+BODY_TIME = 2.0  # s for each piece of a body, and in all this and
+BODY_RATE = 32 * 1024  # bytes of it a second
+STALL_TIME = 10.0  # s in which a node must take or give something of a long body
+LEAVE_TIME = 3.0  # s that a client which still sends its body has to see its answer
+UNREAD_TIME = 10.0  # s after which a client that takes nothing of what it is sent is cut off
 ACCEPTED_AT_ONCE = 16  # connections in one turn of the loop
 ANSWER_TIME = 1.0  # s that a client has to take its answer when the broker ends
 
@@ -67,6 +72,14 @@
     """What a client sent is not a request of this deployment; the message says why."""
 
 
+class BodyError(RequestError):
+    """A body did not come, or not as it was announced."""
+
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
+        self.status = status
+
+
 class ListError(ValueError):
     """What discovery sent is not a node list."""
 
@@ -287,6 +300,17 @@
         if self.transport is None or self.transport.is_closing():
             self._spoil()
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        transport.max_size = PIECE  # type: ignore[attr-defined]
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        if exc is not None and self._answer is not None and not self._answer.is_eof():
+            # Guard: the library takes a reset for the end of an answer that only the connection's end ends.
+            self._answer.set_exception(aiohttp.ClientPayloadError("the connection was reset"))
+            self._parser = None
+        super().connection_lost(exc)
+
     def _drop(self) -> None:
         """Bytes beyond an answer: that is served, and the connection is of no further use."""
         self._should_close = True
@@ -324,6 +348,7 @@
             connector=self._connector,
             cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False, trace_configs=[trace],
             skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
+            read_bufsize=PIECE // 2,
             timeout=aiohttp.ClientTimeout(total=None, connect=dial_timeout, sock_connect=dial_timeout))
         # Guard: the library sends a GET or PUT again by itself when a kept connection turns out to be dead.
         # That is a second copy which nobody decided; it has no public switch.
@@ -337,7 +362,7 @@
 
     async def _headers_sent(self, session: Any, context: SimpleNamespace, params: Any) -> None:
         call: Call | None = context.trace_request_ctx
-        if call is not None and not call.body:
+        if call is not None and call.bare:
             call.written()
 
     async def _chunk_sent(self, session: Any, context: SimpleNamespace,
@@ -346,13 +371,16 @@
         if call is not None:
             call.count(len(params.chunk))
 
-    async def exchange(self, call: Call, address: str, headers: Mapping[str, str]) -> Reply:
+    async def exchange(self, call: Call, address: str, headers: dict[str, str]) -> Reply:
+        answer: aiohttp.ClientResponse | None = None
         try:
-            async with self._session.request(
-                    call.method, URL(f"http://{address}{call.target}", encoded=True), headers=headers,
-                    data=call.body or None, allow_redirects=False, trace_request_ctx=call) as answer:
-                body = await _whole_body(answer)
-                return _reply(answer.status, answer.headers, body)
+            answer = await self._session.request(
+                call.method, URL(f"http://{address}{call.target}", encoded=True), headers=headers,
+                data=call.payload(headers), allow_redirects=False, trace_request_ctx=call)
+            reply = await _reply(answer, call.relay)
+            if reply.relay is not None:
+                answer = None  # it is the relay's now
+            return reply
         except aiohttp.ConnectionTimeoutError:
             return Reply(Ending.CONNECT_TIMEOUT)
         except aiohttp.ClientConnectorError:
@@ -362,63 +390,165 @@
         except aiohttp.ClientPayloadError:
             return Reply(Ending.CUT_SHORT)
         except (aiohttp.ClientError, OSError, ValueError) as error:
+            if call.fault is not None:
+                return Reply(Ending.CLIENT_BROKE)
             if isinstance(error, TimeoutError):
                 raise
-            return Reply(Ending.BROKEN if call.sent else Ending.BROKEN_UNSENT)
+            return Reply(Ending.BROKEN if call.sent or call.begun else Ending.BROKEN_UNSENT)
+        finally:
+            if answer is not None:
+                # Guard: one that came before the request was sent whole, or was not read to its end.
+                if not call.sent or not answer.content.at_eof():
+                    answer.close()
+                answer.release()
+
+
+class Rest:
+    """What of a long answer is still to come."""
 
+    def __init__(self, answer: aiohttp.ClientResponse) -> None:
+        self._answer = answer
+        self.length = None if answer.headers.get("Transfer-Encoding") else answer.content_length
 
-async def _whole_body(answer: aiohttp.ClientResponse) -> bytes | None:
-    """The body, or None where it is too large, or has no framing by which one could tell it whole."""
-    coding = answer.headers.get("Transfer-Encoding")
-    framed = coding.strip().lower() == "chunked" if coding else answer.content_length is not None
+    async def pieces(self) -> AsyncGenerator[bytes, None]:
+        """Until its end; a ClientError says that it broke off or stalled."""
+        try:
+            size = 0
+            while True:
+                async with asyncio.timeout(STALL_TIME):
+                    piece = await self._answer.content.readany()
+                if not piece:
+                    return
+                size += len(piece)
+                if size > MOST_LONG:
+                    raise SpoiltAnswer("it is longer than an answer may be")
+                yield piece
+        except TimeoutError:
+            raise aiohttp.ClientPayloadError("it stalled") from None
+        finally:
+            if not self._answer.content.at_eof():
+                self._answer.close()
+            self._answer.release()
+
+
+async def _beginning(answer: aiohttp.ClientResponse) -> tuple[bytes, bool] | None:
+    """The start of the body and whether that is all; None where nobody can tell, or it is too much."""
+    coding, length = answer.headers.get("Transfer-Encoding"), answer.content_length
+    if coding:
+        framed = coding.strip().lower() == "chunked"
+    else:
+        # Guard: a length that got lost leaves the connection open, and nothing would end the answer.
+        framed = length is not None or answer.headers.get("Connection", "").strip().lower() == "close"
+    if not framed or (not coding and (length or 0) > MOST_LONG):
+        return None
     body = b""
-    # Guard: whatever is claimed past the bound is not waited for, nor an end that only a close would tell.
-    if framed and (answer.content_length or 0) <= MOST_BODY:
-        async for chunk in answer.content.iter_any():
-            body += chunk
+    if coding or (length or 0) <= MOST_BODY:
+        async for piece in answer.content.iter_any():
+            body += piece
             if len(body) > MOST_BODY:
-                break
-        else:
-            return body
-    answer.close()
-    return None
+                return body, False
+        return body, True
+    return body, False
 
 
-def _reply(status: int, headers: Mapping[str, str], body: bytes | None) -> Reply:
+async def _reply(answer: aiohttp.ClientResponse, relay: Relay) -> Reply:
+    status, headers = answer.status, answer.headers
+    begun = await _beginning(answer)
+    body, whole = begun or (b"", True)
     if status == 200:
-        ending = Ending.SERVED if body is not None else Ending.SPOILT
+        ending = Ending.SERVED if begun is not None else Ending.SPOILT
     elif status in (503, 504) and headers.get("X-Not-Run") == "1":
         ending = Ending.TURNED_AWAY
     else:
         ending = Ending.NODE_ERROR
-    return Reply(ending, body or b"", headers.get("Content-Type", ""), parse_use(headers.get("Volume-Load")),
-                 load=parse_load(headers.get("X-Load")))
+    reply = Reply(ending, body, headers.get("Content-Type", ""), parse_use(headers.get("Volume-Load")),
+                  load=parse_load(headers.get("X-Load")))
+    if whole or ending is not Ending.SERVED:
+        return reply
+    return replace(reply, relay=partial(relay, Rest(answer), reply))
+
+
+Relay = Callable[[Rest, Reply], Awaitable[Ending]]
+
+
+class Upload:
+    """A client's body in pieces, each read when the one before has gone. It can be read once."""
+
+    def __init__(self, request: web.BaseRequest, start: bytes) -> None:
+        self.length = None if request.headers.get("Transfer-Encoding") else request.content_length
+        self.touched = False
+        self._request, self._start = request, start
+
+    async def pieces(self) -> AsyncGenerator[bytes, None]:
+        """Until its end; a BodyError says that it did not come whole."""
+        self.touched = True
+        if self._start:
+            yield self._start
+        async for piece in _pieces(self._request, len(self._start)):
+            yield piece
 
 
 class Call:
     """One client's request as the back sends it; the core's Backend."""
 
-    def __init__(self, pool: Pool, method: str, target: str, request_id: str, body: bytes) -> None:
-        self.method, self.target, self.body = method, target, body
-        self.sent = False
-        self._pool, self._id = pool, request_id
-        self._left = len(body)
+    def __init__(self, pool: Pool, method: str, target: str, request_id: str, body: bytes | Upload,
+                 relay: Relay) -> None:
+        self.method, self.target, self.relay = method, target, relay
+        self.sent = self.begun = False  # the last byte; the first of a body that comes in pieces
+        self.fault: BodyError | None = None  # the client's, in such a body
+        self._pool, self._id, self._body = pool, request_id, body
+        self._left = 0
         self._current: Attempt | None = None
 
+    @property
+    def bare(self) -> bool:
+        return not self._body
+
     def written(self) -> None:
         self.sent = True
         if self._current is not None:
             self._current.wrote()
 
     def count(self, size: int) -> None:
-        self._left -= size
-        if self._left <= 0:
-            self.written()
+        if isinstance(self._body, bytes):
+            self._left -= size
+            if self._left <= 0:
+                self.written()
+
+    def payload(self, headers: dict[str, str]) -> bytes | AsyncIterator[bytes] | None:
+        if isinstance(self._body, bytes):
+            return self._body or None
+        if self._body.length is not None:
+            headers["Content-Length"] = str(self._body.length)
+        return self._flow(self._body)
+
+    async def _flow(self, upload: Upload) -> AsyncIterator[bytes]:
+        attempt, loop = self._current, asyncio.get_running_loop()
+        assert attempt is not None and attempt.scope is not None
+        size = 0
+        try:
+            async for piece in upload.pieces():
+                attempt.begun = self.begun = True
+                size += len(piece)
+                if size == upload.length:
+                    self.written()  # Guard: with this piece the node has it all, before anybody asks again
+                else:
+                    attempt.scope.reschedule(loop.time() + STALL_TIME)  # for the node to take it
+                yield piece
+                if not self.sent:
+                    attempt.scope.reschedule(None)  # it is the client's turn
+            if not self.sent:
+                self.written()
+        except BodyError as error:
+            self.fault = error
+            raise
 
     async def attempt(self, attempt: Attempt) -> Reply:
+        if isinstance(self._body, Upload) and self._body.touched:
+            return Reply(Ending.NOT_STARTED)  # Guard: its first pieces are gone
         self._current = attempt
-        self.sent, self._left = False, len(self.body)
-        wait = max(int((attempt.expires - asyncio.get_running_loop().time()) * 1000), 1)
+        self.sent, self._left = False, len(self._body) if isinstance(self._body, bytes) else 0
+        wait = max(int(attempt.wait * 1000), 1)
         return await self._pool.exchange(
             self, attempt.address, {"X-Request-Id": self._id, "X-Deadline-Ms": str(wait)})
 
@@ -434,7 +564,7 @@
         # Guard: by itself the library waits an hour for a head, and reads on after an error for ten seconds.
         super().__init__(handle, handler_cancellation=True, access_log=None, tcp_keepalive=False,
                          auto_decompress=False, keepalive_timeout=IDLE_TIME, lingering_time=0.0,
-                         logger=clients_log)
+                         logger=clients_log, read_bufsize=PIECE // 2)
         self._most, self._crowd = most, most // 3
         self._silent: dict[web.RequestHandler, None] = {}  # no whole head yet; by their coming
         self._idle: dict[web.RequestHandler, None] = {}  # between requests; by their last answer
@@ -442,6 +572,8 @@
 
     def connection_made(self, handler: web.RequestHandler, transport: asyncio.Transport) -> None:
         super().connection_made(handler, transport)
+        transport.max_size = PIECE  # type: ignore[attr-defined]
+        transport.set_write_buffer_limits(PIECE)
         self._silent[handler] = None
         self.trim()
 
@@ -555,26 +687,73 @@
             head = parse_head(request.raw_path, _single(request.headers), self._names)
             if URL(f"http://h{request.raw_path}", encoded=True).raw_path_qs != request.raw_path:
                 raise RequestError("the path cannot be passed on unchanged")
-            async with asyncio.timeout(BODY_TIME):
-                body = await _bounded(request)
+            body = await _taken(request)
         except (RequestError, ValueError, web.RequestPayloadError, HttpProcessingError) as error:
-            return self._turn_away(cls, 400, f"{error}\n", whole=not request.body_exists)
-        except TimeoutError:
-            return self._turn_away(cls, 408, "the rest of the request did not come\n", whole=False)
-        if body is None:
-            return self._turn_away(cls, 413, f"more than {MOST_BODY} bytes\n", whole=False)
+            status = error.status if isinstance(error, BodyError) else 400
+            return self._turn_away(cls, status, f"{error}\n", whole=not request.body_exists)
         if head.id in self._open:
             # Guard: sent on, it would be a second copy of a request that is still out.
-            return self._turn_away(cls, 409, "a request with this X-Request-Id is open\n")
+            return self._turn_away(cls, 409, "a request with this X-Request-Id is open\n",
+                                   whole=isinstance(body, bytes))
         self._open.add(head.id)
+        relayed: list[web.StreamResponse] = []
+        call = Call(self._pool, request.method, request.raw_path, head.id, body,
+                    partial(self._relay, request, relayed))
         try:
             answer = await self._core.serve(
                 Request(head.cls, head.plan, head.volume, head.units, head.shard, head.hosts,
-                        began + head.budget, head.key, head.repeat),
-                Call(self._pool, request.method, request.raw_path, head.id, body))
+                        loop.time() + head.budget, head.key, head.repeat, isinstance(body, Upload)), call)
         finally:
             self._open.discard(head.id)
-        return self._answer(answer)
+        if relayed:
+            return relayed[0]
+        if call.fault is not None:
+            return self._response(call.fault.status, f"{call.fault}\n", whole=False)
+        response = self._answer(answer)
+        if not request.content.is_eof():
+            await self._leave(request, response)
+        return response
+
+    async def _relay(self, request: web.BaseRequest, relayed: list[web.StreamResponse], rest: Rest,
+                     reply: Reply) -> Ending:
+        """Pass on a long answer. Whatever breaks it closes the connection ahead of its framed end."""
+        response = web.StreamResponse(headers=self._headers(reply.kind or "application/octet-stream"))
+        relayed.append(response)
+        if rest.length is not None:
+            response.content_length = rest.length
+        elif request.version >= aiohttp.HttpVersion11:
+            response.enable_chunked_encoding()
+        else:
+            response.force_close()
+        if self._draining or self._web.crowded or not request.content.is_eof():
+            response.force_close()
+        async with aclosing(rest.pieces()) as pieces:
+            await response.prepare(request)
+            if reply.body:
+                await response.write(reply.body)
+            try:
+                async for piece in pieces:
+                    await response.write(piece)
+            except SpoiltAnswer:
+                ending = Ending.SPOILT
+            except aiohttp.ClientPayloadError:
+                ending = Ending.CUT_SHORT
+            else:
+                await response.write_eof()
+                return Ending.SERVED
+        # Guard: the library would end the answer as if it were whole.
+        request.protocol.force_close()
+        return ending
+
+    async def _leave(self, request: web.BaseRequest, response: web.StreamResponse) -> None:
+        """Answer a client that still sends. Guard: closed on what is unread, it would not see its answer."""
+        response.force_close()
+        await response.prepare(request)
+        await response.write_eof()
+        with suppress(TimeoutError, web.RequestPayloadError, HttpProcessingError):
+            async with asyncio.timeout(LEAVE_TIME):
+                while await request.content.readany():
+                    pass
 
     def _turn_away(self, cls: int, status: int, why: str, whole: bool = True) -> web.StreamResponse:
         self._core.turned_away(cls)
@@ -591,11 +770,14 @@
         late = answer.cause in (Ending.TIMED_OUT, Ending.CONNECT_TIMEOUT)
         return self._response(504 if late else 500, "failed: it may have taken effect\n")
 
+    @staticmethod
+    def _headers(kind: str) -> dict[str, str]:
+        return {"Server": "cherrycove", "Content-Type": kind}
+
     def _response(self, status: int, body: str | bytes, kind: str = "", whole: bool = True) -> web.Response:
         data = body.encode() if isinstance(body, str) else body
-        response = web.Response(status=status, body=data, headers={
-            "Server": "cherrycove",
-            "Content-Type": kind or ("text/plain" if isinstance(body, str) else "application/octet-stream")})
+        response = web.Response(status=status, body=data, headers=self._headers(
+            kind or ("text/plain" if isinstance(body, str) else "application/octet-stream")))
         # Guard: clients that ask once and stay would leave the others no place until their time is up.
         if self._draining or not whole or self._web.crowded:
             response.force_close()
@@ -610,28 +792,51 @@
     return headers
 
 
-async def _bounded(request: web.BaseRequest) -> bytes | None:
-    """The body, or None where it is over the bound; no more than that is ever held."""
+async def _taken(request: web.BaseRequest) -> bytes | Upload:
+    """The body, or what of it is too long to be held; RequestError says why it is none."""
     if not request.body_exists:
         return b""
     if request.method == "GET":
         raise RequestError("a read has no body")
     if request.headers.get("Transfer-Encoding", "chunked").strip().lower() != "chunked":
         raise RequestError("a Transfer-Encoding other than chunked")
-    if (request.content_length or 0) > MOST_READ:
-        return None
+    if (request.content_length or 0) > MOST_LONG:
+        raise BodyError(413, f"more than {MOST_LONG} bytes")
     if request.headers.get("Expect", "").lower() == "100-continue":
         # Guard: the low-level server leaves this to us; a client that waits for it would lose its time.
         await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         request.writer.output_size = 0  # what follows is the answer's head, not its middle
-    body, size = b"", 0
-    async for chunk in request.content.iter_any():
-        size += len(chunk)
-        if size <= MOST_BODY:
-            body += chunk
-        elif size > MOST_READ:
-            return None
-    return body if size <= MOST_BODY else None
+    if (request.content_length or 0) > MOST_BODY:
+        return Upload(request, b"")
+    body = b""
+    async for piece in _pieces(request):
+        body += piece
+        if len(body) > MOST_BODY:
+            return Upload(request, body)
+    return body
+
+
+async def _pieces(request: web.BaseRequest, size: int = 0) -> AsyncIterator[bytes]:
+    """The body as it comes, or BodyError. Guard: a client may be slow, but not hold its place for ever."""
+    loop = asyncio.get_running_loop()
+    began, taken = loop.time(), 0.0  # when, and how long of that was not the client's time
+    while True:
+        latest = began + taken + BODY_TIME + size / BODY_RATE
+        try:
+            async with asyncio.timeout_at(min(loop.time() + BODY_TIME, latest)):
+                piece = await request.content.readany()
+        except TimeoutError:
+            raise BodyError(408, "the rest of the request did not come") from None
+        except (web.RequestPayloadError, HttpProcessingError) as error:
+            raise BodyError(400, str(error)) from None
+        if not piece:
+            return
+        size += len(piece)
+        if size > MOST_LONG:
+            raise BodyError(413, f"more than {MOST_LONG} bytes")
+        before = loop.time()
+        yield piece
+        taken += loop.time() - before
 
 
 # Discovery.
--- a/finchrack/decide.py
+++ b/finchrack/decide.py
@@ -76,6 +76,8 @@
             match event:
                 case api.Arrived() if event.request not in self.requests:
                     self._arrive(event)
+                case api.Uploaded() if event.request in self.requests:
+                    self._uploaded(self.requests[event.request])
                 case api.AttemptEnded() if (event.request, event.attempt) in self.attempts:
                     self._ended(event)
                 case api.Lapsed() if event.request in self.requests:
@@ -135,7 +137,8 @@
         due = self.now + (cls.aim - (budget - event.budget) if event.budget >= cls.aim else event.budget)
         end = self.now + event.budget - 2 * self.settings.tick  # leaves time for an answer
         heavy = max(event.units / self.settings.usual_units, 1.0)  # Guard: it is no evidence of a slow node
-        request = Request(event.request, cls, volume, event.units, heavy, event.shard, event.key, due, end)
+        request = Request(event.request, cls, volume, event.units, heavy, event.shard, event.key, due, end,
+                          event.budget, event.upload)
         self.requests[request.id] = request
         self.agenda.at(end, self._retry, request)
         self.agenda.at(self.now + HALF * event.budget, self._halfway, request)
@@ -317,15 +320,32 @@
         else:
             return self._give_up(request)
         self.attempts[request.id, request.attempts] = request, node, node.life
-        patience = max(PATIENCE * request.cls.aim, FAR_SLOWER * node.service)
-        self.agenda.at(self.now + patience, self._write_off, (request.id, request.attempts))
+        if not request.upload:
+            self._await_answer(node, request, request.attempts)
         request.attempts += 1
-        request.out, request.counted, request.sent_at = True, True, self.now
+        request.out, request.counted, request.sent_at = True, not request.upload, self.now
         waits = node.window.waits.setdefault(request.cls.name, deque(maxlen=WAITS))
         waits.append(self.now - request.queued_at)
-        node.count_sent(self.now, request.units)
+        node.count_sent(self.now, request.units, not request.upload)
         self.actions.append(api.Send(request.id, node.id or ""))
 
+    def _await_answer(self, node: NodeQueue, request: Request, number: int) -> None:
+        patience = max(PATIENCE * request.cls.aim, FAR_SLOWER * node.service)
+        self.agenda.at(self.now + patience, self._write_off, (request.id, number))
+
+    def _uploaded(self, request: Request) -> None:
+        """Guard: a node begins with the last byte. What its client needed to send tells nothing of it, and
+        holds no place of L; the client's time counts from here, too."""
+        attempt = request.id, request.attempts - 1
+        _, node, life = self.attempts.get(attempt, (request, None, 0))
+        request.upload, request.sent_at, request.due = False, self.now, self.now + request.cls.aim
+        request.end = self.now + request.budget - 2 * self.settings.tick
+        self.agenda.at(request.end, self._retry, request)
+        if node is not None and life == node.life:
+            request.counted = True
+            node.count_sent(self.now, request.units)
+            self._await_answer(node, request, attempt[1])
+
     def _write_off(self, attempt: tuple[int, int]) -> None:
         """Guard: an answer long overdue by its node's measure may never come; it must not fill L."""
         request, node, life = self.attempts.get(attempt, (None, None, 0))
--- a/finchrack/interface.py
+++ b/finchrack/interface.py
@@ -186,6 +186,14 @@
     budget: float  # time before the client stops waiting for this try
     key: str | None = None
     repeat: bool = False  # a client's second try, where clients mark it
+    upload: bool = False  # its last byte is still to come; its budget counts from then on
+
+
+@dataclass(frozen=True, slots=True)
+class Uploaded:
+    """The last byte of a request taken with ``upload`` has come, and has left for its node."""
+
+    request: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -259,8 +267,8 @@
     load: Mapping[str, float] = field(default_factory=dict)
 
 
-Event = (Arrived | AttemptEnded | StreamStarted | Lapsed | NodesListed | Shared | ListUnavailable | TimerFired
-         | ProbeEnded)
+Event = (Arrived | Uploaded | AttemptEnded | StreamStarted | Lapsed | NodesListed | Shared | ListUnavailable
+         | TimerFired | ProbeEnded)
 
 
 # Actions, from the module to the caller, carried out in the order given.
--- a/finchrack/state.py
+++ b/finchrack/state.py
@@ -69,6 +69,8 @@
     key: str | None
     due: float  # arrival plus aim
     end: float  # when it must be answered at the latest
+    budget: float = 0.0  # from its last byte
+    upload: bool = False  # its last byte is still to come
     node: NodeQueue | None = None
     place: str = ""  # where it waits: "lane" for credit, "queue" or nowhere
     queued_at: float = 0.0
@@ -234,8 +236,8 @@
         self.window = Window()
         self.threshold, self.overload = threshold, False
 
-    def count_sent(self, now: float, units: float) -> None:
-        self.out += 1
+    def count_sent(self, now: float, units: float, works: bool = True) -> None:
+        self.out += works
         self.window.most_out = max(self.window.most_out, self.out)
         self.recent.add(now, units)
 
