Bound descriptors with a reserve; the silent give way before those with half a head

A probe every 100 ms showed 3 connections to nodes in use and 78 kept: the library's limit is for those in use alone. 21 slow requests were cut off, as the crowd pushed out who had begun to write.

Ruled out: idle connections that keep others out (never more than 32 of 64, and they go after 0.2 s now).

--- a/cherrycove/__main__.py
+++ b/cherrycove/__main__.py
@@ -48,18 +48,28 @@
 OPERATOR = "deploy/operator.toml"
 LINGER = 0.8  # s without a request after SIGTERM until no more are taken: clients may learn of it late
 MOST_LINGER = 2.0  # s after SIGTERM until no more are taken, whoever still asks: SIGKILL may come at 3
+RESERVED = 40  # descriptors: listeners, the loop, discovery, 8 operators, 16 accepted and not yet counted
 SHARED = 0.5  # the part of a broker's budgets that a process has while another one lives
 LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
 
+def _descriptors(sockets: int, alone: bool) -> tuple[int, int]:
+    """How many connections clients and nodes may have; while another process lives, clients move from one
+    to the other. Guard: with no descriptor left, nobody is accepted for a second."""
+    left = sockets - RESERVED if alone else sockets - 2 * RESERVED
+    return (left * 6 // 10, left * 4 // 10) if alone else (left * 4 // 10, left * 2 // 10)
+
+
 class Broker:
     """All parts of one broker, started and stopped together."""
 
     def __init__(self, platform: config.Platform, operator: config.Operator) -> None:
         self.platform, self.operator = platform, operator
         self.core = Core(platform.settings, platform.seed)
-        self.pool = http1.Pool(platform.dial_timeout, platform.conn_idle, most=platform.sockets // 3)
-        self.front = http1.Front(self.core, self.pool, most_connections=platform.sockets // 2)
+        clients, nodes = _descriptors(platform.sockets, alone=True)
+        self.pool = http1.Pool(platform.dial_timeout, platform.conn_idle, most=nodes)
+        self.front = http1.Front(self.core, self.pool, most_connections=clients,
+                                 crowd=platform.sockets // 6)
         self.stop = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._watch: asyncio.Task[None] | None = None  # of the platform's discovery
@@ -156,8 +166,9 @@
         """Guard: the processes count as one broker, in the rules and in the limits."""
         alone = not self._links
         self.core.share(1.0 if alone else SHARED)
-        self.pool.resize(self.platform.sockets // (3 if alone else 8))
-        self.front.resize(self.platform.sockets // (2 if alone else 3))
+        clients, nodes = _descriptors(self.platform.sockets, alone)
+        self.pool.resize(nodes)
+        self.front.resize(clients)
 
     async def _told(self, message: handover.Message) -> None:
         if message.get("serving") and not self._handed and not self.stop.is_set():
--- a/cherrycove/http1.py
+++ b/cherrycove/http1.py
@@ -51,12 +51,13 @@
 WATCH_SLACK = 1.0  # s past that until it counts as silent
 WATCH_AGAIN = 0.1  # s before a watch that failed is renewed: within the 200 ms in which one continues
 IDLE_TIME = 2.4  # s that a connection may stay without a whole head, at its start or between requests
+SETTLED_TIME = 0.2  # s between requests after which a connection gives way where clients are many
 BODY_TIME = 2.0  # s for each piece of a body, and in all this and
 BODY_RATE = 32 * 1024  # bytes of it a second
 STALL_TIME = 10.0  # s in which a node must take or give something of a long body
 LEAVE_TIME = 3.0  # s that a client which still sends its body has to see its answer
 UNREAD_TIME = 10.0  # s after which a client that takes nothing of what it is sent is cut off
-ACCEPTED_AT_ONCE = 16  # connections in one turn of the loop
+ACCEPTED_AT_ONCE = 4  # connections in one turn of the loop; some turns pass until they can be dropped
 ANSWER_TIME = 1.0  # s that a client has to take its answer when the broker ends
 
 
@@ -333,6 +334,16 @@
         super().__init__(**settings)
         self._factory = partial(NodeConnection, loop=self._loop)  # type: ignore[assignment]
 
+    async def _create_connection(self, *request: Any) -> ResponseHandler:
+        # Guard: the library's limit is for those in use; kept ones came on top and took all descriptors.
+        while sum(map(len, self._conns.values())) + len(self._acquired) > self._limit and self._conns:
+            place = min(self._conns, key=lambda each: self._conns[each][0][1])
+            protocol, _ = self._conns[place].popleft()
+            if not self._conns[place]:
+                del self._conns[place]
+            protocol.close()
+        return await super()._create_connection(*request)
+
 
 class Pool:
     """Connections to disk nodes, and how each attempt over them ended."""
@@ -556,72 +567,99 @@
 # The front.
 
 
+class ClientConnection(web.RequestHandler):
+    """The library's connection to a client, which says when something has come over it."""
+
+    def data_received(self, data: bytes) -> None:
+        if isinstance(self._manager, Clients):
+            self._manager.spoke(self)
+        super().data_received(data)
+
+
 class Clients(web.Server):
     """The library's server, bounded: past the bound, a connection without a request gives way to a new one.
-    The larger group gives, those that have sent no whole head or those between requests, the longest so."""
+    Those that say nothing give first, the longest so, then those that have sent a part of a head."""
 
-    def __init__(self, handle: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]], most: int) -> None:
+    def __init__(self, handle: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]], most: int,
+                 crowd: int) -> None:
         # Guard: by itself the library waits an hour for a head, and reads on after an error for ten seconds.
         super().__init__(handle, handler_cancellation=True, access_log=None, tcp_keepalive=False,
                          auto_decompress=False, keepalive_timeout=IDLE_TIME, lingering_time=0.0,
                          logger=clients_log, read_bufsize=PIECE // 2)
-        self._most, self._crowd = most, most // 3
-        self._silent: dict[web.RequestHandler, None] = {}  # no whole head yet; by their coming
-        self._idle: dict[web.RequestHandler, None] = {}  # between requests; by their last answer
-        self._busy: set[web.RequestHandler] = set()
+        self._most, self._crowd = most, crowd
+        # Each by their coming into it, with the time.
+        self._silent: dict[web.RequestHandler, float] = {}  # nothing has come yet
+        self._partly: dict[web.RequestHandler, float] = {}  # a part of a head
+        self._idle: dict[web.RequestHandler, float] = {}  # between requests
+        self._busy: dict[web.RequestHandler, float] = {}  # a request is open, or its body still comes
+        self._groups = self._silent, self._partly, self._idle, self._busy
+
+    def __call__(self) -> web.RequestHandler:
+        return ClientConnection(self, loop=self._loop, **self._kwargs)
+
+    def _move(self, handler: web.RequestHandler, to: dict[web.RequestHandler, float]) -> None:
+        for group in self._groups:
+            group.pop(handler, None)
+        to[handler] = self._loop.time()
 
     def connection_made(self, handler: web.RequestHandler, transport: asyncio.Transport) -> None:
         super().connection_made(handler, transport)
         transport.max_size = PIECE  # type: ignore[attr-defined]
         transport.set_write_buffer_limits(PIECE)
-        self._silent[handler] = None
-        self.trim()
+        self._move(handler, self._silent)
+        self.resize(self._most)
 
     def resize(self, most: int) -> None:
         self._most = most
-        self.trim()
-
-    def trim(self) -> None:
-        while len(self._silent) + len(self._idle) + len(self._busy) > self._most:
+        while sum(map(len, self._groups)) > most:
             # Guard: descriptors used up stop the accepting of anybody; nothing taken is ever cut off.
             group = self._silent if len(self._silent) >= len(self._idle) else self._idle
-            if not group:
+            victim = next(iter(group or self._partly), None)
+            if victim is None:
                 return
-            victim = next(iter(group))
-            del group[victim]
+            del (group or self._partly)[victim]
             self._connections[victim].abort()
 
+    def spoke(self, handler: web.RequestHandler) -> None:
+        if handler not in self._busy and handler not in self._partly:
+            self._move(handler, self._partly)
+
     def connection_lost(self, handler: web.RequestHandler, exc: BaseException | None = None) -> None:
         super().connection_lost(handler, exc)
-        self._silent.pop(handler, None)
-        self._idle.pop(handler, None)
-        self._busy.discard(handler)
+        for group in self._groups:
+            group.pop(handler, None)
 
     @property
     def crowded(self) -> bool:
-        """Whether so many are open that clients may find no place: they hold a third of all descriptors."""
+        """Whether so many ask that others may find no place: clients hold a third of all descriptors."""
         return len(self._idle) + len(self._busy) > self._crowd
 
     def begin(self, handler: web.RequestHandler) -> None:
-        if self._silent.pop(handler, self) is None or self._idle.pop(handler, self) is None:
-            self._busy.add(handler)
+        if handler.transport is None:
+            return
+        self._move(handler, self._busy)
+        if self.crowded and self._idle:
+            # Guard: those who have asked and stay would keep others from asking until their time is up.
+            longest, since = next(iter(self._idle.items()))
+            if since < self._loop.time() - SETTLED_TIME:
+                del self._idle[longest]
+                self._connections[longest].close()
 
     def finish(self, handler: web.RequestHandler) -> None:
         if handler in self._busy:
-            self._busy.discard(handler)
-            self._idle[handler] = None
+            self._move(handler, self._idle)
 
 
 class Front:
     """Clients' connections. ``drain`` makes every further answer close its connection."""
 
-    def __init__(self, core: Core, pool: Pool, most_connections: int) -> None:
+    def __init__(self, core: Core, pool: Pool, most_connections: int, crowd: int) -> None:
         self._core, self._pool = core, pool
         self._names = Names(core.settings)
         self._draining = False
         self._server: asyncio.Server | None = None
         self.listener: socket.socket
-        self._web = Clients(self._handle, most_connections)
+        self._web = Clients(self._handle, most_connections, crowd)
         self._open: set[str] = set()  # the ids of open requests
         self.last_request = 0.0
 
--- a/tests/support.py
+++ b/tests/support.py
@@ -171,7 +171,7 @@
     def __init__(self, *nodes: Node, platform: config.Platform = PLATFORM) -> None:
         self.core = Core(platform.settings, platform.seed)
         self.pool = http1.Pool(platform.dial_timeout, platform.conn_idle, 64)
-        self.front = http1.Front(self.core, self.pool, 64)
+        self.front = http1.Front(self.core, self.pool, 64, 21)
         self.members = [Member(f"d{i}", f"127.0.0.1:{node.port}", i) for i, node in enumerate(nodes)]
         self.platform = platform
 
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -11,9 +11,9 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from support import PLATFORM, RAW, Node, World, answer, chunks, cuts, feed, fuzz, message, run, spoiled
+from support import PLATFORM, RAW, Node, World, answer, chunks, cuts, feed, fuzz, message, raw, run, spoiled
 
-from cherrycove import http1
+from cherrycove import config, http1
 from cherrycove.core import Ending, Member
 from finchrack.interface import NodeState
 
@@ -438,7 +438,7 @@
                 with contextlib.suppress(OSError):
                     assert not await reader.read()
             web = world.front._web
-            assert len(web._silent) + len(web._idle) + len(web._busy) <= 64
+            assert sum(map(len, web._groups)) <= 64
             assert (await answer(held))[0] == 503 and (await world.ask(id="after"))[0] == 200
             for _, writer in [*crowd, (held, owner)]:
                 writer.close()
@@ -466,6 +466,35 @@
     run(story())
 
 
+def test_kept_connections_to_nodes_count_against_their_bound() -> None:
+    """The library bounds those in use alone; kept ones took the descriptors that accepting needs."""
+    async def story() -> None:
+        nodes = [await Node().start() for _ in range(6)]
+        platform = config.read_platform(raw(familyInfo=RAW["settings"]["familyInfo"] | {"nShards": 6}), {})
+        async with World(*nodes, platform=platform) as world:
+            world.pool.resize(3)
+            for shard in [*range(6), *range(6)]:
+                assert (await world.ask(shard=shard, id=f"s{shard}"))[0] == 200
+                assert sum(map(len, world.pool._connector._conns.values())) <= 3
+    run(story())
+
+
+def test_those_who_say_nothing_give_way_before_half_a_head() -> None:
+    """A crowd that only connects pushed out those who were writing their request."""
+    async def story() -> None:
+        async with World(await Node().start()) as world:
+            reader, writer = await asyncio.open_connection("127.0.0.1", world.port)
+            writer.write(message()[:30])
+            while not world.front._web._partly:
+                await asyncio.sleep(0.01)
+            crowd = [await asyncio.open_connection("127.0.0.1", world.port) for _ in range(150)]
+            writer.write(message()[30:])
+            assert (await answer(reader))[0] == 200
+            for _, each in [*crowd, (reader, writer)]:
+                each.close()
+    run(story())
+
+
 def test_the_id_of_an_open_request_is_not_taken_twice() -> None:
     async def story() -> None:
         node = await Node("hang").start()
