Pass answers that tell no length on as they come, 20 ms after their first byte

Seen (probe of each attempt's head and end): short answers are whole within 9 ms of their head, but of the chunked long ones many took 540 to 1,081 ms for their first 64 KiB, which were held; "from the answer to the client" had a p99 of 623 ms, those reads were late, and the module took their nodes for slow (L at 1).

Ruled out: CPU (the loop lags by 1 ms), memory (32 of 80 MB), connections, slow nodes (all eight answer alike).

--- a/cherrycove/http1.py
+++ b/cherrycove/http1.py
@@ -54,6 +54,7 @@
 SETTLED_TIME = 0.2  # s between requests after which a connection gives way where clients are many
 BODY_TIME = 2.0  # s for each piece of a body, and in all this and
 BODY_RATE = 32 * 1024  # bytes of it a second
+START_TIME = 0.02  # s for an answer that does not tell its length to end, before it is passed on as it comes
 STALL_TIME = 10.0  # s in which a node must take or give something of a long body
 LEAVE_TIME = 3.0  # s that a client which still sends its body has to see its answer
 UNREAD_TIME = 10.0  # s after which a client that takes nothing of what it is sent is cut off
@@ -453,12 +454,20 @@
     if not framed or (not coding and (length or 0) > MOST_LONG):
         return None
     body = b""
-    if coding or (length or 0) <= MOST_BODY:
-        async for piece in answer.content.iter_any():
+    if not coding and (length or 0) > MOST_BODY:
+        return body, False
+    latest = asyncio.get_running_loop().time() + START_TIME if coding or length is None else None
+    try:
+        while len(body) <= MOST_BODY:
+            async with asyncio.timeout_at(latest if body else None):
+                piece = await answer.content.readany()
+            if not piece:
+                return body, True
             body += piece
-            if len(body) > MOST_BODY:
-                return body, False
-        return body, True
+    except TimeoutError:
+        # Guard: of a long answer the first bytes are timed, and how long it is only its end tells. Held until
+        # 64 KiB had come, it was late, and its node looked slow. Short ones are whole within 10 ms.
+        pass
     return body, False
 
 
