--- a/cherrycove/__main__.py
+++ b/cherrycove/__main__.py
@@ -79,6 +79,7 @@
         self.front = http1.Front(self.core, self.pool, most_connections=clients,
                                  crowd=platform.sockets // 6,
                                  most_bytes=_bytes(platform.memory_mb, alone=True))
+        self.core.bound(platform.sockets // 4)  # clients hold a third of the descriptors at most
         self.stop = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._watch: asyncio.Task[None] | None = None  # of the platform's discovery
--- a/cherrycove/core.py
+++ b/cherrycove/core.py
@@ -383,6 +383,10 @@
         """This process is one of several that count as one broker; what the others sent to nodes of late."""
         self._push(api.Shared(part, sent or {}))
 
+    def bound(self, places: int) -> None:
+        """How many requests may be open before the wire has no place for others."""
+        self._push(api.Places(places))
+
     def sent(self) -> dict[str, float]:
         return self._scheduler.sent()
 
--- a/finchrack/decide.py
+++ b/finchrack/decide.py
@@ -59,6 +59,7 @@
         self.typical = 0.0  # median latency of the nodes heard lately
         self.part, self.others_until = 1.0, -inf  # of this host's budgets, while another process shares them
         self.others: Mapping[str, float] = {}
+        self.places: float = inf
         part = FLEET_L / settings.schedulers
         self.crowded, self.start_l = part < LEAST_L, max(min(START_L, part), LEAST_L)
 
@@ -84,6 +85,8 @@
                     self._close(self.requests[event.request])
                 case api.NodesListed():
                     self._listed(event)
+                case api.Places():
+                    self.places = event.most
                 case api.Shared():
                     self._shared(event)
                 case api.ListUnavailable() if self.settings.list_on_request:
@@ -91,6 +94,7 @@
                 case api.TimerFired():
                     self.armed = inf  # whatever the clock says: a timer may fire a rounding error early
         self.agenda.run(self.now)
+        self._make_places()
         while self.touched:
             self._drain(self.touched.pop(next(iter(self.touched))))
         if self.agenda.next() < self.armed:
@@ -248,6 +252,15 @@
         if hope >= self.now:
             self.agenda.at(hope + self.settings.tick, self._review, request)
 
+    def _make_places(self) -> None:
+        """Guard: each request holds a place of its client's; once what waits for credit holds all, nobody can
+        ask for what the reserves owe. The ones due first give way: they have the least hope."""
+        excess = len(self.requests) - self.places
+        if excess > 0:
+            held = [r for volume in self.volumes.values() for lane in volume.lanes.values() for r in lane]
+            for request in sorted(held, key=lambda r: r.due)[:int(excess)]:
+                self._give_up(request)
+
     def _halfway(self, request: Request) -> None:
         """Guard: one turned away late costs its client the time to ask again; half of it has to do here."""
         if not request.done and not request.attempts:
--- a/finchrack/interface.py
+++ b/finchrack/interface.py
@@ -249,6 +249,13 @@
     sent: Mapping[str, float] = field(default_factory=dict)  # units that the others sent to nodes of late
 
 
+@dataclass(frozen=True, slots=True)
+class Places:
+    """How many requests may be open here before others find no way in. Not told: any number."""
+
+    most: int
+
+
 @dataclass(frozen=True, slots=True)
 class ListUnavailable:
     """A call for the node list failed, or the subscription broke; the old list stands."""
@@ -267,8 +274,8 @@
     load: Mapping[str, float] = field(default_factory=dict)
 
 
-Event = (Arrived | Uploaded | AttemptEnded | StreamStarted | Lapsed | NodesListed | Shared | ListUnavailable
-         | TimerFired | ProbeEnded)
+Event = (Arrived | Uploaded | AttemptEnded | StreamStarted | Lapsed | NodesListed | Shared | Places
+         | ListUnavailable | TimerFired | ProbeEnded)
 
 
 # Actions, from the module to the caller, carried out in the order given.
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -20,6 +20,7 @@
     NodesListed,
     NodeState,
     Outcome,
+    Places,
     ProbeEnded,
     Refuse,
     TimerFired,
@@ -872,3 +873,15 @@
     assert isinstance(rig.answers[rig.arrive()], Refuse)
     rig.wait(1.5)
     assert rig.arrive(volume="other") in rig.sent()
+
+
+def test_what_waits_for_credit_gives_way_once_no_place_is_left() -> None:
+    """Clients found no connection free: all were held by requests that waited, beyond their reserve."""
+    rig = Rig()
+    rig.give(Places(12))
+    asked = [rig.arrive(volume="greedy", units=6.0) for _ in range(40)]
+    assert len(rig.scheduler.requests) <= 12 and len(rig.answers) >= 28
+    assert not set(rig.answers) & set(rig.sent())  # what is out at a node is never given up so
+    assert all(isinstance(answer, Refuse) for answer in rig.answers.values())
+    within = rig.arrive(volume="modest")
+    assert within not in rig.answers and asked[-1] not in rig.answers
