--- a/cherrycove/__main__.py
+++ b/cherrycove/__main__.py
@@ -62,7 +62,7 @@
     return (left * 6 // 10, left * 4 // 10) if alone else (left * 4 // 10, left * 2 // 10)
 
 
-def _bytes(memory_mb: int, alone: bool) -> int:
+def _bytes(memory_mb: float, alone: bool) -> int:
     """What bodies and answers may hold of it, beside one process or two."""
     left = (memory_mb - OWN_MB) / 2 if alone else (memory_mb - 2 * OWN_MB) / 4
     return int(max(left, LEAST_MB) * 1e6)
--- a/cherrycove/config.py
+++ b/cherrycove/config.py
@@ -37,7 +37,7 @@
     discovery: str
     seed: int
     sockets: int
-    memory_mb: int
+    memory_mb: float
     settings: Settings
     zones: Mapping[str, int]
     dial_timeout: float
@@ -109,8 +109,8 @@
     if type(sockets) is not int or sockets < 64:
         raise ConfigError(f"limits.sockets must be a whole number from 64 up, not {sockets!r}")
     memory = limits.get("memory_mb", 192) if isinstance(limits, dict) else 192
-    if type(memory) is not int or memory < 32:
-        raise ConfigError(f"limits.memory_mb must be a whole number from 32 up, not {memory!r}")
+    if type(memory) not in (int, float) or not memory > 0:
+        raise ConfigError(f"limits.memory_mb must be a number above 0, not {memory!r}")
     try:
         seed = int(str(raw.get("seed", "")), 16)
     except ValueError:
