--- a/cherrycove/http1.py
+++ b/cherrycove/http1.py
@@ -681,6 +681,8 @@
     def spoke(self, handler: web.RequestHandler) -> None:
         if handler not in self._busy and handler not in self._partly:
             self._move(handler, self._partly)
+            # Guard: the library counts from the last answer; a slow head on a kept connection was cut off.
+            handler._next_keepalive_close_time = self._loop.time() + IDLE_TIME
 
     def connection_lost(self, handler: web.RequestHandler, exc: BaseException | None = None) -> None:
         super().connection_lost(handler, exc)
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -598,6 +598,29 @@
     assert len(set(waits[5:])) > 1  # each at a time of its own
 
 
+def test_a_head_on_a_kept_connection_has_its_own_time() -> None:
+    """Counted from the answer before, a slow head that began late was cut off in its middle."""
+    async def story() -> None:
+        async with World(await Node().start()) as world:
+            reader, writer = await asyncio.open_connection("127.0.0.1", world.port)
+            writer.write(message(id="first"))
+            assert (await answer(reader))[0] == 200
+            web = world.front._web
+            while not web._idle:
+                await asyncio.sleep(0.01)
+            (handler,) = web._idle
+            before = handler._next_keepalive_close_time
+            await asyncio.sleep(0.05)
+            writer.write(message(id="second")[:30])
+            while handler not in web._partly:
+                await asyncio.sleep(0.01)
+            assert handler._next_keepalive_close_time >= before + 0.05
+            writer.write(message(id="second")[30:])
+            assert (await answer(reader))[0] == 200
+            writer.close()
+    run(story())
+
+
 def test_the_id_of_an_open_request_is_not_taken_twice() -> None:
     async def story() -> None:
         node = await Node("hang").start()
