Make http1 a package: parsers, bodies, connections to nodes, front, watch

Each part now opens with what it owns and must never do, and imports run from watch and front over back and body to parse.

--- a/cherrycove/__main__.py
+++ b/cherrycove/__main__.py
@@ -60,8 +60,10 @@
     _load("asyncio", "ssl", "multidict", "yarl", "aiohttp.http_parser", "aiohttp.connector", "aiohttp.client",
           "aiohttp.web", "cherrycove.config", "finchrack.decide")
 
-from cherrycove import admin, config, consul, handover, http1, nbd, store
+from cherrycove import admin, config, consul, handover, nbd, store
 from cherrycove.core import Core, NodeList
+from cherrycove.http1 import back, front
+from cherrycove.http1.watch import watch
 
 log = logging.getLogger("cherrycove")
 
@@ -96,8 +98,8 @@
         self.platform, self.operator = platform, operator
         self.core = Core(platform.settings, platform.seed)
         clients, nodes = _descriptors(platform.sockets, alone=True)
-        self.pool = http1.Pool(platform.dial_timeout, platform.conn_idle, most=nodes)
-        self.front = http1.Front(self.core, self.pool, most_connections=clients,
+        self.pool = back.Pool(platform.dial_timeout, platform.conn_idle, most=nodes)
+        self.front = front.Front(self.core, self.pool, most_connections=clients,
                                  crowd=platform.sockets // 6,
                                  most_bytes=_bytes(platform.memory_mb, alone=True))
         self.stop = asyncio.Event()
@@ -134,7 +136,7 @@
             self._tasks.add(following)
             following.add_done_callback(self._tasks.discard)
         if operator.consul is None:
-            self._watch = self._run(http1.watch(self.core, platform.discovery, platform.zones))
+            self._watch = self._run(watch(self.core, platform.discovery, platform.zones))
         if operator.nbd is not None:
             self._nbd_pool = nbd.Pool(operator.nbd, platform.dial_timeout, most=platform.sockets // 16)
             self._nbd = nbd.Front(self.core, self._nbd_pool, operator.nbd)
@@ -261,7 +263,7 @@
         if moved and self._watch is not None:
             # Guard: the former address's versions say nothing here: the list is asked for whole.
             self._watch.cancel()
-            self._watch = self._run(http1.watch(self.core, fresh.discovery, old.zones, afresh=True))
+            self._watch = self._run(watch(self.core, fresh.discovery, old.zones, afresh=True))
 
     async def end(self) -> None:
         """Serve on while clients still come, finish what was taken, then leave."""
--- a/cherrycove/config.py
+++ b/cherrycove/config.py
@@ -17,7 +17,7 @@
 
 from cherrycove import consul, nbd, store
 from cherrycove.core import NodeList
-from cherrycove.http1 import HEX16, ListError, read_list
+from cherrycove.http1.parse import HEX16, ListError, read_list
 from finchrack import wire
 from finchrack.interface import Effect, Settings
 
--- /dev/null
+++ b/cherrycove/http1/back.py
@@ -0,0 +1,363 @@
+"""Disk nodes over HTTP/1.1: one exchange for each attempt, and how it ended.
+
+It owns the connections to nodes, and names each way in which one ends as an ``Ending``. It must never send
+a request twice by itself, take what is not the answer to its own request, or use a connection again on
+which an answer is still to come.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import select
+from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable
+from dataclasses import replace
+from functools import partial
+from types import SimpleNamespace
+from typing import Any
+
+import aiohttp
+from aiohttp import StreamReader
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import RawResponseMessage
+from yarl import URL
+
+from cherrycove.core import Attempt, Ending, Reply
+from cherrycove.http1.body import MOST_BODY, MOST_LONG, Upload
+from cherrycove.http1.parse import BodyError, parse_load, parse_use
+
+PIECE = 32 * 1024  # bytes in one read of a connection, and about as many in each of its buffers
+MOST_HEADS = 32 * 1024  # bytes of an answer's head and of all that is said ahead of it
+START_TIME = 0.02  # s for an answer that does not tell its length to end, before it is passed on as it comes
+STALL_TIME = 10.0  # s in which a node must take or give something of a long body
+
+
+class SpoiltAnswer(aiohttp.ClientPayloadError):
+    """What a node sent is not an answer; the message says why."""
+
+
+class NodeConnection(ResponseHandler):
+    """The library's connection to a node, which here takes one answer for each request and nothing else.
+
+    The library puts whatever comes into one queue, so bytes behind an answer would be the next request's; it
+    loses a whole answer if noise comes in the same read. This gives its parser an answer's own bytes alone.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self._begin()
+
+    def _begin(self) -> None:
+        self._answer: StreamReader | None = None  # the body of the answer whose head has come
+        self._left: int | None = None  # of that body's length, where one is given
+        self._clean = True  # whether chunks that have come so far can end here
+        self._seam, self._heads = b"", 0  # the last bytes that came, and all bytes of heads
+
+    def set_response_params(self, **params: Any) -> None:
+        self._begin()
+        super().set_response_params(**params)
+
+    def is_connected(self) -> bool:
+        """Guard: what came while it stood idle may still be unread: an end, or a second answer."""
+        if self.transport is None or not super().is_connected():
+            return False
+        if self._answer is None or not self._answer.is_eof():
+            return True
+        look = select.poll()
+        look.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return not look.poll(0)
+
+    def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
+        """From the library's parser: a whole head, and the body to come."""
+        message, body = data
+        if 100 <= message.code < 200 and message.code != 101:
+            return  # a word ahead of the answer
+        if self._answer is not None:
+            return self._drop()  # a second answer, behind a body in chunks
+        length = message.headers.get("Content-Length")
+        self._answer, self._left = body, int(length) if length is not None else None
+        super().feed_data(data, size)
+
+    def data_received(self, data: bytes) -> None:
+        whole = self._answer is not None and self._answer.is_eof()
+        if not data:  # the library goes on with what its parser has held back
+            if not whole:
+                super().data_received(data)
+        elif self._parser is None or whole:
+            return self._drop()  # nothing is asked, or all is answered
+        elif self._answer is None:
+            place = (self._seam + data).find(b"\r\n\r\n")
+            size = place + 4 - len(self._seam) if place >= 0 else len(data)
+            # Guard: a NUL in a load report would spoil the answer to the parser. RFC 9110, 5.5: as a space.
+            head, rest = data[:size].replace(b"\0", b" "), data[size:]
+            self._seam = (self._seam + head)[-3:] if place < 0 else b""
+            self._heads += len(head)
+            if self._heads > MOST_HEADS:
+                return self._spoil()
+            super().data_received(head)
+            if rest and self.transport is not None and not self.transport.is_closing():
+                return self.data_received(rest)
+        elif self._left is not None:
+            self._should_close |= len(data) > self._left  # before its body's end gives the connection back
+            own, self._left = data[:self._left], max(self._left - len(data), 0)
+            super().data_received(own)
+        else:
+            end = (self._seam + data)[-4:]
+            self._seam, self._clean = end[-3:], end == b"\r\n\r\n"
+            super().data_received(data)
+        if not self._clean and self._answer is not None and self._answer.is_eof():
+            self._drop()
+        if self.transport is None or self.transport.is_closing():
+            self._spoil()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        transport.max_size = PIECE  # type: ignore[attr-defined]
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        if exc is not None and self._answer is not None and not self._answer.is_eof():
+            # Guard: the library takes a reset for the end of an answer that only the connection's end ends.
+            self._answer.set_exception(aiohttp.ClientPayloadError("the connection was reset"))
+            self._parser = None
+        super().connection_lost(exc)
+
+    def _drop(self) -> None:
+        """Bytes beyond an answer: that is served, and the connection is of no further use."""
+        self._should_close = True
+        if self.transport is not None:
+            self.transport.close()
+
+    def _spoil(self) -> None:
+        """Guard: told of a fault in the body, the library lets the body's reader wait for the end of time."""
+        self._drop()
+        if self._answer is None and self._exception is None:
+            self.set_exception(SpoiltAnswer("the answer's head is too long"))
+        elif self._answer is not None and not self._answer.is_eof():
+            self._answer.set_exception(SpoiltAnswer("the answer's body is spoilt"))
+
+
+class Connector(aiohttp.TCPConnector):
+    """The library's pool, with connections of ours."""
+
+    def __init__(self, **settings: Any) -> None:
+        super().__init__(**settings)
+        self._factory = partial(NodeConnection, loop=self._loop)  # type: ignore[assignment]
+
+    async def _create_connection(self, *request: Any) -> ResponseHandler:
+        # Guard: the library's limit is for those in use; kept ones came on top and took all descriptors.
+        while sum(map(len, self._conns.values())) + len(self._acquired) > self._limit and self._conns:
+            place = min(self._conns, key=lambda each: self._conns[each][0][1])
+            protocol, _ = self._conns[place].popleft()
+            if not self._conns[place]:
+                del self._conns[place]
+            protocol.close()
+        return await super()._create_connection(*request)
+
+
+class Pool:
+    """Connections to disk nodes, and how each attempt over them ended."""
+
+    def __init__(self, dial_timeout: float, conn_idle: float, most: int) -> None:
+        trace = aiohttp.TraceConfig()
+        trace.on_request_headers_sent.append(self._headers_sent)
+        trace.on_request_chunk_sent.append(self._chunk_sent)
+        # Guard: a node closes what stood idle for conn_idle, and what is written to it then is lost.
+        self._connector = Connector(limit=most, keepalive_timeout=min(conn_idle * 0.4, 15.0),
+                                    happy_eyeballs_delay=None, use_dns_cache=False)
+        self._session = aiohttp.ClientSession(
+            connector=self._connector,
+            cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False, trace_configs=[trace],
+            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
+            read_bufsize=PIECE // 2,
+            timeout=aiohttp.ClientTimeout(total=None, connect=dial_timeout, sock_connect=dial_timeout))
+        # Guard: the library sends a GET or PUT again by itself when a kept connection turns out to be dead.
+        # That is a second copy which nobody decided; it has no public switch.
+        self._session._retry_connection = False
+
+    def resize(self, most: int) -> None:
+        self._connector._limit = most
+
+    async def close(self) -> None:
+        await self._session.close()
+
+    async def _headers_sent(self, session: Any, context: SimpleNamespace, params: Any) -> None:
+        call: Call | None = context.trace_request_ctx
+        if call is not None and call.bare:
+            call.written()
+
+    async def _chunk_sent(self, session: Any, context: SimpleNamespace,
+                          params: aiohttp.TraceRequestChunkSentParams) -> None:
+        call: Call | None = context.trace_request_ctx
+        if call is not None:
+            call.count(len(params.chunk))
+
+    async def exchange(self, call: Call, address: str, headers: dict[str, str]) -> Reply:
+        answer: aiohttp.ClientResponse | None = None
+        try:
+            answer = await self._session.request(
+                call.method, URL(f"http://{address}{call.target}", encoded=True), headers=headers,
+                data=call.payload(headers), allow_redirects=False, trace_request_ctx=call)
+            reply = await _reply(answer, call.relay)
+            if reply.relay is not None:
+                answer = None  # it is the relay's now
+            return reply
+        except aiohttp.ConnectionTimeoutError:
+            return Reply(Ending.CONNECT_TIMEOUT)
+        except aiohttp.ClientConnectorError:
+            return Reply(Ending.CONNECT_REFUSED)
+        except (SpoiltAnswer, aiohttp.ClientResponseError):
+            return Reply(Ending.SPOILT)
+        except aiohttp.ClientPayloadError:
+            return Reply(Ending.CUT_SHORT)
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            if call.fault is not None:
+                return Reply(Ending.CLIENT_BROKE)
+            if isinstance(error, TimeoutError):
+                raise
+            return Reply(Ending.BROKEN if call.sent or call.begun else Ending.BROKEN_UNSENT)
+        finally:
+            if answer is not None:
+                # Guard: one that came before the request was sent whole, or was not read to its end.
+                if not call.sent or not answer.content.at_eof():
+                    answer.close()
+                answer.release()
+
+
+class Rest:
+    """What of a long answer is still to come."""
+
+    def __init__(self, answer: aiohttp.ClientResponse) -> None:
+        self._answer = answer
+        self.length = None if answer.headers.get("Transfer-Encoding") else answer.content_length
+
+    async def pieces(self) -> AsyncGenerator[bytes, None]:
+        """Until its end; a ClientError says that it broke off or stalled."""
+        try:
+            size = 0
+            while True:
+                async with asyncio.timeout(STALL_TIME):
+                    piece = await self._answer.content.readany()
+                if not piece:
+                    return
+                size += len(piece)
+                if size > MOST_LONG:
+                    raise SpoiltAnswer("it is longer than an answer may be")
+                yield piece
+        except TimeoutError:
+            raise aiohttp.ClientPayloadError("it stalled") from None
+        finally:
+            if not self._answer.content.at_eof():
+                self._answer.close()
+            self._answer.release()
+
+
+async def _beginning(answer: aiohttp.ClientResponse) -> tuple[bytes, bool] | None:
+    """The start of the body and whether that is all; None where nobody can tell, or it is too much."""
+    coding, length = answer.headers.get("Transfer-Encoding"), answer.content_length
+    if coding:
+        framed = coding.strip().lower() == "chunked"
+    else:
+        # Guard: a length that got lost leaves the connection open, and nothing would end the answer.
+        framed = length is not None or answer.headers.get("Connection", "").strip().lower() == "close"
+    if not framed or (not coding and (length or 0) > MOST_LONG):
+        return None
+    body = b""
+    if not coding and (length or 0) > MOST_BODY:
+        return body, False
+    latest = asyncio.get_running_loop().time() + START_TIME if coding or length is None else None
+    try:
+        while len(body) <= MOST_BODY:
+            async with asyncio.timeout_at(latest if body else None):
+                piece = await answer.content.readany()
+            if not piece:
+                return body, True
+            body += piece
+    except TimeoutError:
+        # Guard: of a long answer the first bytes are timed, and how long it is only its end tells. Held until
+        # 64 KiB had come, it was late, and its node looked slow. Short ones are whole within 10 ms.
+        pass
+    return body, False
+
+
+async def _reply(answer: aiohttp.ClientResponse, relay: Relay) -> Reply:
+    status, headers = answer.status, answer.headers
+    begun = await _beginning(answer)
+    body, whole = begun or (b"", True)
+    if status == 200:
+        ending = Ending.SERVED if begun is not None else Ending.SPOILT
+    elif status in (503, 504) and headers.get("X-Not-Run") == "1":
+        ending = Ending.TURNED_AWAY
+    else:
+        ending = Ending.NODE_ERROR
+    reply = Reply(ending, body, headers.get("Content-Type", ""), parse_use(headers.get("Volume-Load")),
+                  load=parse_load(headers.get("X-Load")))
+    if whole or ending is not Ending.SERVED:
+        return reply
+    return replace(reply, relay=partial(relay, Rest(answer), reply))
+
+
+Relay = Callable[[Rest, Reply], Awaitable[Ending]]
+
+
+class Call:
+    """One client's request as the back sends it; the core's Backend."""
+
+    def __init__(self, pool: Pool, method: str, target: str, request_id: str, body: bytes | Upload,
+                 relay: Relay) -> None:
+        self.method, self.target, self.relay = method, target, relay
+        self.sent = self.begun = False  # the last byte; the first of a body that comes in pieces
+        self.fault: BodyError | None = None  # the client's, in such a body
+        self._pool, self._id, self._body = pool, request_id, body
+        self._left = 0
+        self._current: Attempt | None = None
+
+    @property
+    def bare(self) -> bool:
+        return not self._body
+
+    def written(self) -> None:
+        self.sent = True
+        if self._current is not None:
+            self._current.wrote()
+
+    def count(self, size: int) -> None:
+        if isinstance(self._body, bytes):
+            self._left -= size
+            if self._left <= 0:
+                self.written()
+
+    def payload(self, headers: dict[str, str]) -> bytes | AsyncIterator[bytes] | None:
+        if isinstance(self._body, bytes):
+            return self._body or None
+        if self._body.length is not None:
+            headers["Content-Length"] = str(self._body.length)
+        return self._flow(self._body)
+
+    async def _flow(self, upload: Upload) -> AsyncIterator[bytes]:
+        attempt, loop = self._current, asyncio.get_running_loop()
+        assert attempt is not None and attempt.scope is not None
+        size = 0
+        try:
+            async for piece in upload.pieces():
+                attempt.begun = self.begun = True
+                size += len(piece)
+                if size == upload.length:
+                    self.written()  # Guard: with this piece the node has it all, before anybody asks again
+                else:
+                    attempt.scope.reschedule(loop.time() + STALL_TIME)  # for the node to take it
+                yield piece
+                if not self.sent:
+                    attempt.scope.reschedule(None)  # it is the client's turn
+            if not self.sent:
+                self.written()
+        except BodyError as error:
+            self.fault = error
+            raise
+
+    async def attempt(self, attempt: Attempt) -> Reply:
+        if isinstance(self._body, Upload) and self._body.touched:
+            return Reply(Ending.NOT_STARTED)  # Guard: its first pieces are gone
+        self._current = attempt
+        self.sent, self._left = False, len(self._body) if isinstance(self._body, bytes) else 0
+        wait = max(int(attempt.wait * 1000), 1)
+        return await self._pool.exchange(
+            self, attempt.address, {"X-Request-Id": self._id, "X-Deadline-Ms": str(wait)})
--- /dev/null
+++ b/cherrycove/http1/front.py
@@ -0,0 +1,330 @@
+"""Clients over HTTP/1.1: their connections, and the one answer to each request.
+
+It owns the bound on clients' connections and the words of an answer. It must never decide anything about a
+request that is well formed, and never answer 200 with anything but a node's whole 200 body.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from collections.abc import Awaitable, Callable
+from contextlib import aclosing, suppress
+from functools import partial
+
+import aiohttp
+from aiohttp import web
+from aiohttp.http import HttpProcessingError
+from yarl import URL
+
+from cherrycove.core import Answer, Core, Ending, Reply, Request, Verdict
+from cherrycove.handover import listener
+from cherrycove.http1.back import PIECE, Call, Pool, Rest, SpoiltAnswer
+from cherrycove.http1.body import FLOW, ROOM_TIME, Room, Upload, need, taken
+from cherrycove.http1.parse import BodyError, Head, Names, RequestError, origin, parse_head, single
+
+clients_log = logging.getLogger("cherrycove.http1.clients")  # the library's own, of what it could not read
+
+IDLE_TIME = 2.4  # s that a connection may stay without a whole head, at its start or between requests
+SETTLED_TIME = 0.2  # s between requests after which a connection gives way where clients are many
+LEAVE_TIME = 3.0  # s that a client which still sends its body has to see its answer
+UNREAD_TIME = 10.0  # s after which a client that takes nothing of what it is sent is cut off
+ACCEPTED_AT_ONCE = 4  # connections in one turn of the loop; some turns pass until they can be dropped
+ANSWER_TIME = 1.0  # s that a client has to take its answer when the broker ends
+
+
+def _own_fault(record: logging.LogRecord) -> bool:
+    """Guard: the library writes a trace for each unreadable request; any client could make it busy so."""
+    return not (record.exc_info and isinstance(record.exc_info[1], HttpProcessingError | ConnectionError))
+
+
+clients_log.addFilter(_own_fault)
+
+
+class ClientConnection(web.RequestHandler):
+    """The library's connection to a client, which says when something has come over it."""
+
+    def data_received(self, data: bytes) -> None:
+        if isinstance(self._manager, Clients):
+            self._manager.spoke(self)
+        super().data_received(data)
+
+
+class Clients(web.Server):
+    """The library's server, bounded: past the bound, a connection without a request gives way to a new one.
+    Those that say nothing give first, the longest so, then those that have sent a part of a head."""
+
+    def __init__(self, handle: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]], most: int,
+                 crowd: int) -> None:
+        # Guard: by itself the library waits an hour for a head, and reads on after an error for ten seconds.
+        super().__init__(handle, handler_cancellation=True, access_log=None, tcp_keepalive=False,
+                         auto_decompress=False, keepalive_timeout=IDLE_TIME, lingering_time=0.0,
+                         logger=clients_log, read_bufsize=PIECE // 2)
+        self._most, self._crowd = most, crowd
+        # Each by their coming into it, with the time.
+        self._silent: dict[web.RequestHandler, float] = {}  # nothing has come yet
+        self._partly: dict[web.RequestHandler, float] = {}  # a part of a head
+        self._idle: dict[web.RequestHandler, float] = {}  # between requests
+        self._busy: dict[web.RequestHandler, float] = {}  # a request is open, or its body still comes
+        self._groups = self._silent, self._partly, self._idle, self._busy
+
+    def __call__(self) -> web.RequestHandler:
+        return ClientConnection(self, loop=self._loop, **self._kwargs)
+
+    def _move(self, handler: web.RequestHandler, to: dict[web.RequestHandler, float]) -> None:
+        for group in self._groups:
+            group.pop(handler, None)
+        to[handler] = self._loop.time()
+
+    def connection_made(self, handler: web.RequestHandler, transport: asyncio.Transport) -> None:
+        super().connection_made(handler, transport)
+        transport.max_size = PIECE  # type: ignore[attr-defined]
+        transport.set_write_buffer_limits(PIECE)
+        self._move(handler, self._silent)
+        self.resize(self._most)
+
+    def resize(self, most: int) -> None:
+        self._most = most
+        while sum(map(len, self._groups)) > most:
+            # Guard: descriptors used up stop the accepting of anybody; nothing taken is ever cut off.
+            group = self._silent if len(self._silent) >= len(self._idle) else self._idle
+            victim = next(iter(group or self._partly), None)
+            if victim is None:
+                return
+            del (group or self._partly)[victim]
+            self._connections[victim].abort()
+
+    def spoke(self, handler: web.RequestHandler) -> None:
+        if handler not in self._busy and handler not in self._partly:
+            self._move(handler, self._partly)
+            # Guard: the library counts from the last answer; a slow head on a kept connection was cut off.
+            handler._next_keepalive_close_time = self._loop.time() + IDLE_TIME
+
+    def connection_lost(self, handler: web.RequestHandler, exc: BaseException | None = None) -> None:
+        super().connection_lost(handler, exc)
+        for group in self._groups:
+            group.pop(handler, None)
+
+    @property
+    def crowded(self) -> bool:
+        """Whether so many ask that others may find no place: clients hold a third of all descriptors."""
+        return len(self._idle) + len(self._busy) > self._crowd
+
+    def begin(self, handler: web.RequestHandler) -> None:
+        if handler.transport is None:
+            return
+        self._move(handler, self._busy)
+        if self.crowded and self._idle:
+            # Guard: those who have asked and stay would keep others from asking until their time is up.
+            longest, since = next(iter(self._idle.items()))
+            if since < self._loop.time() - SETTLED_TIME:
+                del self._idle[longest]
+                self._connections[longest].close()
+
+    def finish(self, handler: web.RequestHandler) -> None:
+        if handler in self._busy:
+            self._move(handler, self._idle)
+
+
+class Front:
+    """Clients' connections. ``drain`` makes every further answer close its connection."""
+
+    def __init__(self, core: Core, pool: Pool, most_connections: int, crowd: int, most_bytes: int) -> None:
+        self._core, self._pool = core, pool
+        self._names = Names(core.settings)
+        self._draining = False
+        self._server: asyncio.Server | None = None
+        self.listener: socket.socket
+        self._web = Clients(self._handle, most_connections, crowd)
+        self.room = Room(most_bytes)
+        self._open: set[str] = set()  # the ids of open requests
+        self.last_request = 0.0
+
+    async def listen(self, host: str, port: int) -> int:
+        """Start to accept; the port, should the system have chosen it."""
+        # Guard: a client that never reads its answer would keep its connection for good. Inherited on accept.
+        return await self.accept(listener(host, port, TCP_USER_TIMEOUT=int(UNREAD_TIME * 1000)))
+
+    async def accept(self, given: socket.socket) -> int:
+        """Start to accept from a socket that another process may have opened, and may accept from too."""
+        # Guard: the loop accepts as many at a time as it queues; a crowd would take all descriptors.
+        self._server = await asyncio.get_running_loop().create_server(
+            self._web, sock=given, backlog=ACCEPTED_AT_ONCE)
+        given.listen(1024)
+        self.listener, self._draining = given, False
+        bound: int = given.getsockname()[1]
+        return bound
+
+    def hand_over(self) -> socket.socket:
+        """Another process accepts from now on; the socket, should it have to be taken back."""
+        kept = self.listener.dup()
+        if self._server is not None:
+            self._server.close()
+        self.drain()
+        return kept
+
+    def resize(self, most_connections: int, most_bytes: int) -> None:
+        self._web.resize(most_connections)
+        self.room.resize(most_bytes)
+
+    def drain(self) -> None:
+        self._draining = True
+        self.last_request = asyncio.get_running_loop().time()
+
+    async def close(self) -> None:
+        """Stop accepting, finish whatever is open, then close the connections."""
+        if self._server is not None:
+            self._server.close()
+        await self._core.idle()
+        self._web.pre_shutdown()  # those between requests; the others close behind their answer
+        await self._web.shutdown(ANSWER_TIME)
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        self._web.begin(request.protocol)
+        try:
+            return await self._respond(request)
+        finally:
+            self._web.finish(request.protocol)
+
+    async def _respond(self, request: web.BaseRequest) -> web.StreamResponse:
+        target = origin(request.raw_path)
+        path = target.partition("?")[0]
+        if path == "/-/ready":
+            ok = self._core.ready and not self._draining
+            return self._response(200 if ok else 503, "ready\n" if ok else "not ready\n")
+        self.last_request = asyncio.get_running_loop().time()
+        cls = self._names.classes.get((path.split("/", 2) + [""])[1])
+        if cls is None:
+            return self._response(404, "no such path\n", whole=not request.body_exists)
+        try:
+            if request.method not in ("GET", "PUT"):
+                raise RequestError("the method is neither GET nor PUT")
+            head = parse_head(target, single(request.headers), self._names)
+            if URL(f"http://h{target}", encoded=True).raw_path_qs != target:
+                raise RequestError("the path cannot be passed on unchanged")
+            size = need(request)
+            await self.room.enter(size)
+        except TimeoutError:
+            response = self._turn_away(cls, 503, "refused: no room for its body now\n", whole=False,
+                                       verdict=Verdict.REFUSED)
+            await self._leave(request, response)
+            return response
+        except (RequestError, ValueError) as error:
+            return self._turn_away(cls, getattr(error, "status", 400), f"{error}\n",
+                                   whole=not request.body_exists)
+        try:
+            return await self._take(request, cls, head)
+        finally:
+            self.room.leave(size)
+
+    async def _take(self, request: web.BaseRequest, cls: int, head: Head) -> web.StreamResponse:
+        try:
+            body = await taken(request)
+        except (RequestError, ValueError, web.RequestPayloadError, HttpProcessingError) as error:
+            status = error.status if isinstance(error, BodyError) else 400
+            return self._turn_away(cls, status, f"{error}\n", whole=not request.body_exists)
+        if head.id in self._open:
+            # Guard: sent on, it would be a second copy of a request that is still out.
+            return self._turn_away(cls, 409, "a request with this X-Request-Id is open\n",
+                                   whole=isinstance(body, bytes))
+        self._open.add(head.id)
+        relayed: list[web.StreamResponse] = []
+        call = Call(self._pool, request.method, origin(request.raw_path), head.id, body,
+                    partial(self._relay, request, relayed))
+        try:
+            answer = await self._core.serve(
+                Request(head.cls, head.plan, head.volume, head.units, head.shard, head.hosts,
+                        asyncio.get_running_loop().time() + head.budget, head.key, head.repeat,
+                        isinstance(body, Upload)), call)
+        finally:
+            self._open.discard(head.id)
+        if relayed:
+            return relayed[0]
+        if call.fault is not None:
+            return self._response(call.fault.status, f"{call.fault}\n", whole=False)
+        response = self._answer(answer)
+        if not request.content.is_eof():
+            await self._leave(request, response)
+        return response
+
+    async def _relay(self, request: web.BaseRequest, relayed: list[web.StreamResponse], rest: Rest,
+                     reply: Reply) -> Ending:
+        """Pass on a long answer. Whatever breaks it closes the connection ahead of its framed end."""
+        response = web.StreamResponse(headers=self._headers(reply.kind or "application/octet-stream"))
+        relayed.append(response)
+        if rest.length is not None:
+            response.content_length = rest.length
+        elif request.version >= aiohttp.HttpVersion11:
+            response.enable_chunked_encoding()
+        else:
+            response.force_close()
+        if self._draining or self._web.crowded or not request.content.is_eof():
+            response.force_close()
+        self.room.take(FLOW)
+        try:
+            return await self._pump(request, response, rest, reply)
+        finally:
+            self.room.leave(FLOW)
+
+    async def _pump(self, request: web.BaseRequest, response: web.StreamResponse, rest: Rest,
+                    reply: Reply) -> Ending:
+        async with aclosing(rest.pieces()) as pieces:
+            await response.prepare(request)
+            if reply.body:
+                await response.write(reply.body)
+            try:
+                async for piece in pieces:
+                    await response.write(piece)
+            except SpoiltAnswer:
+                ending = Ending.SPOILT
+            except aiohttp.ClientPayloadError:
+                ending = Ending.CUT_SHORT
+            else:
+                await response.write_eof()
+                return Ending.SERVED
+        # Guard: the library would end the answer as if it were whole.
+        request.protocol.force_close()
+        return ending
+
+    async def _leave(self, request: web.BaseRequest, response: web.StreamResponse) -> None:
+        """Answer a client that still sends. Guard: closed on what is unread, it would not see its answer."""
+        response.force_close()
+        await response.prepare(request)
+        await response.write_eof()
+        with suppress(TimeoutError, web.RequestPayloadError, HttpProcessingError):
+            async with asyncio.timeout(LEAVE_TIME):
+                while await request.content.readany():
+                    pass
+
+    def _turn_away(self, cls: int, status: int, why: str, whole: bool = True,
+                   verdict: Verdict = Verdict.FAILED) -> web.Response:
+        self._core.turned_away(cls, verdict)
+        response = self._response(status, why, whole=whole)
+        if verdict is Verdict.REFUSED:
+            response.headers["Retry-After"] = f"{ROOM_TIME:.3f}"
+        return response
+
+    def _answer(self, answer: Answer) -> web.StreamResponse:
+        if answer.verdict is Verdict.SERVED and answer.reply is not None:
+            return self._response(200, answer.reply.body, answer.reply.kind)
+        if answer.verdict is Verdict.REFUSED:
+            response = self._response(503, "refused: a new try does no harm\n")
+            if answer.retry_after > 0:
+                response.headers["Retry-After"] = f"{answer.retry_after:.3f}"
+            return response
+        late = answer.cause in (Ending.TIMED_OUT, Ending.CONNECT_TIMEOUT)
+        return self._response(504 if late else 500, "failed: it may have taken effect\n")
+
+    @staticmethod
+    def _headers(kind: str) -> dict[str, str]:
+        return {"Server": "cherrycove", "Content-Type": kind}
+
+    def _response(self, status: int, body: str | bytes, kind: str = "", whole: bool = True) -> web.Response:
+        data = body.encode() if isinstance(body, str) else body
+        response = web.Response(status=status, body=data, headers=self._headers(
+            kind or ("text/plain" if isinstance(body, str) else "application/octet-stream")))
+        # Guard: clients that ask once and stay would leave the others no place until their time is up.
+        if self._draining or not whole or self._web.crowded:
+            response.force_close()
+        return response
--- /dev/null
+++ b/cherrycove/http1/watch.py
@@ -0,0 +1,59 @@
+"""Discovery's list of disk nodes, followed for ever.
+
+It owns the one connection to discovery and when it is asked again. It must never change the list by itself:
+the last good one stands until there is a better one.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Mapping
+
+import aiohttp
+from yarl import URL
+
+from cherrycove.core import Core, NodeList
+from cherrycove.http1.parse import ListError, parse_list
+
+log = logging.getLogger("cherrycove.http1")
+
+WATCH_WAIT = 5.0  # s that a watch may wait for news
+WATCH_SLACK = 1.0  # s past that until it counts as silent
+WATCH_AGAIN = 0.1  # s before a watch that failed is renewed, doubled with each failure and drawn anew:
+MOST_AGAIN = 1.0  # the first within the 200 ms in which one continues, all within what news may take
+
+
+async def watch(core: Core, address: str, zones: Mapping[str, int], afresh: bool = False) -> None:
+    """Follow discovery's list for ever. Whatever it answers, the last good list stands until a better one."""
+    limit = aiohttp.ClientTimeout(total=WATCH_WAIT + WATCH_SLACK, sock_connect=WATCH_SLACK)
+    async with aiohttp.ClientSession(cookie_jar=aiohttp.DummyCookieJar(), timeout=limit) as session:
+        known, silent, again = core.version is not None and not afresh, False, WATCH_AGAIN
+        while True:
+            query = f"?since={core.version}&timeout_ms={int(WATCH_WAIT * 1000)}" if known else ""
+            try:
+                url = URL(f"http://{address}/api/targets{query}", encoded=True)
+                async with session.get(url, allow_redirects=False) as answer:
+                    if answer.status != 200:
+                        raise ListError(f"status {answer.status}")
+                    news = parse_list(await answer.read(), zones)
+                if not news.full and (not known or news.version < (core.version or 0)):
+                    known = False  # it has started over: changes of an unknown list say nothing
+                    continue
+                if news.full or news.members or news.version != core.version:
+                    log.info("node list %d: %s", news.version, _told(news))
+                    core.update(news)
+                known, silent, core.silent, again = True, False, False, WATCH_AGAIN
+            except (ListError, aiohttp.ClientError, OSError, ValueError) as error:
+                if not silent:
+                    log.warning("discovery: %s; the last list stands", str(error) or type(error).__name__)
+                silent = True
+                core.list_unavailable()
+                # Guard: many brokers that ask in step and at once keep a discovery down that is overbooked.
+                await asyncio.sleep(again * random.uniform(0.5, 1.0))
+                again = min(2 * again, MOST_AGAIN)
+
+
+def _told(news: NodeList) -> str:
+    return " ".join(f"{m.name}={m.state.value}" for m in news.members) or "no change"
--- a/tests/support.py
+++ b/tests/support.py
@@ -17,8 +17,9 @@
 import hypothesis
 from hypothesis import strategies as st
 
-from cherrycove import config, http1, nbd
+from cherrycove import config, nbd
 from cherrycove.core import Core, Member, NodeList
+from cherrycove.http1 import back, front
 from finchrack.interface import NodeState
 
 ROOT = Path(__file__).parent.parent
@@ -171,8 +172,8 @@
 
     def __init__(self, *nodes: Node, platform: config.Platform = PLATFORM) -> None:
         self.core = Core(platform.settings, platform.seed)
-        self.pool = http1.Pool(platform.dial_timeout, platform.conn_idle, 64)
-        self.front = http1.Front(self.core, self.pool, 64, 21, 4 << 20)
+        self.pool = back.Pool(platform.dial_timeout, platform.conn_idle, 64)
+        self.front = front.Front(self.core, self.pool, 64, 21, 4 << 20)
         self.members = [Member(f"d{i}", f"127.0.0.1:{node.port}", i) for i, node in enumerate(nodes)]
         self.platform = platform
 
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -13,8 +13,9 @@
 from hypothesis import strategies as st
 from support import PLATFORM, RAW, Node, World, answer, chunks, cuts, feed, fuzz, message, raw, run, spoiled
 
-from cherrycove import config, http1
+from cherrycove import config
 from cherrycove.core import Ending, Member, Verdict
+from cherrycove.http1 import body, front, parse, watch
 from finchrack.interface import NodeState
 
 WRITE = {"cls": "claim-write", "method": "PUT", "body": b"\0claim\xff" * 50}
@@ -239,7 +240,7 @@
 def test_a_long_body_that_breaks_off_is_sent_once_and_may_have_run(
         end: str, monkeypatch: pytest.MonkeyPatch) -> None:
     """Its first pieces are gone, and only the node knows what it makes of them."""
-    monkeypatch.setattr(http1, "BODY_TIME", 0.2)
+    monkeypatch.setattr(body, "BODY_TIME", 0.2)
 
     async def story() -> None:
         node = await Node().start()
@@ -438,8 +439,8 @@
 def test_a_request_that_never_ends_gets_an_error_or_a_close(
         kept: int, monkeypatch: pytest.MonkeyPatch) -> None:
     """By itself the library waits an hour for a head, and for ever for a body."""
-    monkeypatch.setattr(http1, "IDLE_TIME", 0.05)
-    monkeypatch.setattr(http1, "BODY_TIME", 0.05)
+    monkeypatch.setattr(front, "IDLE_TIME", 0.05)
+    monkeypatch.setattr(body, "BODY_TIME", 0.05)
 
     async def story() -> None:
         async with World(await Node().start()) as world:
@@ -527,7 +528,7 @@
 def test_room_is_never_passed_and_nobody_waits_beside_it(steps: list[tuple[int, int]]) -> None:
     """Bodies that each stay within their own bound took more together than the process may have."""
     async def story() -> None:
-        room, inside = http1.Room(10), []  # type: http1.Room, list[int]
+        room, inside = body.Room(10), []  # type: body.Room, list[int]
 
         async def enter(size: int) -> None:
             await room.enter(size)
@@ -552,7 +553,7 @@
 
 def test_a_body_without_room_is_refused_unread_and_later_ones_are_served(
         monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(http1, "ROOM_TIME", 0.1)
+    monkeypatch.setattr(body, "ROOM_TIME", 0.1)
 
     async def story() -> None:
         node = await Node().start()
@@ -587,12 +588,12 @@
         if len(waits) == 9:
             raise asyncio.CancelledError
         await asleep(0)
-    monkeypatch.setattr(http1.asyncio, "sleep", sleep)
+    monkeypatch.setattr(watch.asyncio, "sleep", sleep)
 
     async def story() -> None:
         async with World() as world:
             with contextlib.suppress(asyncio.CancelledError):
-                await http1.watch(world.core, "127.0.0.1:9", PLATFORM.zones)
+                await watch.watch(world.core, "127.0.0.1:9", PLATFORM.zones)
     run(story())
     assert waits[0] <= 0.1 and all(0.5 <= wait <= 1.0 for wait in waits[5:])
     assert len(set(waits[5:])) > 1  # each at a time of its own
@@ -678,8 +679,8 @@
     lines = garbage.decode("latin-1").split("\r\n")
     headers = dict(line.partition(": ")[::2] for line in lines[1:])
     try:
-        head = http1.parse_head((lines[0].split(" ") + ["/"])[1], headers, http1.Names(PLATFORM.settings))
-    except http1.RequestError as error:
+        head = parse.parse_head((lines[0].split(" ") + ["/"])[1], headers, parse.Names(PLATFORM.settings))
+    except parse.RequestError as error:
         assert str(error)
     else:
         assert 0 < head.units <= 8 and head.hosts >= 1 and len(head.volume) == 16 and head.budget >= 0
@@ -689,8 +690,8 @@
 @given(spoiled(LIST))
 def test_a_spoiled_list_is_refused_whole_or_usable(garbage: bytes) -> None:
     try:
-        news = http1.parse_list(garbage, PLATFORM.zones)
-    except http1.ListError as error:
+        news = parse.parse_list(garbage, PLATFORM.zones)
+    except parse.ListError as error:
         assert str(error)
     else:
         assert all(m.name and m.shard >= 0 and ":" in m.address for m in news.members)
@@ -713,7 +714,7 @@
         server = await asyncio.start_server(tell, "127.0.0.1", 0)
         async with World(node) as world:
             address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
-            task = asyncio.create_task(http1.watch(world.core, address, PLATFORM.zones))
+            task = asyncio.create_task(watch.watch(world.core, address, PLATFORM.zones))
             while world.core.version != 7:
                 assert world.core.ready  # until told otherwise, the old list stands
                 await asyncio.sleep(0.01)
