Give every decision its reason: a code and the numbers it was taken on

Need: Refuse and Fail left the module without a reason and Send without what it was weighed against, so nobody could say why a request was refused. Send, Refuse, Fail and Cancel now carry a Reason: one of 20 documented codes, named where the decision falls, with L, out and queued at the node, the volume's credit, the wait reckoned with, what is left of the aim, the time to the next refill and the epoch.

--- a/finchrack/decide.py
+++ b/finchrack/decide.py
@@ -152,7 +152,8 @@
         if cls.ordered and event.key:
             chain = self.chains.setdefault(event.key, deque())
             chain.append(request)
-            if len(chain) > 1:
+            request.waits_turn = len(chain) > 1
+            if request.waits_turn:
                 return
         self._admit(request)
 
@@ -176,7 +177,7 @@
             if not self._within_limit(volume, request):
                 return
             volume.credits -= request.units
-            self._enqueue(request)
+            self._enqueue(request, api.Code.CREDIT)
 
     def _within_limit(self, volume: Volume, request: Request) -> bool:
         """The limit gate: only this host's part is used, so all hosts together never pass the limit."""
@@ -196,7 +197,7 @@
         for request in sorted(held, key=lambda r: r.due - r.cls.aim):
             wait = (need + request.units) / volume.limit
             if self._past_hope(request, wait):
-                self._give_up(request, wait)
+                self._give_up(request, api.Code.OVER_LIMIT, wait)
             else:
                 need += request.units
 
@@ -206,11 +207,12 @@
         for shard in volume.lanes:
             self._touch(self._node(shard))
 
-    def _enqueue(self, request: Request) -> None:
+    def _enqueue(self, request: Request, why: api.Code) -> None:
         request.leave()
+        request.why = why
         node = self._node(request.shard) if request.shard is not None else self._roomiest()
         if node is None:
-            return self._give_up(request)
+            return self._give_up(request, api.Code.NO_NODE)
         request.wait_at(node, self.now)
         node.window.new_due += request.due <= self.window_end
         self._touch(node)
@@ -236,8 +238,7 @@
             node = self._node(request.shard)
         if node is None:
             return self.now + wait > request.due
-        latency = self._expected(node) if self.crowded else node.service - (self.now - node.heard)
-        late = self.now + max(wait, latency) > request.due
+        late = self.now + max(wait, self._latency(node)) > request.due
         return late and not ((request.attempts or request.place == "queue") and self._keeps_up(node))
 
     def _review(self, request: Request) -> None:
@@ -259,18 +260,22 @@
         if excess > 0:
             held = [r for volume in self.volumes.values() for lane in volume.lanes.values() for r in lane]
             for request in sorted(held, key=lambda r: r.due)[:int(excess)]:
-                self._give_up(request)
+                self._give_up(request, api.Code.PLACES)
 
     def _halfway(self, request: Request) -> None:
         """Guard: one turned away late costs its client the time to ask again; half of it has to do here."""
         if not request.done and not request.attempts:
-            self._give_up(request)
+            self._give_up(request, api.Code.HALF_TIME)
 
     def _expected(self, node: NodeQueue) -> float:
         """The latency of an attempt sent now: the node's own, which fades into what all nodes answer like."""
         known: float = 0.5 ** ((self.now - node.heard) / MEMORY)
         return known * node.service + (1 - known) * self.typical
 
+    def _latency(self, node: NodeQueue) -> float:
+        """What hope reckons with."""
+        return self._expected(node) if self.crowded else node.service - (self.now - node.heard)
+
     def _drain(self, node: NodeQueue) -> None:
         """Send from the head until L are out; spare room then refills all volumes with waiting requests.
         Guard: with many hosts not at a node expected slower than the ceiling."""
@@ -307,7 +312,7 @@
                     # Guard: one that would be late, of a client in a hurry, must not hold up those behind it.
                     if request.due >= latest:
                         spent += request.units
-                        self._enqueue(request)
+                        self._enqueue(request, api.Code.SPARE)
                 if lane:
                     place.lanes[name] = place.lanes.pop(name)  # the next refill begins with the others
                 if spent:
@@ -318,20 +323,21 @@
         while node.head():
             request, keeps_up = node.queue[0][2], self._keeps_up(node)
             # Guard: one attempt at a time tries a node of which nobody answers.
-            if node.out >= (1 if node.failures else node.threshold) and (
-                    request.due > self.now or not keeps_up) or not self._warm_enough(node, request):
+            full = node.out >= (1 if node.failures else node.threshold)
+            if full and (request.due > self.now or not keeps_up) or not self._warm_enough(node, request):
                 return
-            else:
-                self._send_or_give_up(node, request)
+            code = api.Code.OVERDUE if full else api.Code.TRIAL if node.failures else request.why
+            self._send_or_give_up(node, request, code)
 
-    def _send_or_give_up(self, node: NodeQueue, request: Request) -> None:
+    def _send_or_give_up(self, node: NodeQueue, request: Request, code: api.Code) -> None:
         request.leave()
+        why = self._reason(request, node, code, self._latency(node))
         if not request.attempts:
             request.volume.take(self.now, request.units)
         elif self._may_try_again(request):
             self.extras.add(self.now)
         else:
-            return self._give_up(request)
+            return self._give_up(request, self._no_more(request, self.now) or api.Code.EXTRAS)
         self.attempts[request.id, request.attempts] = request, node, node.life
         if not request.upload:
             self._await_answer(node, request, request.attempts)
@@ -340,7 +346,7 @@
         waits = node.window.waits.setdefault(request.cls.name, deque(maxlen=WAITS))
         waits.append(self.now - request.queued_at)
         node.count_sent(self.now, request.units, not request.upload)
-        self.actions.append(api.Send(request.id, node.id or ""))
+        self.actions.append(api.Send(request.id, node.id or "", why=why))
 
     def _await_answer(self, node: NodeQueue, request: Request, number: int) -> None:
         patience = max(PATIENCE * request.cls.aim, FAR_SLOWER * node.service)
@@ -395,9 +401,9 @@
             self._close(request)
         else:
             again = self.now + PAUSE * request.cls.aim
-            last = request.attempts >= self.settings.max_attempts or again >= request.end
-            if last or not self._may_repeat(request, again) or self._past_hope(request):
-                return self._give_up(request)
+            code = self._no_more(request, again)
+            if code or self._past_hope(request):
+                return self._give_up(request, code)
             self.agenda.at(again, self._retry, request)
             self._review(request)
 
@@ -427,8 +433,15 @@
         """After a pause, or when the budget ends; one that is out then gets its time-out from the caller."""
         if request.done or request.out:
             return
-        over = self.now >= request.end or not self._may_repeat(request, self.now)
-        self._give_up(request) if over else self._enqueue(request)
+        code = self._no_more(request, self.now)
+        self._give_up(request, code) if code else self._enqueue(request, api.Code.AGAIN)
+
+    def _no_more(self, request: Request, when: float) -> api.Code | None:
+        """Why no attempt may be sent then, if none may."""
+        if not self._may_repeat(request, when):
+            return api.Code.MAY_HAVE_RUN
+        last = request.attempts >= self.settings.max_attempts
+        return api.Code.LAST_ATTEMPT if last else api.Code.NO_TIME if when >= request.end else None
 
     def _may_repeat(self, request: Request, when: float) -> bool:
         """Whether an attempt sent then could not cause a second effect."""
@@ -446,17 +459,25 @@
         return self._may_repeat(request, self.now) and (spare is None or (
             self.extras.total(self.now) + 1 <= spare + ratio * self.arrived.total(self.now)))
 
-    def _give_up(self, request: Request, wait: float = 0.0) -> None:
+    def _reason(self, request: Request, node: NodeQueue, code: api.Code, wait: float) -> api.Reason:
+        return api.Reason(code, node.id or "", request.place, node.threshold, node.out, node.waiting,
+                          request.volume.credits, wait, request.due - self.now, self.window_end - self.now,
+                          self.epoch)
+
+    def _give_up(self, request: Request, code: api.Code | None = None, wait: float = 0.0) -> None:
         """Guard: a refusal says that a new try does no harm; where that is not known, the request fails.
         It tells the client to keep away until what stands before it, here or at the node, will be gone."""
+        node = request.node if request.place == "queue" and request.node else self._node(request.shard)
+        why = self._reason(request, node, code or request.held_by(node, self._cold(node)),
+                           max(wait, self._latency(node)))
         node = self._node(request.shard)
         if request.shard is not None and not self._keeps_up(node):
             wait = inf
         wait = max(wait, self._expected(node), self.window_end - self.now)
         keyed = request.cls.effect is api.Effect.KEYED and request.cls.group is api.Group.ALL
         harmless = not request.may_have_run or request.cls.effect is api.Effect.SAFE or keyed
-        refusal = api.Refuse(request.id, min(wait, self.settings.retry_advice))
-        self.actions.append(refusal if harmless else api.Fail(request.id))
+        refusal = api.Refuse(request.id, min(wait, self.settings.retry_advice), why)
+        self.actions.append(refusal if harmless else api.Fail(request.id, why))
         self._close(request)
 
     def _close(self, request: Request) -> None:
@@ -524,10 +545,10 @@
         for node in self.nodes.values():
             entry = holders.get(node)
             if entry is None:
-                node.id = None
+                node.id, node.lost = None, self.members.lost(node.shard)
                 for request in node.held():
                     if request.shard is None:
-                        self._enqueue(request)
+                        self._enqueue(request, request.why)
             elif node.life == 0 or node.started != entry.started or node.id != entry.id:
                 cold_from = (self.now if node.life else -inf) if entry.started is None else entry.started
                 node.begin(entry, cold_from, self.start_l)
--- a/finchrack/interface.py
+++ b/finchrack/interface.py
@@ -9,7 +9,8 @@
 import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from enum import Enum
+from enum import Enum, IntEnum
+from typing import NamedTuple
 
 
 class Effect(Enum):
@@ -281,6 +282,47 @@
 # Actions, from the module to the caller, carried out in the order given.
 
 
+class Code(IntEnum):
+    """Why an attempt was sent, or why none will be. The values are kept in records and never change."""
+
+    CREDIT = 1  # its volume had credit, and fewer than L were out at its node
+    SPARE = 2  # its volume had none, but its node had room to spare
+    AGAIN = 3  # a further attempt, after a pause
+    OVERDUE = 4  # past its aim at a node that keeps up: sent whatever is out there
+    TRIAL = 5  # one at a time tries a node at which nobody answered
+    NO_CREDIT = 16  # it waited for its volume's credit until an attempt would have been late
+    OVER_LIMIT = 17  # its plan's limit would let it through only when too late
+    NODE_BUSY = 18  # it waited in its node's queue until an attempt would have been late
+    NODE_SLOW = 19  # its node is expected to answer too late
+    NODE_RESTS = 20  # nobody answers at its node, or it turned others away
+    NODE_COLD = 21  # its node has just started and may not get more yet
+    NO_NODE = 22  # no node holds its shard now
+    DRAINED = 23  # the node that holds its shard takes no new work
+    PLACES = 24  # so many requests were open that others would have found no way in
+    HALF_TIME = 25  # half of its client's time was over, and it had not been sent
+    MAY_HAVE_RUN = 26  # an attempt may have run, and its class allows no second effect
+    LAST_ATTEMPT = 27  # as many attempts were made as may be
+    NO_TIME = 28  # too little of its time was left for an attempt
+    EXTRAS = 29  # further attempts have used up what the deployment allows of them
+    TURN = 30  # it waited for the request before it on the same key
+
+
+class Reason(NamedTuple):
+    """What a decision was taken on, as it was at that moment."""
+
+    code: Code
+    node: str = ""  # "": none
+    place: str = ""  # where the request waited: "lane" for credit, "queue" at its node, or nowhere
+    threshold: float = 0.0  # L of the node
+    out: int = 0  # requests out at the node, this one not counted
+    queued: int = 0  # in the node's queue, this one not counted once it leaves
+    credits: float = 0.0  # units of its volume; 0 or less: it had none
+    wait: float = 0.0  # s until an answer, as reckoned with
+    left: float = 0.0  # s until its aim; below 0: past it
+    refill: float = 0.0  # s until the next joint refill
+    epoch: int = 0  # joint refills so far
+
+
 @dataclass(frozen=True, slots=True)
 class Send:
     """Start an attempt; the attempts of a request are numbered from 0 in the order of their sends."""
@@ -288,6 +330,7 @@
     request: int
     node: str
     timeout: float | None = None  # None: until the request's budget ends
+    why: Reason | None = field(default=None, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -296,6 +339,7 @@
 
     request: int
     retry_after: float = 0.0
+    why: Reason | None = field(default=None, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -303,12 +347,14 @@
     """Final answer: failed, with no claim on whether it took effect."""
 
     request: int
+    why: Reason | None = field(default=None, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
 class Cancel:
     request: int
     attempt: int
+    why: Reason | None = field(default=None, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/finchrack/state.py
+++ b/finchrack/state.py
@@ -9,7 +9,7 @@
 from math import inf
 from typing import Any
 
-from finchrack.interface import ListKind, Node, NodesListed, NodeState, Plan, RequestClass
+from finchrack.interface import Code, ListKind, Node, NodesListed, NodeState, Plan, RequestClass
 
 
 class Agenda:
@@ -84,8 +84,24 @@
     safe_until: float = 0.0  # keyed: until then repeats of the first attempt that may have run are dropped
     rest_until: float = 0.0  # until then its key rests, once it is over
     admitted: bool = False  # its key's turn has come
+    waits_turn: bool = False  # another one with its key came before it
     ran_zone: int = 0
     ran_shard: int | None = None
+    why: Code = Code.CREDIT  # what let it into its node's queue
+
+    def held_by(self, node: NodeQueue, cold: bool) -> Code:
+        """What keeps it from its node, where it stands now."""
+        if node.shard is not None and node.id is None:
+            return node.lost
+        if self.place == "lane":
+            return Code.OVER_LIMIT if self.volume.credits > 0 else Code.NO_CREDIT
+        if node.failures:
+            return Code.NODE_RESTS
+        if self.place == "queue":
+            return Code.NODE_COLD if cold else Code.NODE_BUSY
+        if self.attempts:
+            return Code.NO_TIME
+        return Code.TURN if self.waits_turn and not self.admitted else Code.NODE_SLOW
 
     def wait_for_credit(self, node: NodeQueue) -> None:
         self.admitted = True
@@ -167,6 +183,11 @@
         by_start = sorted(self._nodes.values(), key=lambda node: node.started or -inf)
         return {node.shard: node for node in by_start if node.state is NodeState.UP}
 
+    def lost(self, shard: int | None) -> Code:
+        """Why no node takes work for this shard."""
+        drains = any(n.shard == shard and n.state is NodeState.DRAINING for n in self._nodes.values())
+        return Code.DRAINED if drains else Code.NO_NODE
+
 
 def percentile(values: list[float], part: float) -> float:
     return sorted(values)[min(int(part * len(values)), len(values) - 1)]
@@ -196,6 +217,7 @@
     threshold: float  # L
     recent: Recent  # units sent within the span of the rule on cold nodes
     id: str | None = None  # None: no node takes work for this shard now
+    lost: Code = Code.NO_NODE  # why, while there is none
     zone: int = 0
     started: float | None = None
     cold_from: float = -inf
