Keep a record of every decision, and answer why a request went where it went

The core tells it of each request once, when it is over; fronts tell what they answer by themselves, NBD included. A successor is handed the record in pieces while its predecessor drains, and counts the pieces that did not come.

--- a/cherrycove/__main__.py
+++ b/cherrycove/__main__.py
@@ -23,6 +23,10 @@
 from collections.abc import Coroutine
 from dataclasses import replace
 from pathlib import Path
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from cherrycove.why.book import Book
 
 
 GENTLE = 10  # niceness: a tenth of a core that others want, too
@@ -73,6 +77,9 @@
 RESERVED = 40  # descriptors: listeners, the loop, discovery, 8 operators, 16 accepted and not yet counted
 OWN_MB = 30  # of a process without bodies, in service for a while
 LEAST_MB = 3  # for bodies, whatever the limit
+RECORD_TIME = 300.0  # s of the record that a successor is handed
+PIECE_TIME = 0.01  # s between two pieces of it
+RECORD_LEFT = 0.3  # s that the last of it may take, once all that was taken is answered
 OPEN_TIME = 0.05  # s between two words to the successor of how many requests are open
 SHARED = 0.5  # the part of a broker's budgets that a process has while another one lives
 LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
@@ -114,6 +121,13 @@
         self._links: set[handover.Link] = set()  # to other processes of this broker
         self._handed: list[socket.socket] = []  # what a successor accepts from, in case it dies
         self._beside: int | None = None  # requests open in the process this one replaces, as last told
+        self._book: Book | None = None
+        self._record: asyncio.Task[None] | None = None  # hands it over
+        self._pieces = 0  # of the former process's record that have come
+        if operator.why is not None:
+            from cherrycove.why.book import Book
+            self._book = Book(platform.settings, operator.why.bytes, asyncio.get_running_loop().time())
+            self.core.recorder = self._book
         self._bound()
 
     async def start(self) -> int:
@@ -240,6 +254,9 @@
                 self._handed.append(self._nbd.hand_over())
             self._bound()
             self._tell_open()
+            self._record = asyncio.create_task(self._hand_over_record())
+        if "why" in message:
+            self._take_record(message)
         if type(message.get("open")) is int:
             self._beside = message["open"]
             self._bound()
@@ -293,6 +310,9 @@
             await self._consul.close()
         await self.pool.close()
         await self._desk.close()
+        if self._record is not None:
+            await asyncio.wait((self._record,), timeout=RECORD_LEFT)
+            self._record.cancel()
         for link in list(self._links):
             link.close()
         await self._place.close()
@@ -302,10 +322,55 @@
     async def _call(self, call: admin.Call) -> str:
         if call.word == "stats":
             return admin.report(self.core.figures())
+        if call.word == "why":
+            return "\n".join([*await self._why(call.words), "END"])
         if call.word == "status":
             return admin.yes_or_no(self._obstacle(), "serving")
         return await self._maintain(call.node, call.word == "maint-on")
 
+    async def _why(self, asked: tuple[str, ...]) -> list[str]:
+        if self._book is None:
+            return ["NO there is no record: [why] in the operator's file is not enabled"]
+        from cherrycove.why import ask  # only where somebody asks
+        try:
+            question = ask.parse(list(asked))
+        except ask.AskError as error:
+            return [f"NO {error}"]
+        return await ask.answer(question, self._book, asyncio.get_running_loop().time, self.core.find)
+
+    async def _hand_over_record(self) -> None:
+        """Send the successor what was decided here of late, piece by piece, while this process drains."""
+        book, loop = self._book, asyncio.get_running_loop()
+        if book is None:
+            return
+        since = loop.time() - RECORD_TIME
+        for last in (False, True):
+            if last:  # what has ended while the others were sent
+                await self.core.idle()
+            sent_from, number = since, 0
+            since = loop.time()
+            for number, piece in enumerate(book.pieces(sent_from, loop.time()), 1):
+                for link in self._links:
+                    link.tell({"why": piece, "number": number})
+                await asyncio.sleep(PIECE_TIME)
+            for link in self._links:
+                link.tell({"why": None, "number": number})
+
+    def _take_record(self, message: handover.Message) -> None:
+        if self._book is None:
+            return
+        if message["why"] is None:
+            missing = message["number"] - self._pieces
+            self._book.former_lost += max(missing, 0) if type(message["number"]) is int else 1
+            self._pieces = 0
+            return
+        self._pieces += 1
+        try:
+            self._book.take_over(message["why"], asyncio.get_running_loop().time())
+        except (ValueError, TypeError, AttributeError) as error:
+            self._book.former_lost += 1
+            log.warning("a piece of the former process's record is not used: %s", error)
+
     async def _maintain(self, node: str, out: bool) -> str:
         """Take a node out or put it back: here, in the file, at the other process, and only then say yes."""
         state, known = self.core.maintenance, {member.name: member for member in self.core.members}
--- a/cherrycove/admin.py
+++ b/cherrycove/admin.py
@@ -23,7 +23,7 @@
 CALL_TIME = 5.0  # s for the whole line
 MOST_BEYOND = 64 * 1024  # bytes behind a call that are read and dropped
 LEAVE_TIME = 1.0  # s that a caller has to take its answer and hang up
-BARE, WITH_ID = ("status", "stats"), ("maint-on", "maint-off")
+BARE, WITH_ID, ASKING = ("status", "stats"), ("maint-on", "maint-off"), ("why",)
 NODE_ID = re.compile(r"[!-~]{1,128}", re.ASCII)
 PASSED = {Verdict.SERVED: "passed", Verdict.REFUSED: "dropped", Verdict.FAILED: "bad_gateway"}
 
@@ -36,6 +36,7 @@
 class Call:
     word: str
     node: str = ""
+    words: tuple[str, ...] = ()  # what is asked
 
 
 def parse_call(line: bytes) -> Call:
@@ -51,8 +52,10 @@
         if rest:
             raise CallError(f"{word} stands alone")
         return Call(word)
+    if word in ASKING:
+        return Call(word, words=tuple(rest))
     if word not in WITH_ID:
-        raise CallError(f"no such call; there are {', '.join(BARE + WITH_ID)}")
+        raise CallError(f"no such call; there are {', '.join(BARE + WITH_ID + ASKING)}")
     if len(rest) != 1 or not NODE_ID.fullmatch(rest[0]):
         raise CallError(f"{word} takes one disk node's id")
     return Call(word, rest[0])
--- a/cherrycove/config.py
+++ b/cherrycove/config.py
@@ -46,6 +46,16 @@
     admin: tuple[str, int] | None = None  # where operators call
 
 
+@dataclass(frozen=True, slots=True)
+class Why:
+    """The record of recent decisions."""
+
+    bytes: int  # in all
+    spans: str = ""  # the file for traces; empty: none
+    sampled: float = 0.0  # part of the served requests that are traced
+    spans_a_second: int = 20  # traces of refused and failed ones
+
+
 @dataclass(frozen=True, slots=True)
 class Operator:
     """What the operator's file turns on beyond the platform's port."""
@@ -53,6 +63,7 @@
     nbd: nbd.Setup | None = None
     consul: consul.Setup | None = None
     store: store.Setup | None = None
+    why: Why | None = None
 
 
 def host_port(text: Any, what: str) -> tuple[str, int]:
@@ -189,7 +200,7 @@
 def read_operator(raw: dict[str, Any], settings: Settings) -> Operator:
     top = _Table(raw, "")
     found = Operator(nbd=_nbd(top.table("nbd"), settings), consul=_consul(top.table("consul")),
-                     store=_store(top.table("store")))
+                     store=_store(top.table("store")), why=_why(top.table("why")))
     top.done()
     return found
 
@@ -271,6 +282,19 @@
     return setup
 
 
+def _why(table: _Table) -> Why | None:
+    if not table.take("enabled", bool, False):
+        return None
+    setup = Why(
+        bytes=table.number("bytes", 128 << 10, 1 << 30, 2 << 20), spans=table.take("spans", str, ""),
+        sampled=float(table.take("sampled", float, 0.0)),
+        spans_a_second=table.number("spans_a_second", 0, 10_000, 20))
+    if not 0 <= setup.sampled <= 1:
+        raise ConfigError(f"{table.name('sampled')} must lie between 0 and 1, not {setup.sampled}")
+    table.done()
+    return setup
+
+
 def _entry(table: _Table) -> tuple[int, str | None]:
     version = table.number("version", 1, store.MOST_COUNTER)
     value = None if table.take("deleted", bool, False) else table.take("value", str)
--- a/cherrycove/core.py
+++ b/cherrycove/core.py
@@ -20,6 +20,7 @@
 from math import inf, nan
 from typing import Protocol
 
+from cherrycove.why.codes import Own
 from finchrack import interface as api
 from finchrack.decide import Scheduler
 
@@ -136,6 +137,8 @@
     key: str | None = None
     repeat: bool = False
     upload: bool = False  # its last byte is still to come; its deadline counts from then on
+    id: str = ""  # by which its client knows it
+    front: str = "http"
 
 
 @dataclass(slots=True, eq=False)
@@ -156,6 +159,9 @@
     scope: asyncio.Timeout | None = None
     given_up: bool = False
     reported: bool = False
+    why: api.Reason | None = None
+    took: float = 0.0  # s, once it has ended
+    ending: Ending | None = None
 
     def wrote(self) -> None:
         """Called by the backend once the last byte may have left."""
@@ -192,6 +198,36 @@
     reply: Reply | None = None
     retry_after: float = 0.0
     cause: Ending | None = None  # how the last attempt ended, if there was one
+    why: api.Reason | None = None  # the module's
+    own: Own = Own.NOTHING  # the core's, where the module had no part in it
+
+
+@dataclass(slots=True, eq=False)
+class Ended:
+    """A request that is over, or open still, as a recorder is told of it. Times are the core's clock's."""
+
+    came: float
+    at: float
+    verdict: Verdict | None  # None: its client left, or it is open
+    own: Own = Own.NOTHING
+    why: api.Reason | None = None
+    request: Request | None = None  # None: a front answered it by itself; then these say what is known of it
+    tries: list[Attempt] = field(default_factory=list)
+    first: str = ""  # the id of the try that it is a client's retry of
+    rivals: int = 0
+    id: str = ""
+    volume: str = ""
+    front: str = "http"
+    cls: int | None = None
+
+
+class Recorder(Protocol):
+    """Is told of every request once, when it is over."""
+
+    def came(self, request: Request, now: float) -> tuple[str, int]:
+        """A marked retry: the id of its first try, and how many it could be."""
+
+    def ended(self, ended: Ended) -> None: ...
 
 
 @dataclass(frozen=True, slots=True)
@@ -224,6 +260,9 @@
     current: Attempt | None = None
     cause: Ending | None = None
     over: bool = False  # it has its answer, or its client has gone; kept until the module has been told
+    came: float = 0.0
+    tries: list[Attempt] = field(default_factory=list)
+    first: tuple[str, int] = ("", 0)
 
 
 class Core:
@@ -236,6 +275,7 @@
         self._answers = {cls.name: dict.fromkeys(Verdict, 0) for cls in settings.classes}
         self._tries = 0
         self.version: int | None = None  # of the node list; None: none has been told yet
+        self.recorder: Recorder | None = None
         self.on_list: Callable[[NodeList], None] | None = None  # told of each list from the source itself
         self.silent = False  # whether the source of the node list has stopped to answer
         self.watching = asyncio.Event()  # set whenever the module asks for the list's changes
@@ -284,7 +324,7 @@
                 # Guard: a module without a word, or a loop that ran late, must leave no client unanswered.
                 log.warning("request %d reached its deadline without a decision", ticket.id)
                 self._push(api.Lapsed(ticket.id))
-                answer = Answer(Verdict.FAILED, cause=ticket.cause)
+                answer = Answer(Verdict.FAILED, cause=ticket.cause, own=Own.LAST_RESORT)
         except BaseException:
             self._finish(ticket, None)
             raise
@@ -292,14 +332,27 @@
             if answer.reply is not None and answer.reply.relay is not None:
                 begun, relay, answer = answer, answer.reply.relay, None
                 ending = await relay()
-                answer = begun if ending is Ending.SERVED else Answer(Verdict.FAILED, cause=ending)
+                answer = begun if ending is Ending.SERVED else Answer(
+                    Verdict.FAILED, cause=ending, own=Own.BROKE_OFF)
         finally:
             self._finish(ticket, answer)
         return answer
 
-    def turned_away(self, cls: int, verdict: Verdict = Verdict.FAILED) -> None:
+    def turned_away(self, cls: int | None, verdict: Verdict = Verdict.FAILED, own: Own = Own.MALFORMED,
+                    id: str = "", volume: str = "", front: str = "http") -> None:
         """A front has answered a request of this class by itself: it is not one that the core could take."""
-        self._answers[self.settings.classes[cls].name][verdict] += 1
+        if cls is not None:
+            self._answers[self.settings.classes[cls].name][verdict] += 1
+        if self.recorder is not None:
+            now = self._loop.time()
+            self.recorder.ended(Ended(now, now, verdict, own, id=id, volume=volume, front=front, cls=cls))
+
+    def find(self, id: str) -> list[Ended]:
+        """The open requests of this id."""
+        now = self._loop.time()
+        return [Ended(ticket.came, now, None, why=None, request=ticket.request, tries=list(ticket.tries),
+                      first=ticket.first[0], rivals=ticket.first[1])
+                for ticket in self._tickets.values() if ticket.request.id == id and not ticket.over]
 
     def figures(self) -> Figures:
         used = self._scheduler.in_use()
@@ -322,6 +375,7 @@
         if attempt.reported:
             return
         attempt.reported = True
+        attempt.ending, attempt.took = reply.ending, self._loop.time() - attempt.began
         self.endings[reply.ending] += 1
         ticket = self._tickets.get(attempt.request)
         closed = ticket is None or ticket.over or reply.ending is Ending.SERVED
@@ -331,7 +385,7 @@
                 ticket.limit.reschedule(self._loop.time() + ticket.wait)
         self._push(api.AttemptEnded(
             attempt.request, attempt.number, attempt.node, OUTCOMES[reply.ending], closed,
-            self._loop.time() - attempt.began, reply.use, reply.elsewhere, reply.load))
+            attempt.took, reply.use, reply.elsewhere, reply.load))
 
     def tick(self) -> None:
         """Hand the module what has happened since the last tick and carry out what it says."""
@@ -428,6 +482,9 @@
         wait = max(request.deadline - self._loop.time(), 0.0)
         margin = min(MARGIN, MARGIN_PART * wait)
         ticket = self._tickets[self._serial] = _Ticket(self._serial, request, wait, margin)
+        ticket.came = self._loop.time()
+        if self.recorder is not None and request.repeat:
+            ticket.first = self.recorder.came(request, ticket.came)
         self._open += 1
         self._idle.clear()
         self.counts["taken"] += 1
@@ -451,6 +508,11 @@
             self._push(api.Lapsed(ticket.id))
         ticket.over = True
         self._over.append(ticket.id)
+        if self.recorder is not None:
+            own = Own.CLIENT_GONE if answer is None else answer.own
+            self.recorder.ended(Ended(
+                ticket.came, self._loop.time(), answer.verdict if answer else None, own,
+                answer.why if answer else None, ticket.request, ticket.tries, *ticket.first))
 
     async def _carry_out(self, attempt: Attempt, backend: Backend) -> Reply:
         try:
@@ -474,12 +536,12 @@
 
     def _act(self, action: api.Action) -> None:
         match action:
-            case api.Send(request, node, timeout):
-                self._send(request, node, timeout)
-            case api.Refuse(request, retry_after):
-                self._decided(request, Verdict.REFUSED, retry_after)
-            case api.Fail(request):
-                self._decided(request, Verdict.FAILED)
+            case api.Send(request, node, timeout, why):
+                self._send(request, node, timeout, why)
+            case api.Refuse(request, retry_after, why):
+                self._decided(request, Verdict.REFUSED, why, retry_after)
+            case api.Fail(request, why):
+                self._decided(request, Verdict.FAILED, why)
             case api.Cancel(request, number):
                 ticket = self._tickets.get(request)
                 attempt = ticket.current if ticket else None
@@ -496,7 +558,7 @@
                 # No deployment of ours lets the module probe: settings say so, and it asks for none.
                 self._push(api.ProbeEnded(node, api.Outcome.MOOT, 0.0))
 
-    def _send(self, request: int, node: str, timeout: float | None) -> None:
+    def _send(self, request: int, node: str, timeout: float | None, why: api.Reason | None = None) -> None:
         ticket, now = self._tickets.get(request), self._loop.time()
         member = self._members.get(node)  # none: it has gone, and no longer has an address
         number = ticket.attempts if ticket else 0
@@ -506,9 +568,11 @@
         wait = min(expires - now, ticket.wait if ticket else 0.0)
         life = f"{node}@{member.since_ms if member else 0}"
         attempt = Attempt(request, number, node, member.address if member else "", expires, now, wait, life,
-                          on_written=self._written)
+                          on_written=self._written, why=why)
         if ticket is not None:
             ticket.attempts += 1
+            if self.recorder is not None:
+                ticket.tries.append(attempt)
         if ticket is None or ticket.over or member is None:
             # Guard: the client left while this was decided, or the list never told where the node is.
             self.report(attempt, Reply(Ending.NOT_STARTED))
@@ -531,10 +595,11 @@
             ticket.limit.reschedule(now + ticket.wait - LAST_RESORT * ticket.margin)
         self._push(api.Uploaded(ticket.id))
 
-    def _decided(self, request: int, verdict: Verdict, retry_after: float = 0.0) -> None:
+    def _decided(self, request: int, verdict: Verdict, why: api.Reason | None,
+                 retry_after: float = 0.0) -> None:
         ticket = self._tickets.get(request)
         if ticket is not None:
-            self._give(ticket, Answer(verdict, retry_after=retry_after, cause=ticket.cause))
+            self._give(ticket, Answer(verdict, retry_after=retry_after, cause=ticket.cause, why=why))
 
     def _give(self, ticket: _Ticket, step: Attempt | Answer) -> None:
         if ticket.waiter is not None and not ticket.waiter.done():
--- a/cherrycove/http1/front.py
+++ b/cherrycove/http1/front.py
@@ -23,6 +23,7 @@
 from cherrycove.http1.back import PIECE, Call, Pool, Rest, SpoiltAnswer
 from cherrycove.http1.body import FLOW, ROOM_TIME, Room, Upload, need, taken
 from cherrycove.http1.parse import BodyError, Head, Names, RequestError, origin, parse_head, single
+from cherrycove.why.codes import BY_STATUS, Own
 
 clients_log = logging.getLogger("cherrycove.http1.clients")  # the library's own, of what it could not read
 
@@ -42,6 +43,12 @@
 clients_log.addFilter(_own_fault)
 
 
+
+def _id(request: web.BaseRequest) -> str:
+    """What the client calls it, were it the right one or not."""
+    return request.headers.get("X-Request-Id", "")[:128]
+
+
 class ClientConnection(web.RequestHandler):
     """The library's connection to a client, which says when something has come over it."""
 
@@ -196,6 +203,7 @@
         self.last_request = asyncio.get_running_loop().time()
         cls = self._names.classes.get((path.split("/", 2) + [""])[1])
         if cls is None:
+            self._core.turned_away(None, own=Own.NO_PATH, id=_id(request))
             return self._response(404, "no such path\n", whole=not request.body_exists)
         try:
             if request.method not in ("GET", "PUT"):
@@ -206,12 +214,12 @@
             size = need(request)
             await self.room.enter(size)
         except TimeoutError:
-            response = self._turn_away(cls, 503, "refused: no room for its body now\n", whole=False,
+            response = self._turn_away(request, cls, 503, "refused: no room for its body now\n", whole=False,
                                        verdict=Verdict.REFUSED)
             await self._leave(request, response)
             return response
         except (RequestError, ValueError) as error:
-            return self._turn_away(cls, getattr(error, "status", 400), f"{error}\n",
+            return self._turn_away(request, cls, getattr(error, "status", 400), f"{error}\n",
                                    whole=not request.body_exists)
         try:
             return await self._take(request, cls, head)
@@ -223,10 +231,10 @@
             body = await taken(request)
         except (RequestError, ValueError, web.RequestPayloadError, HttpProcessingError) as error:
             status = error.status if isinstance(error, BodyError) else 400
-            return self._turn_away(cls, status, f"{error}\n", whole=not request.body_exists)
+            return self._turn_away(request, cls, status, f"{error}\n", whole=not request.body_exists)
         if head.id in self._open:
             # Guard: sent on, it would be a second copy of a request that is still out.
-            return self._turn_away(cls, 409, "a request with this X-Request-Id is open\n",
+            return self._turn_away(request, cls, 409, "a request with this X-Request-Id is open\n",
                                    whole=isinstance(body, bytes))
         self._open.add(head.id)
         relayed: list[web.StreamResponse] = []
@@ -236,7 +244,7 @@
             answer = await self._core.serve(
                 Request(head.cls, head.plan, head.volume, head.units, head.shard, head.hosts,
                         asyncio.get_running_loop().time() + head.budget, head.key, head.repeat,
-                        isinstance(body, Upload)), call)
+                        isinstance(body, Upload), head.id), call)
         finally:
             self._open.discard(head.id)
         if relayed:
@@ -297,9 +305,9 @@
                 while await request.content.readany():
                     pass
 
-    def _turn_away(self, cls: int, status: int, why: str, whole: bool = True,
+    def _turn_away(self, request: web.BaseRequest, cls: int, status: int, why: str, whole: bool = True,
                    verdict: Verdict = Verdict.FAILED) -> web.Response:
-        self._core.turned_away(cls, verdict)
+        self._core.turned_away(cls, verdict, BY_STATUS.get(status, Own.MALFORMED), _id(request))
         response = self._response(status, why, whole=whole)
         if verdict is Verdict.REFUSED:
             response.headers["Retry-After"] = f"{ROOM_TIME:.3f}"
--- a/cherrycove/nbd.py
+++ b/cherrycove/nbd.py
@@ -17,10 +17,12 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from enum import IntEnum
+from itertools import count
 from math import ceil
 
 from cherrycove.core import Answer, Attempt, Core, Ending, Reply, Request, Verdict
 from cherrycove.handover import listener
+from cherrycove.why.codes import Own
 
 log = logging.getLogger("cherrycove.nbd")
 
@@ -625,6 +627,9 @@
         super().connection_lost(exc)
 
 
+_SESSIONS = count(1)  # of this process
+
+
 class _Session:
     """The transmission phase of one client."""
 
@@ -634,6 +639,7 @@
         self._export, self._structured = export, structured
         self._reader, self._writer = reader, writer
         self._jobs: set[asyncio.Task[None]] = set()
+        self._number = next(_SESSIONS)
         self._gone = False
         self._room = asyncio.Semaphore(setup.pipeline)
 
@@ -697,7 +703,8 @@
         message = "not a command that this export takes"
         if errno is not None or payload is None:
             if call.command in self._setup.classes:
-                self._core.turned_away(self._setup.classes[Command(call.command)])
+                self._core.turned_away(self._setup.classes[Command(call.command)], own=Own.BAD_COMMAND,
+                                       id=self._id(call), volume=self._export.volume, front="nbd")
         else:
             settings, command = self._core.settings, Command(call.command)
             cls, export = self._setup.classes[command], self._export
@@ -706,12 +713,16 @@
             answer = await self._core.serve(
                 Request(cls, export.plan, export.volume, self._setup.units(call, settings.max_units),
                         export.shard, export.hosts, deadline,
-                        f"{export.volume}/{call.offset // MOST_BLOCK}"), job)
+                        f"{export.volume}/{call.offset // MOST_BLOCK}", id=self._id(call), front="nbd"), job)
             errno, message = _told(answer, job)
             if errno is None and answer.reply is not None:
                 data = answer.reply.body
         await self._write(self._reply(call, errno, message, data))
 
+    def _id(self, call: Call) -> str:
+        """What a command is known by: its client has no id for it, and cookies are each session's own."""
+        return f"nbd:{self._export.name[:64]}:{self._number}:{call.cookie:x}"
+
     def _reply(self, call: Call, errno: Errno | None, message: str, data: bytes) -> bytes:
         if not self._structured:
             return simple_reply(call.cookie, errno or 0, data)
--- /dev/null
+++ b/cherrycove/why/ask.py
@@ -0,0 +1,219 @@
+"""Questions about recent requests, and their answers in lines.
+
+It owns the form of a question and the slices in which it is answered. It must never hold up the loop for
+longer than a slice, never answer later than ANSWER_TIME after it was asked, and never leave out what is not
+known.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import re
+import time
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass
+from typing import Any, NoReturn
+
+from cherrycove.core import Ended
+from cherrycove.why import words
+from cherrycove.why.book import Book, story_of
+from cherrycove.why.codes import code as code_of
+from cherrycove.why.pack import VERDICTS, Story
+
+SLICE = 0.002  # s of the loop at a time
+ANSWER_TIME = 0.6  # s in which an answer is due, whatever it has found by then
+MOST_LINES = 2000
+SPAN = re.compile(r"([0-9]{1,6})(ms|s|m|h)", re.ASCII)
+UNITS = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0}
+
+
+class AskError(ValueError):
+    """What is no question; the message says why."""
+
+
+@dataclass(frozen=True, slots=True)
+class Question:
+    id: str = ""
+    volume: str = ""
+    since: float = 300.0  # s ago
+    only: frozenset[str] = frozenset()
+    summary: bool = False
+    json: bool = False
+    most: int = 100  # requests
+
+
+class _Parser(argparse.ArgumentParser):
+    def error(self, message: str) -> NoReturn:
+        raise AskError(message)
+
+
+def span(text: str) -> float:
+    """A length of time such as 90s or 5m, in seconds."""
+    found = SPAN.fullmatch(text)
+    if not found:
+        raise argparse.ArgumentTypeError(f"a time is such as 500ms, 90s, 5m or 1h, not {words.plain(text)}")
+    return int(found[1]) * UNITS[found[2]]
+
+
+def _only(text: str) -> frozenset[str]:
+    chosen = frozenset(text.split(","))
+    if not chosen <= set(VERDICTS):
+        raise argparse.ArgumentTypeError(f"one or more of {','.join(VERDICTS)}")
+    return chosen
+
+
+def _most(text: str) -> int:
+    if not text.isascii() or not text.isdigit() or not 0 < int(text) <= MOST_LINES:
+        raise argparse.ArgumentTypeError(f"a whole number from 1 to {MOST_LINES}")
+    return int(text)
+
+
+_PARSER = _Parser(prog="why", add_help=False, allow_abbrev=False)
+_PARSER.add_argument("id", nargs="?", default="")
+_PARSER.add_argument("--volume", default="")
+_PARSER.add_argument("--since", type=span, default=300.0)
+_PARSER.add_argument("--only", type=_only, default=frozenset())
+_PARSER.add_argument("--summary", action="store_true")
+_PARSER.add_argument("--json", action="store_true")
+_PARSER.add_argument("--most", type=_most, default=100)
+
+
+def parse(arguments: list[str]) -> Question:
+    """The words behind ``why``, or AskError."""
+    try:
+        given = _PARSER.parse_args(arguments)
+    except argparse.ArgumentError as error:
+        raise AskError(str(error)) from None
+    question = Question(**vars(given))
+    if question.id and (question.volume or question.summary or question.only):
+        raise AskError("an id stands alone")
+    return question
+
+
+class _Pace:
+    """Gives the loop back after each slice, and says when the answer is due."""
+
+    def __init__(self, clock: Callable[[], float] = time.perf_counter) -> None:
+        self._clock = clock
+        self._due = clock() + ANSWER_TIME
+        self._slice = clock() + SLICE
+
+    async def over(self) -> bool:
+        now = self._clock()
+        if now >= self._slice:
+            await asyncio.sleep(0)
+            self._slice = self._clock() + SLICE
+        return now >= self._due
+
+
+async def answer(question: Question, book: Book, now: Callable[[], float],
+                 still_open: Callable[[str], list[Ended]]) -> list[str]:
+    """The answer's lines, the first of them YES or NO. ``now`` is the machine's monotonic clock."""
+    wall = time.time()
+    pace = _Pace()
+    if question.summary:
+        return await _summary(question, book, now(), wall, pace)
+    if question.id:
+        return _one(question, book, now(), wall, still_open(question.id))
+    found: list[Story] = []
+    stopped = ""
+    async for story in _walk(question, book, now(), pace):
+        if story is None:
+            stopped = "; it stopped where its time was over, so ask for less"
+            break
+        found.append(story)
+        if len(found) > 4 * question.most:  # the newest are wanted, and rings are walked one behind the other
+            found = sorted(found, key=lambda each: each.ended)[-question.most:]
+    more = len(found) > question.most
+    found = sorted(found, key=lambda each: each.ended)[-question.most:]
+    said = [line for story in found for line in _say(question, book, story, now(), wall)]
+    shown = f"the last {len(found)} of more" if more else str(len(found))
+    return [f"YES {shown} requests{stopped}", *said, *_gaps(book, now(), wall)]
+
+
+async def _walk(question: Question, book: Book, now: float, pace: _Pace) -> AsyncIterator[Story | None]:
+    for story in book.walk(now - question.since, question.volume, question.only, now):
+        if await pace.over():
+            yield None
+            return
+        if story is not None:
+            yield story
+
+
+def _say(question: Question, book: Book, story: Story, now: float, wall: float,
+         still_open: bool = False) -> list[str]:
+    if question.json:
+        return [json.dumps(words.fields(story, book.settings, now, wall, still_open))]
+    return words.lines(story, book.settings, now, wall, still_open)
+
+
+def _one(question: Question, book: Book, now: float, wall: float, still_open: list[Ended]) -> list[str]:
+    said: list[str] = []
+    for ended in still_open:
+        said += _say(question, book, story_of(ended), now, wall, still_open=True)
+    # Guard: a retry is asked for by its own id, and its first try tells the whole story.
+    told: set[tuple[str, float]] = set()
+    for story in book.find(question.id, now):
+        for root in (book.find(story.first, now) or [story]) if story.first else [story]:
+            for each in [root, *book.retries_of(root, now)]:
+                if (each.id, each.ended) not in told:
+                    told.add((each.id, each.ended))
+                    said += _say(question, book, each, now, wall)
+    if said:
+        return [f"YES {len(told) + len(still_open)} requests", *said, *_gaps(book, now, wall)]
+    return ["NO nothing is known of this id: it never came here, or it is among what has been given up",
+            *_gaps(book, now, wall)]
+
+
+def _gaps(book: Book, now: float, wall: float) -> list[str]:
+    """What the record no longer holds."""
+    said = [f"# the record begins at {words.when(book.start, now, wall)}"]
+    names = {"kept": "refused, failed, retried or left", "plain": "served at once",
+             "former": "handed over by the process before this one"}
+    for gap in book.gaps():
+        if gap.lost:
+            since = words.when(gap.whole_since or now, now, wall)
+            said.append(f"# {gap.held} held, {gap.lost} given up of those {names[gap.ring]}; "
+                        f"all since {since} are here")
+    if book.former_lost:
+        said.append(f"# {book.former_lost} pieces from the process before this one did not come")
+    return said
+
+
+async def _summary(question: Question, book: Book, now: float, wall: float, pace: _Pace) -> list[str]:
+    if book.sketches is None:
+        return ["NO the record's bound is too small for summaries", *_gaps(book, now, wall)]
+    since = now - question.since
+    whole: dict[str, Any] = {"reasons": [], "volumes": [], "nodes": [], "minutes": []}
+    for (verdict, number), count in book.sketches.counts(since).most_common():
+        whole["reasons"].append({"verdict": verdict, "code": code_of(number).name.lower(), "count": count})
+    await pace.over()
+    for (volume, number), count, error in book.sketches.volumes(since).top(10):
+        whole["volumes"].append({"volume": volume, "code": code_of(number).name.lower(), "count": count,
+                                 "error": error})
+    await pace.over()
+    for (node, cls), sketch in sorted(book.sketches.latency(since).items()):
+        ms = {f"p{part}_ms": round(sketch.get_quantile_value(part / 100) * 1000, 1) for part in (50, 95, 99)}
+        whole["nodes"].append({"node": node, "class": book.settings.classes[cls].name,
+                               "count": int(sketch.count), **ms})
+        await pace.over()
+    for minute in book.sketches.minutes(since):
+        totals = dict.fromkeys(VERDICTS, 0)
+        for (verdict, _), count in minute.counts.items():
+            totals[verdict] += count
+        whole["minutes"].append({"minute": words.when(minute.number * 60, now, wall), **totals})
+        await pace.over()
+    if question.json:
+        return ["YES", json.dumps(whole), *_gaps(book, now, wall)]
+    said = ["YES"]
+    said += [f"reason {row['verdict']} {row['code']}: {row['count']}" for row in whole["reasons"]]
+    said += [f"volume {words.plain(row['volume']) or 'unknown'} {row['code']}: {row['count']}"
+             + (f" (at most {row['error']} too many)" if row["error"] else "") for row in whole["volumes"]]
+    said += [f"node {words.plain(row['node'])} {row['class']}: {row['count']} served, "
+             f"half within {row['p50_ms']} ms, 95% within {row['p95_ms']} ms, 99% within {row['p99_ms']} ms"
+             for row in whole["nodes"]]
+    said += [f"minute {row['minute']}: {row['served']} served, {row['refused']} refused, "
+             f"{row['failed']} failed, {row['gone']} left" for row in whole["minutes"]]
+    return [*said, *_gaps(book, now, wall)]
--- /dev/null
+++ b/cherrycove/why/codes.py
@@ -0,0 +1,47 @@
+"""Codes of what the module did not decide: the core's own and the fronts', beside
+``finchrack.interface.Code``.
+
+It owns their numbers, which are kept in records and handed to other processes, so they never change. It must
+never share a number with the module's.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from enum import IntEnum
+
+from finchrack.interface import Code
+
+
+class Own(IntEnum):
+    """Why a request ended, where the module had no part in it."""
+
+    NOTHING = 0  # a record without a reason
+    SERVED = 64  # a node's whole answer went out
+    CLIENT_GONE = 65  # the client left before its answer
+    LAST_RESORT = 66  # the module was silent until the deadline; the core answered
+    BROKE_OFF = 67  # a long answer broke off on its way
+    MALFORMED = 68  # 400: not a request of this deployment
+    ID_OPEN = 69  # 409: a request with its id was open
+    TOO_LONG = 70  # 413
+    BODY_SLOW = 71  # 408: the body did not come in time
+    NO_ROOM = 72  # 503: no room in memory for its body
+    NO_PATH = 73  # 404
+    BODY_BROKE = 74  # the client's body came to no end after a part had been sent
+    BAD_COMMAND = 75  # NBD: EINVAL, EPERM or ENOSPC by the front
+    SHUTTING_DOWN = 76  # NBD: the front drains
+
+
+BY_STATUS: Mapping[int, Own] = {
+    400: Own.MALFORMED, 404: Own.NO_PATH, 408: Own.BODY_SLOW, 409: Own.ID_OPEN, 413: Own.TOO_LONG,
+    503: Own.NO_ROOM}
+
+AnyCode = Code | Own
+
+
+def code(number: int) -> AnyCode:
+    """The code of this number; ValueError if no such code is known, as of a newer process."""
+    return Own(number) if number in _OWN else Code(number)
+
+
+_OWN = frozenset(int(each) for each in Own)
--- /dev/null
+++ b/cherrycove/why/pack.py
@@ -0,0 +1,212 @@
+"""One request's story as bytes, and back.
+
+It owns the form of a record: fixed head, id and volume, the attempts, and the reason of its end where there
+was no served answer. It must never do I/O, never lose the order of attempts, and never read beyond a
+record's bytes. Sizes are in bytes; times in milliseconds, saturated where a field ends; L, units and
+credits in half precision.
+"""
+
+from __future__ import annotations
+
+import re
+import struct
+from dataclasses import dataclass, field
+from math import isfinite
+
+from cherrycove.core import Ending
+from cherrycove.why.codes import AnyCode, Own, code
+from finchrack.interface import Code, Reason
+
+# Size, flags, tries, two links, ended, took, code, class, plan, units, shard.
+HEAD = struct.Struct("<HBBIIIHBBBeH")
+TRY = struct.Struct("<HBBHHeBBeH")  # node, code, ending, at, took, L, out, queued, credits, wait
+END = struct.Struct("<HBeBBeHhHII")  # node, place, L, out, queued, credits, wait, left, refill, epoch, object
+PLAIN = struct.Struct(HEAD.format + "QQ" + TRY.format[1:])  # by far the most: hex names and one attempt
+LINKS, LINKS_AT = struct.Struct("<II"), 4
+ENDED_AT = 12
+HEX16 = re.compile(r"[0-9a-f]{16}", re.ASCII)
+MOST_NAME, MOST_TRIES = 255, 15
+NO_SHARD, NO_CLASS, NO_NODE = 0xFFFF, 0xFF, 0xFFFF
+MASK = 0xFFFFFFFF
+ENDINGS = tuple(Ending)  # by place: new ones are added behind the others
+NO_ENDING = 0xFF
+PLACES = ("", "lane", "queue")
+CLAIMED = 0x80  # beside the place: a retry has been joined to it
+_NONE = Reason(Code.NO_TIME)  # packed where the module gave none
+VERDICTS = ("served", "refused", "failed", "gone")
+FRONTS = ("http", "nbd")
+
+
+class PackError(ValueError):
+    """Bytes that are no record; the message says why."""
+
+
+@dataclass(slots=True)
+class Try:
+    """One attempt."""
+
+    node: str
+    why: Reason
+    at: float  # s after the request came
+    took: float  # s
+    ending: Ending | None
+
+
+@dataclass(slots=True)
+class Story:
+    """All that is kept of one request."""
+
+    id: str
+    volume: str
+    ended: float  # s on the monotonic clock of the machine
+    took: float  # s from its coming to its end
+    verdict: str  # of VERDICTS
+    code: AnyCode
+    front: str = "http"
+    cls: int | None = None
+    plan: int | None = None
+    units: float = 0.0
+    shard: int | None = None
+    repeat: bool = False  # a client's marked retry
+    first: str = ""  # the id of the request that it is a retry of, if that is known
+    rivals: int = 0  # how many first tries it could as well belong to
+    tries: list[Try] = field(default_factory=list)
+    why: Reason | None = None  # of its end, where the module gave one
+    object: int = 0  # 32 bits of a hash of its piece of data; of those served, not kept
+
+
+def _ms(seconds: float, most: int = 0xFFFF) -> int:
+    if not isfinite(seconds):
+        return most if seconds > 0 else 0
+    return max(0, min(int(seconds * 1000 + 0.5), most))
+
+
+def _half(value: float) -> float:
+    return max(-65504.0, min(value, 65504.0))
+
+
+def _text(text: str) -> bytes:
+    data = text.encode("utf-8", "surrogateescape")[:MOST_NAME]
+    return bytes((len(data),)) + data
+
+
+def matters(story: Story) -> bool:
+    """Whether it outlives plain ones: all but those served at the first attempt, unmarked."""
+    return story.verdict != "served" or len(story.tries) != 1 or story.repeat
+
+
+def pack(story: Story, number: dict[str, int] | None = None) -> bytes:
+    """A record, with its links left 0. ``number`` gives the place of each node's name."""
+    names = number or {}
+    id_hex, volume_hex = HEX16.fullmatch(story.id), HEX16.fullmatch(story.volume)
+    tries = story.tries[:MOST_TRIES]
+    flags = (VERDICTS.index(story.verdict) | bool(id_hex) << 2 | story.repeat << 3
+             | FRONTS.index(story.front) << 4 | (story.verdict != "served") << 5 | bool(volume_hex) << 6
+             | bool(story.first) << 7)
+    cls, plan = (NO_CLASS if each is None else each for each in (story.cls, story.plan))
+    shard = NO_SHARD if story.shard is None else min(story.shard, NO_SHARD)
+    head = (flags, len(tries), 0, 0, int(story.ended * 1000) & MASK, _ms(story.took), story.code, cls, plan,
+            _half(story.units), shard)
+    packed = [_try(each, names) for each in tries]
+    if id_hex and volume_hex and len(tries) == 1 and story.verdict == "served" and not story.first:
+        return PLAIN.pack(PLAIN.size, *head, int(story.id, 16), int(story.volume, 16), *packed[0])
+    parts = [struct.pack("<Q", int(story.id, 16)) if id_hex else _text(story.id),
+             struct.pack("<Q", int(story.volume, 16)) if volume_hex else _text(story.volume)]
+    parts += [TRY.pack(*each) for each in packed]
+    if story.verdict != "served":
+        why = story.why or _NONE
+        parts.append(END.pack(
+            names.get(why.node, NO_NODE), PLACES.index(why.place), _half(why.threshold), min(why.out, 255),
+            min(why.queued, 255), _half(why.credits), _ms(why.wait),
+            max(-32768, min(int(why.left * 1000), 32767)), _ms(why.refill), why.epoch & MASK,
+            story.object & MASK))
+    if story.first:
+        parts.append(bytes((min(story.rivals, 255),)) + _text(story.first))
+    body = b"".join(parts)
+    return HEAD.pack(HEAD.size + len(body), *head) + body
+
+
+def _try(each: Try, names: dict[str, int]) -> tuple[object, ...]:
+    why = each.why
+    return (names.get(each.node, NO_NODE), why.code,
+            NO_ENDING if each.ending is None else _PLACE[each.ending], _ms(each.at), _ms(each.took),
+            _half(why.threshold), min(why.out, 255), min(why.queued, 255), _half(why.credits), _ms(why.wait))
+
+
+_PLACE = {ending: place for place, ending in enumerate(ENDINGS)}
+
+
+def head_of(data: bytes | bytearray | memoryview, at: int) -> tuple[int, int, int, int]:
+    """Size, flags, ended (ms, 32 bit) and code of the record there."""
+    size, flags, _, _, _, ended, _, number, *_ = HEAD.unpack_from(data, at)
+    return size, flags, ended, number
+
+
+def end_at(data: bytes | bytearray | memoryview, at: int) -> int:
+    """Where the reason of its end lies, in a record that has one."""
+    flags, place = data[at + 2], at + HEAD.size
+    for is_hex in (flags & 4, flags & 64):
+        place += 8 if is_hex else 1 + data[place]
+    return place + TRY.size * data[at + 3]
+
+
+def unpack(data: bytes | bytearray | memoryview, at: int, now: float,
+           nodes: list[str] | None = None) -> Story:
+    """The story there, which ended at most 49 days before ``now``; PackError if there is none."""
+    try:
+        return _unpack(data, at, now, nodes or [])
+    except (struct.error, IndexError, ValueError) as error:
+        raise PackError(f"no record: {error}") from None
+
+
+def _unpack(data: bytes | bytearray | memoryview, at: int, now: float, nodes: list[str]) -> Story:
+    size, flags, count, _, _, ended, took, number, cls, plan, units, shard = HEAD.unpack_from(data, at)
+    if size < HEAD.size or at + size > len(data):
+        raise PackError("its size is wrong")
+    whole, place = bytes(data[at:at + size]), HEAD.size
+
+    def name(is_hex: int) -> str:
+        nonlocal place
+        if is_hex:
+            place += 8
+            value: int = struct.unpack_from("<Q", whole, place - 8)[0]
+            return f"{value:016x}"
+        length = whole[place]
+        place += 1 + length
+        if place > size:
+            raise PackError("a name goes beyond it")
+        return whole[place - length:place].decode("utf-8", "surrogateescape")
+
+    def node(number: int) -> str:
+        return nodes[number] if number < len(nodes) else ""
+    now_ms = int(now * 1000)
+    story = Story(name(flags & 4), name(flags & 64), (now_ms - ((now_ms - ended) & MASK)) / 1000, took / 1000,
+                  VERDICTS[flags & 3], code(number), FRONTS[flags >> 4 & 1],
+                  None if cls == NO_CLASS else cls, None if plan == NO_CLASS else plan, units,
+                  None if shard == NO_SHARD else shard, bool(flags & 8))
+    for _ in range(count):
+        (where, number, ending, began, lasted, level, out, queued, credits,
+         wait) = TRY.unpack_from(whole, place)
+        place += TRY.size
+        why = Reason(Code(number), node(where), "", level, out, queued, credits, wait / 1000)
+        story.tries.append(Try(node(where), why, began / 1000, lasted / 1000,
+                               None if ending == NO_ENDING else ENDINGS[ending]))
+    if flags & 32:
+        (where, stood, level, out, queued, credits, wait, left, refill, epoch,
+         story.object) = END.unpack_from(whole, place)
+        place += END.size
+        if isinstance(story.code, Code):
+            story.why = Reason(story.code, node(where), PLACES[stood & ~CLAIMED], level, out, queued, credits,
+                               wait / 1000, left / 1000, refill / 1000, epoch)
+    if flags & 128:
+        story.rivals = whole[place]
+        place += 1
+        story.first = name(0)
+    if place != size:
+        raise PackError("it does not end where it says")
+    return story
+
+
+def code_of(story: Story) -> AnyCode:
+    """The code that stands for how it ended."""
+    return story.code if story.code is not Own.NOTHING else Own.SERVED
--- /dev/null
+++ b/cherrycove/why/sketches.py
@@ -0,0 +1,176 @@
+"""Counts of what no longer fits as single records: by minute for an hour, within a fixed number of places.
+
+It owns a space-saving table of volumes and reasons, a count by verdict and reason, and sketches of latency
+by node and class. It must never grow with the number of requests, volumes, nodes or ids, and never hide its
+error: the table tells how much too high each count may be.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from functools import partial
+from heapq import nlargest
+from typing import Any
+
+MINUTES = 60
+TABLE = 32  # volumes with a reason kept for each minute
+SERIES = 48  # nodes with a class that have a latency sketch in a minute
+ACCURACY = 0.05  # relative error of a latency
+BINS = 96  # of a sketch, at this accuracy four powers of ten
+OPEN = 176 * 1024  # bytes of an open minute with all its places taken: measured, a fifth to spare
+EACH = 128  # bytes of the objects around a packed minute
+
+
+class SpaceSaving:
+    """The heaviest of a stream in a fixed number of places (Metwally, Agrawal and El Abbadi, 2005).
+
+    A count is never too low, and too high by no more than its error. Whatever makes up more than 1 /
+    ``size`` of the stream is in the table.
+    """
+
+    __slots__ = ("size", "total", "_counts")
+
+    def __init__(self, size: int) -> None:
+        self.size, self.total = size, 0
+        self._counts: dict[tuple[str, int], list[int]] = {}  # count, error
+
+    def add(self, key: tuple[str, int], amount: int = 1, error: int = 0) -> None:
+        self.total += amount
+        entry = self._counts.get(key)
+        if entry is not None:
+            entry[0] += amount
+            entry[1] += error
+        elif len(self._counts) < self.size:
+            self._counts[key] = [amount, error]
+        else:
+            least = min(self._counts, key=lambda each: self._counts[each][0])
+            floor = self._counts.pop(least)[0]
+            self._counts[key] = [floor + amount, floor + error]
+
+    def top(self, most: int) -> list[tuple[tuple[str, int], int, int]]:
+        """Key, count and error, the heaviest first."""
+        rows = ((key, count, error) for key, (count, error) in self._counts.items())
+        return nlargest(most, rows, key=lambda row: (row[1], row[0]))
+
+    def merge(self, other: SpaceSaving) -> None:
+        """Join another table in; an absent key may have had as much as the least that is there."""
+        total = self.total + other.total
+        for key, (count, error) in other._counts.items():
+            self.add(key, count, error)
+        self.total = total
+
+
+@dataclass(slots=True)
+class Minute:
+    """One minute's counts; its number is that of minutes on the machine's monotonic clock."""
+
+    number: int
+    counts: Counter[tuple[str, int]] = field(default_factory=Counter)  # by verdict and code
+    volumes: SpaceSaving = field(default_factory=lambda: SpaceSaving(TABLE))
+    latency: dict[tuple[str, int], Any] = field(default_factory=dict)  # sketches by node and class
+    unsketched: int = 0  # latencies for which there was no place
+
+
+class Sketches:
+    """An hour of minutes in ``room`` bytes: the one at hand open, those before it packed, the oldest
+    dropped."""
+
+    def __init__(self, room: int, minutes: int = MINUTES) -> None:
+        # Imported here: a process whose record is off must not pay for them.
+        import msgpack  # type: ignore[import-untyped]  # packs a minute that is over, a twentieth of its bytes as objects
+        from ddsketch import LogCollapsingLowestDenseDDSketch  # quantiles with a stated error, mergeable
+
+        self._msgpack = msgpack
+        self._sketch: Callable[[], Any] = partial(LogCollapsingLowestDenseDDSketch, ACCURACY, BINS)
+        self._room = room - OPEN
+        if self._room < 0:
+            raise ValueError(f"sketches need {OPEN} bytes, not {room}")
+        self._most = minutes
+        self._packed: deque[tuple[int, bytes]] = deque()
+        self._bytes = 0
+        self._open: Minute | None = None
+
+    def footprint(self) -> int:
+        """Bytes that it may hold now: the open minute at its largest, and what is packed."""
+        return OPEN + self._bytes
+
+    def _minute(self, now: float) -> Minute:
+        number = int(now // 60)
+        if self._open is None or self._open.number < number:
+            if self._open is not None:
+                self._close(self._open)
+            self._open = Minute(number)
+        return self._open
+
+    def ended(self, now: float, verdict: str, code: int, volume: str) -> None:
+        minute = self._minute(now)
+        minute.counts[verdict, code] += 1
+        if verdict != "served":
+            minute.volumes.add((volume, code))
+
+    def answered(self, now: float, node: str, cls: int, latency: float) -> None:
+        """A node's whole answer came ``latency`` seconds after its attempt began."""
+        minute = self._minute(now)
+        sketch = minute.latency.get((node, cls))
+        if sketch is None:
+            if len(minute.latency) >= SERIES:
+                minute.unsketched += 1
+                return
+            sketch = minute.latency[node, cls] = self._sketch()
+        sketch.add(latency)
+
+    def _close(self, minute: Minute) -> None:
+        series = []
+        for (node, cls), sketch in minute.latency.items():
+            store = sketch._store
+            series.append([node, cls, store.offset, [int(count) for count in store.bins]])
+        packed: bytes = self._msgpack.packb([
+            [[*key, count] for key, count in minute.counts.items()],
+            [[*key, count, error] for key, count, error in minute.volumes.top(TABLE)], minute.volumes.total,
+            series, minute.unsketched])
+        self._packed.append((minute.number, packed))
+        self._bytes += len(packed) + EACH
+        while self._packed and (self._bytes > self._room or len(self._packed) >= self._most):
+            self._bytes -= len(self._packed.popleft()[1]) + EACH
+
+    def minutes(self, since: float) -> Iterator[Minute]:
+        """All minutes from then on, oldest first."""
+        for number, packed in list(self._packed):
+            if number >= int(since // 60):
+                yield self._unpacked(number, packed)
+        if self._open is not None and self._open.number >= int(since // 60):
+            yield self._open
+
+    def _unpacked(self, number: int, packed: bytes) -> Minute:
+        counts, volumes, total, series, unsketched = self._msgpack.unpackb(packed)
+        minute = Minute(number, unsketched=unsketched)
+        for verdict, code, count in counts:
+            minute.counts[verdict, code] = count
+        for volume, code, count, error in volumes:
+            minute.volumes.add((volume, code), count, error)
+        minute.volumes.total = total
+        for node, cls, offset, bins in series:
+            sketch = minute.latency[node, cls] = self._sketch()
+            for place, count in enumerate(bins):
+                if count:
+                    sketch.add(sketch._mapping.value(place + offset), count)
+        return minute
+
+    def latency(self, since: float) -> dict[tuple[str, int], Any]:
+        """Sketches by node and class over all minutes from then on."""
+        joined: dict[tuple[str, int], Any] = {}
+        for minute in self.minutes(since):
+            for key, each in minute.latency.items():
+                joined.setdefault(key, self._sketch()).merge(each)
+        return joined
+
+    def volumes(self, since: float) -> SpaceSaving:
+        joined = SpaceSaving(TABLE * 4)
+        for minute in self.minutes(since):
+            joined.merge(minute.volumes)
+        return joined
+
+    def counts(self, since: float) -> Counter[tuple[str, int]]:
+        return sum((minute.counts for minute in self.minutes(since)), Counter())
