Tell an id that never came from one whose record has been given up

Need: of an unknown id the record said only that it is not there. A Bloom filter in two generations, a 32nd of the bound, knows which ids were here: at 2 MiB some 50,000 to 100,000 of the last. An answer now says that the id has not been here since a stated time, that it was and has been given up (1 stranger in 50 is told so), or that nothing is known of before the start.

--- a/bench/serve_cost.py
+++ b/bench/serve_cost.py
@@ -2,9 +2,10 @@
 
     python -m bench.serve_cost [--pairs N] [--requests N] [--bound BYTES]
 
-First the core alone, in this process. Then two whole brokers, each a process of its own, one with the record
-and one without: a node and a client in this process send the same requests to each in turns over kept
-connections, and the brokers' CPU is read from the system's accounts (10 ms a tick, so a pair needs a thousand requests).
+First the core alone, in this process. Then two whole brokers, each a process of its own, one with the
+record and one without: a node and a client in this process send the same requests to each in turns over kept
+connections, and the brokers' CPU is read from the system's accounts (10 ms a tick, so a pair needs a
+thousand requests).
 """
 
 from __future__ import annotations
--- a/cherrycove/why/ask.py
+++ b/cherrycove/why/ask.py
@@ -163,8 +163,17 @@
                     said += _say(question, book, each, now, wall)
     if said:
         return [f"YES {len(told) + len(still_open)} requests", *said, *_gaps(book, now, wall)]
-    return ["NO nothing is known of this id: it never came here, or it is among what has been given up",
-            *_gaps(book, now, wall)]
+    return [f"NO {_unknown(question.id, book, now, wall)}", *_gaps(book, now, wall)]
+
+
+def _unknown(id: str, book: Book, now: float, wall: float) -> str:
+    """Whether it never came, has been given up, or is of before the start, as far as that can be told."""
+    begun = words.when(book.seen.since, now, wall)
+    if hash(id) in book.seen:
+        return f"this id was here since {begun}; its record has been given up (1 stranger in 50 is told so)"
+    if book.seen.since > book.start:
+        return f"this id has not been here since {begun}; what came before that is no longer known"
+    return f"this id has not been here since the record began at {begun}; of before nothing is known"
 
 
 def _gaps(book: Book, now: float, wall: float) -> list[str]:
--- a/cherrycove/why/book.py
+++ b/cherrycove/why/book.py
@@ -30,6 +30,7 @@
     unpack,
 )
 from cherrycove.why.ring import Ring
+from cherrycove.why.seen import Seen
 from cherrycove.why.sketches import OPEN, Sketches
 from finchrack.interface import Reason, Settings
 
@@ -42,6 +43,7 @@
 SKETCHED = 1 << 20  # bytes of the bound from which on there are sketches,
 SKETCHES = 1 / 6  # and their part of it, at least
 LEAST_SKETCHES = OPEN + (32 << 10)
+SEEN = 32  # one part in so many of the bound tells which ids were here
 PIECE = 24 * 1024  # bytes of records handed over in one piece
 VERDICTS = {Verdict.SERVED: "served", Verdict.REFUSED: "refused", Verdict.FAILED: "failed"}
 
@@ -99,7 +101,8 @@
         self.settings, self.bound, self.start = settings, bound, start
         summaries = max(int(bound * SKETCHES), LEAST_SKETCHES) if bound >= SKETCHED else 0
         self.sketches = Sketches(summaries) if summaries else None
-        rings = bound - NAMES - OWN - summaries
+        self.seen = Seen(bound // SEEN, start)
+        rings = bound - NAMES - OWN - summaries - self.seen.footprint()
         former = int(rings * FORMER) if bound >= SKETCHED else 0
         self.kept = Ring(int((rings - former) * KEPT))
         self.plain = Ring(rings - former - int((rings - former) * KEPT))
@@ -114,7 +117,7 @@
     def footprint(self) -> int:
         """Bytes that it holds or may come to hold, by exact sizes of its arrays and the bounds of the
         rest."""
-        return (sum(ring.footprint() for _, ring in self.rings()) + NAMES + OWN
+        return (sum(ring.footprint() for _, ring in self.rings()) + NAMES + OWN + self.seen.footprint()
                 + (self.sketches.footprint() if self.sketches else 0))
 
     def rings(self) -> list[tuple[str, Ring]]:
@@ -175,7 +178,9 @@
         if record is None:
             return False
         self.counts["served"] += 1
-        self.plain.add(record, hash(request.id), hash(request.volume), ended.at)
+        hashed = hash(request.id)
+        self.seen.add(hashed, ended.at)
+        self.plain.add(record, hashed, hash(request.volume), ended.at)
         if self.sketches is not None:
             self.sketches.ended(ended.at, "served", 64, request.volume)
             self.sketches.answered(ended.at, attempt.node, request.cls, attempt.took)
@@ -193,13 +198,16 @@
         if record is None:
             return False
         self.counts[verdict] += 1
-        self.kept.add(record, hash(request.id), hash(request.volume), ended.at)
+        hashed = hash(request.id)
+        self.seen.add(hashed, ended.at)
+        self.kept.add(record, hashed, hash(request.volume), ended.at)
         if self.sketches is not None:
             self.sketches.ended(ended.at, verdict, why.code, request.volume)
         return True
 
     def add(self, story: Story) -> None:
         self.counts[story.verdict] += 1
+        self.seen.add(hash(story.id), story.ended)
         ring = self.kept if matters(story) else self.plain
         ring.add(pack(story, self.nodes.numbers), hash(story.id), hash(story.volume), story.ended)
         if self.sketches is not None:
