Never put a later node's name on an old record; drop what nothing uses; read a record once

Cause, found in reading the change again: the place of the next number to be given anew went back to 0 after 256 of them, and 0 stood for "none was given anew", so that from then until the next one old records had later nodes' names. A record was unpacked twice at each reading; that is done only once numbers have been given anew. Out go head_of, code_of, Ring.check and two codes that nothing gives.

--- a/cherrycove/why/book.py
+++ b/cherrycove/why/book.py
@@ -79,17 +79,20 @@
             self._since.append(now)
             self.numbers[name[:MOST_NODE]] = len(self.names) - 1
             return
-        place, self._next = self._next, (self._next + 1) % NODES
+        place, self._next = self._next % NODES, self._next + 1
         del self.numbers[self.names[place]]
         self.names[place], self._since[place] = name[:MOST_NODE], now
         self.numbers[name[:MOST_NODE]] = place
 
+    @property
+    def reused(self) -> bool:
+        """Whether a number has had two names."""
+        return bool(self._next)
+
     def as_of(self, ended: float) -> list[str]:
         """The names by number, for a record of that time. Guard: a number that has got another name since
         must
         not put a later node's name on what an earlier one did."""
-        if not self._next:
-            return self.names
         return [name if since <= ended else "" for name, since in zip(self.names, self._since, strict=True)]
 
 
@@ -273,8 +276,9 @@
 
     def read(self, ring: Ring, at: int, now: float) -> Story | None:
         try:
-            story = unpack(ring.data, at, now)
-            return unpack(ring.data, at, now, self.nodes.as_of(story.ended))
+            if not self.nodes.reused:
+                return unpack(ring.data, at, now, self.nodes.names)
+            return unpack(ring.data, at, now, self.nodes.as_of(unpack(ring.data, at, now).ended))
         except PackError:
             return None
 
--- a/cherrycove/why/codes.py
+++ b/cherrycove/why/codes.py
@@ -27,9 +27,7 @@
     BODY_SLOW = 71  # 408: the body did not come in time
     NO_ROOM = 72  # 503: no room in memory for its body
     NO_PATH = 73  # 404
-    BODY_BROKE = 74  # the client's body came to no end after a part had been sent
     BAD_COMMAND = 75  # NBD: EINVAL, EPERM or ENOSPC by the front
-    SHUTTING_DOWN = 76  # NBD: the front drains
 
 
 BY_STATUS: Mapping[int, Own] = {
--- a/cherrycove/why/pack.py
+++ b/cherrycove/why/pack.py
@@ -14,7 +14,7 @@
 from math import isfinite
 
 from cherrycove.core import Ending
-from cherrycove.why.codes import AnyCode, Own, code
+from cherrycove.why.codes import AnyCode, code
 from finchrack.interface import Code, Reason
 
 # Size, flags, tries, two links, ended, took, code, class, plan, units, shard.
@@ -175,12 +175,6 @@
 _SERVED = _PLACE[Ending.SERVED]
 
 
-def head_of(data: bytes | bytearray | memoryview, at: int) -> tuple[int, int, int, int]:
-    """Size, flags, ended (ms, 32 bit) and code of the record there."""
-    size, flags, _, _, _, ended, _, number, *_ = HEAD.unpack_from(data, at)
-    return size, flags, ended, number
-
-
 def end_at(data: bytes | bytearray | memoryview, at: int) -> int:
     """Where the reason of its end lies, in a record that has one."""
     flags, place = data[at + 2], at + HEAD.size
@@ -244,8 +238,3 @@
     if place != size:
         raise PackError("it does not end where it says")
     return story
-
-
-def code_of(story: Story) -> AnyCode:
-    """The code that stands for how it ended."""
-    return story.code if story.code is not Own.NOTHING else Own.SERVED
--- a/cherrycove/why/ring.py
+++ b/cherrycove/why/ring.py
@@ -13,7 +13,7 @@
 
 import sys
 from array import array
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 
 from cherrycove.why.pack import ENDED_AT, HEAD, LINKS, LINKS_AT, MASK
 
@@ -156,7 +156,3 @@
 
     def record(self, at: int) -> bytes:
         return bytes(self._data[at:at + self._size(at)])
-
-    def check(self, found: Callable[[int], bool]) -> int:
-        """How many of all its records ``found`` says yes to; for tests and for the accounts."""
-        return sum(found(at) for at in self.since(-1e9))
--- a/cherrycove/why/words.py
+++ b/cherrycove/why/words.py
@@ -95,9 +95,7 @@
     Own.BODY_SLOW: "its body did not come in time (408)",
     Own.NO_ROOM: "there was no room in memory for its body",
     Own.NO_PATH: "it named no path of this deployment (404)",
-    Own.BODY_BROKE: "its client's body came to no end",
     Own.BAD_COMMAND: "it was not a command that its export takes",
-    Own.SHUTTING_DOWN: "the broker was shutting down",
 }
 
 
--- a/tests/test_why.py
+++ b/tests/test_why.py
@@ -209,9 +209,9 @@
     ended = Ended(0.0, 1.0, Verdict.FAILED, why=Reason(Code.MAY_HAVE_RUN, "first"), request=request("a1"))
     book.ended(ended)
     assert book.find("a1", 2.0)[0].why == Reason(Code.MAY_HAVE_RUN, "first")
-    for number in range(256):
+    for number in range(511):  # each number has had another name once, and the next is the first again
         book.nodes.number(f"s-{number}", 2.0 + number)
-    again = book.find("a1", 300.0)[0]
+    again = book.find("a1", 600.0)[0]
     assert again.why is not None and again.why.node == ""
 
 
