--- a/cherrycove/config.py
+++ b/cherrycove/config.py
@@ -147,19 +147,27 @@
 
 
 class _Table:
-    """A table of the operator's file, read key by key; keys that nobody asked for are errors."""
+    """A table of the operator's file, read key by key; keys that nobody asked for are errors.
 
-    def __init__(self, raw: Any, where: str) -> None:
+    One that is off is held to the names and types of its keys alone: what is missing is not needed, and its
+    values may fit another deployment than this one.
+    """
+
+    def __init__(self, raw: Any, where: str, off: bool = False) -> None:
         if not isinstance(raw, dict):
             raise ConfigError(f"{where} must be a table")
-        self._raw, self._where, self._left = raw, where, set(raw)
+        self._raw, self._where, self._left, self.off = raw, where, set(raw), off
+
+    def switch(self) -> None:
+        """Read ``enabled``. Guard: the rest is read all the same; a misspelt switch turned nothing on."""
+        self.off = not self.take("enabled", bool, False)
 
     def name(self, key: str) -> str:
         return f"{self._where}.{key}" if self._where else key
 
     def take(self, key: str, kind: type, default: Any = None) -> Any:
         self._left.discard(key)
-        value = self._raw.get(key, default)
+        value = self._raw.get(key, kind() if self.off and default is None else default)
         if value is None:
             raise ConfigError(f"{self.name(key)} is missing")
         if type(value) is not kind and not (kind is float and type(value) is int):
@@ -168,21 +176,24 @@
 
     def number(self, key: str, least: int, most: int, default: int | None = None) -> int:
         value: int = self.take(key, int, default)
-        if not least <= value <= most:
+        if not (least <= value <= most or self.off):
             raise ConfigError(f"{self.name(key)} must lie between {least} and {most}, not {value}")
         return value
 
     def choice(self, key: str, names: list[str], default: str | None = None) -> int:
         value: str = self.take(key, str, default)
+        if self.off:
+            return 0
         if value not in names:
             raise ConfigError(f"{self.name(key)} must be one of {', '.join(names)}, not {value!r}")
         return names.index(value)
 
     def address(self, key: str, default: str | None = None) -> tuple[str, int]:
-        return host_port(self.take(key, str, default), self.name(key))
+        text = self.take(key, str, default)
+        return ("", 0) if self.off else host_port(text, self.name(key))
 
     def table(self, key: str) -> _Table:
-        return _Table(self.take(key, dict, {}), self.name(key))
+        return _Table(self.take(key, dict, {}), self.name(key), self.off)
 
     def names(self) -> list[str]:
         return list(self._raw)
@@ -215,10 +226,8 @@
 
 
 def _nbd(table: _Table, settings: Settings) -> nbd.Setup | None:
-    enabled: bool = table.take("enabled", bool, False)
+    table.switch()
     names = [cls.name for cls in settings.classes]
-    if not enabled:
-        return None
     classes = table.table("classes")
     words = {"read": nbd.Command.READ, "write": nbd.Command.WRITE, "trim": nbd.Command.TRIM,
              "flush": nbd.Command.FLUSH}
@@ -226,7 +235,7 @@
     classes.done()
     for word in ("write", "trim"):
         # Guard: a class that may be repeated would let a write run twice.
-        if settings.classes[places[words[word]]].effect is not Effect.UNSAFE:
+        if not table.off and settings.classes[places[words[word]]].effect is not Effect.UNSAFE:
             raise ConfigError(f"{classes.name(word)} must name a class that never runs twice")
     nodes, exports = table.table("nodes"), table.table("exports")
     setup = nbd.Setup(
@@ -238,14 +247,14 @@
         connections=table.number("connections", 1, 512, 64),
         pipeline=table.number("pipeline", 1, 128, 16))
     table.done()
-    return setup
+    return None if table.off else setup
 
 
 def _export(name: str, table: _Table, settings: Settings) -> nbd.Export:
     if len(name.encode()) > 4096 or not name:
         raise ConfigError(f"the name of {table.name('')} must hold 1 to 4096 bytes")
     volume: str = table.take("volume", str)
-    if not HEX16.fullmatch(volume):
+    if not (table.off or HEX16.fullmatch(volume)):
         raise ConfigError(f"{table.name('volume')} must be 16 hex digits, not {volume!r}")
     export = nbd.Export(
         name=name, volume=volume, shard=table.number("shard", 0, 1 << 30),
@@ -253,41 +262,41 @@
         size=table.number("size", nbd.LEAST_BLOCK, (1 << 63) - 1),
         hosts=table.number("hosts", 1, settings.schedulers, 1),
         read_only=table.take("read_only", bool, False), description=table.take("description", str, ""))
-    if export.size % nbd.LEAST_BLOCK:
+    if export.size % nbd.LEAST_BLOCK and not table.off:
         raise ConfigError(f"{table.name('size')} must be a multiple of {nbd.LEAST_BLOCK}")
     table.done()
     return export
 
 
 def _consul(table: _Table) -> consul.Setup | None:
-    if not table.take("enabled", bool, False):
-        return None
+    table.switch()
     setup = consul.Setup(
         agent=table.address("agent", "127.0.0.1:8500"), service=table.take("service", str),
         wait=table.number("wait_s", 1, 600, 30), register=table.take("register", str, ""),
         ttl=table.number("ttl_s", 1, 3600, 10))
-    if not SERVICE.fullmatch(setup.service):
+    if not (table.off or SERVICE.fullmatch(setup.service)):
         raise ConfigError(f"{table.name('service')} must be a service's name, not {setup.service!r}")
     table.done()
-    return setup
+    return None if table.off else setup
 
 
 def _store(table: _Table) -> store.Setup | None:
-    if not table.take("enabled", bool, False):
-        return None
+    table.switch()
     peers: list[Any] = table.take("peers", list)
     rows = table.table("config")
     entries = {f"config/{key}": _entry(rows.table(key)) for key in rows.names()}
     setup = store.Setup(
         listen=table.address("listen"), entries=entries,
-        peers=tuple(host_port(peer, table.name("peers")) for peer in peers),
+        peers=() if table.off else tuple(host_port(peer, table.name("peers")) for peer in peers),
         interval=table.number("interval_ms", 10, 600_000, 1000) / 1000)
+    table.done()
+    if table.off:
+        return None
     for key, (version, value) in entries.items():
         try:
             store.Entry(key, version, "a name of this length", value).pack()
         except store.EntryError as error:
             raise ConfigError(f"{table.name('config')}: {error}") from None
-    table.done()
     return setup
 
 
@@ -300,16 +309,15 @@
 
 
 def _why(table: _Table) -> Why | None:
-    if not table.take("enabled", bool, False):
-        return None
+    table.switch()
     setup = Why(
         bytes=table.number("bytes", 192 << 10, 1 << 30, 2 << 20), spans=table.take("spans", str, ""),
         sampled=float(table.take("sampled", float, 0.0)),
         spans_a_second=table.number("spans_a_second", 0, 10_000, 20))
-    if not 0 <= setup.sampled <= 1:
+    if not (table.off or 0 <= setup.sampled <= 1):
         raise ConfigError(f"{table.name('sampled')} must lie between 0 and 1, not {setup.sampled}")
     table.done()
-    return setup
+    return None if table.off else setup
 
 
 def _entry(table: _Table) -> tuple[int, str | None]:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -277,6 +277,28 @@
             config.operator(path, PLATFORM.settings)
 
 
+@pytest.mark.parametrize(("text", "key"), [
+    ("[why]\nenabld = true", "why.enabld"), ("[store]\npeerz = []", "store.peerz"),
+    ("[consul]\nservce = 'x'", "consul.servce"), ("[nbd]\nlisten_on = 'x'", "nbd.listen_on"),
+    ("[nbd.exports.a]\nsise = 5", "nbd.exports.a.sise"), ("[nbd.classes]\nreed = 'x'", "nbd.classes.reed"),
+    ("[store.config.a]\nversoin = 1", "store.config.a.versoin"), ("[why]\nenabled = 'yes'", "why.enabled"),
+    ("[store]\npeers = 'x'", "store.peers"), ("[whyy]\nenabled = true", "whyy")])
+def test_a_part_that_is_off_is_held_to_the_names_and_types_of_its_keys(
+        text: str, key: str, tmp_path: Path) -> None:
+    """A misspelt switch passed unseen, and what the operator meant to turn on stayed off."""
+    path = tmp_path / "operator.toml"
+    path.write_text(text)
+    with pytest.raises(config.ConfigError, match=rf"{path}: {key} "):
+        config.operator(path, PLATFORM.settings)
+
+
+def test_a_part_that_is_off_may_leave_things_out_and_name_what_this_deployment_lacks(tmp_path: Path) -> None:
+    path = tmp_path / "operator.toml"
+    path.write_text("[consul]\nenabled = false\n[store]\n[store.config.a]\nversion = 1\nvalue = 'x'\n"
+                    "[nbd.classes]\nread = 'another'\n[nbd.exports.a]\nplan = 'another'\nhosts = 999\n")
+    assert config.operator(path, PLATFORM.settings) == config.Operator()
+
+
 def test_the_process_serves_drains_on_sigterm_and_exits_0(tmp_path: Path) -> None:
     async def story() -> None:
         node = await Node("ok", "hang").start()
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -29,15 +29,18 @@
 class Process:
     """A broker's process, and what its log says."""
 
+    program: tuple[str, ...] = ("-m", "cherrycove")
+
     def __init__(self, whole: dict[str, object], folder: Path) -> None:
         self.whole, self.folder = whole, folder
 
     async def __aenter__(self) -> Process:
-        path = self.folder / f"{id(self)}.json"
-        path.write_text(json.dumps(self.whole))
+        self.path = self.folder / f"{id(self)}.json"
+        self.path.write_text(json.dumps(self.whole))
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "cherrycove", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
-            env=os.environ | {"RELAY_CONFIG": str(path), "TMPDIR": str(self.folder)})
+            sys.executable, *self.program, cwd=ROOT, stderr=asyncio.subprocess.PIPE,
+            env=os.environ | {"RELAY_CONFIG": str(self.path), "TMPDIR": str(self.folder)})
+        self.port = int((await self.line("broker.serves ")).rpartition("=")[2])
         self.admin = int((await self.line("calls.serves port=")).rpartition("=")[2])
         return self
 
