Among many hosts believe the mean for an aim's time, not the slowest of late for seconds

Nodes held one request at the median and three at the 90th percentile: they were idle. Lines at fault: _waited kept the slowest answer of late, _expected let it fade over 4 s (three aims here) into the median of the others' slowest, and _drain shuts spare refills at the ceiling. Change, where hosts are many alone: evidence of a node is the mean, an unanswered attempt is none, it fades over one aim, and the ceiling is half of the aim.

--- a/finchrack/decide.py
+++ b/finchrack/decide.py
@@ -21,13 +21,13 @@
 SAMPLES = 4  # answers that a new L is worked out from; a window that has fewer goes on
 ROOM = 0.9  # part of L (spare room) and of served (end of overload), from the design
 SLOWEST = 0.95  # percentile of latency that must meet the aim (design)
-CEILING = 0.3  # part of the shortest aim that L may let a node's latency grow to among many hosts, whose
-MEAN_CEILING = 0.2  # belief is the slowest answer of late; and with few, whose belief is the mean
-NO_ANSWER = 2.0  # aims, the most that an unanswered attempt tells of its node: later is of no use anyway
+CEILING = 0.5  # part of the shortest aim that L may let a node's latency grow to among many hosts, each of
+MEAN_CEILING = 0.2  # which has little at any node, and with few
 BEYOND = 0.67  # part of the ceiling over which a node is busy; half is near the plain work of quiet nodes
 PATIENCE = 0.5  # part of the aim, and at least FAR_SLOWER times the node's mean latency, after which an
 FAR_SLOWER = 5.0  # attempt no longer counts as out
-MEMORY = 4.0  # s after which what a node answered like weighs half, against all nodes' typical latency
+MEMORY = 4.0  # s after which what a node answered like weighs half, against all nodes' typical latency; among
+# many hosts it is one aim, in which a queue that one answer told of has gone, or another answer tells of it
 PAUSE = 0.1  # part of the aim between a request's attempts; doubles up to it for a node that does not answer
 FORGET = 10 * PERIOD  # s without a request after which a volume is forgotten
 WAITS = 256  # the most that a window keeps of one class: without answers it does not end
@@ -62,6 +62,7 @@
         self.places: float = inf
         part = FLEET_L / settings.schedulers
         self.crowded, self.start_l = part < LEAST_L, max(min(START_L, part), LEAST_L)
+        self.memory = self.aim if self.crowded else MEMORY
 
     def handle(self, now: float, events: Sequence[api.Event]) -> list[api.Action]:
         self.now, self.actions = max(now, self.now), []  # Guard: a clock that leaps back undoes nothing
@@ -269,7 +270,7 @@
 
     def _expected(self, node: NodeQueue) -> float:
         """The latency of an attempt sent now: the node's own, which fades into what all nodes answer like."""
-        known: float = 0.5 ** ((self.now - node.heard) / MEMORY)
+        known: float = 0.5 ** ((self.now - node.heard) / self.memory)
         return known * node.service + (1 - known) * self.typical
 
     def _latency(self, node: NodeQueue) -> float:
@@ -371,16 +372,7 @@
         if node is not None and request is not None and life == node.life:
             request.counted = False
             node.out -= 1
-            self._waited(node, request)
-
-    def _waited(self, node: NodeQueue, request: Request) -> None:
-        """Guard: among many hosts no answer shows a slow node; else a swamped one is fed for ever. A time-out
-        tells the client's patience, not the node's speed: taken whole it keeps a node shut long after a surge
-        or a hang. Harmful to a node that stays that slow: it is tried again some seconds early."""
-        self._touch(node)
-        waited = min((self.now - request.sent_at) / request.heavy, NO_ANSWER * self.aim)
-        if self.crowded and not self.stalled and waited > node.service > 0:
-            node.service, node.heard = waited, self.now
+            self._touch(node)
 
     def _ended(self, event: api.AttemptEnded) -> None:
         request, node, life = self.attempts.pop((event.request, event.attempt))
@@ -425,9 +417,6 @@
             pause = min(PAUSE * 2 ** min(node.failures - 1, 8), 1.0) * request.cls.aim
             node.resting_until = max(node.resting_until, self.now + pause)
             self.agenda.at(node.resting_until, self._touch, node)
-        # Guard: with few hosts answers come often enough for the mean; a pause would shut its node.
-        if self.crowded and event.outcome in (api.Outcome.SERVED, api.Outcome.TIMEOUT):
-            self._waited(node, request)
 
     def _retry(self, request: Request) -> None:
         """After a pause, or when the budget ends; one that is out then gets its time-out from the caller."""
