--- a/cherrycove/__main__.py
+++ b/cherrycove/__main__.py
@@ -74,6 +74,7 @@
 from cherrycove import admin, config, consul, events, handover, nbd, store
 from cherrycove.core import Core, NodeList
 from cherrycove.events import Log
+from cherrycove.fleet import peers
 from cherrycove.http1 import back, front
 from cherrycove.http1.watch import watch
 from cherrycove.leaving import Timetable
@@ -130,6 +131,9 @@
         self._beside: int | None = None  # requests open in the process this one replaces, as last told
         self._book: Book | None = None
         self._tracer: Tracer | None = None
+        self._peers: peers.Peers | None = None
+        if platform.tier is not None and peers.worth_it(self.core):
+            self._peers = peers.Peers(self.core, platform.tier.number, platform.tier.peers, platform.seed)
         self._record: asyncio.Task[None] | None = None  # hands it over
         self._pieces = 0  # of the former process's record that have come
         if operator.why is not None:
@@ -182,6 +186,8 @@
                 self._run(self._consul.keep_registered())
         if met is not None and not await met[0].ask({"serving": True}):
             log.warning("handover.unconfirmed", told="serving")
+        if not self._links:
+            self._talk(alone=True)
         await self._place.await_successor(self._hand_over, self._follow)
         if platform.admin is not None:
             # Guard: a yes to status ends the former process. It comes last: once that one accepts no more,
@@ -238,8 +244,17 @@
         self.front.resize(clients, _bytes(self.platform.memory_mb, alone))
         if alone:
             self._beside = None
+        self._talk(alone)
         self._bound()
 
+    def _talk(self, alone: bool) -> None:
+        """The process that takes clients talks to the tier, once no other does."""
+        if self._peers is not None and self.platform.tier is not None:
+            if alone:
+                self._peers.start(self.platform.tier.listen)
+            else:
+                self._peers.close()
+
     def _bound(self) -> None:
         """Guard: requests open in either process hold places of the same clients. Bounded each by itself, the
         two held them all together, and for others no connection was left."""
@@ -321,6 +336,8 @@
         if self._consul is not None:
             await self._consul.close()
         await self.pool.close()
+        if self._peers is not None:
+            self._peers.close()
         await self._desk.close()
         if self._record is not None:
             await asyncio.wait((self._record,), timeout=RECORD_LEFT)
--- a/cherrycove/config.py
+++ b/cherrycove/config.py
@@ -28,6 +28,15 @@
     """A configuration that cannot be used; the message names the place."""
 
 
+@dataclass(frozen=True, slots=True)
+class Tier:
+    """All brokers of the tier, where they may send each other datagrams."""
+
+    number: int  # this broker's
+    listen: tuple[str, int]
+    peers: tuple[tuple[str, int], ...]  # by number, its own included
+
+
 @dataclass(frozen=True, slots=True)
 class Platform:
     """What the platform tells a broker."""
@@ -44,6 +53,7 @@
     conn_idle: float
     known: NodeList | None
     admin: tuple[str, int] | None = None  # where operators call
+    tier: Tier | None = None  # the other brokers; None: the deployment lets them not talk
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,6 +145,7 @@
         seed = int(str(raw.get("seed", "")), 16)
     except ValueError:
         raise ConfigError(f"seed must be hex digits, not {raw.get('seed')!r}") from None
+    tier = _tier(raw, settings, module.schedulers)
     admin = raw.get("admin") or env.get("RELAY_ADMIN")
     discovery = raw.get("discovery") or env.get("RELAY_DISCOVERY")
     host_port(discovery, "discovery")
@@ -143,7 +154,20 @@
         listen=host_port(raw.get("listen") or env.get("RELAY_LISTEN"), "listen"), discovery=str(discovery),
         seed=seed, sockets=sockets, memory_mb=memory, settings=module, zones=places,
         dial_timeout=_seconds(settings, "dialTimeoutNs"), conn_idle=_seconds(settings, "connIdleNs"),
-        known=known, admin=host_port(admin, "admin") if admin else None)
+        known=known, admin=host_port(admin, "admin") if admin else None, tier=tier)
+
+
+def _tier(raw: dict[str, Any], settings: Any, brokers: int) -> Tier | None:
+    """Where the settings allow no talk, or the configuration names nobody, there is none."""
+    if not settings["limits"].get("mayTell") or not raw.get("peers") or not raw.get("peer_listen"):
+        return None
+    peers, number = raw["peers"], settings.get("me")
+    if not isinstance(peers, list) or len(peers) != brokers:
+        raise ConfigError(f"peers must be a list of {brokers} addresses, one for each broker of the settings")
+    if type(number) is not int or not 0 <= number < brokers:
+        raise ConfigError(f"settings.me must be a number from 0 to {brokers - 1}, not {number!r}")
+    return Tier(number, host_port(raw["peer_listen"], "peer_listen"),
+                tuple(host_port(peer, "peers") for peer in peers))
 
 
 class _Table:
--- a/cherrycove/core.py
+++ b/cherrycove/core.py
@@ -278,6 +278,8 @@
         self._tries = 0
         self.version: int | None = None  # of the node list; None: none has been told yet
         self.recorder: Recorder | None = None
+        self.lists = 0  # how often the list has changed
+        self._ask_room: Callable[[str, float], None] = lambda node, units: None
         self.on_list: Callable[[NodeList], None] | None = None  # told of each list from the source itself
         self.silent = False  # whether the source of the node list has stopped to answer
         self.watching = asyncio.Event()  # set whenever the module asks for the list's changes
@@ -433,6 +435,7 @@
             self.on_list(news)
 
     def _take_in(self, news: NodeList, kind: api.ListKind) -> None:
+        self.lists += 1
         before = {} if news.full else self._members
         self._members = before | {m.name: m for m in news.members if m.state is not api.NodeState.GONE}
         for member in news.members:
@@ -464,6 +467,20 @@
         self._places.most = self._told = places
         self._push(api.Places(places))
 
+    def pool_room(self, part: float, ask: Callable[[str, float], None]) -> None:
+        """This part of what cold nodes bear is lent among the brokers; ``ask`` is called with the name of a
+        node and the units for which room is wanted, as often as the module likes."""
+        self._ask_room = ask
+        self._push(api.RoomPooled(part))
+
+    def room_lent(self, node: str, units: float, time: float) -> None:
+        """Room that another broker has lent, to be used within that time (s)."""
+        self._push(api.RoomLent(node, units, time))
+
+    def started(self, member: Member) -> float | None:
+        """When a node last started, on the loop's clock; None: long ago."""
+        return self._clock(member.since_ms)
+
     def sent(self) -> dict[str, float]:
         return self._scheduler.sent()
 
@@ -582,6 +599,8 @@
                     attempt.scope.reschedule(self._loop.time())
             case api.SetTimer(token, delay):
                 self._loop.call_later(delay, self._push, api.TimerFired(token))
+            case api.AskRoom(node, units):
+                self._ask_room(node, units)
             case api.Watch():
                 self.watching.set()
             case api.Note(text):
--- a/cherrycove/http1/front.py
+++ b/cherrycove/http1/front.py
@@ -58,6 +58,11 @@
             self._manager.spoke(self)
         super().data_received(data)
 
+    def _process_keepalive(self) -> None:
+        if isinstance(self._manager, Clients) and self._manager.holds(self):
+            self._next_keepalive_close_time = max(self._next_keepalive_close_time, self._manager.held_until)
+        super()._process_keepalive()
+
 
 class Clients(web.Server):
     """The library's server, bounded: past the bound, a connection without a request gives way to a new one.
@@ -76,6 +81,7 @@
         self._idle: dict[web.RequestHandler, float] = {}  # between requests
         self._busy: dict[web.RequestHandler, float] = {}  # a request is open, or its body still comes
         self._groups = self._silent, self._partly, self._idle, self._busy
+        self.held_until = 0.0  # until then no connection is closed for having no request
         self.left = asyncio.Event()  # set whenever the last connection has gone
 
     def __call__(self) -> web.RequestHandler:
@@ -104,6 +110,9 @@
             del (group or self._partly)[victim]
             self._connections[victim].abort()
 
+    def holds(self, handler: web.RequestHandler) -> bool:
+        return handler in self._idle
+
     def spoke(self, handler: web.RequestHandler) -> None:
         if handler not in self._busy and handler not in self._partly:
             self._move(handler, self._partly)
@@ -191,6 +200,8 @@
         """Serve on until no more is taken, the signal having come when it ``began``; what is open then has
         until ``give_up``."""
         loop, web = asyncio.get_running_loop(), self._web
+        if not replaced:
+            web.held_until = began + times.stop  # Guard: for its client it may be the only way in
         loop.call_at(began + times.parts_at(replaced), self.drain)
         loop.call_at(began + times.give_up, self._core.give_up)
         while True:
--- a/finchrack/decide.py
+++ b/finchrack/decide.py
@@ -33,6 +33,7 @@
 WAITS = 256  # the most that a window keeps of one class: without answers it does not end
 HALF = 0.49  # part of a request's time after which it is not held any longer if it was never sent
 REPORT = 5.0  # s between the lines for the report
+ASK_ROOM = 0.05  # of the window of the rule on cold nodes, between asks for room there
 ASK_AGAIN = 0.2  # part of ask_within between calls for the node list after one failed
 
 
@@ -60,6 +61,7 @@
         self.part, self.others_until = 1.0, -inf  # of this host's budgets, while another process shares them
         self.others: Mapping[str, float] = {}
         self.places: float = inf
+        self.lent = 0.0  # part of what cold nodes bear that is lent among all, not split
         part = FLEET_L / settings.schedulers
         self.crowded, self.start_l = part < LEAST_L, max(min(START_L, part), LEAST_L)
         self.memory = self.aim if self.crowded else MEMORY
@@ -90,6 +92,13 @@
                     self.places = event.most
                 case api.Shared():
                     self._shared(event)
+                case api.RoomPooled():
+                    self.lent = event.lent
+                case api.RoomLent():
+                    for node in self.nodes.values():
+                        if node.id == event.node:
+                            node.borrow(event.units, self.now, event.time)
+                            self._touch(node)
                 case api.ListUnavailable() if self.settings.list_on_request:
                     self.agenda.at(self.now + ASK_AGAIN * self.settings.ask_within, self._watch)
                 case api.TimerFired():
@@ -405,7 +414,8 @@
         self._touch(node)
         if event.outcome is api.Outcome.SERVED:
             node.window.served += 1
-            node.failures, node.ticket_until = 0, self.now + self.settings.fall_window
+            node.failures = 0
+            node.ticket_until = -inf if self.lent else self.now + self.settings.fall_window
             if not self.stalled:
                 latency = max(event.latency, self.settings.tick)
                 node.window.latencies.setdefault(request.cls.name, []).append(latency)
@@ -552,13 +562,21 @@
         if not self._cold(node):
             return True
         growth = 1 + (1 / s.start_capacity - 1) * max(age, 0.0) / s.warm_after
-        part = s.cold_units / s.schedulers * growth * self.part
+        part = s.cold_units / s.schedulers * growth * self.part * (1 - self.lent)
         part -= self.others.get(node.id or "", 0.0) if self.now < self.others_until else 0.0
         if part >= s.max_units:
             if node.recent.total(self.now) + request.units <= part:
                 return True
             self.agenda.at(node.recent.next_leaves(self.now) + s.tick, self._touch, node)
             return False
+        if self.now < node.lent_until and request.units <= node.lent:
+            node.lent -= request.units
+            return True
+        if self.lent and self.now >= node.ask_at:
+            # Guard: split, the room lies unused with hosts that have nothing for this node.
+            node.ask_at = self.now + ASK_ROOM * s.fall_window
+            self.actions.append(api.AskRoom(node.id or "", request.units))
+            self.agenda.at(node.ask_at, self._touch, node)
         # Guard: even parts below one request leave it idle; a lot in each window, or an answer, lets one go.
         slot = int((self.now - node.cold_from) / s.fall_window)
         if slot != node.slot:
--- a/finchrack/interface.py
+++ b/finchrack/interface.py
@@ -250,6 +250,22 @@
     sent: Mapping[str, float] = field(default_factory=dict)  # units that the others sent to nodes of late
 
 
+@dataclass(frozen=True, slots=True)
+class RoomPooled:
+    """From now on this part of what cold nodes bear is lent among the schedulers; 0: all of it is split."""
+
+    lent: float
+
+
+@dataclass(frozen=True, slots=True)
+class RoomLent:
+    """Room at a cold node, beside this scheduler's split part. A later loan takes the former's place."""
+
+    node: str
+    units: float
+    time: float  # for which it may be used
+
+
 @dataclass(frozen=True, slots=True)
 class Places:
     """How many requests may be open here before others find no way in. Not told: any number."""
@@ -275,8 +291,8 @@
     load: Mapping[str, float] = field(default_factory=dict)
 
 
-Event = (Arrived | Uploaded | AttemptEnded | StreamStarted | Lapsed | NodesListed | Shared | Places
-         | ListUnavailable | TimerFired | ProbeEnded)
+Event = (Arrived | Uploaded | AttemptEnded | StreamStarted | Lapsed | NodesListed | Shared | RoomPooled
+         | RoomLent | Places | ListUnavailable | TimerFired | ProbeEnded)
 
 
 # Actions, from the module to the caller, carried out in the order given.
@@ -368,6 +384,14 @@
     node: str
 
 
+@dataclass(frozen=True, slots=True)
+class AskRoom:
+    """Ask the others for room at a cold node, for so many units. An answer is RoomLent, or nothing."""
+
+    node: str
+    units: float
+
+
 @dataclass(frozen=True, slots=True)
 class Watch:
     """Ask for the node list's changes, missed ones first."""
@@ -380,4 +404,4 @@
     text: str
 
 
-Action = Send | Refuse | Fail | Cancel | SetTimer | Probe | Watch | Note
+Action = Send | Refuse | Fail | Cancel | SetTimer | Probe | AskRoom | Watch | Note
--- a/finchrack/state.py
+++ b/finchrack/state.py
@@ -231,6 +231,9 @@
     heard: float = -inf  # when that was last seen
     resting_until: float = -inf
     failures: int = 0  # in a row, of the kind that shows nobody answers
+    lent: float = 0.0  # units of room on a cold node that others have lent,
+    lent_until: float = -inf  # until then
+    ask_at: float = -inf  # when room may be asked for again
     slot: int = -1  # of the rule on cold nodes, since its start
     ticket_until: float = -inf  # until then one request may go, whatever its units
     window: Window = field(default_factory=Window)
@@ -255,9 +258,14 @@
         self.life += 1
         self.out, self.failures, self.resting_until = 0, 0, -inf
         self.service, self.heard, self.slot, self.ticket_until = 0.0, -inf, -1, -inf
+        self.lent, self.lent_until, self.ask_at = 0.0, -inf, -inf
         self.window = Window()
         self.threshold, self.overload = threshold, False
 
+    def borrow(self, units: float, now: float, time: float) -> None:
+        """Others lend room on this node; a further loan takes the place of what is left of the last one."""
+        self.lent, self.lent_until, self.ask_at = units, now + time, now
+
     def count_sent(self, now: float, units: float, works: bool = True) -> None:
         self.out += works
         self.window.most_out = max(self.window.most_out, self.out)
--- a/tests/test_confined.py
+++ b/tests/test_confined.py
@@ -6,6 +6,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import tomllib
@@ -24,6 +25,16 @@
         node = await Node("ok", "ok", "hang").start()
         whole = raw() | {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "admin": "127.0.0.1:0"}
         whole["known"]["endpoints"][0] |= {"name": "d0", "address": f"127.0.0.1:{node.port}"}
+        # One of a tier that lends room; a peer that answers nothing.
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as peer, \
+                socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as own:
+            peer.bind(("127.0.0.1", 0))
+            own.bind(("127.0.0.1", 0))
+            whole["peers"] = [f"127.0.0.1:{each.getsockname()[1]}" for each in (own, peer)]
+        whole["peer_listen"] = whole["peers"][0]
+        whole["settings"] |= {"me": 0, "balancers": 2}
+        whole["settings"]["limits"]["mayTell"] = True
+        whole["settings"]["familyInfo"]["coldBears"] = 1.0
         async with Confined(whole, tmp_path) as broker:
             port = broker.port
             reader, writer = await asyncio.open_connection("127.0.0.1", port)
