Open the fleet's socket again where it is in use; leave it closed in a process that ends

Cause, found on a second read: the link's end told the ending process that it was alone, and it opened the address for datagrams again that its successor was opening in the same moment; who came second had no socket for the rest of its life. Change: a process that was told to end opens nothing, and an address in use is tried again each second.

--- a/cherrycove/__main__.py
+++ b/cherrycove/__main__.py
@@ -250,7 +250,8 @@
     def _talk(self, alone: bool) -> None:
         """The process that takes clients talks to the tier, once no other does."""
         if self._peers is not None and self.platform.tier is not None:
-            if alone:
+            # Guard: one that ends would open the address again that its successor is about to open.
+            if alone and not self.stop.is_set():
                 self._peers.start(self.platform.tier.listen)
             else:
                 self._peers.close()
--- a/cherrycove/fleet/peers.py
+++ b/cherrycove/fleet/peers.py
@@ -17,6 +17,7 @@
 from cherrycove.fleet import datagram, room
 
 log = Log("cherrycove.fleet")
+OPEN_AGAIN = 1.0  # s after which an address that is in use is tried again
 MOST_A_SECOND = 500  # datagrams taken in; a peer that floods costs no more
 Address = tuple[str, int]
 
@@ -37,6 +38,7 @@
         self._life = random.Random(seed).getrandbits(32)
         self._transport: asyncio.DatagramTransport | None = None
         self._opening: asyncio.Task[None] | None = None
+        self._again: asyncio.TimerHandle | None = None
         self._lender = room.Lender(core.settings, number, self._loop.time())
         self._borrower = room.Borrower(core.settings.schedulers)
         self._known = -1  # the list that the lender's books are of
@@ -60,11 +62,14 @@
             self._transport, _ = await self._loop.create_datagram_endpoint(lambda: self, local_addr=listen)
         except OSError as error:
             log.warning("fleet.no_socket", why=error)
+            self._again = self._loop.call_later(OPEN_AGAIN, self.start, listen)
 
     def close(self) -> None:
         """Guard: before a successor opens the socket; two processes of a broker would each lend the whole."""
         if self._opening is not None:
             self._opening.cancel()
+        if self._again is not None:
+            self._again.cancel()
         if self._transport is not None:
             self._transport.close()
             self._transport = None
--- a/tests/test_fleet_room.py
+++ b/tests/test_fleet_room.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import socket
 import time
 from dataclasses import replace
 
@@ -167,6 +168,23 @@
     run(story())
 
 
+def test_an_address_in_use_is_tried_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The process before this one may hold it for a moment; without it nothing would be lent for good."""
+    monkeypatch.setattr(peers, "OPEN_AGAIN", 0.01)
+
+    async def story() -> None:
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as holder:
+            holder.bind(("127.0.0.1", 0))
+            place = holder.getsockname()
+            side = peers.Peers(Core(replace(PLATFORM.settings, schedulers=2), 1), 0, [place, place], seed=1)
+            await side.serve(place)
+            assert side._transport is None
+        while side._transport is None:
+            await asyncio.sleep(0.001)
+        side.close()
+    run(story())
+
+
 def test_the_tier_is_read_where_the_settings_allow_talk() -> None:
     whole = raw()
     brokers = whole["settings"]["balancers"] = 3
