--- a/cherrycove/fleet/datagram.py
+++ b/cherrycove/fleet/datagram.py
@@ -1,4 +1,4 @@
-"""The datagrams of the fleet: an ask for room on a cold node, and its answer. Fixed forms, 30 bytes at most.
+"""The datagrams of the fleet: an ask for room on a cold node, and its answer. Fixed forms of 24 and 22 bytes.
 
     ask    CF 1 1 sender:u16 life:u32 serial:u32 node:8 units:u16
     loan   CF 1 2 sender:u16 life:u32 to_life:u32 serial:u32 units:u16 wait:u16
--- a/tests/test_fleet_room.py
+++ b/tests/test_fleet_room.py
@@ -99,7 +99,7 @@
     assert units <= ask.units < units + 0.07
     loan = datagram.parse(data := datagram.pack(datagram.Loan(number, life, 5, 7, units, 0.25)))
     assert isinstance(loan, datagram.Loan) and units - 0.07 < loan.units <= units and loan.wait == 0.25
-    assert len(data) <= 256
+    assert len(data) == 22 and len(datagram.pack(ask)) == 24  # docs/fleet.md; 256 are allowed
 
 
 @fuzz
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -10,6 +10,7 @@
 from support import Node, World, answer, fuzz, message, run
 
 from cherrycove import leaving
+from cherrycove.http1 import front
 from cherrycove.leaving import Timetable
 
 
@@ -61,6 +62,25 @@
     run(story())
 
 
+def test_a_connection_that_is_idle_when_the_process_leaves_stays_a_way_in(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    """Closed for having no request for a while, it left its client without a broker at this address."""
+    monkeypatch.setattr(front, "IDLE_TIME", 0.2)
+
+    async def story() -> None:
+        async with World(await Node("ok", "ok").start()) as world:
+            times, began = Timetable(30.0, 31.0, 32.0, 33.0), asyncio.get_running_loop().time()
+            lingering = asyncio.create_task(world.front.linger(times, began, replaced=False))
+            reader, writer = await asyncio.open_connection("127.0.0.1", world.port)
+            for number in range(2):
+                writer.write(message(id=f"a{number}"))
+                assert (await answer(reader))[0] == 200
+                await asyncio.sleep(0.0 if number else 0.5)
+            lingering.cancel()
+            writer.close()
+    run(story())
+
+
 def test_with_a_successor_every_answer_closes_its_connection_and_quiet_ends_it() -> None:
     async def story() -> None:
         node = await Node("ok").start()
