--- a/cherrycove/fleet/room.py
+++ b/cherrycove/fleet/room.py
@@ -13,6 +13,7 @@
 import hashlib
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from functools import lru_cache
 from math import inf
 
 from finchrack.interface import Settings
@@ -26,6 +27,7 @@
 MOST_NODES = 1024  # that a lender keeps the books of
 
 
+@lru_cache(maxsize=4 * MOST_NODES)  # a list's change asks for every node's again
 def key(name: str, since_ms: float) -> bytes:
     """A node's life in eight bytes, the same at every host."""
     return hashlib.blake2b(f"{name}\n{since_ms:.0f}".encode(), digest_size=8).digest()
