Pass Idempotency-Key on; repeat a keyed new object only where its repeat is dropped

Cause, sockets: the wire passes Idempotency-Key on unchanged; `Call.attempt` (http1/back.py) wrote X-Request-Id and X-Deadline-Ms alone.

`_may_repeat` took the shard of a new object to be the one it ran at, and so let it through, but `_enqueue` chose its node anew by `_roomiest`. Ruled out: requests with a shard of their own (none among the breaches), the window (34 ms of 2.5 s), a second copy (none is sent).

Change: finchrack/repeats.py owns what is known of the first attempt that may have run and the rule on it. A new object of a keyed class with the group `cell` is bound to that shard, with `zone` to that zone; a node that has replaced it or started anew since is another one. The choice of the node and the send itself ask the same rule. On sockets the key passes on, must be there for a keyed class, once, and printable; Other-Hosts is read.

--- a/cherrycove/http1/back.py
+++ b/cherrycove/http1/back.py
@@ -23,7 +23,7 @@
 
 from cherrycove.core import Attempt, Ending, Reply
 from cherrycove.http1.body import MOST_BODY, MOST_LONG, Upload
-from cherrycove.http1.parse import BodyError, parse_load, parse_use
+from cherrycove.http1.parse import BodyError, parse_elsewhere, parse_load, parse_use
 
 PIECE = 32 * 1024  # bytes in one read of a connection, and about as many in each of its buffers
 MOST_HEADS = 32 * 1024  # bytes of an answer's head and of all that is said ahead of it
@@ -289,7 +289,7 @@
     else:
         ending = Ending.NODE_ERROR
     reply = Reply(ending, body, headers.get("Content-Type", ""), parse_use(headers.get("Volume-Load")),
-                  load=parse_load(headers.get("X-Load")))
+                  parse_elsewhere(headers.get("Other-Hosts")), parse_load(headers.get("X-Load")))
     if whole or ending is not Ending.SERVED:
         return reply
     return replace(reply, relay=partial(relay, Rest(answer), reply))
@@ -302,11 +302,14 @@
     """One client's request as the back sends it; the core's Backend."""
 
     def __init__(self, pool: Pool, method: str, target: str, request_id: str, body: bytes | Upload,
-                 relay: Relay) -> None:
+                 relay: Relay, idempotency_key: str = "") -> None:
         self.method, self.target, self.relay = method, target, relay
         self.sent = self.begun = False  # the last byte; the first of a body that comes in pieces
         self.fault: BodyError | None = None  # the client's, in such a body
-        self._pool, self._id, self._body = pool, request_id, body
+        self._pool, self._body = pool, body
+        self._unchanged = {"X-Request-Id": request_id}
+        if idempotency_key:
+            self._unchanged["Idempotency-Key"] = idempotency_key
         self._left = 0
         self._current: Attempt | None = None
 
@@ -360,4 +363,4 @@
         self.sent, self._left = False, len(self._body) if isinstance(self._body, bytes) else 0
         wait = max(int(attempt.wait * 1000), 1)
         return await self._pool.exchange(
-            self, attempt.address, {"X-Request-Id": self._id, "X-Deadline-Ms": str(wait)})
+            self, attempt.address, {**self._unchanged, "X-Deadline-Ms": str(wait)})
--- a/cherrycove/http1/front.py
+++ b/cherrycove/http1/front.py
@@ -274,7 +274,7 @@
         self._open.add(head.id)
         relayed: list[web.StreamResponse] = []
         call = Call(self._pool, request.method, origin(request.raw_path), head.id, body,
-                    partial(self._relay, request, relayed))
+                    partial(self._relay, request, relayed), head.idempotency_key)
         try:
             answer = await self._core.serve(
                 Request(head.cls, head.plan, head.volume, head.units, head.shard, head.hosts,
--- a/cherrycove/http1/parse.py
+++ b/cherrycove/http1/parse.py
@@ -16,14 +16,15 @@
 from multidict import MultiMapping
 
 from cherrycove.core import Member, NodeList
-from finchrack.interface import NodeState, Settings
+from finchrack.interface import Effect, NodeState, Settings
 
 HEX16 = re.compile(r"[0-9a-f]{16}", re.ASCII | re.IGNORECASE)
 DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?", re.ASCII)
 INFO = {"volume", "units", "shard", "hosts"}
-ONCE = ("X-Request-Id", "X-Class", "Tier", "X-Deadline-Ms", "IO-Info", "Cookie")
+ONCE = ("X-Request-Id", "X-Class", "Tier", "X-Deadline-Ms", "IO-Info", "Cookie", "Idempotency-Key")
 WHOLE = re.compile(r"[0-9]{1,9}", re.ASCII)
 REQUEST_ID = re.compile(r"[!-~]{1,128}", re.ASCII)
+REPEAT_KEY = re.compile(r"[!-~]([ -~]{0,254}[!-~])?", re.ASCII)
 STATES = {"up": NodeState.UP, "draining": NodeState.DRAINING, "removed": NodeState.GONE}
 
 
@@ -57,6 +58,7 @@
     key: str
     id: str
     repeat: bool
+    idempotency_key: str = ""  # by which nodes drop a repeat; "": none was sent
 
 
 class Names:
@@ -64,6 +66,7 @@
 
     def __init__(self, settings: Settings) -> None:
         self.classes = {cls.name: place for place, cls in enumerate(settings.classes)}
+        self.keyed = {place for place, cls in enumerate(settings.classes) if cls.effect is Effect.KEYED}
         self.plans = {plan.name: place for place, plan in enumerate(settings.plans)}
         self.max_units, self.shards, self.brokers = settings.max_units, settings.shards, settings.schedulers
 
@@ -109,6 +112,10 @@
     if shard >= names.shards > 0:
         # Guard: what the module keeps for each shard is kept for good.
         raise RequestError("shard is out of range")
+    repeat_key = headers.get("Idempotency-Key")
+    if repeat_key is None and cls in names.keyed:
+        # Guard: nodes could not drop a repeat of it, and the class says that one does no harm.
+        raise RequestError("Idempotency-Key is missing")
     hosts = max(min(int(_matched(WHOLE, info["hosts"], "hosts")), names.brokers), 1)
     return Head(
         cls=cls, plan=plan, volume=_matched(HEX16, info["volume"], "volume"), units=units,
@@ -116,7 +123,8 @@
         budget=int(_matched(WHOLE, _field(headers, "X-Deadline-Ms"), "X-Deadline-Ms")) / 1000,
         key=_matched(HEX16, _cookie(_field(headers, "Cookie"), "object"), "the cookie object"),
         id=_matched(REQUEST_ID, _field(headers, "X-Request-Id"), "X-Request-Id"),
-        repeat=headers.get("X-Retry") == "1")
+        repeat=headers.get("X-Retry") == "1",
+        idempotency_key="" if repeat_key is None else _matched(REPEAT_KEY, repeat_key, "Idempotency-Key"))
 
 
 def _entry(raw: Any, zones: Mapping[str, int]) -> Member:
@@ -175,6 +183,11 @@
     return int(text) / 100 if text and WHOLE.fullmatch(text) else None
 
 
+def parse_elsewhere(text: str | None) -> float:
+    """The units that a shard has served for the volume through other brokers; none where none are told."""
+    return float(text) if text and DECIMAL.fullmatch(text) else 0.0
+
+
 def origin(target: str) -> str:
     """A target without the scheme and host that a client may write before it (RFC 9112, 3.2.2)."""
     scheme, mark, rest = target.partition("://")
--- a/finchrack/decide.py
+++ b/finchrack/decide.py
@@ -12,6 +12,7 @@
 from math import inf
 
 from finchrack import interface as api
+from finchrack.repeats import bound_to, may_refuse, may_repeat, ran_at
 from finchrack.state import Agenda, Members, NodeQueue, Recent, Request, Volume, Window, percentile
 
 PERIOD = 1.0  # s between joint refills of credits, and the window of statistics behind each L (design)
@@ -220,18 +221,20 @@
     def _enqueue(self, request: Request, why: api.Code) -> None:
         request.leave()
         request.why = why
-        node = self._node(request.shard) if request.shard is not None else self._roomiest()
+        node = self._node(request.shard) if request.shard is not None else self._roomiest(request)
         if node is None:
             return self._give_up(request, api.Code.NO_NODE)
         request.wait_at(node, self.now)
         node.window.new_due += request.due <= self.window_end
         self._touch(node)
 
-    def _roomiest(self) -> NodeQueue | None:
+    def _roomiest(self, request: Request) -> NodeQueue | None:
         """For a new object: a warm, answering node with the least work for its threshold and quick answers.
         Guard: among many hosts each L is at its least and nothing out, so work alone is blind to slow nodes.
         Also against nodes that age or stall; harmful where heavy requests alone make a node look slow."""
-        return min((node for node in self.nodes.values() if node.id), default=None, key=lambda node: (
+        nodes = (node for node in self.nodes.values() if node.id)
+        allowed = [node for node in nodes if self._may_repeat(request, self.now, node)]
+        return min(allowed, default=None, key=lambda node: (
             self._cold(node), node.failures > 0 or self.now < node.resting_until,
             (node.out + node.waiting + 1) / node.threshold * max(self._expected(node), self.settings.tick),
             self.random.random()))
@@ -344,7 +347,7 @@
         why = self._reason(request, node, code, self._latency(node))
         if not request.attempts:
             request.volume.take(self.now, request.units)
-        elif self._may_try_again(request):
+        elif self._may_try_again(request, node):
             self.extras.add(self.now)
         else:
             return self._give_up(request, self._no_more(request, self.now) or api.Code.EXTRAS)
@@ -393,9 +396,10 @@
             # against clients that change hosts; harmful, for a meter's delay, where all hosts surge at once.
             plan, volume = request.volume.plan, request.volume
             volume.short, volume.told = max(plan.reserve - event.use * plan.usual, 0.0) * PERIOD, self.now
-        if not event.outcome.never_ran and not request.may_have_run:
-            request.may_have_run, request.safe_until = True, request.sent_at + request.cls.repeat_window
-            request.ran_zone, request.ran_shard = node.zone, node.shard
+        if not event.outcome.never_ran and request.ran is None:
+            request.ran = ran_at(request.cls, node, life, request.sent_at)
+            if request.shard is None:
+                request.shard = bound_to(request.cls, request.ran)
         if event.outcome in (api.Outcome.TIMEOUT, api.Outcome.RESET, api.Outcome.CANCELLED):
             request.rest_until = self.now + self.settings.order_settle  # the attempt may still be running
         if event.closed or request.done:
@@ -437,25 +441,18 @@
 
     def _no_more(self, request: Request, when: float) -> api.Code | None:
         """Why no attempt may be sent then, if none may."""
-        if not self._may_repeat(request, when):
+        if not self._may_repeat(request, when, None if request.shard is None else self._node(request.shard)):
             return api.Code.MAY_HAVE_RUN
         last = request.attempts >= self.settings.max_attempts
         return api.Code.LAST_ATTEMPT if last else api.Code.NO_TIME if when >= request.end else None
 
-    def _may_repeat(self, request: Request, when: float) -> bool:
-        """Whether an attempt sent then could not cause a second effect."""
-        cls, shard = request.cls, request.ran_shard if request.shard is None else request.shard
-        if not request.may_have_run or cls.effect is api.Effect.SAFE:
-            return True
-        if cls.effect is api.Effect.UNSAFE or when > request.safe_until - self.settings.tick:
-            return False
-        return cls.group is api.Group.ALL or (shard == request.ran_shard and (
-            cls.group is api.Group.SHARD or self._node(shard).zone == request.ran_zone))
+    def _may_repeat(self, request: Request, when: float, node: NodeQueue | None) -> bool:
+        return may_repeat(request.cls, request.ran, when + self.settings.tick, node)
 
-    def _may_try_again(self, request: Request) -> bool:
+    def _may_try_again(self, request: Request, node: NodeQueue) -> bool:
         """The rules on repeats and on further attempts, looked at when one would be sent."""
         spare, ratio = self.settings.extra_spare, self.settings.extra_ratio
-        return self._may_repeat(request, self.now) and (spare is None or (
+        return self._may_repeat(request, self.now, node) and (spare is None or (
             self.extras.total(self.now) + 1 <= spare + ratio * self.arrived.total(self.now)))
 
     def _reason(self, request: Request, node: NodeQueue, code: api.Code, wait: float) -> api.Reason:
@@ -473,10 +470,8 @@
         if request.shard is not None and not self._keeps_up(node):
             wait = inf
         wait = max(wait, self._expected(node), self.window_end - self.now)
-        keyed = request.cls.effect is api.Effect.KEYED and request.cls.group is api.Group.ALL
-        harmless = not request.may_have_run or request.cls.effect is api.Effect.SAFE or keyed
         refusal = api.Refuse(request.id, min(wait, self.settings.retry_advice), why)
-        self.actions.append(refusal if harmless else api.Fail(request.id, why))
+        self.actions.append(refusal if may_refuse(request.cls, request.ran) else api.Fail(request.id, why))
         self._close(request)
 
     def _close(self, request: Request) -> None:
--- a/finchrack/state.py
+++ b/finchrack/state.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from finchrack.interface import Code, ListKind, Node, NodesListed, NodeState, Plan, RequestClass
+from finchrack.repeats import Ran
 
 
 class Agenda:
@@ -80,13 +81,10 @@
     out: bool = False
     counted: bool = False  # its attempt counts as out at the node
     done: bool = False
-    may_have_run: bool = False
-    safe_until: float = 0.0  # keyed: until then repeats of the first attempt that may have run are dropped
+    ran: Ran | None = None  # its first attempt that may have run
     rest_until: float = 0.0  # until then its key rests, once it is over
     admitted: bool = False  # its key's turn has come
     waits_turn: bool = False  # another one with its key came before it
-    ran_zone: int = 0
-    ran_shard: int | None = None
     why: Code = Code.CREDIT  # what let it into its node's queue
 
     def held_by(self, node: NodeQueue, cold: bool) -> Code:
--- a/tests/test_module_limits.py
+++ b/tests/test_module_limits.py
@@ -3,7 +3,9 @@
 import ast
 from pathlib import Path
 
-SOURCE = Path(__file__).parent.parent / "finchrack" / "decide.py"
+FOLDER = Path(__file__).parent.parent / "finchrack"
+SOURCE = FOLDER / "decide.py"
+PURE = [SOURCE, FOLDER / "state.py", FOLDER / "repeats.py"]
 
 
 def test_lines_are_few_and_narrow() -> None:
@@ -15,7 +17,9 @@
 def test_imports_are_the_standard_library_without_clock_or_input() -> None:
     allowed = {
         "__future__",
+        "dataclasses",
         "random",
+        "typing",
         "collections",
         "collections.abc",
         "heapq",
@@ -23,10 +27,11 @@
         "math",
         "finchrack",
         "finchrack.interface",
+        "finchrack.repeats",
         "finchrack.state",
     }
-    tree = ast.parse(SOURCE.read_text(encoding="utf-8"))
-    for item in ast.walk(tree):
+    trees = [ast.parse(path.read_text(encoding="utf-8")) for path in PURE]
+    for item in [item for tree in trees for item in ast.walk(tree)]:
         if isinstance(item, ast.Import):
             assert {name.name for name in item.names} <= allowed
         elif isinstance(item, ast.ImportFrom):
--- /dev/null
+++ b/tests/test_repeats.py
@@ -0,0 +1,150 @@
+"""Keyed requests: where and until when one that may have run goes again, and what a broker says otherwise."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from helpers import READ, Rig
+from support import Node, World, message, raw, run
+
+from cherrycove import config
+from cherrycove.core import Core
+from finchrack.interface import (
+    AttemptEnded,
+    Effect,
+    Fail,
+    Group,
+    ListKind,
+    NodeState,
+    Outcome,
+    Refuse,
+    RequestClass,
+)
+from finchrack.interface import Node as Entry
+
+KEYED = RequestClass("keyed", aim=1.0, deadline=3.0, effect=Effect.KEYED, group=Group.SHARD,
+                     repeat_window=2.5, writes=True)
+
+
+def rig(cls: RequestClass, nodes: int = 6) -> Rig:
+    made = Rig(nodes, classes=(READ, cls), max_attempts=4)
+    made.listed(*[Entry(f"m{i}", i, zone=i % 2) for i in range(nodes)], kind=ListKind.FULL)
+    made.wait(20.0)  # they are warm
+    return made
+
+
+@pytest.mark.parametrize("outcome", [Outcome.ERROR, Outcome.RESET])
+def test_a_new_object_that_may_have_run_goes_again_to_the_same_node_alone(outcome: Outcome) -> None:
+    made = rig(KEYED)
+    for _ in range(8):
+        made.arrive(cls=1, shard=None)
+    for request in made.sent():
+        made.end(request, outcome, 0.01)
+    made.wait(2.0)
+    assert made.sends[8:], "none was sent again"
+    first = {send.request: send.node for send in made.sends[:8]}
+    assert all(send.node == first[send.request] for send in made.sends[8:])
+
+
+def test_a_new_object_goes_again_within_its_zone_where_that_is_the_group() -> None:
+    made = rig(replace(KEYED, group=Group.ZONE))
+    for _ in range(8):
+        made.arrive(cls=1, shard=None)
+    for request in made.sent():
+        made.end(request, Outcome.ERROR, 0.01)
+    made.wait(2.0)
+    zones = {send.request: int(send.node[1:]) % 2 for send in made.sends[:8]}
+    assert made.sends[8:] and all(int(s.node[1:]) % 2 == zones[s.request] for s in made.sends[8:])
+
+
+def test_a_node_that_replaced_the_one_it_may_have_run_at_does_not_get_it() -> None:
+    made = rig(KEYED)
+    request = made.arrive(cls=1, shard=3)
+    made.listed(Entry("m3b", 3, zone=1))
+    made.end(request, Outcome.RESET, 0.01)
+    made.wait(3.0)
+    assert made.sent() == [request] and isinstance(made.answers[request], Fail)
+
+
+def test_a_node_that_has_started_anew_does_not_get_it() -> None:
+    made = rig(KEYED)
+    request = made.arrive(cls=1, shard=3)
+    made.end(request, Outcome.ERROR, 0.01)
+    made.listed(Entry("m3", 3, zone=1, started=made.now))
+    made.wait(3.0)
+    assert made.sent() == [request] and isinstance(made.answers[request], Fail)
+
+
+def test_one_that_never_ran_may_go_anywhere_and_be_refused() -> None:
+    made = rig(KEYED)
+    request = made.arrive(cls=1, shard=None)
+    made.end(request, Outcome.CONNECT_FAILED, 0.01)
+    made.wait(0.5)
+    assert len(made.sends) == 2 and made.sends[1].node != made.sends[0].node
+    made.listed(*[Entry(f"m{i}", i, state=NodeState.GONE) for i in range(6)])
+    made.end(request, Outcome.FULL, 0.01)
+    made.wait(3.0)
+    assert isinstance(made.answers[request], Refuse)
+
+
+@pytest.mark.parametrize(("left", "sends"), [(-0.004, 1), (0.004, 2)])
+def test_a_repeat_goes_just_inside_its_window_and_not_just_outside(left: float, sends: int) -> None:
+    # The pause after an attempt is a tenth of the aim; the window ends just before or behind it.
+    cls = replace(KEYED, aim=1.0, repeat_window=0.2 + 0.1 + 0.002 + left)
+    made = rig(cls)
+    request = made.arrive(cls=1, shard=2)
+    made.wait(0.2)
+    made.end(request, Outcome.ERROR, 0.2)
+    made.wait(2.0)
+    assert len(made.sends) == sends
+    if sends == 1:
+        assert isinstance(made.answers[request], Fail)
+
+
+def keyed_platform() -> config.Platform:
+    whole = raw()
+    whole["settings"]["classes"][1] |= {"idempotency": "token", "group": "cell", "windowNs": 10**11}
+    return config.read_platform(whole, {})
+
+
+def test_its_key_passes_on_unchanged_with_each_attempt() -> None:
+    async def story() -> None:
+        node = await Node("500").start()
+        async with World(node, platform=keyed_platform()) as world:
+            write = {"cls": "claim-write", "method": "PUT", "body": b"b"}
+            assert (await world.ask(**write, id="w1", Idempotency_Key="a b/\"c\"-7"))[0] == 200
+            assert (await world.ask(id="r1", Idempotency_Key="own"))[0] == 200
+            assert [seen.get("idempotency-key") for seen in node.seen] == ['a b/"c"-7'] * 2 + ["own"]
+            assert [seen["x-request-id"] for seen in node.seen] == ["w1", "w1", "r1"]
+            assert (await world.ask(id="r2"))[0] == 200 and "idempotency-key" not in node.seen[-1]
+    run(story())
+
+
+@pytest.mark.parametrize("lines", [b"", b"Idempotency-Key: a\r\nIdempotency-Key: b\r\n",
+                                   b"Idempotency-Key: \r\n", b"Idempotency-Key: \xc3\xa9\r\n",
+                                   b"Idempotency-Key: " + b"k" * 257 + b"\r\n"])
+def test_a_keyed_request_without_one_clear_key_is_malformed(lines: bytes) -> None:
+    async def story() -> None:
+        node = await Node().start()
+        async with World(node, platform=keyed_platform()) as world:
+            whole = message("claim-write", "PUT", body=b"b")
+            assert (await world.ask(whole.replace(b"Host:", lines + b"Host:", 1)))[0] == 400
+            assert not node.seen and not world.core.counts["taken"]
+    run(story())
+
+
+def test_what_the_shard_served_through_other_brokers_reaches_the_module(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    told: list[AttemptEnded] = []
+    push = Core._push
+    monkeypatch.setattr(Core, "_push", lambda self, event: (
+        told.append(event) if isinstance(event, AttemptEnded) else None, push(self, event))[1])
+
+    async def story() -> None:
+        node = await Node("ok Other-Hosts: 12", "ok Other-Hosts: many", "ok").start()
+        async with World(node) as world:
+            for _ in range(3):
+                assert (await world.ask())[0] == 200
+    run(story())
+    assert [event.elsewhere for event in told] == [12.0, 0.0, 0.0]
