Move the books of room on cold nodes out of the policy file

Change: finchrack/cold.py owns this scheduler's part of what a cold node bears, loans and draws; the module asks it, sets the timers and asks the others. Nothing is decided otherwise.

--- /dev/null
+++ b/finchrack/cold.py
@@ -0,0 +1,86 @@
+"""Room on cold nodes: how much of what one bears a scheduler may send it now.
+
+It owns the books of the rule on cold nodes (the wire page's fourth): this scheduler's part of what a cold
+node bears, what others lent it, and its draws where that part is less than a request. It must never set a
+timer, send, or take a node for warm before its time.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Mapping
+from math import inf
+from typing import NamedTuple
+
+from finchrack.interface import Settings
+from finchrack.state import NodeQueue
+
+ASK_ROOM = 0.05  # of the window of the rule, between asks for room there
+
+
+class Admission(NamedTuple):
+    """Whether a request may go to a node, when to look again, and whether to ask others for room there."""
+
+    granted: bool
+    again: tuple[float, ...] = ()
+    ask: bool = False
+
+
+class ColdRoom:
+    """Guard: all schedulers together must not push a cold node over; it warms no slower than evenly."""
+
+    def __init__(self, settings: Settings, dice: random.Random) -> None:
+        self._settings, self._dice = settings, dice
+        self.part = 1.0  # of this host's budgets, while another process shares them
+        self.lent = 0.0  # part of what cold nodes bear that is lent among all, not split
+        self._others: Mapping[str, float] = {}
+        self._others_until = -inf
+
+    def share(self, part: float, sent: Mapping[str, float], now: float) -> None:
+        """From now on this part is its own; what another process sent counts until it is forgotten."""
+        self.part = part
+        if sent:
+            self._others, self._others_until = sent, now + self._settings.fall_window
+
+    def cold(self, node: NodeQueue, now: float) -> bool:
+        return now < node.cold_from + self._settings.warm_after + self._settings.fall_window
+
+    def _share_of(self, node: NodeQueue, now: float) -> float:
+        """Units within the rule's window that are this scheduler's."""
+        s, age = self._settings, now - self._settings.fall_window - node.cold_from
+        growth = 1 + (1 / s.start_capacity - 1) * max(age, 0.0) / s.warm_after
+        part = s.cold_units / s.schedulers * growth * self.part * (1 - self.lent)
+        return part - (self._others.get(node.id or "", 0.0) if now < self._others_until else 0.0)
+
+    def admit(self, node: NodeQueue, units: float, now: float) -> Admission:
+        """Whether so many units may go now; a grant uses up a loan or a lot."""
+        s = self._settings
+        if not self.cold(node, now):
+            return Admission(True)
+        part = self._share_of(node, now)
+        if part >= s.max_units:
+            if node.recent.total(now) + units <= part:
+                return Admission(True)
+            return Admission(False, (node.recent.next_leaves(now) + s.tick,))
+        if now < node.lent_until and units <= node.lent:
+            node.lent -= units
+            return Admission(True)
+        again: list[float] = []
+        ask = self.lent > 0 and now >= node.ask_at
+        if ask:
+            # Guard: split, the room lies unused with hosts that have nothing for this node.
+            node.ask_at = now + ASK_ROOM * s.fall_window
+            again.append(node.ask_at)
+        # Guard: even parts below one request leave it idle; a lot in each window, or an answer, lets one go.
+        slot = int((now - node.cold_from) / s.fall_window)
+        if slot != node.slot:
+            node.slot, slot_end = slot, node.cold_from + (slot + 1) * s.fall_window
+            if self._dice.random() < part / s.usual_units:
+                node.ticket_until = max(node.ticket_until, slot_end)
+            again.append(slot_end)
+        granted, node.ticket_until = now < node.ticket_until, -inf
+        return Admission(granted, tuple(again), ask)
+
+    def answered(self, node: NodeQueue, now: float) -> None:
+        """Its node has served one: it bears the next."""
+        node.ticket_until = -inf if self.lent else now + self._settings.fall_window
--- a/finchrack/decide.py
+++ b/finchrack/decide.py
@@ -8,10 +8,11 @@
 
 import random
 from collections import deque
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 from math import inf
 
 from finchrack import interface as api
+from finchrack.cold import ColdRoom
 from finchrack.repeats import bound_to, may_refuse, may_repeat, ran_at
 from finchrack.state import Agenda, Members, NodeQueue, Recent, Request, Volume, Window, percentile
 
@@ -34,7 +35,6 @@
 WAITS = 256  # the most that a window keeps of one class: without answers it does not end
 HALF = 0.49  # part of a request's time after which it is not held any longer if it was never sent
 REPORT = 5.0  # s between the lines for the report
-ASK_ROOM = 0.05  # of the window of the rule on cold nodes, between asks for room there
 ASK_AGAIN = 0.2  # part of ask_within between calls for the node list after one failed
 
 
@@ -59,10 +59,8 @@
         self.touched: dict[int | None, NodeQueue] = {}
         self.aim = min(cls.aim for cls in settings.classes)
         self.typical = 0.0  # median latency of the nodes heard lately
-        self.part, self.others_until = 1.0, -inf  # of this host's budgets, while another process shares them
-        self.others: Mapping[str, float] = {}
+        self.room = ColdRoom(settings, self.random)
         self.places: float = inf
-        self.lent = 0.0  # part of what cold nodes bear that is lent among all, not split
         part = FLEET_L / settings.schedulers
         self.crowded, self.start_l = part < LEAST_L, max(min(START_L, part), LEAST_L)
         self.memory = self.aim if self.crowded else MEMORY
@@ -94,7 +92,7 @@
                 case api.Shared():
                     self._shared(event)
                 case api.RoomPooled():
-                    self.lent = event.lent
+                    self.room.lent = event.lent
                 case api.RoomLent():
                     for node in self.nodes.values():
                         if node.id == event.node:
@@ -115,11 +113,9 @@
 
     def _shared(self, event: api.Shared) -> None:
         """Guard: two processes of one host, as one replaces the other, are one to limits and cold nodes."""
-        self.part = event.part
-        if event.sent:
-            self.others, self.others_until = event.sent, self.now + self.settings.fall_window
+        self.room.share(event.part, event.sent, self.now)
         for volume in self.volumes.values():
-            volume.share(self.now, self.part)
+            volume.share(self.now, self.room.part)
 
     def sent(self) -> dict[str, float]:
         """What each node was sent within the window of the rule on cold nodes, in units."""
@@ -144,7 +140,7 @@
             # Guard: this may be a restart whose former life spent the burst: the store fills from the start.
             volume = self.volumes[event.volume] = Volume(
                 event.volume, plan, (plan.reserve or plan.usual) / hosts * PERIOD, self.started, hosts)
-            volume.share(self.now, self.part)
+            volume.share(self.now, self.room.part)
         volume.asked_at = self.now
         # A client's repeat keeps the aim of its first try; its smaller budget tells how long ago that was.
         budget = self.budgets[event.cls] = max(self.budgets.get(event.cls, 0.0), event.budget)
@@ -419,7 +415,7 @@
         if event.outcome is api.Outcome.SERVED:
             node.window.served += 1
             node.failures = 0
-            node.ticket_until = -inf if self.lent else self.now + self.settings.fall_window
+            self.room.answered(node, self.now)
             if not self.stalled:
                 latency = max(event.latency, self.settings.tick)
                 node.window.latencies.setdefault(request.cls.name, []).append(latency)
@@ -549,38 +545,15 @@
             self._touch(node)
 
     def _cold(self, node: NodeQueue) -> bool:
-        return self.now < node.cold_from + self.settings.warm_after + self.settings.fall_window
+        return self.room.cold(node, self.now)
 
     def _warm_enough(self, node: NodeQueue, request: Request) -> bool:
-        """Guard: all schedulers together must not push a cold node over; it warms no slower than evenly."""
-        s, age = self.settings, self.now - self.settings.fall_window - node.cold_from
-        if not self._cold(node):
-            return True
-        growth = 1 + (1 / s.start_capacity - 1) * max(age, 0.0) / s.warm_after
-        part = s.cold_units / s.schedulers * growth * self.part * (1 - self.lent)
-        part -= self.others.get(node.id or "", 0.0) if self.now < self.others_until else 0.0
-        if part >= s.max_units:
-            if node.recent.total(self.now) + request.units <= part:
-                return True
-            self.agenda.at(node.recent.next_leaves(self.now) + s.tick, self._touch, node)
-            return False
-        if self.now < node.lent_until and request.units <= node.lent:
-            node.lent -= request.units
-            return True
-        if self.lent and self.now >= node.ask_at:
-            # Guard: split, the room lies unused with hosts that have nothing for this node.
-            node.ask_at = self.now + ASK_ROOM * s.fall_window
+        admission = self.room.admit(node, request.units, self.now)
+        if admission.ask:
             self.actions.append(api.AskRoom(node.id or "", request.units))
-            self.agenda.at(node.ask_at, self._touch, node)
-        # Guard: even parts below one request leave it idle; a lot in each window, or an answer, lets one go.
-        slot = int((self.now - node.cold_from) / s.fall_window)
-        if slot != node.slot:
-            node.slot, slot_end = slot, node.cold_from + (slot + 1) * s.fall_window
-            if self.random.random() < part / s.usual_units:
-                node.ticket_until = max(node.ticket_until, slot_end)
-            self.agenda.at(slot_end, self._touch, node)
-        valid, node.ticket_until = self.now < node.ticket_until, -inf
-        return valid
+        for when in admission.again:
+            self.agenda.at(when, self._touch, node)
+        return admission.granted
 
     def _report(self, _: None) -> None:
         lines = [node.summary() for node in self.nodes.values() if node.life]
--- a/tests/test_module_limits.py
+++ b/tests/test_module_limits.py
@@ -5,7 +5,7 @@
 
 FOLDER = Path(__file__).parent.parent / "finchrack"
 SOURCE = FOLDER / "decide.py"
-PURE = [SOURCE, FOLDER / "state.py", FOLDER / "repeats.py"]
+PURE = [SOURCE, FOLDER / "state.py", FOLDER / "repeats.py", FOLDER / "cold.py"]
 
 
 def test_lines_are_few_and_narrow() -> None:
@@ -26,6 +26,7 @@
         "itertools",
         "math",
         "finchrack",
+        "finchrack.cold",
         "finchrack.interface",
         "finchrack.repeats",
         "finchrack.state",
