Hold the module to the wire's rules on deployments drawn from seeds; name unknown settings

The repeat of a new object is bound by the choice of its node alone: bound_to, a second guard of the same, is gone.

Found while it was written: no fault of the module.

--- /dev/null
+++ b/bench/rules/mutants.py
@@ -0,0 +1,80 @@
+"""Guards of the decision module taken out one at a time, to show that the checker would miss none of them.
+
+It owns the list, and how a copy of the module without one is played. It must never touch the tree itself.
+"""
+
+from __future__ import annotations
+
+import shutil
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent.parent
+PACKAGES = ("finchrack", "bench", "cherrycove")
+
+
+@dataclass(frozen=True, slots=True)
+class Mutant:
+    name: str
+    file: str  # of finchrack
+    guard: str  # as it stands there, once
+    instead: str
+    rule: str  # that is broken without it
+    seed: int  # the first from 0 that found it, when last searched (python -m bench.rules --mutants)
+
+
+MUTANTS = (
+    Mutant("a cell is one shard's", "repeats.py",
+           "return (node.shard, node.life) == (ran.shard, ran.life)", "return True", "duplicate", 29),
+    Mutant("another life is another node", "repeats.py",
+           "return (node.shard, node.life) == (ran.shard, ran.life)",
+           "return node.shard == ran.shard", "duplicate", 255),
+    Mutant("repeats within their window", "repeats.py", "or when > ran.until", "", "duplicate", 5),
+    Mutant("repeats within their zone", "repeats.py", "return node.zone == ran.zone", "return True",
+           "duplicate", 75),
+    Mutant("refused only where harmless", "repeats.py",
+           "return ran is None or cls.effect is Effect.SAFE or (", "return True or (", "refusal", 0),
+    Mutant("no send once a node drains", "decide.py",
+           "node.id, node.lost = None, self.members.lost(node.shard)",
+           "node.lost = self.members.lost(node.shard)", "drain", 9),
+    Mutant("the limit's even part", "state.py",
+           "self.plan.limit / self.hosts * part, self.plan.burst / self.hosts * part",
+           "self.plan.limit, self.plan.burst", "limit", 11),
+    Mutant("the limit's store fills from the start", "decide.py", "* PERIOD, self.started, hosts)",
+           "* PERIOD, -1e9, hosts)", "limit", 31),
+    Mutant("room on cold nodes", "cold.py", "if not self.cold(node, now):", "if True:", "cold", 1),
+    Mutant("the key's turn", "decide.py", "request.waits_turn = len(chain) > 1",
+           "request.waits_turn = False", "order", 0),
+    Mutant("the budget of further attempts", "decide.py",
+           "self.extras.total(self.now) + 1 <= spare + ratio * self.arrived.total(self.now)", "True",
+           "budget", 10),
+    Mutant("as many attempts as may be", "decide.py",
+           "last = request.attempts >= self.settings.max_attempts", "last = False", "attempts", 5),
+    Mutant("an answer in time", "decide.py",
+           "self.agenda.at(end, self._retry, request)\n        self.agenda.at(self.now + HALF",
+           "self.agenda.at(self.now + HALF", "answer", 21),
+    Mutant("half of its time", "decide.py", "if not request.done and not request.attempts:",
+           "if False:", "half", 0),
+)
+
+
+def found_by(mutant: Mutant, seeds: range) -> str:
+    """The first of these seeds that finds a rule broken, and the rule; "none"."""
+    with tempfile.TemporaryDirectory() as folder:
+        for package in PACKAGES:
+            shutil.copytree(ROOT / package, Path(folder) / package,
+                            ignore=shutil.ignore_patterns("__pycache__"))
+        file = Path(folder) / "finchrack" / mutant.file
+        text = file.read_text(encoding="utf-8")
+        if text.count(mutant.guard) != 1:
+            raise ValueError(f"{file.name} does not hold the guard of {mutant.name!r} just once")
+        file.write_text(text.replace(mutant.guard, mutant.instead), encoding="utf-8")
+        done = subprocess.run(
+            [sys.executable, "-m", "bench.rules", "--until-broken", "--first", str(seeds.start),
+             "--seeds", str(len(seeds))], cwd=folder, capture_output=True, text=True)
+        if done.returncode not in (0, 1) or not done.stdout:
+            raise RuntimeError(done.stderr)
+        return done.stdout.strip()
--- a/cherrycove/__main__.py
+++ b/cherrycove/__main__.py
@@ -499,6 +499,7 @@
         print(f"cherrycove: {error}", file=sys.stderr)
         return 2
     events.start(operator.log.form, operator.log.level)
+    config.tell(platform)
     try:
         asyncio.run(run(platform, operator))
     except ModuleNotFoundError as error:
--- a/cherrycove/config.py
+++ b/cherrycove/config.py
@@ -17,10 +17,16 @@
 
 from cherrycove import consul, events, nbd, store
 from cherrycove.core import NodeList
+from cherrycove.events import Log
 from cherrycove.http1.parse import HEX16, ListError, read_list
+from finchrack import known as known_settings
 from finchrack import wire
 from finchrack.interface import Effect, Settings
 
+log = Log("cherrycove.config")
+
+TOP = {"admin", "discovery", "known", "limits", "listen", "name", "peer_listen", "peers", "peers_all", "seed",
+       "settings", "tier"}  # keys of the platform's file
 SERVICE = re.compile(r"[A-Za-z0-9._-]{1,128}", re.ASCII)
 
 
@@ -54,6 +60,8 @@
     known: NodeList | None
     admin: tuple[str, int] | None = None  # where operators call
     tier: Tier | None = None  # the other brokers; None: the deployment lets them not talk
+    unknown: tuple[str, ...] = ()  # names of settings that this program has never heard of
+    unmet: tuple[str, ...] = ()  # what the settings ask that it does not do, in words
 
 
 @dataclass(frozen=True, slots=True)
@@ -154,7 +162,17 @@
         listen=host_port(raw.get("listen") or env.get("RELAY_LISTEN"), "listen"), discovery=str(discovery),
         seed=seed, sockets=sockets, memory_mb=memory, settings=module, zones=places,
         dial_timeout=_seconds(settings, "dialTimeoutNs"), conn_idle=_seconds(settings, "connIdleNs"),
-        known=known, admin=host_port(admin, "admin") if admin else None, tier=tier)
+        known=known, admin=host_port(admin, "admin") if admin else None, tier=tier,
+        unknown=(*known_settings.unknown(settings), *sorted(raw.keys() - TOP)),
+        unmet=tuple(known_settings.unmet(settings)))
+
+
+def tell(platform: Platform) -> None:
+    """Name what is not understood. Guard: a rule that comes with it would be broken unseen."""
+    if platform.unknown:
+        log.warning("config.settings_unknown", settings=" ".join(platform.unknown))
+    for words in platform.unmet:
+        log.warning("config.setting_unmet", what=words)
 
 
 def _tier(raw: dict[str, Any], settings: Any, brokers: int) -> Tier | None:
--- a/finchrack/decide.py
+++ b/finchrack/decide.py
@@ -14,7 +14,7 @@
 from finchrack import interface as api
 from finchrack.cold import ColdRoom
 from finchrack.objects import Placed
-from finchrack.repeats import bound_to, may_refuse, may_repeat, ran_at
+from finchrack.repeats import may_refuse, may_repeat, ran_at
 from finchrack.state import Agenda, Members, NodeQueue, Recent, Request, Volume, Window, percentile
 
 PERIOD = 1.0  # s between joint refills of credits, and the window of statistics behind each L (design)
@@ -230,7 +230,8 @@
     def _roomiest(self, request: Request) -> NodeQueue | None:
         """For a new object: a warm, answering node with the least work for its threshold and quick answers.
         Guard: among many hosts each L is at its least and nothing out, so work alone is blind to slow nodes.
-        Also against nodes that age or stall; harmful where heavy requests alone make a node look slow."""
+        Also against nodes that age or stall; harmful where heavy requests alone make a node look slow.
+        Guard: one that may have run goes only where a repeat is dropped, though any node would take it."""
         nodes = (node for node in self.nodes.values() if node.id)
         allowed = [node for node in nodes if self._may_repeat(request, self.now, node)]
         return min(allowed, default=None, key=lambda node: (
@@ -397,8 +398,6 @@
             volume.short, volume.told = max(plan.reserve - event.use * plan.usual, 0.0) * PERIOD, self.now
         if not event.outcome.never_ran and request.ran is None:
             request.ran = ran_at(request.cls, node, life, request.sent_at)
-            if request.shard is None:
-                request.shard = bound_to(request.cls, request.ran)
         if event.outcome in (api.Outcome.TIMEOUT, api.Outcome.RESET, api.Outcome.CANCELLED):
             request.rest_until = self.now + self.settings.order_settle  # the attempt may still be running
         if request.fresh and event.outcome is api.Outcome.SERVED:
--- /dev/null
+++ b/finchrack/known.py
@@ -0,0 +1,66 @@
+"""Settings that this program reads, those it leaves aside on purpose, and those it has never heard of.
+
+It owns the names of the wire page's table. It must never read a value for a decision: that is wire.py's.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+_READ = """
+balancers classes discovery familyInfo feedback guarantees limits policies tickNs zones me
+classes[].aimNs classes[].deadlineNs classes[].gain classes[].group classes[].idempotency classes[].lateValue
+classes[].name classes[].serialByKey classes[].windowNs
+familyInfo.beyondShare familyInfo.coldBears familyInfo.countsOthers familyInfo.maxUnits familyInfo.meterNs
+familyInfo.nShards familyInfo.usualUnits familyInfo.withinShare familyInfo.writes
+feedback.names
+guarantees.askWithinNs guarantees.drainGraceNs guarantees.extraRatio guarantees.fallNs
+guarantees.graceToAnswerNs guarantees.lookBackNs guarantees.orderSettleNs guarantees.spareAttempts
+guarantees.startCapacity guarantees.warmAfterNs
+limits.cancel limits.connIdleNs limits.dialTimeoutNs limits.maxAttempts limits.maxRetryAfterNs limits.mayTell
+limits.probing limits.retryAfter limits.secondCopies
+policies[].burst policies[].capSlack policies[].ceilingRate policies[].floorRate policies[].name
+policies[].nominal policies[].parts policies[].valueFactor
+"""
+
+# Known, and of no use to any decision here; docs/design/deployments.md says of each why.
+_LEFT = """
+charges charges.connection charges.crossZone charges.discovery charges.fleet charges.handshake
+charges.lateFail charges.moves charges.origin charges.peer charges.probe charges.waste
+classes[].aimStretch classes[].stream clients clients.marksRetry feedback.how flavors guarantees.fallMultiple
+limits.cpuUsPerRequest limits.cpuUsPerS limits.mostHeld limits.streamsPerConn myZone scoringMix
+scoringMix.whole scoringMix.worstClass scoringMix.worstTenant scoringMix.worstWindow tier tiers weights
+workload
+"""
+READ, LEFT = frozenset(_READ.split()), frozenset(_LEFT.split())
+
+
+def paths(info: Any, at: str = "") -> set[str]:
+    """Every name in an object of settings, as the wire page writes it."""
+    found: set[str] = set()
+    if isinstance(info, dict):
+        for name, value in info.items():
+            path = f"{at}.{name}" if at else str(name)
+            found |= {path} | paths(value, path)
+    elif isinstance(info, list):
+        for value in info:
+            found |= paths(value, f"{at}[]")
+    return found
+
+
+def unknown(info: Any) -> list[str]:
+    """Names that no page this program was written after has; they are disregarded, but not without a word."""
+    return sorted(paths(info) - READ - LEFT)
+
+
+def unmet(info: Any) -> list[str]:
+    """What the settings ask that this program does not do, in words."""
+    found: list[str] = []
+    for cls in info.get("classes", ()):
+        if cls.get("aimStretch"):
+            found.append(f"class {cls.get('name')}: aimStretch is not added to its aim")
+        if cls.get("stream"):
+            found.append(f"class {cls.get('name')}: its deadline holds for streams too")
+    if info.get("workload", "stores") != "stores":
+        found.append(f"workload {info['workload']!r} is served as stores")
+    return found
--- a/finchrack/repeats.py
+++ b/finchrack/repeats.py
@@ -52,10 +52,3 @@
     """Whether a client that asks again does no harm: its new try may go to any node, at any time."""
     return ran is None or cls.effect is Effect.SAFE or (
         cls.effect is Effect.KEYED and cls.group is Group.ALL)
-
-
-def bound_to(cls: RequestClass, ran: Ran | None) -> int | None:
-    """The one shard that a new object may go to from now on; None: it has a choice."""
-    # Guard: for a new object any node will do, but only the one that may have taken it drops the repeat.
-    keyed = ran is not None and cls.effect is Effect.KEYED and cls.group is Group.SHARD
-    return ran.shard if ran is not None and keyed else None
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,70 @@
+"""Settings of other deployments: which are read, which are left aside, and that none is passed over."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+from typing import Any
+
+import pytest
+from support import RAW, raw
+
+from cherrycove import config
+from finchrack import known, wire
+
+
+def test_the_example_has_nothing_unknown_and_an_invented_name_is_told() -> None:
+    whole = raw()
+    assert config.read_platform(whole, {}).unknown == () == config.read_platform(whole, {}).unmet
+    whole["settings"]["guarantees"]["sparesOnly"] = 3
+    whole["settings"]["classes"][1]["stream"] = True
+    whole["settings"]["classes"][0]["prio"] = 1
+    whole["chaos"] = {}
+    found = config.read_platform(whole, {})
+    assert found.unknown == ("classes[].prio", "guarantees.sparesOnly", "chaos")
+    assert len(found.unmet) == 1 and "claim-write" in found.unmet[0]
+
+
+class Noted(dict[str, Any]):
+    """An object of settings that notes which of its names are looked up."""
+
+    def __init__(self, raw: dict[str, Any], at: str, seen: set[str]) -> None:
+        super().__init__({key: self._wrap(value, f"{at}.{key}" if at else key, seen)
+                          for key, value in raw.items()})
+        self.at, self.seen = at, seen
+
+    @classmethod
+    def _wrap(cls, value: Any, at: str, seen: set[str]) -> Any:
+        if isinstance(value, dict):
+            return cls(value, at, seen)
+        return [cls._wrap(each, f"{at}[]", seen) for each in value] if isinstance(value, list) else value
+
+    def __getitem__(self, key: str) -> Any:
+        self.seen.add(f"{self.at}.{key}" if self.at else key)
+        return super().__getitem__(key)
+
+    def get(self, key: str, default: Any = None) -> Any:
+        self.seen.add(f"{self.at}.{key}" if self.at else key)
+        return super().get(key, default)
+
+
+def test_what_is_said_to_be_read_is_read(monkeypatch: pytest.MonkeyPatch) -> None:
+    seen: set[str] = set()
+    settings = RAW["settings"] | {"me": 0}
+    settings["limits"]["mayTell"] = True
+    whole = raw() | {"settings": Noted(settings, "", seen), "peers": ["127.0.0.1:1"],
+                     "peer_listen": "127.0.0.1:1"}
+    loads = wire.json.loads
+    monkeypatch.setattr(wire.json, "loads", lambda text: Noted(loads(text), "", seen))
+    monkeypatch.setattr(config.json, "dumps", lambda value: wire.json.JSONEncoder().encode(dict(value)))
+    monkeypatch.setattr(known, "paths", lambda info: set())  # it walks over all of them
+    monkeypatch.setattr(known, "unmet", lambda info: [])
+    config.read_platform(whole, {})
+    assert seen == known.READ
+
+
+def test_the_page_on_deployments_names_every_setting() -> None:
+    """Its table says of each what reads it, or why nothing does."""
+    page = (Path(__file__).parent.parent / "docs/design/deployments.md").read_text(encoding="utf-8")
+    named = set(re.findall(r"`([A-Za-z]+(?:\[\])?(?:\.[A-Za-z]+)?)`", page))
+    assert (known.READ | known.LEFT) - named == set()
