Call off a repeat that cannot leave within its window; a rig of many processes

Need: a keyed repeat was held against its window when it was decided, but its last byte may leave up to 250 ms later, when the connection has come up. Change: Send carries the time within which its last byte must leave (finchrack/repeats.py), the core calls an attempt off that has not by then: it never ran, and the request fails as one that may have run.

--- /dev/null
+++ b/bench/many/__main__.py
@@ -0,0 +1,149 @@
+"""Plays a fault on many real brokers and prints what clients and nodes saw of it.
+
+    python -m bench.many --day herd --brokers 20 --seed 3
+    python -m bench.many --day stall --brokers 40 --json found/stall.json --plot found/stall.png
+
+It wants the cores to itself; a run that found itself late says so (``late_ms``).
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+from bench.many.rig import Rig
+
+BEFORE, AFTER, STEP = 5.0, 10.0, 0.5  # s before and behind the fault, and of a window of service
+WARM = 2.0  # s at the start that do not count
+BACK = 0.95  # of the service before, from which on it counts as back
+
+
+async def _herd(rig: Rig) -> None:
+    await rig.herd(0.7, 0.3)
+
+
+async def _all(rig: Rig) -> None:
+    await rig.herd(1.0, 0.3)
+
+
+async def _stall(rig: Rig) -> None:
+    rig.stall(0.5, going=False)
+    await asyncio.sleep(3.0)
+    rig.stall(0.5, going=True)
+
+
+async def _join(rig: Rig) -> None:
+    names = list(rig.disks)[:round(0.6 * len(rig.disks))]
+    await asyncio.gather(*(rig.replace(name, 0.3) for name in names))
+
+
+async def _refused(rig: Rig) -> None:
+    """As herd, with a discovery that refuses every call meanwhile."""
+    rig.discovery.most = 0
+    await rig.herd(0.7, 0.3)
+    rig.discovery.most = float("inf")
+
+
+DAYS = {"herd": _herd, "all": _all, "stall": _stall, "join": _join, "refused": _refused}
+
+
+def peaks(times: list[float], begin: float, fault: float, end: float) -> tuple[float, int]:
+    """Events in a second: the mean before the fault, and the most from it on."""
+    before = sum(begin <= at < fault for at in times) / (fault - begin)
+    after = Counter(int((at - fault) / 1.0) for at in times if fault <= at < end)
+    return before, max(after.values(), default=0)
+
+
+async def play(day: str, brokers: int, nodes: int, seed: int, rate: float) -> dict[str, Any]:
+    loop = asyncio.get_running_loop()
+    async with Rig(brokers, nodes, seed, rate) as rig:
+        late = 0.0
+
+        async def watch() -> None:
+            nonlocal late
+            while True:
+                due = loop.time() + 0.02
+                await asyncio.sleep(0.02)
+                late = max(late, loop.time() - due)
+        watching = asyncio.create_task(watch())
+        start = loop.time()
+        running = asyncio.create_task(rig.clients.run(WARM + BEFORE + AFTER))
+        await asyncio.sleep(WARM + BEFORE)
+        fault = loop.time()
+        await DAYS[day](rig)
+        over = loop.time()
+        await running
+        watching.cancel()
+        begin, end = start + WARM, start + WARM + BEFORE + AFTER
+        before = rig.clients.service(begin, fault)
+        windows = [(at, rig.clients.service(at, at + STEP))
+                   for at in (fault + STEP * n for n in range(int((end - fault) / STEP)))]
+        bad = [at for at, service in windows if service < BACK * before]
+        sent = [each.at for disk in rig.disks.values() for each in disk.book]
+        shook = [at for broker in rig.brokers for link in broker.nodes.values() for at in link.at]
+        ran = Counter(each.id for disk in rig.disks.values() for each in disk.book if each.ran and each.write)
+        return {
+            "day": day, "brokers": brokers, "nodes": nodes, "seed": seed, "rate": rate,
+            "asked": len(rig.clients.book), "before": round(before, 4),
+            "fault_s": round(over - fault, 3),
+            "ready_s": round(max(0.0, *(broker.ready_at[-1] - fault for broker in rig.brokers)), 3),
+            "back_s": round(max(bad) + STEP - fault, 3) if bad else 0.0,
+            "service": [round(service, 3) for _, service in windows],
+            "handshakes": peaks(shook, begin, fault, end), "attempts": peaks(sent, begin, fault, end),
+            "calls": peaks([at for at, _, _ in rig.discovery.calls], begin, fault, end),
+            "statuses": {str(status): count for status, count in rig.clients.statuses.items()},
+            "writes_twice": sum(count > 1 for count in ran.values()),
+            "late_ms": round(late * 1000, 1)}
+
+
+def draw(found: list[dict[str, Any]], path: Path) -> None:
+    import matplotlib
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+    figure, axes = pyplot.subplots(figsize=(7, 4))
+    for each in found:
+        axes.plot([STEP * n for n in range(len(each["service"]))], each["service"],
+                  label=f"{each['day']}, {each['brokers']} brokers, seed {each['seed']}")
+    axes.set_xlabel("s from the fault")
+    axes.set_ylabel("served within the aim")
+    axes.legend(fontsize=6)
+    path.parent.mkdir(parents=True, exist_ok=True)
+    figure.savefig(path, dpi=120)
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__,
+                                     formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--day", choices=sorted(DAYS), action="append")
+    parser.add_argument("--brokers", type=int, default=20)
+    parser.add_argument("--nodes", type=int, default=12)
+    parser.add_argument("--rate", type=float, default=400.0, help="requests a second in all")
+    parser.add_argument("--seed", type=int, action="append")
+    parser.add_argument("--json", type=Path)
+    parser.add_argument("--plot", type=Path)
+    asked = parser.parse_args()
+    found = []
+    for day in asked.day or sorted(DAYS):
+        for seed in asked.seed or [1]:
+            each = asyncio.run(play(day, asked.brokers, asked.nodes, seed, asked.rate))
+            found.append(each)
+            print(f"{day:8s} seed {seed}: {each['before']:.3f} before, fault {each['fault_s']:.1f} s, "
+                  f"last ready {each['ready_s']:.1f} s, back {each['back_s']:.1f} s; "
+                  f"writes twice {each['writes_twice']}; late {each['late_ms']} ms; a second, before and "
+                  "at most after: " + ", ".join(
+                      f"{name} {each[name][0]:.1f} {each[name][1]}"
+                      for name in ("handshakes", "attempts", "calls")))
+            print("         " + " ".join(f"{service:.2f}" for service in each["service"]))
+    if asked.json:
+        asked.json.parent.mkdir(parents=True, exist_ok=True)
+        asked.json.write_text(json.dumps(found, indent=1) + "\n")
+    if asked.plot:
+        draw(found, asked.plot)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/many/stands.py
@@ -0,0 +1,303 @@
+"""Stand-ins for the parties round the brokers: disk nodes, discovery and clients, by the platform's protocol.
+
+It owns their books, from which alone a run is judged. It must never take a broker's word for anything.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import random
+from collections import Counter, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from math import inf
+from typing import Any
+
+Writer = asyncio.StreamWriter
+Headers = dict[str, str]
+
+
+async def head(reader: asyncio.StreamReader) -> tuple[str, Headers]:
+    """A message's first line and its headers; EOFError where the other side has ended."""
+    lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+    return lines[0], {k.lower(): v for k, _, v in (line.partition(": ") for line in lines[1:] if line)}
+
+
+@dataclass(slots=True)
+class Sent:
+    """One request as it reached a node."""
+
+    at: float
+    node: str
+    life: int
+    broker: str
+    id: str
+    key: str
+    write: bool
+    ran: bool
+
+
+class DiskNode:
+    """A node with so many cores, a queue and a cold start; every request that reaches it is in its book."""
+
+    def __init__(self, name: str, shard: int, dice: random.Random, work: float, cores: int = 2,
+                 places: int = 64, cold: float = 0.2, warm_after: float = 8.0) -> None:
+        self.name, self.shard, self.cores, self.places = name, shard, cores, places
+        self.work, self.cold, self.warm_after = work, cold, warm_after
+        self.life, self.started = 0, -inf  # of its last start, on the loop's clock
+        self.book: list[Sent] = []
+        self.port = 0
+        self._dice = dice
+        self._busy = 0
+        self._queue: deque[asyncio.Future[None]] = deque()
+        self._server: asyncio.Server | None = None
+        self._writers: set[Writer] = set()
+
+    async def start(self) -> DiskNode:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self
+
+    def stop(self) -> None:
+        """The process dies: connections break, new ones are refused."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+        for waiter in self._queue:
+            waiter.cancel()
+        self._queue.clear()
+
+    async def come_back(self) -> None:
+        """It starts anew, cold."""
+        self.life += 1
+        self._busy = 0
+        self.started = asyncio.get_running_loop().time()
+        await self.start()
+
+    def speed(self) -> float:
+        age = asyncio.get_running_loop().time() - self.started
+        return min(self.cold + (1 - self.cold) * age / self.warm_after, 1.0)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: Writer) -> None:
+        self._writers.add(writer)
+        loop, life = asyncio.get_running_loop(), self.life
+        try:
+            while True:
+                first, headers = await head(reader)
+                await reader.readexactly(int(headers.get("content-length", 0)))
+                id, broker = headers.get("x-request-id", ""), str(writer.get_extra_info("peername")[1])
+                full = len(self._queue) >= self.places
+                self.book.append(Sent(loop.time(), self.name, life, broker, id,
+                                      headers.get("idempotency-key", ""), first.startswith("PUT"), not full))
+                if full:
+                    writer.write(b"HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+                    continue
+                await self._run(life)
+                data = f"data of {id}".encode()
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(data) + data)
+                await writer.drain()
+        except (EOFError, OSError, asyncio.CancelledError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _run(self, life: int) -> None:
+        """Wait for a core, then use it. What runs as the node dies is over with it."""
+        if self._busy >= self.cores:
+            waiter = asyncio.get_running_loop().create_future()
+            self._queue.append(waiter)
+            await waiter  # the core is handed over
+        else:
+            self._busy += 1
+        try:
+            await asyncio.sleep(self._dice.uniform(0.5, 1.5) * self.work / self.speed())
+        finally:
+            if life == self.life:
+                if self._queue:
+                    self._queue.popleft().set_result(None)
+                else:
+                    self._busy -= 1
+
+
+class Discovery:
+    """Tells each broker the list with its own links' addresses; admits so many calls a second."""
+
+    def __init__(self, calls_a_second: float = inf) -> None:
+        self.most = calls_a_second
+        self.silent = False
+        self.slow = 0.0  # s that each answer takes
+        self.calls: list[tuple[float, str, int]] = []  # time, broker, status
+        self.index = 1
+        self._entries: dict[str, dict[str, Any]] = {}
+        self._told: dict[str, int] = {}  # the version in which each entry last changed
+        self._news = asyncio.Event()
+        self._recent: deque[float] = deque()
+        self.address: Callable[[str, str], str] = lambda broker, node: ""
+        self._servers: list[asyncio.Server] = []
+
+    def tell(self, name: str, shard: int, status: str, since_ms: float = 0.0) -> None:
+        self.index += 1
+        self._entries[name] = {"name": name, "group": shard, "status": status, "zone": "a", "type": "m",
+                               "weight": 1.0, "since_ms": since_ms}
+        self._told[name] = self.index
+        self._news.set()
+        self._news = asyncio.Event()
+
+    def list(self, broker: str, since: int = 0) -> dict[str, Any]:
+        """What a broker is told that knows the list as it was at ``since``; 0: the whole of it."""
+        entries = [entry | {"address": self.address(broker, name)} for name, entry in self._entries.items()
+                   if self._told[name] > since and (since or entry["status"] != "removed")]
+        return {"index": self.index, "snapshot": not since, "endpoints": entries}
+
+    async def listen(self, broker: str) -> int:
+        """An address for this broker alone; its port."""
+        async def serve(reader: asyncio.StreamReader, writer: Writer) -> None:
+            with contextlib.suppress(EOFError, OSError, asyncio.CancelledError):
+                while True:
+                    first, _ = await head(reader)
+                    await self._answer(broker, first.split(" ")[1], writer)
+            writer.close()
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self._servers.append(server)
+        port: int = server.sockets[0].getsockname()[1]
+        return port
+
+    async def _answer(self, broker: str, target: str, writer: Writer) -> None:
+        loop = asyncio.get_running_loop()
+        while self._recent and self._recent[0] < loop.time() - 1.0:
+            self._recent.popleft()
+        status = 503 if len(self._recent) >= self.most else 200
+        self.calls.append((loop.time(), broker, status))
+        self._recent.append(loop.time())
+        if self.silent:
+            await asyncio.Event().wait()
+        await asyncio.sleep(self.slow)
+        asked = dict(part.partition("=")[::2] for part in target.partition("?")[2].split("&"))
+        since = int(asked.get("since") or 0)
+        if status == 200 and since >= self.index:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(int(asked.get("timeout_ms") or 0) / 1000):
+                    await self._news.wait()
+        body = json.dumps(self.list(broker, since)).encode() if status == 200 else b""
+        writer.write(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (status, len(body)) + body)
+        await writer.drain()
+
+    def close(self) -> None:
+        for server in self._servers:
+            server.close()
+
+
+@dataclass(slots=True)
+class Asked:
+    """One client's request with all its tries, as the client saw it."""
+
+    at: float
+    cls: str
+    broker: int
+    shard: int
+    tries: int = 0
+    status: int = 0  # of the last answer; 0: none
+    took: float = inf
+
+
+@dataclass(slots=True, eq=False)
+class Clients:
+    """Open-loop clients: requests come at their times, whatever the brokers do. Each broker has its own
+    connections; a refused one comes again as ``retries`` and ``backoff`` say."""
+
+    settings: dict[str, Any]
+    ports: list[int]  # of the brokers, in order; a link's, where one stands between
+    dice: random.Random
+    rate: float  # requests a second in all
+    shards: int
+    retries: int = 1
+    backoff: float = 0.1
+    book: list[Asked] = field(default_factory=list)
+    statuses: Counter[int] = field(default_factory=Counter)
+    _idle: dict[int, list[tuple[asyncio.StreamReader, Writer]]] = field(default_factory=dict)
+    _tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    _serial: int = 0
+
+    async def run(self, seconds: float) -> None:
+        loop = asyncio.get_running_loop()
+        due, until = loop.time(), loop.time() + seconds
+        while due < until:
+            due += self.dice.expovariate(self.rate)
+            await asyncio.sleep(max(due - loop.time(), 0.0))
+            self._ask()
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=10.0)
+
+    def _ask(self) -> None:
+        cls = self.dice.choices(self.settings["classes"], [0.6, 0.3, 0.1][:len(self.settings["classes"])])[0]
+        asked = Asked(asyncio.get_running_loop().time(), cls["name"], self.dice.randrange(len(self.ports)),
+                      self.dice.randrange(self.shards))
+        self.book.append(asked)
+        task = asyncio.create_task(self._see_through(asked, cls))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _see_through(self, asked: Asked, cls: dict[str, Any]) -> None:
+        loop, deadline = asyncio.get_running_loop(), asked.at + cls["deadlineNs"] * 1e-9
+        while asked.tries <= self.retries and loop.time() < deadline:
+            asked.tries += 1
+            after = await self._try(asked, cls, deadline)
+            if asked.status == 200:
+                asked.took = loop.time() - asked.at
+                return
+            safe = cls["idempotency"] == "pure"
+            if asked.status not in (0, 429, 503) and not safe:
+                return
+            await asyncio.sleep(max(after, self.backoff))
+
+    async def _try(self, asked: Asked, cls: dict[str, Any], deadline: float) -> float:
+        """One try; what the broker advised (s), and ``status``: 0 where no answer came."""
+        loop, asked.status = asyncio.get_running_loop(), 0
+        self._serial += 1
+        body = b"b" * 200 if cls["idempotency"] != "pure" else b""
+        fields = {"Host": "service.internal", "X-Request-Id": f"{self._serial:016x}", "X-Class": cls["name"],
+                  "Tier": self.settings["policies"][0]["name"], "Cookie": f"object={asked.shard:016x}",
+                  "X-Deadline-Ms": str(max(int((deadline - loop.time()) * 1000), 1)),
+                  "IO-Info": f"volume={asked.shard:016x},units=1,shard={asked.shard},hosts={len(self.ports)}"}
+        if cls["idempotency"] == "token":
+            fields["Idempotency-Key"] = f"k{id(asked):x}"
+        if body:
+            fields["Content-Length"] = str(len(body))
+        lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+        text = f"{'PUT' if body else 'GET'} /{cls['name']}/x HTTP/1.1\r\n{lines}\r\n".encode() + body
+        writer: Writer | None = None
+        try:
+            async with asyncio.timeout_at(deadline):
+                idle = self._idle.setdefault(asked.broker, [])
+                reader, writer = idle.pop() if idle else await asyncio.open_connection(
+                    "127.0.0.1", self.ports[asked.broker])
+                writer.write(text)
+                first, headers = await head(reader)
+                await reader.readexactly(int(headers.get("content-length", 0)))
+            asked.status = int(first.split(" ")[1])
+            self.statuses[asked.status] += 1
+            if headers.get("connection", "").lower() != "close":
+                self._idle[asked.broker].append((reader, writer))
+                writer = None
+            return float(headers.get("retry-after", 0.0))
+        except (OSError, EOFError, ValueError, TimeoutError):
+            self.statuses[0] += 1
+            return 0.0
+        finally:
+            if writer is not None:
+                writer.close()
+
+    def service(self, first: float, last: float) -> float:
+        """Part of the requests that came within these times and were served within their aim."""
+        aims = {cls["name"]: cls["aimNs"] * 1e-9 for cls in self.settings["classes"]}
+        came = [asked for asked in self.book if first <= asked.at < last]
+        return sum(asked.took <= aims[asked.cls] for asked in came) / len(came) if came else 0.0
+
+    def close(self) -> None:
+        for idle in self._idle.values():
+            for _, writer in idle:
+                writer.close()
--- a/bench/rules/checker.py
+++ b/bench/rules/checker.py
@@ -127,8 +127,8 @@
         """Hold an action against the rules; for a send the node that it goes to."""
         s = self.settings
         match action:
-            case api.Send(request, name):
-                return self._sent(host, now, request, name)
+            case api.Send(request, name, _, _, within):
+                return self._sent(host, now, request, name, inf if within is None else within)
             case api.Refuse(request):
                 taken = self._taken.get((host, request))
                 if taken is None:
@@ -167,7 +167,7 @@
             return True
         return taken.cls.effect is api.Effect.KEYED and taken.cls.group is api.Group.ALL
 
-    def _sent(self, host: int, now: float, request: int, name: str) -> api.Node | None:
+    def _sent(self, host: int, now: float, request: int, name: str, within: float) -> api.Node | None:
         node, taken = self._known[host].get(name), self._taken.get((host, request))
         if node is None or taken is None:
             self._break("own", now, f"sent {request} to {name}: one of them it was never told of")
@@ -181,7 +181,7 @@
             self._break("attempts", now, f"attempt {len(taken.tries) + 1} of request {request}")
         if taken.out and not self.settings.second_copies:
             self._break("duplicate", now, f"two attempts of request {request} are out")
-        self._effects(taken, now, node)
+        self._effects(taken, now, node, within)
         self._turn(host, taken, now)
         if taken.tries:
             self._budget(host, now)
@@ -191,7 +191,7 @@
         taken.tries.append(Try(node, now))
         return node
 
-    def _effects(self, taken: Taken, now: float, node: api.Node) -> None:
+    def _effects(self, taken: Taken, now: float, node: api.Node, within: float) -> None:
         cls, ran = taken.cls, [each for each in taken.tries if each.may_have_run]
         if not ran or cls.effect is api.Effect.SAFE:
             return
@@ -199,6 +199,8 @@
         words = f"{cls.effect.value}/{cls.group.value} request {taken.event.request} sent again"
         if cls.effect is api.Effect.UNSAFE:
             return self._break("duplicate", now, words)
+        if now + within > first.sent + cls.repeat_window + ROUNDING:
+            self._break("duplicate", now, f"{words}, and may leave later than its window lasts")
         if now > first.sent + cls.repeat_window + ROUNDING:
             late = now - first.sent - cls.repeat_window
             self._break("duplicate", now, f"{words} {late:.4f} s behind its window")
--- a/cherrycove/core.py
+++ b/cherrycove/core.py
@@ -167,6 +167,7 @@
     why: api.Reason | None = None
     took: float = 0.0  # s, once it has ended
     ending: Ending | None = None
+    write_by: float = inf  # by then the last byte has left, or the attempt is called off
 
     def wrote(self) -> None:
         """Called by the backend once the last byte may have left."""
@@ -567,8 +568,8 @@
 
     async def _carry_out(self, attempt: Attempt, backend: Backend) -> Reply:
         try:
-            expires = attempt.expires if attempt.expires < inf else None
-            async with asyncio.timeout_at(expires) as attempt.scope:
+            until = min(attempt.expires, attempt.write_by)
+            async with asyncio.timeout_at(until if until < inf else None) as attempt.scope:
                 with bound(attempt=attempt.number + 1, node=attempt.node):
                     return await backend.attempt(attempt)
         except TimeoutError:
@@ -588,8 +589,8 @@
 
     def _act(self, action: api.Action) -> None:
         match action:
-            case api.Send(request, node, timeout, why):
-                self._send(request, node, timeout, why)
+            case api.Send(request, node, timeout, why, within):
+                self._send(request, node, timeout, why, inf if within is None else within)
             case api.Refuse(request, retry_after, why):
                 self._decided(request, Verdict.REFUSED, why, retry_after)
             case api.Fail(request, why):
@@ -612,7 +613,8 @@
                 # No deployment of ours lets the module probe: settings say so, and it asks for none.
                 self._push(api.ProbeEnded(node, api.Outcome.MOOT, 0.0))
 
-    def _send(self, request: int, node: str, timeout: float | None, why: api.Reason | None = None) -> None:
+    def _send(self, request: int, node: str, timeout: float | None, why: api.Reason | None = None,
+              within: float = inf) -> None:
         ticket, now = self._tickets.get(request), self._loop.time()
         member = self._members.get(node)  # none: it has gone, and no longer has an address
         number = ticket.attempts if ticket else 0
@@ -622,7 +624,7 @@
         wait = min(expires - now, ticket.wait if ticket else 0.0)
         life = f"{node}@{member.since_ms if member else 0}"
         attempt = Attempt(request, number, node, member.address if member else "", expires, now, wait, life,
-                          on_written=self._written, why=why)
+                          on_written=self._written, why=why, write_by=now + within)
         if ticket is not None:
             ticket.attempts += 1
             if self.recorder is not None:
@@ -639,6 +641,8 @@
     def _written(self, attempt: Attempt) -> None:
         self._tries += 1
         ticket, now = self._tickets.get(attempt.request), self._loop.time()
+        if attempt.write_by < inf and attempt.scope is not None and not attempt.scope.expired():
+            attempt.scope.reschedule(attempt.expires)
         if ticket is None or ticket.over or not ticket.request.upload:
             return
         ticket.request.upload, ticket.request.deadline = False, now + ticket.wait
--- a/finchrack/decide.py
+++ b/finchrack/decide.py
@@ -14,7 +14,7 @@
 from finchrack import interface as api
 from finchrack.cold import ColdRoom
 from finchrack.objects import Placed
-from finchrack.repeats import may_refuse, may_repeat, ran_at
+from finchrack.repeats import may_refuse, may_repeat, ran_at, write_within
 from finchrack.state import Agenda, Members, NodeQueue, Recent, Request, Volume, Window, percentile
 
 PERIOD = 1.0  # s between joint refills of credits, and the window of statistics behind each L (design)
@@ -359,7 +359,8 @@
         waits = node.window.waits.setdefault(request.cls.name, deque(maxlen=WAITS))
         waits.append(self.now - request.queued_at)
         node.count_sent(self.now, request.units, not request.upload)
-        self.actions.append(api.Send(request.id, node.id or "", why=why))
+        within = write_within(request.cls, request.ran, self.now)
+        self.actions.append(api.Send(request.id, node.id or "", why=why, within=within))
 
     def _await_answer(self, node: NodeQueue, request: Request, number: int) -> None:
         patience = max(PATIENCE * request.cls.aim, FAR_SLOWER * node.service)
--- a/finchrack/repeats.py
+++ b/finchrack/repeats.py
@@ -48,6 +48,12 @@
     return (node.shard, node.life) == (ran.shard, ran.life)
 
 
+def write_within(cls: RequestClass, ran: Ran | None, now: float) -> float | None:
+    """The time that a repeat has to leave this machine whole, if there is a bound."""
+    # Guard: a connection may take a quarter of a second to come up, and the window may end meanwhile.
+    return None if ran is None or cls.effect is not Effect.KEYED else ran.until - now
+
+
 def may_refuse(cls: RequestClass, ran: Ran | None) -> bool:
     """Whether a client that asks again does no harm: its new try may go to any node, at any time."""
     return ran is None or cls.effect is Effect.SAFE or (
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import replace
 
 import pytest
@@ -9,7 +10,7 @@
 from support import Node, World, message, raw, run
 
 from cherrycove import config
-from cherrycove.core import Core
+from cherrycove.core import Attempt, Core, Ending, Member, NodeList, Reply, Request, Verdict
 from finchrack.interface import (
     AttemptEnded,
     Effect,
@@ -102,9 +103,58 @@
         assert isinstance(made.answers[request], Fail)
 
 
-def keyed_platform() -> config.Platform:
+def test_a_repeat_that_cannot_leave_within_its_window_is_called_off_unsent() -> None:
+    """A connection to the node may take a quarter of a second to come up."""
+    async def story() -> None:
+        class Slow:
+            def __init__(self) -> None:
+                self.made: list[Attempt] = []
+
+            async def attempt(self, attempt: Attempt) -> Reply:
+                self.made.append(attempt)
+                if len(self.made) == 1:
+                    attempt.wrote()
+                    return Reply(Ending.NODE_ERROR)
+                await asyncio.Event().wait()  # its connection never comes up
+                raise AssertionError
+        platform = keyed_platform(window_s=1.0)
+        core = Core(platform.settings, 1)
+        core.update(NodeList(1, True, (Member("d0", "127.0.0.1:1", 0),)))
+        backend, loop = Slow(), asyncio.get_running_loop()
+        began = loop.time()
+        asked = Request(1, 0, "v", 2.0, 0, 1, began + 100.0)
+        answer = await core.serve(asked, backend)
+        assert answer.verdict is Verdict.FAILED and answer.cause is Ending.EXPIRED
+        assert len(backend.made) == 2 and loop.time() < began + 20.0  # not at the end of its client's time
+        assert backend.made[1].write_by <= began + 1.5
+    run(story())
+
+
+def test_a_repeat_that_has_left_may_be_answered_behind_its_window() -> None:
+    async def story() -> None:
+        node = await Node("500").start()
+        async with World(node, platform=keyed_platform(window_s=30.0)) as world:
+            told: list[float] = []
+            wrote = Attempt.wrote
+
+            def watched(attempt: Attempt) -> None:
+                wrote(attempt)
+                assert attempt.scope is not None
+                told.append((attempt.scope.when() or 0.0) - attempt.expires)
+            Attempt.wrote = watched  # type: ignore[method-assign]
+            try:
+                ask = {"cls": "claim-write", "method": "PUT", "body": b"b", "Idempotency_Key": "k"}
+                assert (await world.ask(**ask))[0] == 200
+            finally:
+                Attempt.wrote = wrote  # type: ignore[method-assign]
+            assert len(told) == 2 and told[1] == pytest.approx(0.0, abs=1e-6)
+    run(story())
+
+
+def keyed_platform(window_s: float = 100.0) -> config.Platform:
     whole = raw()
-    whole["settings"]["classes"][1] |= {"idempotency": "token", "group": "cell", "windowNs": 10**11}
+    whole["settings"]["classes"][1] |= {"idempotency": "token", "group": "cell",
+                                        "windowNs": int(window_s * 1e9)}
     return config.read_platform(whole, {})
 
 
