Give a volume's limit, spare room and clients' places to what is worth most by class

Change: within a volume, the limit's units and a node's spare room go to the class that is worth most, then to who came first; where clients' places run out, what is worth least gives way. Among volumes nothing changes.

--- a/finchrack/decide.py
+++ b/finchrack/decide.py
@@ -201,10 +201,11 @@
 
     def _shed_over_limit(self, volume: Volume) -> None:
         """Guard: what the limit would let through only when past hope is refused at once, not held till then.
-        Also against a surge far over the limit; harmful if units reserved before it then go unused."""
+        Also against a surge far over the limit; harmful if units reserved before it then go unused.
+        The limit's units go to what is worth most: refused here, it earns nothing."""
         need = volume.pending - volume.level(self.now)
         held = [request for lane in volume.lanes.values() for request in lane]
-        for request in sorted(held, key=lambda r: r.due - r.cls.aim):
+        for request in sorted(held, key=lambda r: (-r.cls.worth, r.due - r.cls.aim)):
             wait = (need + request.units) / volume.limit
             if self._past_hope(request, wait):
                 self._give_up(request, api.Code.OVER_LIMIT, wait)
@@ -268,11 +269,11 @@
 
     def _make_places(self) -> None:
         """Guard: each request holds a place of its client's; once what waits for credit holds all, nobody can
-        ask for what the reserves owe. The ones due first give way: they have the least hope."""
+        ask for what the reserves owe. The least worth give way, of these the ones due first."""
         excess = len(self.requests) - self.places
         if excess > 0:
             held = [r for volume in self.volumes.values() for lane in volume.lanes.values() for r in lane]
-            for request in sorted(held, key=lambda r: r.due)[:int(excess)]:
+            for request in sorted(held, key=lambda r: (r.cls.worth, r.due))[:int(excess)]:
                 self._give_up(request, api.Code.PLACES)
 
     def _halfway(self, request: Request) -> None:
@@ -318,7 +319,7 @@
                 if self.crowded and over and busy:
                     continue
                 spent, latest = 0.0, self.now + self._expected(node)
-                for request in list(lane):
+                for request in sorted(lane, key=lambda r: -r.cls.worth):  # first in, first out of one worth
                     room = node.out + node.waiting < node.threshold
                     if spent >= volume.full or not room or not self._within_limit(volume, request):
                         break
