--- a/bench/rules/draw.py
+++ b/bench/rules/draw.py
@@ -44,14 +44,14 @@
 
 
 def _class(dice: random.Random, number: int, ordered: bool) -> api.RequestClass:
-    effect = dice.choice(list(api.Effect))
+    effect = dice.choice([*api.Effect, api.Effect.KEYED])  # the kind with most ways to go wrong
     aim = dice.uniform(0.05, 0.8)
     return api.RequestClass(
         name=f"c{number}", aim=aim, deadline=aim * dice.uniform(1.2, 8.0), effect=effect,
         worth=dice.choice((0.0, 1.0, 3.0)), late_worth=dice.choice((0.0, 0.1, 0.5)),
         group=dice.choice(list(api.Group)),
         # Guard: a window may be shorter than the aim, or than the pause between attempts.
-        repeat_window=dice.choice((0.0, dice.uniform(0.0, aim), dice.uniform(0.5, 5.0))),
+        repeat_window=dice.choice((dice.uniform(0.0, aim), dice.uniform(0.5, 5.0), dice.uniform(0.5, 5.0))),
         ordered=ordered and dice.random() < 0.5, writes=dice.random() < 0.5)
 
 
--- a/bench/rules/play.py
+++ b/bench/rules/play.py
@@ -17,7 +17,7 @@
 from finchrack.decide import Scheduler
 
 HOP = 0.0005  # s to a node and back
-DOWN = (0.1, 1.0)  # s that a dead node or host is away
+DOWN = (0.02, 0.5)  # s that a dead node or host is away
 KINDS = (api.Outcome.SERVED, api.Outcome.ERROR, api.Outcome.FULL, api.Outcome.CONNECT_FAILED,
          api.Outcome.RESET, None)  # None: silence
 AT_ONCE = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED)
@@ -155,7 +155,8 @@
             request, number, name, outcome, closed, self.clock.now - sent,
             day.dice.uniform(0.0, 2.0) if s.meter_period and day.dice.random() < 0.5 else None,
             units * day.dice.random() if s.tells_elsewhere else 0.0,
-            {each: day.dice.uniform(0.0, 1.0) for each in s.load_names})
+            # Some answers lack the report that the settings promise.
+            {each: day.dice.uniform(0.0, 1.0) for each in s.load_names} if request % 5 else {})
         day.checker.ended(self.number, self.clock.now, event)
         if outcome is api.Outcome.SERVED:
             self.open.pop(request, None)
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -4,10 +4,13 @@
 
 import asyncio
 from dataclasses import replace
+from pathlib import Path
+from typing import Any
 
 import pytest
 from helpers import READ, Rig
-from support import Node, World, message, raw, run
+from support import Node, World, answer, message, raw, run
+from test_handover import Process, settings
 
 from cherrycove import config
 from cherrycove.core import Attempt, Core, Ending, Member, NodeList, Reply, Request, Verdict
@@ -35,7 +38,7 @@
     return made
 
 
-@pytest.mark.parametrize("outcome", [Outcome.ERROR, Outcome.RESET])
+@pytest.mark.parametrize("outcome", [Outcome.ERROR, Outcome.RESET, Outcome.TIMEOUT])
 def test_a_new_object_that_may_have_run_goes_again_to_the_same_node_alone(outcome: Outcome) -> None:
     made = rig(KEYED)
     for _ in range(8):
@@ -152,10 +155,14 @@
 
 
 def keyed_platform(window_s: float = 100.0) -> config.Platform:
-    whole = raw()
-    whole["settings"]["classes"][1] |= {"idempotency": "token", "group": "cell",
-                                        "windowNs": int(window_s * 1e9)}
-    return config.read_platform(whole, {})
+    return config.read_platform(raw() | {"settings": keyed_settings(window_s)}, {})
+
+
+def keyed_settings(window_s: float) -> dict[str, Any]:
+    """The example's, with writes of which the node that took them drops repeats."""
+    whole: dict[str, Any] = raw()["settings"]
+    whole["classes"][1] |= {"idempotency": "token", "group": "cell", "windowNs": int(window_s * 1e9)}
+    return whole
 
 
 def test_its_key_passes_on_unchanged_with_each_attempt() -> None:
@@ -171,6 +178,40 @@
     run(story())
 
 
+def test_a_clients_own_repeat_passes_with_the_key_of_its_first_try() -> None:
+    """Its id is new; to the node it is the key that tells a repeat."""
+    async def story() -> None:
+        node = await Node("503 X-Not-Run: 1", "503 X-Not-Run: 1", "503 X-Not-Run: 1").start()
+        async with World(node, platform=keyed_platform()) as world:
+            ask = {"cls": "claim-write", "method": "PUT", "body": b"b", "Idempotency_Key": "k-1"}
+            assert (await world.ask(**ask, id="w1"))[0] == 503  # three attempts, all turned away
+            assert (await world.ask(**ask, id="w2", X_Retry="1"))[0] == 200
+            assert {seen["idempotency-key"] for seen in node.seen} == {"k-1"}
+            assert [seen["x-request-id"] for seen in node.seen] == ["w1", "w1", "w1", "w2"]
+    run(story())
+
+
+def test_a_process_passes_on_unchanged_whatever_the_page_says_passes(tmp_path: Path) -> None:
+    async def story() -> None:
+        node = await Node().start()
+        whole = settings(node)
+        whole["settings"] = keyed_settings(100.0)
+        async with Process(whole, tmp_path) as process:
+            reader, writer = await asyncio.open_connection("127.0.0.1", process.port)
+            body = bytes(range(256)) * 8
+            writer.write(message("claim-write", "PUT", body=body, id="Ab~1", path="//../%2e?a=%41&&b+c%20",
+                                 Idempotency_Key="Q w/\"e\";7"))
+            status, _, data = await answer(reader)
+            writer.close()
+            assert (status, data) == (200, b"data of Ab~1")
+            seen, = node.seen
+            assert (seen["method"], seen["target"], seen["body"]) == (
+                "PUT", "/claim-write//../%2e?a=%41&&b+c%20", body)
+            assert (seen["x-request-id"], seen["idempotency-key"]) == ("Ab~1", "Q w/\"e\";7")
+            await process.end()
+    run(story())
+
+
 @pytest.mark.parametrize("lines", [b"", b"Idempotency-Key: a\r\nIdempotency-Key: b\r\n",
                                    b"Idempotency-Key: \r\n", b"Idempotency-Key: \xc3\xa9\r\n",
                                    b"Idempotency-Key: " + b"k" * 257 + b"\r\n"])
