--- a/bench/many/__main__.py
+++ b/bench/many/__main__.py
@@ -17,7 +17,7 @@
 
 from bench.many.rig import Rig
 
-BEFORE, AFTER, STEP = 5.0, 10.0, 0.5  # s before and behind the fault, and of a window of service
+BEFORE, AFTER, STEP = 6.0, 16.0, 0.5  # s before and behind the fault, and of a window of service
 WARM = 2.0  # s at the start that do not count
 BACK = 0.95  # of the service before, from which on it counts as back
 
@@ -58,9 +58,9 @@
     return before, max(after.values(), default=0)
 
 
-async def play(day: str, brokers: int, nodes: int, seed: int, rate: float) -> dict[str, Any]:
+async def play(day: str, brokers: int, nodes: int, seed: int, load: float, stretch: float) -> dict[str, Any]:
     loop = asyncio.get_running_loop()
-    async with Rig(brokers, nodes, seed, rate) as rig:
+    async with Rig(brokers, nodes, seed, load, stretch) as rig:
         late = 0.0
 
         async def watch() -> None:
@@ -87,7 +87,7 @@
         shook = [at for broker in rig.brokers for link in broker.nodes.values() for at in link.at]
         ran = Counter(each.id for disk in rig.disks.values() for each in disk.book if each.ran and each.write)
         return {
-            "day": day, "brokers": brokers, "nodes": nodes, "seed": seed, "rate": rate,
+            "day": day, "brokers": brokers, "nodes": nodes, "seed": seed, "load": load, "stretch": stretch,
             "asked": len(rig.clients.book), "before": round(before, 4),
             "fault_s": round(over - fault, 3),
             "ready_s": round(max(0.0, *(broker.ready_at[-1] - fault for broker in rig.brokers)), 3),
@@ -95,6 +95,7 @@
             "service": [round(service, 3) for _, service in windows],
             "handshakes": peaks(shook, begin, fault, end), "attempts": peaks(sent, begin, fault, end),
             "calls": peaks([at for at, _, _ in rig.discovery.calls], begin, fault, end),
+            "last_s": round(rig.clients.service(end - 3.0, end), 4),  # service in the last 3 s
             "statuses": {str(status): count for status, count in rig.clients.statuses.items()},
             "writes_twice": sum(count > 1 for count in ran.values()),
             "late_ms": round(late * 1000, 1)}
@@ -121,7 +122,9 @@
     parser.add_argument("--day", choices=sorted(DAYS), action="append")
     parser.add_argument("--brokers", type=int, default=20)
     parser.add_argument("--nodes", type=int, default=12)
-    parser.add_argument("--rate", type=float, default=400.0, help="requests a second in all")
+    parser.add_argument("--load", type=float, default=1.0, help="of what the volumes are sized for, or more")
+    parser.add_argument("--stretch", type=float, default=1.0, help="of work, aims and rates; the platform's "
+                                                                   "larger fleets have some 8")
     parser.add_argument("--seed", type=int, action="append")
     parser.add_argument("--json", type=Path)
     parser.add_argument("--plot", type=Path)
@@ -129,7 +132,7 @@
     found = []
     for day in asked.day or sorted(DAYS):
         for seed in asked.seed or [1]:
-            each = asyncio.run(play(day, asked.brokers, asked.nodes, seed, asked.rate))
+            each = asyncio.run(play(day, asked.brokers, asked.nodes, seed, asked.load, asked.stretch))
             found.append(each)
             print(f"{day:8s} seed {seed}: {each['before']:.3f} before, fault {each['fault_s']:.1f} s, "
                   f"last ready {each['ready_s']:.1f} s, back {each['back_s']:.1f} s; "
--- a/bench/many/rig.py
+++ b/bench/many/rig.py
@@ -21,7 +21,7 @@
 from typing import Any
 
 from bench.many.links import Link
-from bench.many.stands import Clients, Discovery, DiskNode
+from bench.many.stands import Clients, Discovery, DiskNode, volumes
 
 ROOT = Path(__file__).parent.parent.parent
 READY_TIME = 30.0  # s that a broker's start may take
@@ -34,6 +34,16 @@
         ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
+def _stretch(settings: dict[str, Any], by: float) -> None:
+    """Work, aims and rates as the platform scales them where each broker has little traffic."""
+    for cls in settings["classes"]:
+        cls["aimNs"], cls["deadlineNs"] = int(cls["aimNs"] * by), int(cls["deadlineNs"] * by)
+    for plan in settings["policies"]:
+        for name in ("nominal", "floorRate", "ceilingRate"):
+            plan[name] /= by
+    settings["familyInfo"]["coldBears"] /= by
+
+
 class Process:
     """One broker: its configuration, its present process, and what that said."""
 
@@ -101,19 +111,20 @@
 class Rig:
     """``async with Rig(...) as rig``: everything started, all brokers ready."""
 
-    def __init__(self, brokers: int, nodes: int, seed: int = 1, rate: float = 100.0, work: float = 0.01,
-                 calls_a_second: float = float("inf"), **settings: Any) -> None:
+    def __init__(self, brokers: int, nodes: int, seed: int = 1, load: float = 1.0, stretch: float = 1.0,
+                 work: float = 0.02, calls_a_second: float = float("inf"), **settings: Any) -> None:
         self.seed, self.dice = seed, random.Random(seed)
         self.raw = json.loads((ROOT / "examples/config.json").read_text(encoding="utf-8"))
         del self.raw["admin"]
         self.raw["settings"] |= {"balancers": brokers} | settings
         self.raw["settings"]["familyInfo"]["nShards"] = nodes
-        self.disks = {f"d{n}": DiskNode(f"d{n}", n, random.Random(seed * 100 + n), work)
+        _stretch(self.raw["settings"], stretch)
+        self.disks = {f"d{n}": DiskNode(f"d{n}", n, random.Random(seed * 100 + n), work * stretch)
                       for n in range(nodes)}
         self.discovery = Discovery(calls_a_second)
         self.discovery.address = lambda broker, node: f"127.0.0.1:{self._of[broker].nodes[node].port}"
         self.brokers: list[Process] = []
-        self._count, self._rate = brokers, rate
+        self._count, self._load = brokers, load
         self._of: dict[str, Process] = {}
         self.clients: Clients
 
@@ -136,8 +147,9 @@
                     link = Link(f"{broker.name} to {disk.name}", self._target(disk))
                     broker.nodes[disk.name] = await link.start()
             await asyncio.gather(*(broker.start() for broker in self.brokers))
-            self.clients = Clients(self.raw["settings"], [broker.front.port for broker in self.brokers],
-                                   self.dice, self._rate, len(self.disks))
+            self.clients = Clients(
+                self.raw["settings"], [broker.front.port for broker in self.brokers], self.dice,
+                volumes(self.raw["settings"], self._count, len(self.disks), self.dice), self._load)
         except BaseException:
             await self.__aexit__()
             raise
--- a/bench/many/stands.py
+++ b/bench/many/stands.py
@@ -17,6 +17,7 @@
 
 Writer = asyncio.StreamWriter
 Headers = dict[str, str]
+USUAL_UNITS = 2.06  # of a request, in the mean
 
 
 async def head(reader: asyncio.StreamReader) -> tuple[str, Headers]:
@@ -95,7 +96,8 @@
                 if full:
                     writer.write(b"HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
                     continue
-                await self._run(life)
+                asked = first.partition("?units=")[2].split(" ")[0]  # told in the target
+                await self._run(life, float(asked or USUAL_UNITS) / USUAL_UNITS)
                 data = f"data of {id}".encode()
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(data) + data)
                 await writer.drain()
@@ -105,7 +107,7 @@
             self._writers.discard(writer)
             writer.close()
 
-    async def _run(self, life: int) -> None:
+    async def _run(self, life: int, heavy: float) -> None:
         """Wait for a core, then use it. What runs as the node dies is over with it."""
         if self._busy >= self.cores:
             waiter = asyncio.get_running_loop().create_future()
@@ -114,7 +116,7 @@
         else:
             self._busy += 1
         try:
-            await asyncio.sleep(self._dice.uniform(0.5, 1.5) * self.work / self.speed())
+            await asyncio.sleep(self._dice.uniform(0.5, 1.5) * self.work * heavy / self.speed())
         finally:
             if life == self.life:
                 if self._queue:
@@ -191,6 +193,31 @@
             server.close()
 
 
+@dataclass(frozen=True, slots=True)
+class Volume:
+    """Through which brokers it comes, the first of them most, and on which shards its data lies."""
+
+    name: str
+    plan: str
+    brokers: tuple[int, ...]
+    shards: tuple[int, ...]
+    rate: float  # units a second
+
+
+def volumes(settings: dict[str, Any], brokers: int, shards: int, dice: random.Random) -> list[Volume]:
+    """Six for each shard: three in five on the first plan, most of the others on the second; a quarter of
+    them ask for up to three times the rate that they are sized for."""
+    plans, made = settings["policies"], []
+    for number in range(6 * shards):
+        plan = plans[dice.choices(range(len(plans)), [0.6, 0.28, 0.12][:len(plans)])[0]]
+        greedy = dice.uniform(1.5, 3.0) if dice.random() < 0.25 else 1.0
+        through = dice.sample(range(brokers), min(dice.randint(1, 3), brokers))
+        at = dice.sample(range(shards), min(dice.randint(2, 6), shards))
+        made.append(Volume(f"{number:016x}", plan["name"], tuple(through), tuple(at),
+                           plan["nominal"] * greedy))
+    return made
+
+
 @dataclass(slots=True)
 class Asked:
     """One client's request with all its tries, as the client saw it."""
@@ -199,6 +226,8 @@
     cls: str
     broker: int
     shard: int
+    volume: Volume
+    units: int
     tries: int = 0
     status: int = 0  # of the last answer; 0: none
     took: float = inf
@@ -212,8 +241,8 @@
     settings: dict[str, Any]
     ports: list[int]  # of the brokers, in order; a link's, where one stands between
     dice: random.Random
-    rate: float  # requests a second in all
-    shards: int
+    volumes: list[Volume]
+    load: float = 1.0  # of what the volumes ask for
     retries: int = 1
     backoff: float = 0.1
     book: list[Asked] = field(default_factory=list)
@@ -225,8 +254,9 @@
     async def run(self, seconds: float) -> None:
         loop = asyncio.get_running_loop()
         due, until = loop.time(), loop.time() + seconds
+        rate = self.load * sum(each.rate for each in self.volumes) / USUAL_UNITS
         while due < until:
-            due += self.dice.expovariate(self.rate)
+            due += self.dice.expovariate(rate)
             await asyncio.sleep(max(due - loop.time(), 0.0))
             self._ask()
         if self._tasks:
@@ -234,8 +264,11 @@
 
     def _ask(self) -> None:
         cls = self.dice.choices(self.settings["classes"], [0.6, 0.3, 0.1][:len(self.settings["classes"])])[0]
-        asked = Asked(asyncio.get_running_loop().time(), cls["name"], self.dice.randrange(len(self.ports)),
-                      self.dice.randrange(self.shards))
+        volume = self.dice.choices(self.volumes, [each.rate for each in self.volumes])[0]
+        broker = volume.brokers[0] if self.dice.random() < 0.7 else self.dice.choice(volume.brokers)
+        units = min(1 + int(self.dice.expovariate(1 / 1.3)), self.settings["familyInfo"]["maxUnits"])
+        asked = Asked(asyncio.get_running_loop().time(), cls["name"], broker,
+                      self.dice.choice(volume.shards), volume, units)
         self.book.append(asked)
         task = asyncio.create_task(self._see_through(asked, cls))
         self._tasks.add(task)
@@ -260,15 +293,17 @@
         self._serial += 1
         body = b"b" * 200 if cls["idempotency"] != "pure" else b""
         fields = {"Host": "service.internal", "X-Request-Id": f"{self._serial:016x}", "X-Class": cls["name"],
-                  "Tier": self.settings["policies"][0]["name"], "Cookie": f"object={asked.shard:016x}",
+                  "Tier": asked.volume.plan, "Cookie": f"object={self._serial % 997:016x}",
                   "X-Deadline-Ms": str(max(int((deadline - loop.time()) * 1000), 1)),
-                  "IO-Info": f"volume={asked.shard:016x},units=1,shard={asked.shard},hosts={len(self.ports)}"}
+                  "IO-Info": f"volume={asked.volume.name},units={asked.units},shard={asked.shard},"
+                             f"hosts={len(asked.volume.brokers)}"}
         if cls["idempotency"] == "token":
             fields["Idempotency-Key"] = f"k{id(asked):x}"
         if body:
             fields["Content-Length"] = str(len(body))
         lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
-        text = f"{'PUT' if body else 'GET'} /{cls['name']}/x HTTP/1.1\r\n{lines}\r\n".encode() + body
+        target = f"{'PUT' if body else 'GET'} /{cls['name']}/x?units={asked.units}"
+        text = f"{target} HTTP/1.1\r\n{lines}\r\n".encode() + body
         writer: Writer | None = None
         try:
             async with asyncio.timeout_at(deadline):
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -107,7 +107,7 @@
 
 def test_brokers_that_are_killed_come_back_behind_their_links_and_no_write_ran_twice() -> None:
     async def story() -> None:
-        async with Rig(3, 2, rate=60.0) as rig:
+        async with Rig(3, 2, load=0.5) as rig:
             running = asyncio.create_task(rig.clients.run(3.0))
             await asyncio.sleep(1.0)
             struck = await rig.herd(0.67, 0.0)
@@ -141,7 +141,7 @@
 
 def test_a_link_to_a_node_that_resets_makes_no_write_run_twice() -> None:
     async def story() -> None:
-        async with Rig(1, 1, work=0.05) as rig:
+        async with Rig(1, 1, work=0.05, stretch=4.0) as rig:
             broker, disk = rig.brokers[0], rig.disks["d0"]
             link = broker.nodes["d0"]
             write = message("claim-write", "PUT", body=b"b", id="w")
