--- a/bench/rules/checker.py
+++ b/bench/rules/checker.py
@@ -53,8 +53,8 @@
 class Checker:
     """One day. ``broken`` holds (rule, words) in the order in which they were found."""
 
-    def __init__(self, settings: api.Settings) -> None:
-        self.settings = settings
+    def __init__(self, settings: api.Settings, lent: float = 0.0) -> None:
+        self.settings, self._lent = settings, lent
         self.broken: list[tuple[str, str]] = []
         self._taken: dict[tuple[int, int], Taken] = {}  # by host's life and request
         self._chains: dict[tuple[int, str], list[Taken]] = defaultdict(list)
@@ -256,7 +256,7 @@
             sent.popleft()
         age = max(now - s.fall_window - node.started, 0.0)
         bears = s.cold_units * (1 + (1 / s.start_capacity - 1) * age / s.warm_after)
-        lots = s.cold_units / s.schedulers < s.max_units
+        lots = s.cold_units / s.schedulers * (1 - self._lent) < s.max_units
         total = sum(amount for _, amount, _ in sent)
         if lots:
             done = self._did[node.id, node.started]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -32,6 +32,7 @@
         assert {getattr(each, told) for each in drawn} == {False, True}, told
     assert {each.extra_spare is None for each in drawn} == {False, True}
     assert {bool(p.limit) for each in drawn for p in each.plans} == {False, True}
+    assert {bool(draw(seed).lent) for seed in range(300)} == {False, True}
     assert {len(each.load_names) for each in drawn} == {0, 1, 2}
     assert draw(7) == draw(7)
 
