--- a/bench/rules/draw.py
+++ b/bench/rules/draw.py
@@ -89,7 +89,8 @@
         retry_advice=dice.choice((0.0, 1.0)), max_units=most, usual_units=max(most / 3, 1.0),
         share_worth=0.35, spare_worth=0.1, meter_period=dice.choice((0.0, 0.5, 1.0)),
         tells_elsewhere=dice.random() < 0.5, shards=nodes,
-        load_names=dice.choice(((), ("cpu_share",), ("busy_reqs", "svc_ms"))))
+        load_names=dice.choice(((), ("cpu_share",), ("busy_reqs", "svc_ms"))),
+        fall_multiple=(1.0, 3.0, 4.0)[seed % 3])
     trouble = dice.choice((0.02, 0.15, 0.5))
     answers = (1.0, *(trouble * dice.choice((0.0, 1.0)) for _ in range(5)))
     return Deployment(
--- a/cherrycove/why/words.py
+++ b/cherrycove/why/words.py
@@ -77,7 +77,8 @@
     Code.DRAINED: lambda volume, why: "the disk node that holds its shard was drained or taken out",
     Code.PLACES: lambda volume, why: f"too many requests were open here, and volume {volume} {_credit(why)}",
     Code.HALF_TIME: _half,
-    Code.NOT_THERE: lambda volume, why: f"{_node(why)} said that it was over, or not its to serve",
+    Code.NOT_THERE: lambda volume, why: f"it could not be sent to {_node(why)}, or that said it was over "
+                                        "or not its to serve",
     Code.MAY_HAVE_RUN: lambda volume, why: "an attempt may have run, and its class must not run twice",
     Code.LAST_ATTEMPT: lambda volume, why: "it had all the attempts that it may have",
     Code.NO_TIME: lambda volume, why: "too little of its time was left for an attempt",
