Find what stops a successor behind an upgrade; hold a standstill to nothing sent at all

Checked: a watchdog thread (taken back) found all threads of the process that had taken over stopped at once for 3.985 s, the loop in select, 0.5 s behind the end of a predecessor that had used 3.63 s of CPU in its life, and the report gave the broker 4.06 CPU seconds in a second. Ruled out: a system call of the program (it stood in select), its end (os._exit: 3 of 4), its own CPU (0.8 s in all).

Change: none to the program. The test of a broker that stood still now wants nothing at all sent to a node drained meanwhile, with thirty requests on open connections before it; a guard in the core that lets the loop turn before it decides was written and taken out again, since the test passes without it.

--- a/bench/many/stands.py
+++ b/bench/many/stands.py
@@ -133,6 +133,7 @@
         self.silent = False
         self.slow = 0.0  # s that each answer takes
         self.calls: list[tuple[float, str, int]] = []  # time, broker, status
+        self.answered: Counter[str] = Counter()  # answers written, by broker
         self.index = 1
         self._entries: dict[str, dict[str, Any]] = {}
         self._told: dict[str, int] = {}  # the version in which each entry last changed
@@ -187,6 +188,7 @@
         body = json.dumps(self.list(broker, since)).encode() if status == 200 else b""
         writer.write(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (status, len(body)) + body)
         await writer.drain()
+        self.answered[broker] += 1
 
     def close(self) -> None:
         for server in self._servers:
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -13,13 +13,17 @@
 from bench.many.rig import Rig
 
 
+async def answer(reader: asyncio.StreamReader) -> bytes:
+    head = await reader.readuntil(b"\r\n\r\n")
+    length = int(head.lower().partition(b"content-length: ")[2].split(b"\r\n")[0])
+    return head + await reader.readexactly(length)
+
+
 async def exchange(port: int, text: bytes) -> bytes:
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     try:
         writer.write(text)
-        head = await reader.readuntil(b"\r\n\r\n")
-        length = int(head.lower().partition(b"content-length: ")[2].split(b"\r\n")[0])
-        return head + await reader.readexactly(length)
+        return await answer(reader)
     finally:
         writer.close()
 
@@ -121,21 +125,35 @@
     run(story())
 
 
-def test_a_broker_that_stood_still_sends_nothing_to_a_node_drained_meanwhile() -> None:
+async def answered(rig: Rig, broker: str, more_than: int) -> None:
+    """Until discovery has written it another answer, which then lies in its socket."""
+    while rig.discovery.answered[broker] <= more_than:
+        await asyncio.sleep(0.005)
+
+
+@pytest.mark.parametrize("requests", [1, 30])
+def test_a_broker_that_stood_still_sends_nothing_to_a_node_drained_meanwhile(requests: int) -> None:
+    """What its clients sent while it stood still lies before it together with the news."""
     async def story() -> None:
         async with Rig(1, 2) as rig:
             broker, disk = rig.brokers[0], rig.disks["d0"]
             assert b" 200 " in await exchange(broker.front.port, message(id="before"))
+            open_now = [await asyncio.open_connection("127.0.0.1", broker.front.port) for _ in range(requests)]
+            for number, (reader, writer) in enumerate(open_now):
+                writer.write(message(id=f"first{number}"))
+                assert b" 200 " in await answer(reader)
+            sent, told = len(disk.book), rig.discovery.answered["n0"]
             rig.stall(1.0, going=False)
+            for number, (_, writer) in enumerate(open_now):
+                writer.write(message(id=f"meanwhile{number}"))
             rig.discovery.tell("d0", 0, "draining")
-            asking = asyncio.create_task(exchange(broker.front.port, message(id="meanwhile")))
+            await answered(rig, "n0", told)
             rig.stall(1.0, going=True)
-            while not any("nodes.listed" in line and "draining" in line for line in broker.lines):
-                await asyncio.sleep(0.01)
-            sent = len(disk.book)  # what went out before the news had come
+            for reader, writer in open_now:
+                assert b" 503 " in await answer(reader)
+                writer.close()
             assert b" 503 " in await exchange(broker.front.port, message(id="behind"))
-            await asking
-            assert len(disk.book) == sent and "behind" not in {each.id for each in disk.book}
+            assert len(disk.book) == sent
     run(story())
 
 
