Hand a successor what was learned where a memory is on; play returns on real processes

Need: the issue's hard cases on several processes; a successor knew nothing of what the process before it had learned.

Judged by the books of nodes and clients, who now also check that each 200 holds their own request's body. Where [memory] is on, a successor takes the rows from the process that it replaces.

--- a/bench/many/rig.py
+++ b/bench/many/rig.py
@@ -68,9 +68,9 @@
         self._reading: asyncio.Task[None] | None = None
         self._serves = asyncio.Event()
 
-    async def start(self) -> None:
-        """Start it, with the list as discovery tells it now; returns once it serves."""
-        self.path.write_text(json.dumps(self.raw | {"known": self.rig.discovery.list(self.name)}))
+    async def start(self, known: dict[str, Any] | None = None) -> None:
+        """Start it, with the list as discovery tells it now, or with an older one; returns once it serves."""
+        self.path.write_text(json.dumps(self.raw | {"known": known or self.rig.discovery.list(self.name)}))
         self._serves.clear()
         self._process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "cherrycove", cwd=ROOT, stdout=asyncio.subprocess.DEVNULL,
--- a/bench/many/stands.py
+++ b/bench/many/stands.py
@@ -249,6 +249,7 @@
     backoff: float = 0.1
     book: list[Asked] = field(default_factory=list)
     statuses: Counter[int] = field(default_factory=Counter)
+    wrong: int = 0  # answers 200 with another body than a node made for that request
     _idle: dict[int, list[tuple[asyncio.StreamReader, Writer]]] = field(default_factory=dict)
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
     _serial: int = 0
@@ -314,9 +315,10 @@
                     "127.0.0.1", self.ports[asked.broker])
                 writer.write(text)
                 first, headers = await head(reader)
-                await reader.readexactly(int(headers.get("content-length", 0)))
+                data = await reader.readexactly(int(headers.get("content-length", 0)))
             asked.status = int(first.split(" ")[1])
             self.statuses[asked.status] += 1
+            self.wrong += asked.status == 200 and data != f"data of {fields['X-Request-Id']}".encode()
             if headers.get("connection", "").lower() != "close":
                 self._idle[asked.broker].append((reader, writer))
                 writer = None
--- a/cherrycove/__main__.py
+++ b/cherrycove/__main__.py
@@ -107,8 +107,9 @@
         self._consul: consul.Consul | None = None
         self._gossip: store.Gossip | None = None
         self._desk = admin.Desk(self._call)
-        self.succession = Succession(self.core, self, self.life, Place(platform.name, platform.listen),
-                                     lambda: self._book)
+        self.succession = Succession(platform.name, self.core, self, self.life,
+                                     Place(platform.name, platform.listen), lambda: self._book,
+                                     remembers=operator.memory is not None)
         self._book: Book | None = None
         self._tracer: Tracer | None = None
         self._peers: peers.Peers | None = None
--- a/cherrycove/life/succession.py
+++ b/cherrycove/life/succession.py
@@ -17,6 +17,8 @@
 from cherrycove.life import handover
 from cherrycove.life.stages import SHARED, Life
 from cherrycove.life.upkeep import Upkeep
+from cherrycove.memory.figures import UnusableError
+from cherrycove.memory.passing import rows_of, take_up
 
 log = Log("cherrycove.life.handover")
 
@@ -58,9 +60,11 @@
 class Succession:
     """One process's part of it."""
 
-    def __init__(self, core: Core, doors: Doors, life: Life, place: handover.Place,
-                 record: Callable[[], Record | None] = lambda: None) -> None:
-        self._core, self._doors, self.life, self.place, self._record = core, doors, life, place, record
+    def __init__(self, broker: str, core: Core, doors: Doors, life: Life, place: handover.Place,
+                 record: Callable[[], Record | None] = lambda: None, remembers: bool = False) -> None:
+        self._remembers = remembers  # whether what was learned is handed over, and taken up
+        self._broker, self._core, self._doors, self._record = broker, core, doors, record
+        self.life, self.place = life, place
         self.upkeep = Upkeep(core, place, self._tell_others)
         self.links: set[handover.Link] = set()
         self._heirs: set[handover.Link] = set()  # of these, to a process that replaces this one
@@ -99,6 +103,11 @@
             log.warning("handover.state_unusable", why=error)
             sent = {}
         self._core.share(SHARED, sent)
+        if self._remembers and "memory" in state:
+            try:
+                take_up(self._core, state["memory"], self._broker, "process", sent_is_told=True)
+            except UnusableError as error:
+                log.warning("memory.unusable", source="process", why=error)
 
     async def serving(self) -> None:
         """This process accepts: the former one has to stop."""
@@ -190,9 +199,11 @@
         self.life.followed()
         self._core.share(self.life.budget().part)
         members = [handover.pack_member(member) for member in self._core.members]
-        return {"version": self._core.version, "members": members, "sent": self._core.sent(),
-                "maintenance": handover.pack_maintenance(self._core.maintenance)}, (
-                    self._handed or self._doors.listeners())
+        state = {"version": self._core.version, "members": members, "sent": self._core.sent(),
+                 "maintenance": handover.pack_maintenance(self._core.maintenance)}
+        if self._remembers:
+            state["memory"] = rows_of(self._core, self._broker, whole=True)
+        return state, self._handed or self._doors.listeners()
 
     def _tell_open(self, told: int = -1) -> None:
         """Keep the successor told of what is open here, until either ends."""
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -33,15 +33,18 @@
 
     program: tuple[str, ...] = ("-m", "cherrycove")
 
-    def __init__(self, whole: dict[str, object], folder: Path) -> None:
-        self.whole, self.folder = whole, folder
+    def __init__(self, whole: dict[str, object], folder: Path, operator: str = "") -> None:
+        self.whole, self.folder, self.env = whole, folder, {}
+        if operator:
+            (folder / "operator.toml").write_text(operator)
+            self.env = {"CHERRYCOVE_OPERATOR": str(folder / "operator.toml")}
 
     async def __aenter__(self) -> Process:
         self.path = self.folder / f"{id(self)}.json"
         self.path.write_text(json.dumps(self.whole))
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, *self.program, cwd=ROOT, stderr=asyncio.subprocess.PIPE,
-            env=os.environ | {"RELAY_CONFIG": str(self.path), "TMPDIR": str(self.folder)})
+            env=os.environ | {"RELAY_CONFIG": str(self.path), "TMPDIR": str(self.folder)} | self.env)
         self.port = int((await self.line("broker.serves ")).rpartition("=")[2])
         self.admin = int((await self.line("calls.serves port=")).rpartition("=")[2])
         return self
@@ -147,6 +150,25 @@
     run(story())
 
 
+def test_a_successor_takes_up_what_the_process_in_service_knows(tmp_path: Path) -> None:
+    """Where a memory is on; of the file, which is older, it reads nothing."""
+    async def story() -> None:
+        whole = settings(await Node().start())
+        memory = f'[memory]\nenabled = true\nfolder = "{tmp_path}"\n'
+        async with Process(whole, tmp_path, memory) as first:
+            reader, writer = await asyncio.open_connection(*_listen(whole))
+            writer.write(message(id="learn"))
+            assert (await answer(reader))[0] == 200
+            writer.close()
+            async with Process(whole, tmp_path, memory) as second:
+                taken = [line for line in second.said if "memory.taken_up" in line]
+                assert len(taken) == 1 and "source=process" in taken[0] and " nodes=1 " in taken[0]
+                await first.end()
+                await second.line("handover.other_ended")
+                await second.end()
+    run(story())
+
+
 def test_a_third_process_waits_until_the_first_has_ended(tmp_path: Path) -> None:
     """Three shared what is one broker's: a half each."""
     async def story() -> None:
