Believe a whole memory once; mend what a second reading of the change found

Found by reading the whole change again: - A file that says that nothing was sent after it (`whole`) was believed by every life until the next write. One killed before its first write had used room on cold nodes that the life after it was told was unused. Line at fault: `Keeper.load`.

--- a/bench/many/__main__.py
+++ b/bench/many/__main__.py
@@ -44,11 +44,6 @@
     await asyncio.gather(*(rig.replace(name, 0.3) for name in names))
 
 
-async def _sick(rig: Rig) -> None:
-    """As herd; one node in eight is ten times slower, from 3 s before."""
-    await rig.herd(0.7, 0.3)
-
-
 async def _refused(rig: Rig) -> None:
     """As herd, with a discovery that refuses every call meanwhile."""
     rig.discovery.most = 0
@@ -57,7 +52,7 @@
 
 
 DAYS = {"herd": _herd, "all": _all, "stall": _stall, "join": _join, "refused": _refused,
-        "sick": _sick}
+        "sick": _herd}  # sick: one node in eight is ten times slower from 3 s before
 
 
 MEMORY = {"off": (False,), "on": (True,), "both": (False, True)}
--- a/cherrycove/memory/figures.py
+++ b/cherrycove/memory/figures.py
@@ -126,7 +126,10 @@
 
 
 def _number(value: Any, least: float = -inf) -> bool:
-    return type(value) in (int, float) and isfinite(value) and value >= least
+    try:
+        return type(value) in (int, float) and isfinite(value) and value >= least
+    except OverflowError:  # a whole number past all floats
+        return False
 
 
 def _node(row: Any, written: float, now: float) -> NodeMemory:
--- a/cherrycove/memory/keeper.py
+++ b/cherrycove/memory/keeper.py
@@ -1,7 +1,7 @@
 """When a broker's memory is read and written.
 
-It owns one thread for the disk and the times of reading and writing. It must never wait for a disk on the
-event loop, start a second write while one hangs, or delay a start by more than ``READ_TIME``.
+It owns the threads that touch the disk, and the times of reading and writing. It must never wait for a disk
+on the event loop, start a second write while one hangs, or delay a start by more than ``READ_TIME``.
 """
 
 from __future__ import annotations
@@ -62,13 +62,12 @@
         self._path = file.path(folder, broker)
         self._writing = threading.Lock()
         self._failing = False
-        self._open = True
         self.counts: Counter[str] = Counter()
 
     async def load(self) -> bool:
         """Take up what an earlier life left; whether there was anything of use."""
         try:
-            rows = await beside(lambda: file.read(self._path), READ_TIME)
+            rows = await beside(self._read, READ_TIME)
             take_up(self._core, rows, self._broker, "file")
             return True
         except FileNotFoundError:
@@ -78,6 +77,14 @@
             log.warning("memory.unusable", source="file", why=str(error) or "the disk does not answer")
         return False
 
+    def _read(self) -> Any:
+        """Guard: a life that is killed before its first write has sent something, and the file that it found
+        would tell the next once more that nothing was sent after it."""
+        rows = file.read(self._path)
+        if isinstance(rows, dict) and rows.get("whole"):
+            file.write(self._path, file.frame(rows | {"whole": False}))
+        return rows
+
     async def keep(self) -> None:
         """Write it again and again, for ever."""
         await self._clear()
@@ -122,8 +129,7 @@
 
     async def close(self) -> None:
         """The last write, once nothing is sent any more; by the process that serves last alone."""
-        if self._open and self._mine():
-            self._open = False
+        if self._mine():
             await self.save(whole=True, most=LAST_TIME)
 
     def figures(self) -> dict[str, int]:
--- a/cherrycove/memory/passing.py
+++ b/cherrycove/memory/passing.py
@@ -8,6 +8,7 @@
 import asyncio
 import time
 from dataclasses import replace
+from functools import cache
 from pathlib import Path
 from typing import Any
 
@@ -19,15 +20,19 @@
 BOOT_ID = "/proc/sys/kernel/random/boot_id"
 
 
+@cache
+def _boot() -> str:
+    try:
+        return Path(BOOT_ID).read_text(encoding="ascii").strip()
+    except (OSError, ValueError):
+        return ""  # the wall clock alone tells then
+
+
 def moment() -> figures.Moment:
     """Now, on the clocks that outlive this process."""
     if not hasattr(time, "CLOCK_BOOTTIME"):
         return figures.Moment(time.time(), "", 0.0)
-    try:
-        boot = Path(BOOT_ID).read_text(encoding="ascii").strip()
-    except (OSError, ValueError):
-        boot = ""  # the wall clock alone tells then
-    return figures.Moment(time.time(), boot, time.clock_gettime(time.CLOCK_BOOTTIME))
+    return figures.Moment(time.time(), _boot(), time.clock_gettime(time.CLOCK_BOOTTIME))
 
 
 def rows_of(core: Core, broker: str, whole: bool) -> figures.Rows:
--- a/finchrack/decide.py
+++ b/finchrack/decide.py
@@ -17,9 +17,8 @@
 from finchrack.evidence import Former, taken_down
 from finchrack.objects import Placed
 from finchrack.repeats import may_refuse, may_repeat, ran_at, write_within
-from finchrack.state import Agenda, Members, NodeQueue, Recent, Request, Volume, Window, percentile
+from finchrack.state import PERIOD, Agenda, Members, NodeQueue, Recent, Request, Volume, Window, percentile
 
-PERIOD = 1.0  # s between joint refills of credits, and the window of statistics behind each L (design)
 START_L = 4.0  # requests out at a node nothing is known of (design), while all schedulers together keep
 FLEET_L = 16.0  # to this many; above that each starts with its even part of them
 SAMPLES = 4  # answers that a new L is worked out from; a window that has fewer goes on
--- a/finchrack/evidence.py
+++ b/finchrack/evidence.py
@@ -10,9 +10,8 @@
 from math import inf
 
 from finchrack.interface import NodeMemory, Recalled, VolumeMemory
-from finchrack.state import NodeQueue, Volume
+from finchrack.state import PERIOD, NodeQueue, Volume
 
-PERIOD = 1.0  # s between refills (finchrack/decide.py)
 HALF_LIFE = 10.0  # s in which a threshold of an earlier life has gone half of the way back to a new node's
 FAILING = 5.0  # s after which a node at which nobody answered is tried as any other
 OVERLOADED = 2.0  # s after which one that was overloaded counts as others do
--- a/finchrack/state.py
+++ b/finchrack/state.py
@@ -12,6 +12,8 @@
 from finchrack.interface import Code, ListKind, Node, NodesListed, NodeState, Plan, RequestClass
 from finchrack.repeats import Ran
 
+PERIOD = 1.0  # s between joint refills of credits, and the window of statistics behind each L (design)
+
 
 class Agenda:
     """Tasks by their time; those of one time in the order they were set."""
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -20,7 +20,7 @@
 
 import cherrycove.__main__ as main
 from cherrycove.core import Maintenance, Member
-from cherrycove.life import handover, herald, places
+from cherrycove.life import handover, herald, places, stages
 from finchrack import interface as api
 from finchrack.state import Volume
 
@@ -357,6 +357,23 @@
     run(story())
 
 
+def test_a_successor_lost_in_the_middle_of_the_answer_leaves_the_place_free(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Claimed for good, it was handed to nobody any more."""
+    def broken(*_: object) -> None:
+        raise OSError("gone")
+
+    async def story() -> None:
+        life, place = stages.Life(1024, 80.0), handover.Place("n0", ("h", 1), str(tmp_path))
+        monkeypatch.setattr(socket, "send_fds", broken)
+        await place.await_successor(lambda hello: (life.followed(), (STATE, []))[1],  # type: ignore
+                                    lambda link: link.follow(None), life.heir_gone)  # type: ignore
+        assert await handover.Place("n0", ("h", 1), str(tmp_path)).meet({}) is None
+        assert life.may_be_followed() and life.budget().part == 1.0
+        await place.close()
+    run(story())
+
+
 def test_a_place_that_cannot_be_made_keeps_no_process_from_starting(tmp_path: Path) -> None:
     async def story() -> None:
         (tmp_path / "file").write_bytes(b"")
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -73,7 +73,7 @@
 @pytest.mark.parametrize(("changes", "moment", "why"), [
     ({"form": figures.FORM + 1}, HERE, "form"), ({"form": None}, HERE, "form"),
     ({"deployment": "another"}, HERE, "another deployment"), ({"broker": "c"}, HERE, "another broker"),
-    ({"up": "x"}, HERE, "when"), ({"wall": float("nan")}, HERE, "when"),
+    ({"up": "x"}, HERE, "when"), ({"up": 10 ** 400}, HERE, "when"), ({"wall": float("nan")}, HERE, "when"),
     ({}, Moment(HERE.wall - 3600.0, "next boot", 1.0), "set back")])
 def test_rows_that_are_not_for_this_broker_or_of_no_known_age_count_for_nothing(
         changes: dict[str, Any], moment: Moment, why: str) -> None:
@@ -366,9 +366,12 @@
             assert b" 200 " in await exchange(broker.front.port, message(id="again"))
             broker.signal(signal.SIGTERM)
             assert await broker.ended() == 0
-            since = len(broker.lines)
-            await broker.start()
-            assert " whole=True " in await said(broker, "memory.taken_up", since)
+            for whole in (True, False):  # the first of these lives is killed before it has written
+                since = len(broker.lines)
+                await broker.start()
+                assert f" whole={whole} " in await said(broker, "memory.taken_up", since)
+                assert file.read(kept(broker))["whole"] is False
+                await broker.kill()
     run(story())
 
 
--- a/tests/test_return.py
+++ b/tests/test_return.py
@@ -52,27 +52,18 @@
     run(story())
 
 
-def test_all_are_killed_at_once() -> None:
+@pytest.mark.parametrize("fault", ["all are killed at once", "half stand still and go on together"])
+def test_what_strikes_many_at_once_is_over_with_it_and_ran_no_write_twice(fault: str) -> None:
     async def story() -> None:
-        async with Rig(3, 2, load=0.5, memory=True) as rig:
-            running = asyncio.create_task(rig.clients.run(3.0))
-            await asyncio.sleep(1.0)
-            await rig.herd(1.0, 0.0)
-            await running
-            for broker in rig.brokers:
-                await serves(broker, f"after-{broker.name}-")
-            nothing_twice_or_foreign(rig)
-    run(story())
-
-
-def test_half_stand_still_and_go_on_together() -> None:
-    async def story() -> None:
-        async with Rig(4, 2, load=0.5) as rig:
+        async with Rig(4, 2, load=0.5, memory=True) as rig:
             running = asyncio.create_task(rig.clients.run(4.0))
             await asyncio.sleep(1.0)
-            rig.stall(0.5, going=False)
-            await asyncio.sleep(1.5)
-            rig.stall(0.5, going=True)
+            if fault.startswith("all"):
+                await rig.herd(1.0, 0.0)
+            else:
+                rig.stall(0.5, going=False)
+                await asyncio.sleep(1.5)
+                rig.stall(0.5, going=True)
             await running
             for broker in rig.brokers:
                 await serves(broker, f"after-{broker.name}-")
@@ -125,13 +116,13 @@
                 await written(broker)
             await broker.kill()
             await rig.replace("d0", 0.0)
-            since = len(broker.lines)
+            since, began = len(broker.lines), asyncio.get_running_loop().time()
             await broker.start()
             await said(broker, "memory.taken_up", since)
             assert b" 503 " in await serves(broker, "after")  # and once the rule's window is over, served
             window = rig.raw["settings"]["guarantees"]["fallNs"] * 1e-9
             first = next(each.at for each in disk.book if each.life == 1)
-            assert first >= broker.ready_at[-1] + window - 1.0  # it began up to a second before it was ready
+            assert first >= began + window
     run(story())
 
 
