--- a/cherrycove/http1/front.py
+++ b/cherrycove/http1/front.py
@@ -25,6 +25,7 @@
 from cherrycove.http1.parse import BodyError, Head, Names, RequestError, origin, parse_head, single
 from cherrycove.life.handover import listener
 from cherrycove.life.leaving import Timetable
+from cherrycove.sockets import Lookout
 
 clients_log = logging.getLogger("cherrycove.http1.clients")  # the library's own, of what it could not read
 
@@ -53,11 +54,19 @@
 class ClientConnection(web.RequestHandler):
     """The library's connection to a client, which says when something has come over it."""
 
+    _lookout: Lookout | None = None  # once it has been left unread
+
     def data_received(self, data: bytes) -> None:
         if isinstance(self._manager, Clients):
             self._manager.spoke(self)
         super().data_received(data)
 
+    def _pause_transport_reading(self) -> None:
+        super()._pause_transport_reading()
+        if self.transport is not None:
+            self._lookout = self._lookout or Lookout(self.transport, self.transport.abort)
+            self._lookout.paused()
+
     def _process_keepalive(self) -> None:
         if isinstance(self._manager, Clients) and self._manager.holds(self):
             self._next_keepalive_close_time = max(self._next_keepalive_close_time, self._manager.held_until)
--- a/tests/support.py
+++ b/tests/support.py
@@ -80,7 +80,7 @@
     def __init__(self, *script: str) -> None:
         self.script, self.seen = list(script), []  # type: list[str], list[dict[str, Any]]
         self.arrived, self.hung_up = asyncio.Condition(), asyncio.Event()
-        self.port = 0
+        self.port = self.connections = 0
 
     async def start(self) -> Node:
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0, limit=1 << 20)
@@ -92,6 +92,7 @@
             await self.arrived.wait_for(lambda: len(self.seen) >= count)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: Writer) -> None:
+        self.connections += 1
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
