Lose nothing at the wrong instant: endings, early signals, silent lists, late connections

Causes, each found by reading the code and the library it leans on, each seen by a test of tests/test_crossings.py that makes the bad order with real connections: - front.close closed the listener over what waited to be accepted, idle connections over requests that had come, and dropped bodies on their way (pre_shutdown, of which the core knows nothing). Now what waits is accepted, and closing waits until nothing is open, has come or is on its way; at the time to give up, what waits for room or body is refused at once. An idle time, a newcomer and a crowd close no connection on which something has come. - Timetable.stop of a deployment that waits 300 ms at most lay within the 0.4 s in which new connections come. - SIGHUP ended a process within its imports, and was lost within its start; the kill was counted from the end of the start, not from the signal (__main__). - The library rounds limits of over 5 s up to whole seconds: a silent watch was given up after up to 7 s, not 6, and the whole list waited as long though silence may take 6 s; a discovery that answers changes for the whole list was asked without a pause. - A connection to a node was closed in good order when its attempt was given up: what the node had not taken yet was sent on later. Now it is aborted. - An attempt handed out before a drain was written to the node however late its connection or place came. - An NBD client that leaves with its pipeline full was not missed. - Retry-After stood on a refusal for want of room though the settings allow none.

tests/test_http1.py: the pauses of a watch were recorded past its end; the patch is undone before the world closes.

--- a/cherrycove/__main__.py
+++ b/cherrycove/__main__.py
@@ -13,6 +13,14 @@
 
     command()
 
+import signal
+
+if __name__ == "__main__":
+    # Guard: by default either ends the process with an error. A SIGHUP now asks for a file that is read later
+    # anyway; told to end now, it has taken nothing.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
+
 from cherrycove.life import herald
 
 COMING = herald.announce() if __name__ == "__main__" else None
@@ -22,7 +30,6 @@
 import importlib
 import logging
 import os
-import signal
 import socket
 import threading
 from collections.abc import Coroutine
@@ -215,10 +222,10 @@
             self._watch.cancel()
             self._watch = self._run(watch(self.core, fresh.discovery, old.zones, afresh=True))
 
-    async def end(self) -> None:
-        """Serve on while clients still come, finish what was taken, then leave."""
+    async def end(self, began: float | None = None) -> None:
+        """Serve on while clients still come, finish what was taken, then leave; told to when it ``began``."""
+        began = asyncio.get_running_loop().time() if began is None else began
         log.info("broker.draining", open=self.core.open_requests)
-        began = asyncio.get_running_loop().time()
         self.life.end()
         self.front.drain(parting=self.life.handed)
         if self._nbd is not None:
@@ -314,23 +321,34 @@
             self._nbd.close_export(entry.key.removeprefix("config/closed/"), entry.value is not None)
 
 
-async def run(platform: config.Platform, operator: config.Operator) -> None:
+async def run(platform: config.Platform, operator: config.Operator, heard: list[int]) -> None:
+    """Until a signal ends it. ``heard``: each SIGHUP since before the platform's file was read."""
     loop = asyncio.get_running_loop()
     broker = Broker(platform, operator)
+    told: list[float] = []
+
+    def end() -> None:
+        told.append(loop.time())  # Guard: the kill counts from here, however long the start still takes
+        broker.stop.set()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, broker.stop.set)
+        loop.add_signal_handler(number, end)
     await broker.start()
     loop.add_signal_handler(signal.SIGHUP, broker.reload)
+    if heard:
+        broker.reload()
     gc.collect()
     gc.freeze()
     await broker.stop.wait()
-    await broker.end()
+    await broker.end(told[0] if told else loop.time())
     # Guard: the loop's end gives signals their default back, and a late SIGHUP would change the exit status.
     signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP, signal.SIGTERM, signal.SIGINT))
 
 
 def main() -> int:
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to read again
+    # Guard: what a SIGHUP asks for is done once there is a watch to move. One that came between the reading
+    # of the file and the end of the start was lost, and the broker followed an address that is no more.
+    heard: list[int] = []
+    signal.signal(signal.SIGHUP, lambda number, _: heard.append(number))
     events.start()
     try:
         platform = config.platform()
@@ -341,7 +359,7 @@
     events.start(operator.log.form, operator.log.level)
     config.tell(platform)
     try:
-        asyncio.run(run(platform, operator))
+        asyncio.run(run(platform, operator, heard))
     except ModuleNotFoundError as error:
         print(f"cherrycove: cannot start: {error.name} is not installed; traces need requirements-tools.txt",
               file=sys.stderr)
--- a/cherrycove/core.py
+++ b/cherrycove/core.py
@@ -449,6 +449,25 @@
                 if name in self._members and self._members[name].since_ms == times[0]}
         self.maintenance = replace(self.maintenance, back=back)
         self._tell(news.version, kind, news.members)
+        self._hurry()
+
+    def _hurry(self) -> None:
+        """Call off what is not on its way to a node by the end of the grace within which sends to one that
+        drains, or has gone, have to cease.
+
+        Guard: an attempt may wait for its connection for longer than that, having been handed out before.
+        """
+        latest = self._loop.time() + self.settings.drain_grace
+        for ticket in self._tickets.values():
+            attempt = ticket.current
+            if attempt is None or attempt.written or attempt.begun or attempt.write_by <= latest:
+                continue
+            member = self._members.get(attempt.node)
+            if member is not None and self.maintenance.joined(member).state is api.NodeState.UP:
+                continue
+            attempt.write_by = latest
+            if attempt.scope is not None and not attempt.scope.expired():
+                attempt.scope.reschedule(min(attempt.expires, latest))
 
     def _tell(self, version: int, kind: api.ListKind, members: Iterable[Member]) -> None:
         self._push(api.NodesListed(version, kind, tuple(
@@ -461,6 +480,7 @@
         changed = [m for m in self._members.values() if before.joined(m) != state.joined(m)]
         if changed:
             self._tell(self.version or 0, api.ListKind.CHANGES, changed)
+            self._hurry()
 
     def share(self, part: float, sent: Mapping[str, float] | None = None) -> None:
         """This process is one of several that count as one broker; what the others sent to nodes of late."""
--- a/cherrycove/http1/back.py
+++ b/cherrycove/http1/back.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import select
 from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable
 from dataclasses import replace
 from functools import partial
@@ -24,6 +23,7 @@
 from cherrycove.core import Attempt, Ending, Reply
 from cherrycove.http1.body import MOST_BODY, MOST_LONG, Upload
 from cherrycove.http1.parse import BodyError, parse_elsewhere, parse_load, parse_use
+from cherrycove.sockets import unread
 
 PIECE = 32 * 1024  # bytes in one read of a connection, and about as many in each of its buffers
 MOST_HEADS = 32 * 1024  # bytes of an answer's head and of all that is said ahead of it
@@ -60,11 +60,7 @@
         """Guard: what came while it stood idle may still be unread: an end, or a second answer."""
         if self.transport is None or not super().is_connected():
             return False
-        if self._answer is None or not self._answer.is_eof():
-            return True
-        look = select.poll()
-        look.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return not look.poll(0)
+        return self._answer is None or not self._answer.is_eof() or not unread(self.transport)
 
     def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
         """From the library's parser: a whole head, and the body to come."""
@@ -120,6 +116,10 @@
             self._parser = None
         super().connection_lost(exc)
 
+    def close(self) -> None:
+        """Guard: the loop would send on what is left of a request that was given up, long after."""
+        self.abort()
+
     def _drop(self) -> None:
         """Bytes beyond an answer: that is served, and the connection is of no further use."""
         self._should_close = True
--- a/cherrycove/http1/front.py
+++ b/cherrycove/http1/front.py
@@ -9,9 +9,11 @@
 import asyncio
 import logging
 import socket
-from collections.abc import Awaitable, Callable
-from contextlib import aclosing, suppress
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import aclosing, asynccontextmanager, suppress
 from functools import partial
+from itertools import chain
+from math import inf
 
 import aiohttp
 from aiohttp import web
@@ -25,7 +27,7 @@
 from cherrycove.http1.parse import BodyError, Head, Names, RequestError, origin, parse_head, single
 from cherrycove.life.handover import listener
 from cherrycove.life.leaving import Timetable
-from cherrycove.sockets import Lookout
+from cherrycove.sockets import LOOK, Lookout, unread
 
 clients_log = logging.getLogger("cherrycove.http1.clients")  # the library's own, of what it could not read
 
@@ -33,7 +35,10 @@
 SETTLED_TIME = 0.2  # s between requests after which a connection gives way where clients are many
 LEAVE_TIME = 3.0  # s that a client which still sends its body has to see its answer
 UNREAD_TIME = 10.0  # s after which a client that takes nothing of what it is sent is cut off
+MADE_TURNS = 3  # of the loop until what it has accepted is a connection of ours
+MOST_WAITING = 1024  # connections to be accepted
 ACCEPTED_AT_ONCE = 4  # connections in one turn of the loop; some turns pass until they can be dropped
+NEW_TIME = 0.1  # s within which a new connection brings its request, or the rest of its head
 ANSWER_TIME = 1.0  # s that a client has to take its answer when the broker ends
 
 
@@ -70,6 +75,9 @@
     def _process_keepalive(self) -> None:
         if isinstance(self._manager, Clients) and self._manager.holds(self):
             self._next_keepalive_close_time = max(self._next_keepalive_close_time, self._manager.held_until)
+        if self.transport is not None and unread(self.transport):
+            # Guard: what has come and is not read yet may be a request, which a close would leave unanswered.
+            self._next_keepalive_close_time = max(self._next_keepalive_close_time, self._loop.time() + LOOK)
         super()._process_keepalive()
 
 
@@ -92,6 +100,7 @@
         self._groups = self._silent, self._partly, self._idle, self._busy
         self.held_until = 0.0  # until then no connection is closed for having no request
         self.left = asyncio.Event()  # set whenever the last connection has gone
+        self.moved = asyncio.Event()  # set whenever a connection has
 
     def __call__(self) -> web.RequestHandler:
         return ClientConnection(self, loop=self._loop, **self._kwargs)
@@ -100,6 +109,7 @@
         for group in self._groups:
             group.pop(handler, None)
         to[handler] = self._loop.time()
+        self.moved.set()
 
     def connection_made(self, handler: web.RequestHandler, transport: asyncio.Transport) -> None:
         super().connection_made(handler, transport)
@@ -113,12 +123,18 @@
         while sum(map(len, self._groups)) > most:
             # Guard: descriptors used up stop the accepting of anybody; nothing taken is ever cut off.
             group = self._silent if len(self._silent) >= len(self._idle) else self._idle
-            victim = next(iter(group or self._partly), None)
+            first = next(chain(group, self._partly), None)
+            victim = next((each for each in chain(group, self._partly) if not self._asks(each)), first)
             if victim is None:
                 return
-            del (group or self._partly)[victim]
+            group.pop(victim, None)
+            self._partly.pop(victim, None)
             self._connections[victim].abort()
 
+    def _asks(self, handler: web.RequestHandler) -> bool:
+        """Guard: a request may have come that the loop has not read yet; closed now, it has no answer."""
+        return handler in self._connections and unread(self._connections[handler])
+
     def holds(self, handler: web.RequestHandler) -> bool:
         return handler in self._idle
 
@@ -132,9 +148,21 @@
         super().connection_lost(handler, exc)
         for group in self._groups:
             group.pop(handler, None)
+        self.moved.set()
         if not self.connected:
             self.left.set()
 
+    async def settled(self, until: float) -> None:
+        """Wait until no request is open, has come or is on its way; no longer than ``until``."""
+        while (now := self._loop.time()) < until:
+            self.moved.clear()
+            young = max((*self._silent.values(), *self._partly.values()), default=-inf) + NEW_TIME
+            if young <= now and not (self._busy or any(map(self._asks, self._idle))):
+                return
+            with suppress(TimeoutError):
+                async with asyncio.timeout_at(min(max(young, now + LOOK), until)):
+                    await self.moved.wait()
+
     @property
     def connected(self) -> bool:
         return any(self._groups)
@@ -151,10 +179,15 @@
         if self.crowded and self._idle:
             # Guard: those who have asked and stay would keep others from asking until their time is up.
             longest, since = next(iter(self._idle.items()))
-            if since < self._loop.time() - SETTLED_TIME:
+            if since < self._loop.time() - SETTLED_TIME and not self._asks(longest):
                 del self._idle[longest]
                 self._connections[longest].close()
 
+    def answered(self, handler: web.RequestHandler) -> None:
+        """It still sends, but is owed nothing."""
+        if handler in self._busy:
+            self._move(handler, self._partly)
+
     def finish(self, handler: web.RequestHandler) -> None:
         if handler in self._busy:
             self._move(handler, self._idle)
@@ -173,6 +206,8 @@
         self.room = Room(most_bytes)
         self._open: set[str] = set()  # the ids of open requests
         self.last_request = 0.0
+        self._last_answer, self._given_up = 0.0, False  # from then on whatever comes is answered at once
+        self._taking: set[asyncio.Timeout] = set()  # requests whose room or body is waited for
 
     async def listen(self, host: str, port: int) -> int:
         """Start to accept; the port, should the system have chosen it."""
@@ -184,7 +219,7 @@
         # Guard: the loop accepts as many at a time as it queues; a crowd would take all descriptors.
         self._server = await asyncio.get_running_loop().create_server(
             self._web, sock=given, backlog=ACCEPTED_AT_ONCE)
-        given.listen(1024)
+        given.listen(MOST_WAITING)
         self.listener, self._draining, self._parting = given, False, False
         bound: int = given.getsockname()[1]
         return bound
@@ -212,7 +247,8 @@
         if not replaced:
             web.held_until = began + times.stop  # Guard: for its client it may be the only way in
         loop.call_at(began + times.parts_at(replaced), self.drain)
-        loop.call_at(began + times.give_up, self._core.give_up)
+        self._last_answer = began + times.give_up
+        loop.call_at(self._last_answer, self._give_up)
         while True:
             web.left.clear()
             now = loop.time()
@@ -223,14 +259,37 @@
                 async with asyncio.timeout_at(began + until):
                     await web.left.wait()
 
+    def _give_up(self) -> None:
+        self._given_up = True
+        self._core.give_up()
+        for waiting in self._taking:
+            if not waiting.expired():
+                waiting.reschedule(asyncio.get_running_loop().time())
+
     async def close(self) -> None:
-        """Stop accepting, finish whatever is open, then close the connections."""
-        if self._server is not None:
-            self._server.close()
+        """Stop accepting, finish whatever is open or has come, then close the connections."""
+        loop = asyncio.get_running_loop()
+        if self._server is not None and self._server.is_serving():
+            with self.listener.dup() as rest:  # what waits there would be reset with the last of its sockets
+                self._server.close()
+                await self._accept_rest(rest)
+        # Guard: a request that waits for room or body is not the core's yet, and one may wait to be read.
+        await self._web.settled(max(self._last_answer, loop.time() + NEW_TIME))
         await self._core.idle()
         self._web.pre_shutdown()  # those between requests; the others close behind their answer
         await self._web.shutdown(ANSWER_TIME)
 
+    async def _accept_rest(self, rest: socket.socket) -> None:
+        """Guard: what waits to be accepted when a listener closes is reset, with the request it has sent."""
+        loop = asyncio.get_running_loop()
+        with suppress(OSError):
+            for _ in range(MOST_WAITING):
+                connection, _ = rest.accept()
+                connection.setblocking(False)
+                await loop.connect_accepted_socket(self._web, connection)
+        for _ in range(MADE_TURNS):
+            await asyncio.sleep(0)
+
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         self._web.begin(request.protocol)
         try:
@@ -256,12 +315,10 @@
             if URL(f"http://h{target}", encoded=True).raw_path_qs != target:
                 raise RequestError("the path cannot be passed on unchanged")
             size = need(request)
-            await self.room.enter(size)
+            async with self._until_given_up(request):
+                await self.room.enter(size)
         except TimeoutError:
-            response = self._turn_away(request, cls, 503, "refused: no room for its body now\n", whole=False,
-                                       verdict=Verdict.REFUSED)
-            await self._leave(request, response)
-            return response
+            return await self._refuse(request, cls)
         except (RequestError, ValueError) as error:
             return self._turn_away(request, cls, getattr(error, "status", 400), f"{error}\n",
                                    whole=not request.body_exists)
@@ -270,9 +327,35 @@
         finally:
             self.room.leave(size)
 
+    @asynccontextmanager
+    async def _until_given_up(self, request: web.BaseRequest) -> AsyncIterator[None]:
+        """TimeoutError: the process answers what is open, and what this waits for has not come."""
+        if not request.body_exists:
+            yield  # nothing is waited for
+            return
+        async with asyncio.timeout(0.0 if self._given_up else None) as waiting:
+            self._taking.add(waiting)
+            try:
+                yield
+            finally:
+                self._taking.discard(waiting)
+
+    async def _refuse(self, request: web.BaseRequest, cls: int) -> web.Response:
+        """Turn a request away whose body has not been taken in."""
+        own, why = Own.NO_ROOM, "no room for its body now"
+        if self._given_up:
+            own, why = Own.ENDING, "this process ends"
+        response = self._turn_away(request, cls, 503, f"refused: {why}\n", whole=False,
+                                   verdict=Verdict.REFUSED, own=own)
+        await self._leave(request, response)
+        return response
+
     async def _take(self, request: web.BaseRequest, cls: int, head: Head) -> web.StreamResponse:
         try:
-            body = await taken(request)
+            async with self._until_given_up(request):
+                body = await taken(request)
+        except TimeoutError:
+            return await self._refuse(request, cls)
         except (RequestError, ValueError, web.RequestPayloadError, HttpProcessingError) as error:
             status = error.status if isinstance(error, BodyError) else 400
             return self._turn_away(request, cls, status, f"{error}\n", whole=not request.body_exists)
@@ -344,17 +427,19 @@
         response.force_close()
         await response.prepare(request)
         await response.write_eof()
+        self._web.answered(request.protocol)
         with suppress(TimeoutError, web.RequestPayloadError, HttpProcessingError):
             async with asyncio.timeout(LEAVE_TIME):
                 while await request.content.readany():
                     pass
 
     def _turn_away(self, request: web.BaseRequest, cls: int, status: int, why: str, whole: bool = True,
-                   verdict: Verdict = Verdict.FAILED) -> web.Response:
-        self._core.turned_away(cls, verdict, BY_STATUS.get(status, Own.MALFORMED), _id(request))
+                   verdict: Verdict = Verdict.FAILED, own: Own | None = None) -> web.Response:
+        self._core.turned_away(cls, verdict, own or BY_STATUS.get(status, Own.MALFORMED), _id(request))
         response = self._response(status, why, whole=whole)
-        if verdict is Verdict.REFUSED:
-            response.headers["Retry-After"] = f"{ROOM_TIME:.3f}"
+        advice = min(ROOM_TIME, self._core.settings.retry_advice)
+        if verdict is Verdict.REFUSED and advice > 0:
+            response.headers["Retry-After"] = f"{advice:.3f}"
         return response
 
     def _answer(self, answer: Answer) -> web.StreamResponse:
--- a/cherrycove/http1/watch.py
+++ b/cherrycove/http1/watch.py
@@ -21,24 +21,29 @@
 
 WATCH_WAIT = 5.0  # s that a watch may wait for news
 WATCH_SLACK = 1.0  # s past that until it counts as silent
+WHOLE_WAIT = 4.0  # s for the whole list, which waits for no news; both are within what silence may take
 WATCH_AGAIN = 0.1  # s before a watch that failed is renewed, doubled with each failure and drawn anew:
 MOST_AGAIN = 1.0  # the first within the 200 ms in which one continues, all within what news may take
 
 
 async def watch(core: Core, address: str, zones: Mapping[str, int], afresh: bool = False) -> None:
     """Follow discovery's list for ever. Whatever it answers, the last good list stands until a better one."""
-    limit = aiohttp.ClientTimeout(total=WATCH_WAIT + WATCH_SLACK, sock_connect=WATCH_SLACK)
+    # Guard: the library rounds its own limits of over 5 s up to a whole second of the loop's clock.
+    limit = aiohttp.ClientTimeout(total=None, sock_connect=WATCH_SLACK)
     async with aiohttp.ClientSession(cookie_jar=aiohttp.DummyCookieJar(), timeout=limit) as session:
         known, silent, again = core.version is not None and not afresh, False, WATCH_AGAIN
         while True:
             query = f"?since={core.version}&timeout_ms={int(WATCH_WAIT * 1000)}" if known else ""
             try:
                 url = URL(f"http://{address}/api/targets{query}", encoded=True)
-                async with session.get(url, allow_redirects=False) as answer:
+                async with (asyncio.timeout(WATCH_WAIT + WATCH_SLACK if known else WHOLE_WAIT),
+                            session.get(url, allow_redirects=False) as answer):
                     if answer.status != 200:
                         raise ListError(f"status {answer.status}")
                     news = parse_list(await answer.read(), zones)
-                if not news.full and (not known or news.version < (core.version or 0)):
+                if not news.full and not known:
+                    raise ListError("changes, where the whole list was asked for")
+                if not news.full and news.version < (core.version or 0):
                     known = False  # it has started over: changes of an unknown list say nothing
                     continue
                 if news.full or news.members or news.version != core.version:
--- a/cherrycove/life/leaving.py
+++ b/cherrycove/life/leaving.py
@@ -11,6 +11,7 @@
 KILL_AFTER = 0.7  # s that the platform adds to the longest deadline before it kills
 LONGEST = 3.0  # s as which it counts a longer one
 LAST = 0.3  # s before the kill at which everything has its answer
+COMING = 0.4  # s for which new connections may keep coming
 DECIDED = 0.4  # s before that at which no more is taken: what was taken then may still be served
 PARTING = 0.25  # s before that from which an answer closes its connection
 QUIET = 0.8  # s without a request after which nobody comes any more
@@ -30,7 +31,8 @@
         """For a deployment whose classes wait for so long (s) at most."""
         kill = min(longest_deadline, LONGEST) + KILL_AFTER
         give_up = max(kill - LAST, 0.0)
-        stop = max(give_up - DECIDED, 0.0)
+        # Guard: where all classes are in a hurry that would be while new connections still come.
+        stop = min(max(give_up - DECIDED, COMING), give_up)
         return cls(max(stop - PARTING, 0.0), stop, give_up, kill)
 
     def parts_at(self, replaced: bool) -> float:
--- a/cherrycove/nbd.py
+++ b/cherrycove/nbd.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import struct
 from collections import deque
@@ -23,6 +24,7 @@
 from cherrycove.core import Answer, Attempt, Core, Ending, Reply, Request, Verdict
 from cherrycove.events import Log
 from cherrycove.life.handover import listener
+from cherrycove.sockets import LOOK, ended
 
 log = Log("cherrycove.nbd")
 
@@ -646,7 +648,7 @@
     async def run(self) -> None:
         try:
             while True:
-                await self._room.acquire()  # no more is read while as many are open as may be
+                await self._enter()
                 if self._gone:
                     raise EOFError
                 call = await read_call(self._reader)
@@ -664,6 +666,17 @@
             raise
         await self._finish()
 
+    async def _enter(self) -> None:
+        """No more is read while as many are open as may be. Guard: what the client has sent beyond hides its
+        end, and its commands waited on; so that is looked for."""
+        while not self._gone:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(LOOK):
+                    await self._room.acquire()
+                    return
+            if ended(self._writer.transport):
+                self.gone()
+
     def gone(self) -> None:
         """The client has hung up; seen at once where the session waits for room."""
         if self._room.locked():
--- a/cherrycove/sockets.py
+++ b/cherrycove/sockets.py
@@ -9,7 +9,7 @@
 import select
 from collections.abc import Callable
 
-LOOK = 0.05  # s between two looks at a connection that is not read; a sixth of what a client's leaving may take
+LOOK = 0.05  # s between two looks at a connection that is not read; a client may have left for 0.3 s
 ENDED = getattr(select, "POLLRDHUP", 0) | select.POLLHUP | select.POLLERR
 
 
--- a/tests/support.py
+++ b/tests/support.py
@@ -10,6 +10,7 @@
 import copy
 import json
 import random
+import socket
 from collections.abc import Coroutine
 from pathlib import Path
 from typing import Any
@@ -81,9 +82,12 @@
         self.script, self.seen = list(script), []  # type: list[str], list[dict[str, Any]]
         self.arrived, self.hung_up = asyncio.Condition(), asyncio.Event()
         self.port = self.connections = 0
+        self.scraps: list[bytes] = []  # of requests that did not come whole
+        self.release = asyncio.Event()  # "held ..." in the script waits for it
 
-    async def start(self) -> Node:
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0, limit=1 << 20)
+    async def start(self, at: socket.socket | None = None) -> Node:
+        where: dict[str, Any] = {"sock": at} if at else {"host": "127.0.0.1", "port": 0}
+        self.server = await asyncio.start_server(self._serve, limit=1 << 20, **where)
         self.port = self.server.sockets[0].getsockname()[1]
         return self
 
@@ -106,6 +110,9 @@
                 step = self.script.pop(0) if self.script else "ok"
                 if not await self._step(step, reader, writer, headers):
                     return
+        except asyncio.IncompleteReadError as error:
+            self.scraps += [error.partial] if error.partial else []
+            self.hung_up.set()
         except (EOFError, OSError):
             self.hung_up.set()
         finally:
@@ -113,6 +120,9 @@
 
     async def _step(self, step: str, reader: asyncio.StreamReader, writer: Writer,
                     headers: dict[str, str]) -> bool:
+        if step.startswith("held "):
+            await self.release.wait()
+            step = step.removeprefix("held ")
         if step == "drop":
             return False
         if step == "hang":
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -7,40 +7,66 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import copy
+import fcntl
+import json
+import math
+import os
+import signal
 import socket
 import struct
-from collections.abc import Awaitable, Callable
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
 
 import pytest
-from support import Node, World, message, run
+from support import PLATFORM, RAW, ROOT, Discovery, Node, World, answer, message, raw, run
+from test_nbd import BLOCK, BlockNode, Client, setup
 
-from cherrycove.core import Request
+from cherrycove import __main__ as main
+from cherrycove import config
+from cherrycove.core import Attempt, Ending
+from cherrycove.http1 import back, body, front, watch
+from cherrycove.life import herald
+from cherrycove.life.handover import LOCK
+from cherrycove.nbd import Command
+from finchrack import interface as api
+from finchrack.interface import NodeState
 
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER: the end of the connection is a reset
 
 
+def patient(**changes: Any) -> config.Platform:
+    """The example's deployment with a connection time that no test outlasts."""
+    whole = raw()
+    whole["settings"]["limits"]["dialTimeoutNs"] = 10**11
+    whole["settings"]["guarantees"] |= changes
+    return config.read_platform(whole, {})
+
+
 class Held:
     """The module's hand is held back: what comes waits, as for credit, until ``free``."""
 
     def __init__(self, world: World) -> None:
         self._core, self._handle = world.core, world.core._scheduler.handle
-        self.came = asyncio.Condition()
-        self._events: list[object] = []
+        self.events: list[Any] = []
         world.core._scheduler.handle = self._hold  # type: ignore[method-assign]
 
-    def _hold(self, now: float, events: list[object]) -> list[object]:
-        self._events += events
+    def _hold(self, now: float, events: Any) -> list[Any]:
+        self.events += events
         return []
 
     def free(self) -> None:
         self._core._scheduler.handle = self._handle  # type: ignore[method-assign]
-        self._core._events = self._events + self._core._events  # type: ignore[assignment,operator]
+        self._core._events = self.events + self._core._events
         self._core.tick()
 
 
-async def counted(core: object, what: str, least: int = 1) -> None:
-    """Until the core has counted so many."""
-    while core.counts[what] < least:  # type: ignore[attr-defined]
+async def until(holds: Callable[[], object]) -> None:
+    """Until that is so; nothing but the loop's turns passes meanwhile."""
+    while not holds():
         await asyncio.sleep(0.001)
 
 
@@ -52,12 +78,33 @@
         writer.close()
 
 
-async def nothing_came(world: World, node: Node) -> None:
-    """The node has seen no byte: a later request, which it serves, is the first."""
-    status, _, body = await world.ask(id="later")
-    assert (status, body) == (200, b"data of later")
-    assert [each["x-request-id"] for each in node.seen] == ["later"] and node.connections == 1
+async def nothing_came(world: World, node: Node, shard: int = 0, before: tuple[str, ...] = ()) -> None:
+    """The node has seen no byte of what it was spared, and what that held is free again."""
+    assert world.core.open_requests == 0 and world.front.room.held == 0
+    status, _, data = await world.ask(id="later", shard=shard)
+    assert (status, data) == (200, b"data of later")
+    assert [each["x-request-id"] for each in node.seen] == [*before, "later"] and not node.scraps
+    await until(lambda: all(each.out == each.waiting == 0 for each in world.core._scheduler.nodes.values()))
+
 
+def raw_client(port: int) -> socket.socket:
+    """One that sends at once, between two turns of the loop."""
+    made = socket.create_connection(("127.0.0.1", port))
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return made
+
+
+async def answered(client: socket.socket) -> int:
+    """The status that a raw client is answered."""
+    client.setblocking(False)
+    reader, writer = await asyncio.open_connection(sock=client)
+    try:
+        return (await answer(reader))[0]
+    finally:
+        writer.close()
+
+
+# Clients that leave.
 
 BURST = b"".join(message(id=f"p{number}") for number in range(40))
 WAITS = {
@@ -71,17 +118,557 @@
 @pytest.mark.parametrize("how", ["close", "reset"])
 @pytest.mark.parametrize("sends", WAITS)
 def test_a_client_that_leaves_while_it_waits_for_the_module_is_not_sent_on(sends: str, how: str) -> None:
-    """Guard: while a connection's buffer is full nobody reads it, and its end was not seen."""
+    """While a connection's buffer is full nobody reads it, and its end was not seen."""
     async def story() -> None:
         node = await Node().start()
         async with World(node) as world:
             held = Held(world)
             _, writer = await asyncio.open_connection("127.0.0.1", world.port)
             writer.write(WAITS[sends])
-            await counted(world.core, "taken")
+            await until(lambda: world.core.counts["taken"])
             await leave(writer, how)
-            await counted(world.core, "client gone")
+            await until(lambda: world.core.counts["client gone"])
             held.free()
             await nothing_came(world, node)
-            assert world.core.open_requests == 0 and world.front.room.held == 0
+    run(story())
+
+
+@pytest.mark.parametrize("how", ["close", "reset"])
+@pytest.mark.parametrize("size", [1_000, 60_000])
+def test_a_client_that_leaves_while_its_body_waits_for_room_is_not_sent_on(size: int, how: str) -> None:
+    async def story() -> None:
+        node = await Node().start()
+        async with World(node) as world:
+            world.front.room.take(world.front.room.most)
+            _, writer = await asyncio.open_connection("127.0.0.1", world.port)
+            writer.write(message("claim-write", "PUT", id="gone", body=b"x" * size))
+            await until(lambda: world.front.room._waiting)
+            await leave(writer, how)
+            await until(lambda: not world.front._web.connected)
+            world.front.room.leave(world.front.room.most)
+            assert world.core.counts["taken"] == 0
+            await nothing_came(world, node)
+    run(story())
+
+
+@pytest.mark.parametrize("how", ["close", "reset"])
+def test_a_client_that_leaves_within_its_body_is_not_sent_on(how: str) -> None:
+    async def story() -> None:
+        node = await Node().start()
+        async with World(node) as world:
+            _, writer = await asyncio.open_connection("127.0.0.1", world.port)
+            writer.write(message("claim-write", "PUT", id="gone", body=b"x" * 900)[:-100])
+            await until(lambda: world.front._taking)
+            await leave(writer, how)
+            await until(lambda: not world.front._web.connected)
+            assert world.core.counts["taken"] == 0
+            await nothing_came(world, node)
+    run(story())
+
+
+@pytest.mark.parametrize("how", ["close", "reset"])
+def test_a_client_that_leaves_while_it_waits_for_a_pool_place_is_not_sent_on(how: str) -> None:
+    async def story() -> None:
+        busy, node = await Node("held ok").start(), await Node().start()
+        async with World(busy, node, platform=patient()) as world:
+            world.pool.resize(1)
+            first = asyncio.create_task(world.ask(id="first"))
+            await busy.until(1)
+            _, writer = await asyncio.open_connection("127.0.0.1", world.port)
+            writer.write(message(id="gone", shard=1))
+            await until(lambda: world.pool._connector._waiters)
+            await leave(writer, how)
+            await until(lambda: world.core.counts["client gone"])
+            busy.release.set()
+            assert (await first)[0] == 200
+            await nothing_came(world, node, shard=1)
+    run(story())
+
+
+@pytest.mark.parametrize("how", ["close", "reset"])
+def test_a_client_that_leaves_while_a_connection_comes_up_late_is_not_sent_on(how: str) -> None:
+    async def story() -> None:
+        late = socket.create_server(("127.0.0.1", 0), backlog=0)
+        filler = raw_client(late.getsockname()[1])  # the queue is full: whoever comes next is not let in
+        node = Node()
+        node.port = late.getsockname()[1]
+        async with World(node, platform=patient()) as world:
+            _, writer = await asyncio.open_connection("127.0.0.1", world.port)
+            writer.write(message(id="gone"))
+            await until(lambda: any(t.current and t.current.scope for t in world.core._tickets.values()))
+            await leave(writer, how)
+            await until(lambda: world.core.counts["client gone"])
+            filler.close()
+            await node.start(at=late)
+            await nothing_came(world, node)
+    run(story())
+
+
+@pytest.mark.parametrize("how", ["close", "reset"])
+def test_a_client_that_leaves_between_two_attempts_is_not_sent_on(how: str) -> None:
+    async def story() -> None:
+        node = await Node("held 503 X-Not-Run: 1").start()
+        async with World(node) as world:
+            _, writer = await asyncio.open_connection("127.0.0.1", world.port)
+            writer.write(message(id="gone"))
+            await node.until(1)
+            held = Held(world)
+            node.release.set()
+            await until(lambda: any(isinstance(event, api.AttemptEnded) for event in held.events))
+            await leave(writer, how)
+            await until(lambda: world.core.counts["client gone"])
+            held.free()
+            await nothing_came(world, node, before=("gone",))
+    run(story())
+
+
+@pytest.mark.parametrize("first", ["leaving", "attempt"])
+def test_a_client_that_leaves_just_as_an_attempt_is_handed_out_is_not_sent_on(first: str) -> None:
+    async def story() -> None:
+        node = await Node().start()
+        async with World(node) as world:
+            give = world.core._give
+
+            def cross(ticket: Any, step: Any) -> None:
+                world.core._give = give  # type: ignore[method-assign]
+                assert isinstance(step, Attempt)
+                if first == "attempt":
+                    give(ticket, step)
+                for transport in list(world.front._web._connections.values()):
+                    transport.abort()  # its end is seen in this turn of the loop
+                if first == "leaving":
+                    give(ticket, step)
+            world.core._give = cross  # type: ignore[method-assign]
+            _, writer = await asyncio.open_connection("127.0.0.1", world.port)
+            writer.write(message(id="gone"))
+            await until(lambda: world.core.counts["client gone"])
+            await nothing_came(world, node)
+            writer.close()
+    run(story())
+
+
+def test_a_client_that_leaves_before_it_is_accepted_is_not_sent_on() -> None:
+    async def story() -> None:
+        node = await Node().start()
+        async with World(node) as world:
+            client = raw_client(world.port)
+            client.sendall(message(id="gone"))
+            client.close()  # all this in one turn of the broker's loop
+            await until(lambda: world.core.counts["client gone"] or world.core.counts["taken"])
+            await until(lambda: not world.front._web.connected)
+            await nothing_came(world, node)
+    run(story())
+
+
+def test_what_is_left_of_a_request_when_its_client_leaves_is_not_sent(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    """Closed in good order, a connection sent on what the node had not taken yet, whenever it did."""
+    made = back.NodeConnection.connection_made
+
+    def narrow(self: back.NodeConnection, transport: Any) -> None:
+        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        made(self, transport)
+    monkeypatch.setattr(back.NodeConnection, "connection_made", narrow)
+
+    async def story() -> None:
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        node = Node()
+        node.port = listener.getsockname()[1]
+        async with World(node) as world:
+            _, writer = await asyncio.open_connection("127.0.0.1", world.port)
+            writer.write(message("claim-write", "PUT", id="gone", body=b"x" * 60_000))
+            await until(lambda: any(each.transport and each.transport.get_write_buffer_size()
+                                    for each in world.pool._connector._acquired))
+            await leave(writer, "close")
+            await until(lambda: world.core.counts["client gone"])
+            connection, _ = listener.accept()
+            connection.setblocking(False)
+            got = b""
+            while piece := await asyncio.get_running_loop().sock_recv(connection, 1 << 16):
+                got += piece
+            assert got.startswith(b"PUT /claim-write") and got.count(b"x") < 60_000
+            connection.close()
+            listener.close()
+    run(story())
+
+
+def test_an_nbd_client_that_leaves_while_its_commands_wait_is_not_sent_on() -> None:
+    """With its pipeline full nobody reads it; what it sent beyond fills the buffer ahead of its end."""
+    async def story() -> None:
+        block = await BlockNode().start()
+        async with World(Node(), platform=PLATFORM) as world:
+            _, port = await world.nbd(setup(block, pipeline=2))
+            held = Held(world)
+            client = await Client.mounted(port)
+            for number in range(2):
+                client.send(Command.WRITE, number * 1024, len(BLOCK), BLOCK)
+            await until(lambda: world.core.counts["taken"] == 2)
+            for number in range(160):  # what is read ahead, and more
+                client.send(Command.WRITE, number * 1024, 1 << 16, bytes(1 << 16))
+            await leave(client.writer, "reset")  # a mere end would stay behind what the broker does not take
+            await until(lambda: world.core.counts["client gone"] == 2)
+            held.free()
+            assert not block.seen and world.core.open_requests == 0
+    run(story())
+
+
+# Shutdown.
+
+
+def test_a_request_in_the_buffer_of_an_idle_connection_is_answered_before_it_closes() -> None:
+    async def story() -> None:
+        async with World(await Node().start()) as world:
+            client = raw_client(world.port)
+            client.sendall(message(id="before"))
+            await until(lambda: world.core.counts["served"] and world.front._web._idle)
+            client.recv(1 << 16)
+            client.sendall(message(id="crossing"))
+            closing = asyncio.create_task(world.front.close())  # its first step comes before the loop reads
+            assert await answered(client) == 200
+            await closing
+    run(story())
+
+
+def test_a_request_that_waits_to_be_accepted_is_answered_before_the_listener_closes() -> None:
+    async def story() -> None:
+        async with World(await Node(*["ok"] * 9).start()) as world:
+            clients = [raw_client(world.port) for _ in range(9)]  # more than are accepted in one turn
+            for number, client in enumerate(clients):
+                client.sendall(message(id=f"c{number}"))
+            closing = asyncio.create_task(world.front.close())
+            assert [await answered(client) for client in clients] == [200] * 9
+            await closing
+    run(story())
+
+
+def test_a_body_that_is_on_its_way_as_the_process_ends_is_taken() -> None:
+    async def story() -> None:
+        async with World(await Node().start()) as world:
+            world.front._last_answer = math.inf
+            reader, writer = await asyncio.open_connection("127.0.0.1", world.port)
+            whole = message("claim-write", "PUT", id="late", body=b"x" * 900)
+            writer.write(whole[:-100])
+            await until(lambda: world.front._taking)
+            closing = asyncio.create_task(world.front.close())
+            await until(lambda: world.front._server is not None and not world.front._server.is_serving())
+            writer.write(whole[-100:])
+            assert (await answer(reader))[0] == 200
+            await closing
+            writer.close()
+    run(story())
+
+
+@pytest.mark.parametrize("waits_for", ["room", "body"])
+def test_what_is_not_taken_in_when_all_is_given_up_is_refused_at_once(
+        waits_for: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(body, "ROOM_TIME", 1e6)
+    monkeypatch.setattr(body, "BODY_TIME", 1e6)
+
+    async def story() -> None:
+        node = await Node().start()
+        async with World(node) as world:
+            if waits_for == "room":
+                world.front.room.take(world.front.room.most)
+            reader, writer = await asyncio.open_connection("127.0.0.1", world.port)
+            whole = message("claim-write", "PUT", id="late", body=b"x" * 900)
+            writer.write(whole if waits_for == "room" else whole[:-100])
+            await until(lambda: world.front._taking)
+            world.front._give_up()
+            status, headers, _ = await answer(reader)
+            assert status == 503 and float(headers["retry-after"]) > 0 and not node.seen
+            writer.close()
+    run(story())
+
+
+def test_no_advice_to_wait_is_given_where_the_settings_allow_none(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(body, "ROOM_TIME", 0.0)
+
+    async def story() -> None:
+        whole = raw()
+        whole["settings"]["limits"]["retryAfter"] = False
+        async with World(await Node().start(), platform=config.read_platform(whole, {})) as world:
+            world.front.room.take(world.front.room.most)
+            status, headers, _ = await world.ask(cls="claim-write", method="PUT", body=b"x" * 900)
+            assert status == 503 and "retry-after" not in headers
+    run(story())
+
+
+@pytest.mark.parametrize("by", ["its idle time", "a newcomer", "a crowd"])
+def test_an_idle_connection_on_which_a_request_has_come_is_not_closed(by: str) -> None:
+    async def story() -> None:
+        async with World(await Node().start()) as world:
+            web = world.front._web
+            client = raw_client(world.port)
+            client.sendall(message(id="before"))
+            await until(lambda: world.core.counts["served"] and web._idle)
+            client.recv(1 << 16)
+            (handler,) = web._idle
+            client.sendall(message(id="crossing"))
+            if by == "its idle time":
+                handler._next_keepalive_close_time = 0.0
+                handler._process_keepalive()
+            elif by == "a newcomer":
+                web._partly[front.ClientConnection(web, loop=web._loop)] = 0.0  # one that may go instead
+                web._connections[next(iter(web._partly))] = asyncio.Transport()
+                with pytest.raises(NotImplementedError):  # of the stand-in's abort: it is the one to go
+                    web.resize(1)
+            else:
+                web._crowd, web._idle[handler] = 0, 0.0
+                web.begin(handler_like(web))
+            assert await answered(client) == 200
+    run(story())
+
+
+def handler_like(web: front.Clients) -> Any:
+    """A connection that begins a request beside the one looked at."""
+    other = front.ClientConnection(web, loop=web._loop)
+    other.transport = asyncio.Transport()
+    return other
+
+
+class Started:
+    """A whole broker as a process whose configuration comes through a pipe: the test says when it is read."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder, self.path = folder, folder / "config.json"
+        os.mkfifo(self.path)
+        whole = copy.deepcopy(RAW)
+        del whole["admin"]
+        self.raw = whole | {"listen": "127.0.0.1:0"}
+        self.place = Path(herald.directory(self.raw["name"], "127.0.0.1", 0, str(folder)))
+        self.lines: list[str] = []
+
+    async def start(self) -> None:
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "cherrycove", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
+            env=os.environ | {"RELAY_CONFIG": str(self.path), "TMPDIR": str(self.folder),
+                              "CHERRYCOVE_OPERATOR": str(self.folder / "none.toml")})
+
+    async def read_by_process(self, before: Callable[[], object] = lambda: None) -> None:
+        """Once the process reads its file: ``before``, then what the file holds."""
+        number = await asyncio.to_thread(os.open, self.path, os.O_WRONLY)
+        before()
+        os.write(number, json.dumps(self.raw).encode())
+        os.close(number)
+        # Guard: or the next open meets this reader.
+        await until(lambda: str(self.path) not in opened(self.process.pid))
+
+    async def says(self, event: str) -> None:
+        assert self.process.stderr is not None
+        while line := (await self.process.stderr.readline()).decode():
+            self.lines.append(line)
+            if event in line:
+                return
+        raise AssertionError(f"it ended without {event}: {self.lines}")
+
+    async def held_in_its_start(self) -> int:
+        """Hold the lock that a start has to have; closing it sets the process free."""
+        self.place.mkdir(mode=0o700)
+        lock = os.open(self.place / LOCK, os.O_RDWR | os.O_CREAT, 0o600)
+        fcntl.flock(lock, fcntl.LOCK_EX)
+        return lock
+
+
+def test_a_sighup_before_the_file_is_read_does_no_harm(tmp_path: Path) -> None:
+    async def story() -> None:
+        broker = Started(tmp_path)
+        await broker.start()
+        await broker.read_by_process(lambda: broker.process.send_signal(signal.SIGHUP))  # before its imports
+
+        def again() -> None:
+            broker.path.unlink()
+            broker.path.write_text(json.dumps(broker.raw))  # what is read again
+            broker.process.send_signal(signal.SIGHUP)
+        await broker.read_by_process(again)
+        await broker.says("config.read_again")
+        broker.process.send_signal(signal.SIGTERM)
+        await broker.says("broker.ended")
+        assert await broker.process.wait() == 0
+    run(story())
+
+
+def test_a_sigterm_before_the_imports_ends_in_good_order(tmp_path: Path) -> None:
+    async def story() -> None:
+        broker = Started(tmp_path)
+        await broker.start()
+        with contextlib.suppress(BrokenPipeError):  # it may have ended by then
+            await broker.read_by_process(lambda: broker.process.send_signal(signal.SIGTERM))
+        assert await broker.process.wait() == 0
+    run(story())
+
+
+def test_a_sighup_within_the_start_is_done_once_it_is_over(tmp_path: Path) -> None:
+    async def story() -> None:
+        lists = [Discovery(json.dumps(RAW["known"]).encode()) for _ in range(2)]
+        broker = Started(tmp_path)
+        broker.raw["discovery"] = await lists[0].start()
+        lock = await broker.held_in_its_start()
+        await broker.start()
+        await broker.read_by_process()
+        await broker.read_by_process()  # the old address; the start waits for the lock
+        moved = tmp_path / "moved.json"
+        moved.write_text(json.dumps(broker.raw | {"discovery": await lists[1].start()}))
+        await until(lambda: str(broker.place / LOCK) in opened(broker.process.pid))  # it is in its start
+        os.replace(moved, broker.path)
+        broker.process.send_signal(signal.SIGHUP)
+        os.close(lock)
+        assert "since" not in await lists[1].asked.get()
+        broker.process.send_signal(signal.SIGTERM)
+        await broker.says("broker.ended")
+        assert await broker.process.wait() == 0
+    run(story())
+
+
+def opened(pid: int) -> set[str]:
+    """The files that a process has open."""
+    found = set()
+    with contextlib.suppress(OSError):  # the process has ended
+        for number in Path(f"/proc/{pid}/fd").iterdir():
+            with contextlib.suppress(OSError):  # closed meanwhile
+                found.add(os.readlink(number))
+    return found
+
+
+def test_the_kill_counts_from_the_signal_though_the_start_takes_longer(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    async def story() -> None:
+        go, began = asyncio.Event(), []  # type: asyncio.Event, list[float]
+
+        async def start(self: main.Broker) -> int:
+            await go.wait()
+            return 0
+
+        async def end(self: main.Broker, at: float) -> None:
+            began.append(at)
+        monkeypatch.setattr(main.Broker, "start", start)
+        monkeypatch.setattr(main.Broker, "end", end)
+        monkeypatch.setattr(main.signal, "pthread_sigmask", lambda *_: None)
+        platform = config.read_platform(raw() | {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:9"}, {})
+        loop, stop = asyncio.get_running_loop(), []  # type: asyncio.AbstractEventLoop, list[asyncio.Event]
+        made = main.Broker.__init__
+
+        def make(self: main.Broker, *given: Any) -> None:
+            made(self, *given)
+            stop.append(self.stop)
+        monkeypatch.setattr(main.Broker, "__init__", make)
+        running = asyncio.create_task(main.run(platform, config.Operator(), []))
+        await until(lambda: stop)
+        os.kill(os.getpid(), signal.SIGTERM)
+        await until(lambda: stop[0].is_set())
+        latest = loop.time()
+        os.kill(os.getpid(), signal.SIGTERM)  # a second one moves nothing
+        await asyncio.sleep(0.01)
+        go.set()
+        await running
+        assert began and began[0] <= latest
+    run(story())
+
+
+# Lists.
+
+
+async def telling(*steps: bytes | None) -> tuple[str, asyncio.Queue[str]]:
+    """A discovery that answers each call with the next of these and then says no more; what it was asked."""
+    left, asked = list(steps), asyncio.Queue[str]()
+
+    async def tell(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while True:
+                asked.put_nowait((await reader.readuntil(b"\r\n\r\n")).split()[1].decode())
+                step = left.pop(0) if left else None
+                if step:
+                    writer.write(step)
+        except (EOFError, OSError):
+            writer.close()
+    server = await asyncio.start_server(tell, "127.0.0.1", 0)
+    return f"127.0.0.1:{server.sockets[0].getsockname()[1]}", asked
+
+
+def told(index: int, whole: bool = True, status: str = "up") -> bytes:
+    entry = {"name": "d0", "address": "127.0.0.1:1", "group": 0, "status": status}
+    text = json.dumps({"index": index, "snapshot": whole, "endpoints": [entry]}).encode()
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(text) + text
+
+
+@pytest.mark.parametrize("silent_after", [0, 10, 60, 120])  # at once, in the head, behind it, in the body
+def test_a_watch_that_falls_silent_is_opened_anew(silent_after: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(watch, "WATCH_WAIT", 0.2)
+    monkeypatch.setattr(watch, "WATCH_SLACK", 0.2)
+
+    async def story() -> None:
+        news = told(2, False, "draining")
+        address, asked = await telling(told(1), news[:silent_after], news)
+        async with World() as world:
+            watching = asyncio.create_task(watch.watch(world.core, address, {}))
+            await until(lambda: world.core.version == 2)
+            assert not world.core.ready
+            assert ["since" in await asked.get() for _ in range(3)] == [False, True, True]
+            watching.cancel()
+    run(story())
+
+
+@pytest.mark.parametrize("known", [False, True])
+def test_a_silent_watch_ends_within_what_its_silence_may_take(known: bool) -> None:
+    """The library rounds limits of over 5 s up to whole seconds: 6 s were up to 7."""
+    async def story() -> None:
+        loop = asyncio.get_running_loop()
+        clock = loop.time
+        shift = math.ceil(clock()) + 0.05 - clock()  # a rounding up costs almost a second from here on
+        loop.time = lambda: clock() + shift  # type: ignore[method-assign]
+        address, asked = await telling(*[told(1)] * known)
+        async with World() as world:
+            watching = asyncio.create_task(watch.watch(world.core, address, {}))
+            for _ in range(1 + known):
+                await asked.get()
+            began = loop.time()
+            ends = min(timer.when() for timer in loop._scheduled  # type: ignore[attr-defined]
+                       if not timer.cancelled() and timer.when() > began + 3.0)
+            assert ends <= began + (6.0 if known else 4.0)
+            watching.cancel()
+    run(story())
+
+
+def test_a_discovery_that_tells_changes_for_the_whole_list_is_not_asked_without_a_pause(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    waits: list[float] = []
+    asleep = asyncio.sleep
+
+    async def sleep(delay: float, *_: object) -> None:
+        waits.append(delay)
+        await asleep(0)
+    monkeypatch.setattr(watch.asyncio, "sleep", sleep)
+
+    async def story() -> None:
+        address, asked = await telling(*[told(1, False)] * 5)
+        async with World() as world:
+            watching = asyncio.create_task(watch.watch(world.core, address, {}))
+            for _ in range(6):
+                await asked.get()
+            assert len(waits) >= 5 and not world.core.ready
+            watching.cancel()
+    run(story())
+
+
+@pytest.mark.parametrize("news", ["drains", "is out"])
+def test_a_drain_told_while_an_attempt_waits_for_a_pool_place_calls_it_off(news: str) -> None:
+    async def story() -> None:
+        busy, node = await Node("held ok").start(), await Node().start()
+        async with World(busy, node, platform=patient(drainGraceNs=10**7)) as world:
+            world.pool.resize(1)
+            first = asyncio.create_task(world.ask(id="first"))
+            await busy.until(1)
+            second = asyncio.create_task(world.ask(id="second", shard=1))
+            await until(lambda: world.pool._connector._waiters)
+            if news == "drains":
+                world.members[1] = main.replace(world.members[1], state=NodeState.DRAINING)
+                world.core.update(main.NodeList(2, False, (world.members[1],)))
+            else:
+                world.core.maintain(world.core.maintenance.taking_out("d1", 0.0))
+            await until(lambda: world.core.endings[Ending.EXPIRED])
+            busy.release.set()
+            assert (await first)[0] == 200 and (await second)[0] == 503
+            assert not node.seen and not node.scraps
     run(story())
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -595,6 +595,7 @@
         async with World() as world:
             with contextlib.suppress(asyncio.CancelledError):
                 await watch.watch(world.core, "127.0.0.1:9", PLATFORM.zones)
+            monkeypatch.undo()  # the world's end has pauses of its own
     run(story())
     assert waits[0] <= 0.1 and all(0.5 <= wait <= 1.0 for wait in waits[5:])
     assert len(set(waits[5:])) > 1  # each at a time of its own
