Consul: end without waiting for the agent, and do not register again behind it

Now it is deregistered beside the serving, behind what is just being told of the entry, and not renewed from then on.

--- a/cherrycove/__main__.py
+++ b/cherrycove/__main__.py
@@ -232,7 +232,7 @@
             self._nbd.drain()
         registered = self.operator.consul is not None and self.operator.consul.register
         if self._consul is not None and registered and not self.life.handed:
-            await self._consul.deregister()
+            self._run(self._consul.deregister())  # Guard: a silent agent holds up no answer, and not the end
         longest = max(cls.deadline for cls in self.platform.settings.classes)
         await self.front.linger(Timetable.of(longest), began, replaced=self.life.handed)
         if self._nbd is not None and self._nbd_pool is not None:
--- a/cherrycove/consul.py
+++ b/cherrycove/consul.py
@@ -113,6 +113,7 @@
         self._name, self._listen = name, listen
         host, port = setup.agent
         self._base = f"http://{host}:{port}/v1"
+        self._leaving, self._entry = False, asyncio.Lock()  # held while the own entry is being changed
         self._session = aiohttp.ClientSession(
             cookie_jar=aiohttp.DummyCookieJar(),
             timeout=aiohttp.ClientTimeout(total=setup.wait * 17 / 16 + SLACK, sock_connect=SLACK))
@@ -151,7 +152,7 @@
             index, pause = told, LEAST_PAUSE
 
     async def keep_registered(self) -> None:
-        """Register this broker and keep its TTL check passing for ever."""
+        """Register this broker and keep its TTL check passing, until it is deregistered."""
         check = f"service:{self._name}"
         host, port = self._listen
         entry = {"ID": self._name, "Name": self._setup.register, "Address": host, "Port": port, "Check": {
@@ -160,10 +161,15 @@
         while True:
             status = "passing" if self._core.ready else "critical"
             try:
-                if not registered:
-                    await self._put("/agent/service/register", entry)
-                    registered = True
-                await self._put(f"/agent/check/update/{check}", {"Status": status})
+                async with self._entry:
+                    # Guard: an agent asked to forget this broker knows no such check; told so, it was registered
+                    # again, as passing, by a process that ends.
+                    if self._leaving:
+                        return
+                    if not registered:
+                        await self._put("/agent/service/register", entry)
+                        registered = True
+                    await self._put(f"/agent/check/update/{check}", {"Status": status})
                 await asyncio.sleep(self._setup.ttl / 3)
             except (HealthError, aiohttp.ClientError, OSError) as error:
                 log.warning("consul.not_registered", why=str(error) or type(error).__name__)
@@ -171,8 +177,11 @@
                 await asyncio.sleep(min(self._setup.ttl / 3, 1.0))
 
     async def deregister(self) -> None:
+        """Behind whatever is just being told of the entry; it is not renewed from now on."""
+        self._leaving = True
         try:
-            await self._put(f"/agent/service/deregister/{self._name}", None)
+            async with self._entry:
+                await self._put(f"/agent/service/deregister/{self._name}", None)
         except (HealthError, aiohttp.ClientError, OSError) as error:
             log.warning("consul.not_deregistered", why=str(error) or type(error).__name__)
 
--- a/tests/test_consul.py
+++ b/tests/test_consul.py
@@ -6,11 +6,13 @@
 import json
 from typing import Any
 
-from aiohttp import web
+import pytest
+from aiohttp import ClientTimeout, web
 from hypothesis import given
-from support import PLATFORM, World, fuzz, run, spoiled
+from support import PLATFORM, World, fuzz, raw, run, spoiled
 
-from cherrycove import consul
+from cherrycove import __main__ as main
+from cherrycove import config, consul
 from cherrycove.core import Member
 from finchrack.interface import NodeState
 
@@ -62,6 +64,8 @@
         self.script, self.asked, self.put = list(script), [], []  # type: ignore[var-annotated]
         self.held, self.forgets = asyncio.Event(), 0
         self.updated = asyncio.Event()
+        self.hold: asyncio.Event | None = None  # until when nothing that is put is answered
+        self.holds = asyncio.Event()  # something waits so
 
     async def start(self) -> tuple[str, int]:
         self.runner = web.ServerRunner(web.Server(self._handle), shutdown_timeout=0.1)
@@ -73,6 +77,9 @@
     async def _handle(self, request: web.BaseRequest) -> web.Response:
         if request.method == "PUT":
             self.put.append((request.path, await request.json() if request.body_exists else None))
+            if self.hold is not None:
+                self.holds.set()
+                await self.hold.wait()
             if request.path.startswith("/v1/agent/check/update/"):
                 self.forgets -= 1
                 if self.forgets >= 0:
@@ -125,3 +132,51 @@
         assert agent.put[1][1] == {"Status": "critical"}  # it has no node to send to
         await agent.runner.cleanup()
     run(story())
+
+
+def test_the_own_entry_is_not_made_again_behind_its_end() -> None:
+    """An agent that was asked to forget the broker knows no check of it; told so, it registered again."""
+    async def story() -> None:
+        agent = Agent()
+        async with World() as world:
+            setup = consul.Setup(await agent.start(), "disk-node", register="broker", ttl=1.0)
+            client = consul.Consul(world.core, setup, PLATFORM.zones, "n0", ("127.0.0.1", 5000))
+            keeping = asyncio.create_task(client.keep_registered())
+            await agent.updated.wait()
+            agent.hold, agent.forgets = asyncio.Event(), 1
+            await agent.holds.wait()  # the next update is at the agent
+            leaving = asyncio.create_task(client.deregister())
+            await asyncio.sleep(0)
+            agent.hold.set()  # which now knows no such check
+            await asyncio.wait([keeping, leaving])
+            await client.close()
+        paths = [path.removeprefix("/v1/agent/") for path, _ in agent.put]
+        assert paths == ["service/register", *["check/update/service:n0"] * 2, "service/deregister/n0"]
+        await agent.runner.cleanup()
+    run(story())
+
+
+def test_a_silent_agent_does_not_hold_up_the_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    """What the broker does at an end begins while the agent is still asked to forget it."""
+    monkeypatch.setattr(consul, "CALL", ClientTimeout(total=None))
+
+    async def story() -> None:
+        agent = Agent()
+        agent.hold = asyncio.Event()
+        setup = consul.Setup(await agent.start(), "disk-node", register="broker")
+        broker = main.Broker(config.read_platform(raw() | {"listen": "127.0.0.1:0"}, {}),
+                             config.Operator(consul=setup))
+        broker._consul = consul.Consul(broker.core, setup, {}, "n0", ("127.0.0.1", 1))
+        lingers, go = asyncio.Event(), asyncio.Event()
+
+        async def linger(*_: object, **__: object) -> None:
+            lingers.set()
+            await go.wait()
+        monkeypatch.setattr(broker.front, "linger", linger)
+        ending = asyncio.create_task(broker.end())
+        await lingers.wait()
+        await agent.holds.wait()
+        go.set()
+        await ending
+        await agent.runner.cleanup()
+    run(story())
