Name file, key and reason for a figure past all floats and a file nested too deeply

Cause, found by setting each value of the example's file to each of 18 wrong ones: known.misfit called isfinite() of a whole number that no float holds (OverflowError, not the ValueError that is caught), limits.sockets and memory_mb had no upper end, and a nest of 500 passes JSON's reader and not misfit (RecursionError). Each was a trace and status 1; on SIGHUP one in the loop's handler. Now each is an error with file, key and reason, status 2, and on SIGHUP config.not_used.

--- a/cherrycove/config.py
+++ b/cherrycove/config.py
@@ -27,6 +27,7 @@
 
 TOP = {"admin", "discovery", "known", "limits", "listen", "name", "peer_listen", "peers", "peers_all", "seed",
        "settings", "tier"}  # keys of the platform's file
+MOST_LIMIT = 1 << 30  # descriptors, or MB: no machine has more
 SERVICE = re.compile(r"[A-Za-z0-9._-]{1,128}", re.ASCII)
 
 
@@ -128,7 +129,7 @@
         raw = json.loads(Path(path).read_text(encoding="utf-8"))
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from None
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise ConfigError(f"{path}: not JSON: {error}") from None
     if not isinstance(raw, dict):
         raise ConfigError(f"{path}: not a JSON object")
@@ -136,6 +137,8 @@
         return read_platform(raw, env)
     except ConfigError as error:
         raise ConfigError(f"{path}: {error}") from None
+    except RecursionError:
+        raise ConfigError(f"{path}: a value is nested too deeply") from None
 
 
 def read_platform(raw: dict[str, Any], env: Mapping[str, str]) -> Platform:
@@ -158,11 +161,11 @@
             raise ConfigError(f"known: {error}") from None
     limits = raw.get("limits") or {}
     sockets = limits.get("sockets", 1024) if isinstance(limits, dict) else 1024
-    if type(sockets) is not int or sockets < 64:
-        raise ConfigError(f"limits.sockets must be a whole number from 64 up, not {sockets!r}")
+    if type(sockets) is not int or not 64 <= sockets <= MOST_LIMIT:
+        raise ConfigError(f"limits.sockets must be a whole number from 64 to {MOST_LIMIT}, not {sockets!r:.80}")
     memory = limits.get("memory_mb", 192) if isinstance(limits, dict) else 192
-    if type(memory) not in (int, float) or not memory > 0:
-        raise ConfigError(f"limits.memory_mb must be a number above 0, not {memory!r}")
+    if type(memory) not in (int, float) or not 0 < memory <= MOST_LIMIT:
+        raise ConfigError(f"limits.memory_mb must be a number above 0, up to {MOST_LIMIT}, not {memory!r:.80}")
     try:
         seed = int(str(raw.get("seed", "")), 16)
     except ValueError:
--- a/finchrack/known.py
+++ b/finchrack/known.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-from math import isfinite
 from typing import Any
 
 _READ = """
@@ -45,6 +44,7 @@
     dict: "familyInfo feedback guarantees limits classes[] policies[]"}
 _KIND = {path: kind for kind, names in _KINDS.items() for path in names.split()}
 _WORDS = {str: "text", bool: "true or false", list: "a list", dict: "an object"}
+MOST = 1e100  # of any figure
 _ABOVE_0 = frozenset([
     "balancers", "tickNs", "classes[].aimNs", "classes[].deadlineNs", "familyInfo.maxUnits",
     "familyInfo.usualUnits", "limits.connIdleNs", "limits.dialTimeoutNs", "limits.maxAttempts"])
@@ -56,8 +56,9 @@
         kind = _KIND.get(path)
         if kind is not None and not isinstance(info, kind):
             return f"{place} must be {_WORDS[kind]}, not {info!r:.80}"
-        if kind is None and (type(info) not in (int, float) or not isfinite(info) or info < 0):
-            return f"{place} must be a number from 0 up, not {info!r:.80}"
+        if kind is None and (type(info) not in (int, float) or not 0 <= info <= MOST):
+            # Guard: a whole number that no float holds raised in the first sum it came into.
+            return f"{place} must be a number from 0 up to {MOST:g}, not {str(info):.80}"
         if path in _ABOVE_0 and not info:
             return f"{place} must be above 0"
     each: list[tuple[str, str, Any]] = []
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -6,6 +6,7 @@
 import copy
 import json
 import os
+import re
 import signal
 import sys
 import tomllib
@@ -130,7 +131,7 @@
     right = copy.deepcopy(RAW) | {"settings": settings(SITES[name])}
     path = tmp_path / "config.json"
     for at, page in places(right["settings"]):
-        for wrong in ("x", None, [1], {"a": 1}, True, -1, float("nan")):
+        for wrong in ("x", None, [1], {"a": 1}, True, -1, float("nan"), 10**400):
             whole = copy.deepcopy(right)
             owner = whole["settings"]
             for key in at[:-1]:
@@ -145,6 +146,26 @@
             assert str(found.value).startswith(f"{path}: {place}"), (place, wrong)
 
 
+@pytest.mark.parametrize(("at", "wrong"), [
+    ("limits.sockets", 10**19), ("limits.memory_mb", 10**400), ("limits.memory_mb", float("inf"))],
+    ids=["sockets", "memory", "infinite"])
+def test_a_limit_past_all_machines_is_named_with_its_file_and_reason(at: str, wrong: float, tmp_path: Path
+                                                                     ) -> None:
+    whole, path = copy.deepcopy(RAW), tmp_path / "config.json"
+    whole["limits"][at.partition(".")[2]] = wrong
+    path.write_text(json.dumps(whole))
+    with pytest.raises(config.ConfigError, match=f"{re.escape(str(path))}: {at} must be"):
+        config.platform({"RELAY_CONFIG": str(path)})
+
+
+@pytest.mark.parametrize("depth", [500, 100_000])  # within what JSON's reader takes, and beyond
+def test_a_file_that_is_nested_too_deeply_is_named(depth: int, tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text('{"settings": ' + '{"a": ' * depth + "1" + "}" * depth + "}")
+    with pytest.raises(config.ConfigError, match=re.escape(str(path))):
+        config.platform({"RELAY_CONFIG": str(path)})
+
+
 @pytest.mark.parametrize("name", SITES)
 def test_a_setting_that_is_missing_is_named_or_not_needed(name: str, tmp_path: Path) -> None:
     right = copy.deepcopy(RAW) | {"settings": settings(SITES[name])}
