Let a connection to a node rest 10 ms: a second answer was taken for the next request's

Excluded: bytes that come while a connection is kept (dropped, as before). Cause: Connector hands a connection out at once (aiohttp connector._get); nothing in an answer says whose it is.

Both tests fail without their mend (run). The tests' world lets connections not rest, since the machine's speed would say which one a request takes; the rest has its own test, on a clock that the test moves.

--- a/cherrycove/http1/back.py
+++ b/cherrycove/http1/back.py
@@ -11,6 +11,7 @@
 from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable
 from dataclasses import replace
 from functools import partial
+from time import monotonic
 from types import SimpleNamespace
 from typing import Any
 
@@ -29,6 +30,7 @@
 MOST_HEADS = 32 * 1024  # bytes of an answer's head and of all that is said ahead of it
 START_TIME = 0.02  # s for an answer that does not tell its length to end, before it is passed on as it comes
 STALL_TIME = 10.0  # s in which a node must take or give something of a long body
+REST_TIME = 0.010  # s after an answer before its connection is used again; a second answer comes up to 4 ms late
 
 
 class SpoiltAnswer(aiohttp.ClientPayloadError):
@@ -138,9 +140,20 @@
 class Connector(aiohttp.TCPConnector):
     """The library's pool, with connections of ours."""
 
-    def __init__(self, **settings: Any) -> None:
+    def __init__(self, rest: float, **settings: Any) -> None:
         super().__init__(**settings)
         self._factory = partial(NodeConnection, loop=self._loop)  # type: ignore[assignment]
+        self._rest = rest
+
+    async def _get(self, key: Any, traces: Any) -> Any:
+        # Guard: a second answer that came a little late was taken for that to the next request, if that had gone
+        # out over the same connection meanwhile. While a connection rests, it is nobody's and drops the connection.
+        kept, now = self._conns.get(key), monotonic()
+        while kept and not (kept[0][0].is_connected() and now - kept[0][1] <= self._keepalive_timeout):
+            kept.popleft()[0].close()
+        if kept and now - kept[0][1] < self._rest:
+            return None  # the first has rested longest
+        return await super()._get(key, traces)
 
     async def _create_connection(self, *request: Any) -> ResponseHandler:
         # Guard: the library's limit is for those in use; kept ones came on top and took all descriptors.
@@ -156,12 +169,12 @@
 class Pool:
     """Connections to disk nodes, and how each attempt over them ended."""
 
-    def __init__(self, dial_timeout: float, conn_idle: float, most: int) -> None:
+    def __init__(self, dial_timeout: float, conn_idle: float, most: int, rest: float = REST_TIME) -> None:
         trace = aiohttp.TraceConfig()
         trace.on_request_headers_sent.append(self._headers_sent)
         trace.on_request_chunk_sent.append(self._chunk_sent)
         # Guard: a node closes what stood idle for conn_idle, and what is written to it then is lost.
-        self._connector = Connector(limit=most, keepalive_timeout=min(conn_idle * 0.4, 15.0),
+        self._connector = Connector(rest, limit=most, keepalive_timeout=min(conn_idle * 0.4, 15.0),
                                     happy_eyeballs_delay=None, use_dns_cache=False)
         self._session = aiohttp.ClientSession(
             connector=self._connector,
--- a/cherrycove/http1/parse.py
+++ b/cherrycove/http1/parse.py
@@ -10,7 +10,6 @@
 import re
 from collections.abc import Mapping
 from dataclasses import dataclass
-from math import isfinite
 from typing import Any
 
 from multidict import MultiMapping
@@ -23,6 +22,7 @@
 INFO = {"volume", "units", "shard", "hosts"}
 ONCE = ("X-Request-Id", "X-Class", "Tier", "X-Deadline-Ms", "IO-Info", "Cookie", "Idempotency-Key")
 WHOLE = re.compile(r"[0-9]{1,9}", re.ASCII)
+MOST = 1e18  # of any figure in a list: ms since 1970 are some 1.8e12
 REQUEST_ID = re.compile(r"[!-~]{1,128}", re.ASCII)
 REPEAT_KEY = re.compile(r"[!-~]([ -~]{0,254}[!-~])?", re.ASCII)
 STATES = {"up": NodeState.UP, "draining": NodeState.DRAINING, "removed": NodeState.GONE}
@@ -136,7 +136,8 @@
         weight, since = raw.get("weight", 1.0), raw.get("since_ms", 0)
     except (KeyError, TypeError) as error:
         raise ListError(f"an entry lacks or misstates {error}") from None
-    numbers = all(type(x) in (int, float) and isfinite(x) for x in (weight, since))
+    # Guard: a whole number that no float holds raised in isfinite(), and that ended the broker.
+    numbers = all(type(x) in (int, float) and abs(x) < MOST for x in (weight, since))
     if not (isinstance(name, str) and name and isinstance(address, str) and type(shard) is int and numbers):
         raise ListError("an entry has a value of the wrong type")
     host, _, port = address.rpartition(":")
--- a/tests/support.py
+++ b/tests/support.py
@@ -179,11 +179,12 @@
 
 
 class World:
-    """A core, its fronts and its backs on ephemeral ports; shard i is held by the i-th node."""
+    """A core, its fronts and its backs on ephemeral ports; shard i is held by the i-th node. Connections to
+    nodes do not rest between requests, or a machine's speed would say which of them a request takes."""
 
-    def __init__(self, *nodes: Node, platform: config.Platform = PLATFORM) -> None:
+    def __init__(self, *nodes: Node, platform: config.Platform = PLATFORM, rest: float = 0.0) -> None:
         self.core = Core(platform.settings, platform.seed)
-        self.pool = back.Pool(platform.dial_timeout, platform.conn_idle, 64)
+        self.pool = back.Pool(platform.dial_timeout, platform.conn_idle, 64, rest)
         self.front = front.Front(self.core, self.pool, 64, 21, 4 << 20)
         self.members = [Member(f"d{i}", f"127.0.0.1:{node.port}", i) for i, node in enumerate(nodes)]
         self.platform = platform
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -22,13 +22,14 @@
 from typing import Any
 
 import pytest
+from aiohttp import connector
 from support import PLATFORM, RAW, ROOT, Discovery, Node, World, answer, message, raw, run
 from test_nbd import BLOCK, BlockNode, Client, setup
 
 from bench.many.rig import _with_parent
 from cherrycove import __main__ as main
 from cherrycove import config, nbd
-from cherrycove.core import Attempt, Ending
+from cherrycove.core import Attempt, Ending, Member
 from cherrycove.http1 import back, body, front, watch
 from cherrycove.life import herald
 from cherrycove.life.handover import LOCK
@@ -586,6 +587,51 @@
     run(story())
 
 
+# Connections to nodes.
+
+
+class Repeating:
+    """A node that answers each first request of a connection again once a second one has come over it."""
+
+    async def start(self) -> int:
+        self.connections = 0
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return int(server.sockets[0].getsockname()[1])
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        last = b""
+        with contextlib.suppress(EOFError, OSError):
+            while head := await reader.readuntil(b"\r\n\r\n"):
+                name = head.lower().partition(b"x-request-id: ")[2].partition(b"\r")[0]
+                answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\nto %s" % (len(name) + 3, name)
+                writer.write(last + answer)
+                last = answer
+        writer.close()
+
+
+def test_a_second_answer_that_comes_late_is_not_taken_for_that_to_the_next_request(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    """It crossed the next request on its way, if that went out at once over the same connection."""
+    clock = [100.0]
+    for module in (back, connector):
+        monkeypatch.setattr(module, "monotonic", lambda: clock[0])
+
+    async def story() -> None:
+        node = Repeating()
+        port = await node.start()
+        async with World(rest=back.REST_TIME) as world:
+            world.members = [Member("d0", f"127.0.0.1:{port}", 0)]
+            world.list()
+            assert (await world.ask(id="first"))[2] == b"to first"
+            clock[0] += back.REST_TIME * 0.99  # within which a second answer may come
+            assert (await world.ask(id="next"))[2] == b"to next" and node.connections == 2
+            clock[0] += back.REST_TIME * 1.01  # both have rested; the one that did so longest is taken
+            await world.ask(id="last")
+            assert node.connections == 2
+    run(story())
+
+
 # Lists.
 
 
@@ -671,6 +717,23 @@
     run(story())
 
 
+@pytest.mark.parametrize("figure", ["weight", "since_ms"])
+@pytest.mark.parametrize("sign", [1, -1])
+def test_a_figure_that_no_float_holds_leaves_the_list_as_it_was(figure: str, sign: int) -> None:
+    """It ended the watch, and with it the broker."""
+    async def story() -> None:
+        spoilt = json.dumps({"index": 2, "snapshot": True, "endpoints": [
+            {"name": "d9", "address": "127.0.0.1:1", "group": 0, "status": "up", figure: sign * 10**400}]}).encode()
+        address, asked = await telling(
+            told(1), b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(spoilt) + spoilt, told(3))
+        async with World() as world:
+            watching = asyncio.create_task(watch.watch(world.core, address, {}))
+            await until(lambda: watching.done() or world.core.version == 3)
+            assert not watching.done() and [m.name for m in world.core.members] == ["d0"]
+            watching.cancel()
+    run(story())
+
+
 @pytest.mark.parametrize("news", ["drains", "is out"])
 def test_a_drain_told_while_an_attempt_waits_for_a_pool_place_calls_it_off(news: str) -> None:
     async def story() -> None:
