--- a/cherrycove/config.py
+++ b/cherrycove/config.py
@@ -162,10 +162,12 @@
     limits = raw.get("limits") or {}
     sockets = limits.get("sockets", 1024) if isinstance(limits, dict) else 1024
     if type(sockets) is not int or not 64 <= sockets <= MOST_LIMIT:
-        raise ConfigError(f"limits.sockets must be a whole number from 64 to {MOST_LIMIT}, not {sockets!r:.80}")
+        raise ConfigError(
+            f"limits.sockets must be a whole number from 64 to {MOST_LIMIT}, not {sockets!r:.80}")
     memory = limits.get("memory_mb", 192) if isinstance(limits, dict) else 192
     if type(memory) not in (int, float) or not 0 < memory <= MOST_LIMIT:
-        raise ConfigError(f"limits.memory_mb must be a number above 0, up to {MOST_LIMIT}, not {memory!r:.80}")
+        raise ConfigError(
+            f"limits.memory_mb must be a number above 0, up to {MOST_LIMIT}, not {memory!r:.80}")
     try:
         seed = int(str(raw.get("seed", "")), 16)
     except ValueError:
--- a/cherrycove/consul.py
+++ b/cherrycove/consul.py
@@ -162,8 +162,8 @@
             status = "passing" if self._core.ready else "critical"
             try:
                 async with self._entry:
-                    # Guard: an agent asked to forget this broker knows no such check; told so, it was registered
-                    # again, as passing, by a process that ends.
+                    # Guard: an agent asked to forget this broker knows no such check; told so, it was
+                    # registered again, as passing, by a process that ends.
                     if self._leaving:
                         return
                     if not registered:
--- a/cherrycove/http1/back.py
+++ b/cherrycove/http1/back.py
@@ -30,7 +30,7 @@
 MOST_HEADS = 32 * 1024  # bytes of an answer's head and of all that is said ahead of it
 START_TIME = 0.02  # s for an answer that does not tell its length to end, before it is passed on as it comes
 STALL_TIME = 10.0  # s in which a node must take or give something of a long body
-REST_TIME = 0.010  # s after an answer before its connection is used again; a second answer comes up to 4 ms late
+REST_TIME = 0.010  # s behind an answer before its connection is used again; a second one is up to 4 ms late
 
 
 class SpoiltAnswer(aiohttp.ClientPayloadError):
@@ -146,8 +146,8 @@
         self._rest = rest
 
     async def _get(self, key: Any, traces: Any) -> Any:
-        # Guard: a second answer that came a little late was taken for that to the next request, if that had gone
-        # out over the same connection meanwhile. While a connection rests, it is nobody's and drops the connection.
+        # Guard: a second answer that came a little late was taken for that to the next request, if that had
+        # gone out over the same connection meanwhile. While one rests, such bytes are nobody's and end it.
         kept, now = self._conns.get(key), monotonic()
         while kept and not (kept[0][0].is_connected() and now - kept[0][1] <= self._keepalive_timeout):
             kept.popleft()[0].close()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -722,8 +722,8 @@
 def test_a_figure_that_no_float_holds_leaves_the_list_as_it_was(figure: str, sign: int) -> None:
     """It ended the watch, and with it the broker."""
     async def story() -> None:
-        spoilt = json.dumps({"index": 2, "snapshot": True, "endpoints": [
-            {"name": "d9", "address": "127.0.0.1:1", "group": 0, "status": "up", figure: sign * 10**400}]}).encode()
+        entry = {"name": "d9", "address": "127.0.0.1:1", "group": 0, "status": "up", figure: sign * 10**400}
+        spoilt = json.dumps({"index": 2, "snapshot": True, "endpoints": [entry]}).encode()
         address, asked = await telling(
             told(1), b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(spoilt) + spoilt, told(3))
         async with World() as world:
