--- a/cherrycove/http1/back.py
+++ b/cherrycove/http1/back.py
@@ -140,16 +140,16 @@
 class Connector(aiohttp.TCPConnector):
     """The library's pool, with connections of ours."""
 
-    def __init__(self, rest: float, **settings: Any) -> None:
-        super().__init__(**settings)
+    def __init__(self, rest: float, idle: float, **settings: Any) -> None:
+        super().__init__(keepalive_timeout=idle, **settings)
         self._factory = partial(NodeConnection, loop=self._loop)  # type: ignore[assignment]
-        self._rest = rest
+        self._rest, self._idle = rest, idle  # s
 
     async def _get(self, key: Any, traces: Any) -> Any:
         # Guard: a second answer that came a little late was taken for that to the next request, if that had
         # gone out over the same connection meanwhile. While one rests, such bytes are nobody's and end it.
         kept, now = self._conns.get(key), monotonic()
-        while kept and not (kept[0][0].is_connected() and now - kept[0][1] <= self._keepalive_timeout):
+        while kept and not (kept[0][0].is_connected() and now - kept[0][1] <= self._idle):
             kept.popleft()[0].close()
         if kept and now - kept[0][1] < self._rest:
             return None  # the first has rested longest
@@ -174,8 +174,8 @@
         trace.on_request_headers_sent.append(self._headers_sent)
         trace.on_request_chunk_sent.append(self._chunk_sent)
         # Guard: a node closes what stood idle for conn_idle, and what is written to it then is lost.
-        self._connector = Connector(rest, limit=most, keepalive_timeout=min(conn_idle * 0.4, 15.0),
-                                    happy_eyeballs_delay=None, use_dns_cache=False)
+        self._connector = Connector(rest, min(conn_idle * 0.4, 15.0), limit=most, happy_eyeballs_delay=None,
+                                    use_dns_cache=False)
         self._session = aiohttp.ClientSession(
             connector=self._connector,
             cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False, trace_configs=[trace],
