Do not let an answer that stands still, or a client that still sends, hold up the end

Cause, by reading: give_up() leaves what flows to its client alone, core.idle() waits for it, and Rest.pieces gives a node that stands still 10 s; Clients.shutdown waits ANSWER_TIME twice (aiohttp web_protocol.shutdown), 2 s for a client that still sends its body (LEAVE_TIME 3 s), though all that is left behind give_up is 0.3 s. Now what flows is broken off 0.15 s before the kill (its client can tell), and 0.05 s before it no client is connected.

Both tests hold the node or the client for ever; both wait without end on the code before (run).

--- a/cherrycove/http1/front.py
+++ b/cherrycove/http1/front.py
@@ -208,6 +208,8 @@
         self.last_request = 0.0
         self._last_answer, self._given_up = 0.0, False  # from then on whatever comes is answered at once
         self._taking: set[asyncio.Timeout] = set()  # requests whose room or body is waited for
+        self._flowing: set[asyncio.Timeout] = set()  # answers that are passed on as they come
+        self._gone = inf  # by then the last connection is closed
 
     async def listen(self, host: str, port: int) -> int:
         """Start to accept; the port, should the system have chosen it."""
@@ -249,6 +251,8 @@
         loop.call_at(began + times.parts_at(replaced), self.drain)
         self._last_answer = began + times.give_up
         loop.call_at(self._last_answer, self._give_up)
+        loop.call_at(began + times.cut, self._end_at_once, self._flowing)
+        self._gone = began + times.gone
         while True:
             web.left.clear()
             now = loop.time()
@@ -262,7 +266,11 @@
     def _give_up(self) -> None:
         self._given_up = True
         self._core.give_up()
-        for waiting in self._taking:
+        self._end_at_once(self._taking)
+
+    @staticmethod
+    def _end_at_once(waits: set[asyncio.Timeout]) -> None:
+        for waiting in waits:
             if not waiting.expired():
                 waiting.reschedule(asyncio.get_running_loop().time())
 
@@ -277,7 +285,8 @@
         await self._web.settled(max(self._last_answer, loop.time() + NEW_TIME))
         await self._core.idle()
         self._web.pre_shutdown()  # those between requests; the others close behind their answer
-        await self._web.shutdown(ANSWER_TIME)
+        # Guard: the library waits so long twice, and not at all for no time.
+        await self._web.shutdown(min(ANSWER_TIME, max((self._gone - loop.time()) / 2, 0.001)))
 
     async def _accept_rest(self, rest: socket.socket) -> None:
         """Guard: what waits to be accepted when a listener closes is reset, with the request it has sent."""
@@ -398,8 +407,14 @@
             response.force_close()
         self.room.take(FLOW)
         try:
-            return await self._pump(request, response, rest, reply)
+            async with asyncio.timeout(None) as flowing:
+                self._flowing.add(flowing)
+                return await self._pump(request, response, rest, reply)
+        except TimeoutError:  # the process ends
+            request.protocol.force_close()
+            return Ending.CUT_SHORT
         finally:
+            self._flowing.discard(flowing)
             self.room.leave(FLOW)
 
     async def _pump(self, request: web.BaseRequest, response: web.StreamResponse, rest: Rest,
--- a/cherrycove/life/leaving.py
+++ b/cherrycove/life/leaving.py
@@ -11,6 +11,8 @@
 KILL_AFTER = 0.7  # s that the platform adds to the longest deadline before it kills
 LONGEST = 3.0  # s as which it counts a longer one
 LAST = 0.3  # s before the kill at which everything has its answer
+CUT = 0.15  # s before the kill at which what still flows to a client is broken off
+GONE = 0.05  # s before it at which no client is connected any more
 COMING = 0.4  # s for which new connections may keep coming
 DECIDED = 0.4  # s before that at which no more is taken: what was taken then may still be served
 PARTING = 0.25  # s before that from which an answer closes its connection
@@ -35,6 +37,17 @@
         stop = min(max(give_up - DECIDED, COMING), give_up)
         return cls(max(stop - PARTING, 0.0), stop, give_up, kill)
 
+    @property
+    def cut(self) -> float:
+        """When what flows is broken off. Guard: an answer whose node stands still within it held the process
+        until the kill, which leaves nobody an answer and the exit status an error."""
+        return max(self.kill - CUT, self.give_up)
+
+    @property
+    def gone(self) -> float:
+        """By when a client that does not take its answer is left."""
+        return max(self.kill - GONE, self.cut)
+
     def parts_at(self, replaced: bool) -> float:
         """From when on answers close their connections. Guard: nobody serves at this address for seconds once
         the process has ended, and a client that was told to close finds no other way in. With a successor in
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -18,6 +18,7 @@
 import struct
 import sys
 from collections.abc import Callable
+from contextlib import closing
 from pathlib import Path
 from typing import Any
 
@@ -33,6 +34,7 @@
 from cherrycove.http1 import back, body, front, watch
 from cherrycove.life import herald
 from cherrycove.life.handover import LOCK
+from cherrycove.life.leaving import Timetable
 from cherrycove.nbd import Command
 from finchrack import interface as api
 from finchrack.interface import NodeState
@@ -395,6 +397,53 @@
     run(story())
 
 
+def test_an_answer_whose_node_stands_still_within_it_does_not_hold_up_the_end(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    """The process was killed over it, 10 s before the answer would have been given up."""
+    monkeypatch.setattr(back, "STALL_TIME", 1e6)
+
+    async def story() -> None:
+        async def stall(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + b"x" * 100_000)
+            await reader.read()
+            writer.close()
+        server = await asyncio.start_server(stall, "127.0.0.1", 0)
+        async with World() as world:
+            world.members = [Member("d0", f"127.0.0.1:{server.sockets[0].getsockname()[1]}", 0)]
+            world.list()
+            reader, writer = await asyncio.open_connection("127.0.0.1", world.port)
+            writer.write(message(id="stalls"))
+            assert b" 200 " in await reader.readuntil(b"\r\n\r\n") and await reader.readexactly(100_000)
+            with closing(writer):  # which ends what waits, should the test fail
+                times = Timetable(0.0, 0.0, 0.0, 0.1)
+                await world.front.linger(times, asyncio.get_running_loop().time(), replaced=False)
+                ends = asyncio.create_task(world.front.close())
+                assert await reader.read() == b""  # 100,000 bytes short, as its client can tell
+                await ends
+                assert not world.core.open_requests and not world.front.room.held
+    run(story())
+
+
+def test_a_client_that_still_sends_its_body_does_not_hold_up_the_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(front, "ANSWER_TIME", 1e6)
+    monkeypatch.setattr(front, "LEAVE_TIME", 1e6)
+
+    async def story() -> None:
+        async with World(await Node().start()) as world:
+            reader, writer = await asyncio.open_connection("127.0.0.1", world.port)
+            writer.write(message("claim-write", "PUT", id="sends", body=b"x" * 900)[:-100])
+            await until(lambda: world.front._taking)
+            with closing(writer):
+                times = Timetable(0.0, 0.0, 0.0, 0.1)
+                await world.front.linger(times, asyncio.get_running_loop().time(), replaced=False)
+                ends = asyncio.create_task(world.front.close())
+                assert (await answer(reader))[0] == 503
+                await ends
+                assert not world.front._web.connected
+    run(story())
+
+
 def test_no_advice_to_wait_is_given_where_the_settings_allow_none(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(body, "ROOM_TIME", 0.0)
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -20,7 +20,7 @@
         longest: float, since: float, quiet: float, replaced: bool, connected: bool) -> None:
     times = Timetable.of(longest)
     assert times.kill <= min(longest, 3.0) + 0.7 and times.kill - times.give_up >= 0.3 - 1e-9
-    assert 0 <= times.parts_at(replaced) <= times.stop <= times.give_up
+    assert 0 <= times.parts_at(replaced) <= times.stop <= times.give_up < times.cut < times.gone < times.kill
     until = times.takes_until(since, min(quiet, since), replaced, connected)
     assert until <= times.stop
     if connected and not replaced:
