Serve where settings say that a node is warm at once

Found by setting each figure of the settings to 0 and to five other values and serving a cold node with the result (422 settings that the program takes): warmAfterNs 0 raised ZeroDivisionError in finchrack/cold.py, _share_of (each batch that touched a node that had just started: module.failed, the other requests of the batch undecided until their last moment) and in fleet/room.py, borne. Both sums are one function now. Of the others none failed; a tick of 11 days answers nobody in 3 s, as it says.

The test fails on the code before: line 67, ZeroDivisionError (run).

--- a/cherrycove/fleet/room.py
+++ b/cherrycove/fleet/room.py
@@ -16,6 +16,7 @@
 from functools import lru_cache
 from math import inf
 
+from finchrack.cold import growth
 from finchrack.interface import Settings
 from finchrack.state import Recent
 
@@ -41,9 +42,7 @@
 def borne(settings: Settings, age: float) -> float:
     """Units within the rule's window that a node of this age (s) always bears from all hosts together. It
     warms no slower than evenly; the window may have begun when it was that much younger."""
-    young = max(age - settings.fall_window - VALID, 0.0)
-    growth = 1 + (1 / settings.start_capacity - 1) * min(young / settings.warm_after, 1.0)
-    return settings.cold_units * growth
+    return settings.cold_units * growth(settings, age - settings.fall_window - VALID)
 
 
 @dataclass(slots=True)
--- a/finchrack/cold.py
+++ b/finchrack/cold.py
@@ -27,6 +27,15 @@
     ask: bool = False
 
 
+def growth(settings: Settings, age: float) -> float:
+    """How many times what it began with a node of this age (s) can do; it warms no slower than evenly.
+
+    Guard: where settings say that a node is warm at once, a sum over that time failed.
+    """
+    warm = min(max(age, 0.0) / settings.warm_after, 1.0) if settings.warm_after > 0 else 1.0
+    return 1 + (1 / settings.start_capacity - 1) * warm
+
+
 class ColdRoom:
     """Guard: all schedulers together must not push a cold node over; it warms no slower than evenly."""
 
@@ -64,8 +73,7 @@
         if now < self._unknown and node.cold_from < self._began:
             return 0.0
         s, age = self._settings, now - self._settings.fall_window - node.cold_from
-        growth = 1 + (1 / s.start_capacity - 1) * max(age, 0.0) / s.warm_after
-        part = s.cold_units / s.schedulers * growth * self.part * (1 - self.lent)
+        part = s.cold_units / s.schedulers * growth(s, age) * self.part * (1 - self.lent)
         return part - (self._others.get(node.id or "", 0.0) if now < self._others_until else 0.0)
 
     def admit(self, node: NodeQueue, units: float, now: float) -> Admission:
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 from support import fuzz
 
+from cherrycove.fleet.room import borne
 from finchrack.cold import ColdRoom
 from finchrack.interface import ListKind, Node
 from finchrack.state import NodeQueue, Recent
@@ -87,3 +88,12 @@
         # Beside what is earned: a lot or an answer's one request each, whatever its units.
         bound = MULTIPLE * rate * span + hosts * MOST * 2 + settings.cold_units
         assert sum(units for at, units in sent if at >= now - span) <= bound
+
+
+def test_where_a_node_is_warm_at_once_it_is_served_as_any_other() -> None:
+    """The settings may say so; a sum over no time failed, and with it all that came in the same batch."""
+    rig = crowded(warm_after=0.0, schedulers=1)
+    rig.arrive(shard=0, volume="v0")
+    rig.wait(0.05)
+    settings = rig.scheduler.settings
+    assert rig.out and borne(settings, 0.0) == settings.cold_units / settings.start_capacity
