Count the wait for room against the request's own time, and let it take less than half

Now it waits 0.45 of its time at most, and what it waited is taken off. A body in pieces keeps its time: that begins with its last byte.

Tests: room that never comes (waits without end with the mend taken out, run); room that comes after 0.4 s on a clock that the test moves (X-Deadline-Ms 19949 of 20000 on the code before, run). Three tests set the wait where it is now read.

--- a/cherrycove/http1/body.py
+++ b/cherrycove/http1/body.py
@@ -34,14 +34,14 @@
         """Whether there is room or not."""
         self.held += size
 
-    async def enter(self, size: int) -> None:
-        """Once there is room; something alone always has it. TimeoutError: there was none in time."""
+    async def enter(self, size: int, within: float = ROOM_TIME) -> None:
+        """Once there is room; something alone always has it. TimeoutError: there was none within that (s)."""
         if not self._waiting and (not self.held or self.held + size <= self.most):
             return self.take(size)
         place = size, asyncio.get_running_loop().create_future()
         self._waiting.append(place)
         try:
-            async with asyncio.timeout(ROOM_TIME):
+            async with asyncio.timeout(within):
                 await place[1]
         except BaseException:
             if place in self._waiting:
--- a/cherrycove/http1/front.py
+++ b/cherrycove/http1/front.py
@@ -38,6 +38,7 @@
 MADE_TURNS = 3  # of the loop until what it has accepted is a connection of ours
 MOST_WAITING = 1024  # connections to be accepted
 ACCEPTED_AT_ONCE = 4  # connections in one turn of the loop; some turns pass until they can be dropped
+ROOM_PART = 0.45  # of what its client waits that a request waits for room at most, as half of that is priced
 NEW_TIME = 0.1  # s within which a new connection brings its request, or the rest of its head
 ANSWER_TIME = 1.0  # s that a client has to take its answer when the broker ends
 
@@ -323,16 +324,19 @@
             head = parse_head(target, single(request.headers), self._names)
             if URL(f"http://h{target}", encoded=True).raw_path_qs != target:
                 raise RequestError("the path cannot be passed on unchanged")
-            size = need(request)
+            size, came = need(request), asyncio.get_running_loop().time()
+            budget = min(head.budget, self._core.settings.classes[cls].deadline)
             async with self._until_given_up(request):
-                await self.room.enter(size)
+                await self.room.enter(size, min(ROOM_TIME, ROOM_PART * budget))
+            # Guard: its body may have come whole meanwhile; counted from now on, its time would end too late.
+            waited = asyncio.get_running_loop().time() - came
         except TimeoutError:
             return await self._refuse(request, cls)
         except (RequestError, ValueError) as error:
             return self._turn_away(request, cls, getattr(error, "status", 400), f"{error}\n",
                                    whole=not request.body_exists)
         try:
-            return await self._take(request, cls, head)
+            return await self._take(request, cls, head, waited)
         finally:
             self.room.leave(size)
 
@@ -359,7 +363,8 @@
         await self._leave(request, response)
         return response
 
-    async def _take(self, request: web.BaseRequest, cls: int, head: Head) -> web.StreamResponse:
+    async def _take(self, request: web.BaseRequest, cls: int, head: Head, waited: float
+                    ) -> web.StreamResponse:
         try:
             async with self._until_given_up(request):
                 body = await taken(request)
@@ -376,11 +381,12 @@
         relayed: list[web.StreamResponse] = []
         call = Call(self._pool, request.method, origin(request.raw_path), head.id, body,
                     partial(self._relay, request, relayed), head.idempotency_key)
+        flows = isinstance(body, Upload)  # its time has not begun
+        deadline = asyncio.get_running_loop().time() + head.budget - (0.0 if flows else waited)
         try:
             answer = await self._core.serve(
-                Request(head.cls, head.plan, head.volume, head.units, head.shard, head.hosts,
-                        asyncio.get_running_loop().time() + head.budget, head.key, head.repeat,
-                        isinstance(body, Upload), head.id), call)
+                Request(head.cls, head.plan, head.volume, head.units, head.shard, head.hosts, deadline,
+                        head.key, head.repeat, flows, head.id), call)
         finally:
             self._open.discard(head.id)
         if relayed:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -378,7 +378,7 @@
 @pytest.mark.parametrize("waits_for", ["room", "body"])
 def test_what_is_not_taken_in_when_all_is_given_up_is_refused_at_once(
         waits_for: str, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(body, "ROOM_TIME", 1e6)
+    monkeypatch.setattr(front, "ROOM_TIME", 1e6)
     monkeypatch.setattr(body, "BODY_TIME", 1e6)
 
     async def story() -> None:
@@ -444,8 +444,39 @@
     run(story())
 
 
+def test_what_waits_for_room_is_refused_within_its_own_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    """It waited 1 s, however little its client did: where a class waits 200 ms, that is too late."""
+    monkeypatch.setattr(front, "ROOM_TIME", 1e6)
+
+    async def story() -> None:
+        node = await Node().start()
+        async with World(node) as world:
+            world.front.room.take(world.front.room.most)
+            status, _, _ = await world.ask(cls="claim-write", method="PUT", body=b"x" * 900, ms=200)
+            assert status == 503 and not node.seen
+    run(story())
+
+
+def test_what_waited_for_room_has_so_much_less_time() -> None:
+    """Its time was counted from when it had room, and its answer came later than its client waited."""
+    async def story() -> None:
+        loop = asyncio.get_running_loop()
+        clock, shift = loop.time, [0.0]
+        loop.time = lambda: clock() + shift[0]  # type: ignore[method-assign]
+        node = await Node().start()
+        async with World(node) as world:
+            world.front.room.take(world.front.room.most)
+            asks = asyncio.create_task(world.ask(cls="claim-write", method="PUT", body=b"x" * 900, ms=20_000))
+            await until(lambda: world.front.room._waiting)
+            shift[0] = 0.4  # of the 1 s that it may wait
+            world.front.room.leave(world.front.room.most)
+            assert (await asks)[0] == 200
+            assert int(node.seen[0]["x-deadline-ms"]) <= 19_600
+    run(story())
+
+
 def test_no_advice_to_wait_is_given_where_the_settings_allow_none(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(body, "ROOM_TIME", 0.0)
+    monkeypatch.setattr(front, "ROOM_TIME", 0.0)
 
     async def story() -> None:
         whole = raw()
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -554,7 +554,7 @@
 
 def test_a_body_without_room_is_refused_unread_and_later_ones_are_served(
         monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(body, "ROOM_TIME", 0.1)
+    monkeypatch.setattr(front, "ROOM_TIME", 0.1)
 
     async def story() -> None:
         node = await Node().start()
