Hold a request's place in the pool while its connection rests, and pass it on

Found by reading connector.connect beside the new wait: one that was woken for a place (_release_waiter wakes one) and whose client left as its connection rested told nobody; who waited behind it slept until the next release, or its connection time. And while it rested its place could be taken a second time. Now the place is held, and released by whatever ends the wait.

--- a/cherrycove/http1/back.py
+++ b/cherrycove/http1/back.py
@@ -18,6 +18,7 @@
 import aiohttp
 from aiohttp import StreamReader
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.connector import _TransportPlaceholder
 from aiohttp.http import RawResponseMessage
 from yarl import URL
 
@@ -155,7 +156,14 @@
             if not connection.is_connected() or rested > self._idle:
                 kept.popleft()[0].close()
             elif rested < self._rest:
-                await self._let_rest(self._rest - rested)
+                # Guard: its place is held meanwhile, and passed on should it be given up; one that was woken
+                # for a place and left as it waited here kept the next from being woken.
+                place: Any = _TransportPlaceholder(self._placeholder_future)
+                self._acquired.add(place)
+                try:
+                    await self._let_rest(self._rest - rested)
+                finally:
+                    self._release_acquired(key, place)
             else:
                 break
         return await super()._get(key, traces)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -723,6 +723,38 @@
     run(story())
 
 
+def test_a_place_is_passed_on_by_one_that_leaves_while_its_connection_rests(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    """Woken for the place and gone without a word, it left the next to wait for good."""
+    monkeypatch.setattr(connector.random, "shuffle", lambda keys: None)  # who has waited longest is woken
+    rests = asyncio.Event()
+
+    async def let_rest(*_: object) -> None:
+        rests.set()
+        await asyncio.Event().wait()
+    monkeypatch.setattr(back.Connector, "_let_rest", let_rest)
+
+    async def story() -> None:
+        busy, node = await Node("held ok").start(), await Node().start()
+        async with World(busy, node, platform=patient(), rest=1e6) as world:
+            world.pool.resize(1)
+            first = asyncio.create_task(world.ask(id="first"))
+            await busy.until(1)
+            _, writer = await asyncio.open_connection("127.0.0.1", world.port)
+            writer.write(message(id="gone"))
+            await until(lambda: len(world.pool._connector._waiters) == 1)
+            last = asyncio.create_task(world.ask(id="last", shard=1))
+            await until(lambda: len(world.pool._connector._waiters) == 2)
+            busy.release.set()
+            assert (await first)[0] == 200
+            await rests.wait()
+            assert len(world.pool._connector._waiters) == 1 and not last.done()
+            await leave(writer, "close")
+            assert (await last)[2] == b"data of last"
+            assert [each["x-request-id"] for each in busy.seen] == ["first"]
+    run(story())
+
+
 # Lists.
 
 
