Let a read pass bodies that wait for room; wait for the deregistration up to the kill

Room.enter put whatever came behind what waits, a read that needs none too: with a full room it waited as long as the bodies, and was refused with them.

--- a/cherrycove/__main__.py
+++ b/cherrycove/__main__.py
@@ -231,14 +231,19 @@
         if self._nbd is not None:
             self._nbd.drain()
         registered = self.operator.consul is not None and self.operator.consul.register
+        leaving: list[asyncio.Task[None]] = []
         if self._consul is not None and registered and not self.life.handed:
-            self._run(self._consul.deregister())  # Guard: a silent agent holds up no answer, and not the end
-        longest = max(cls.deadline for cls in self.platform.settings.classes)
-        await self.front.linger(Timetable.of(longest), began, replaced=self.life.handed)
+            # Guard: a silent agent holds up no answer, and the end no longer than until the kill.
+            leaving.append(self._run(self._consul.deregister()))
+        times = Timetable.of(max(cls.deadline for cls in self.platform.settings.classes))
+        await self.front.linger(times, began, replaced=self.life.handed)
         if self._nbd is not None and self._nbd_pool is not None:
             await self._nbd.close()
             self._nbd_pool.close()
         await self.front.close()
+        if leaving:
+            left = began + times.gone - asyncio.get_running_loop().time()
+            await asyncio.wait(leaving, timeout=max(left, 0.0))
         self._watch = None  # a SIGHUP from now on finds nothing to move
         for task in self._tasks:
             task.cancel()
--- a/cherrycove/http1/body.py
+++ b/cherrycove/http1/body.py
@@ -36,8 +36,8 @@
 
     async def enter(self, size: int, within: float = ROOM_TIME) -> None:
         """Once there is room; something alone always has it. TimeoutError: there was none within that (s)."""
-        if not self._waiting and (not self.held or self.held + size <= self.most):
-            return self.take(size)
+        if not size or (not self._waiting and (not self.held or self.held + size <= self.most)):
+            return self.take(size)  # Guard: reads need none, and stood behind the bodies that waited for it
         place = size, asyncio.get_running_loop().create_future()
         self._waiting.append(place)
         try:
--- a/tests/test_consul.py
+++ b/tests/test_consul.py
@@ -168,6 +168,12 @@
                              config.Operator(consul=setup))
         broker._consul = consul.Consul(broker.core, setup, {}, "n0", ("127.0.0.1", 1))
         lingers, go = asyncio.Event(), asyncio.Event()
+        told, put = [], broker._consul._put  # type: list[str], Any
+
+        async def tell(path: str, body: Any) -> None:
+            await put(path, body)
+            told.append(path)
+        monkeypatch.setattr(broker._consul, "_put", tell)
 
         async def linger(*_: object, **__: object) -> None:
             lingers.set()
@@ -176,7 +182,15 @@
         ending = asyncio.create_task(broker.end())
         await lingers.wait()
         await agent.holds.wait()
+        closes = asyncio.Event()
+
+        async def close() -> None:
+            closes.set()
+        monkeypatch.setattr(broker.front, "close", close)
         go.set()
+        await closes.wait()
+        agent.hold.set()  # it answers behind all others, and is waited for
         await ending
+        assert told == ["/agent/service/deregister/n0"]
         await agent.runner.cleanup()
     run(story())
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -457,6 +457,24 @@
     run(story())
 
 
+def test_a_read_does_not_stand_behind_bodies_that_wait_for_room(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(front, "ROOM_TIME", 1e6)
+    monkeypatch.setattr(front, "ROOM_PART", 1e6)
+
+    async def story() -> None:
+        async with World(await Node().start()) as world:
+            world.front.room.take(world.front.room.most)
+            waits = asyncio.create_task(
+                world.ask(cls="claim-write", method="PUT", body=b"x" * 900, id="waits"))
+            await until(lambda: world.front.room._waiting)
+            try:
+                assert (await world.ask(id="reads"))[2] == b"data of reads" and not waits.done()
+            finally:
+                world.front.room.leave(world.front.room.most)
+            assert (await waits)[2] == b"data of waits"
+    run(story())
+
+
 def test_what_waited_for_room_has_so_much_less_time() -> None:
     """Its time was counted from when it had room, and its answer came later than its client waited."""
     async def story() -> None:
