--- a/cherrycove/config.py
+++ b/cherrycove/config.py
@@ -132,11 +132,16 @@
         raise ConfigError(f"{path}: not JSON: {error}") from None
     if not isinstance(raw, dict):
         raise ConfigError(f"{path}: not a JSON object")
-    return read_platform(raw, env)
+    try:
+        return read_platform(raw, env)
+    except ConfigError as error:
+        raise ConfigError(f"{path}: {error}") from None
 
 
 def read_platform(raw: dict[str, Any], env: Mapping[str, str]) -> Platform:
     settings: Any = raw.get("settings")
+    if wrong := known_settings.misfit(settings, place="settings"):
+        raise ConfigError(wrong)
     try:
         module = wire.settings(json.dumps(settings))
     except ValueError as error:
--- a/finchrack/known.py
+++ b/finchrack/known.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from math import isfinite
 from typing import Any
 
 _READ = """
@@ -35,6 +36,39 @@
 READ, LEFT = frozenset(_READ.split()), frozenset(_LEFT.split())
 
 
+# What kind each of those that are read is of; the others are numbers, none below 0.
+_KINDS: dict[type, str] = {
+    str: "discovery classes[].group classes[].idempotency classes[].name policies[].name",
+    bool: "classes[].serialByKey familyInfo.countsOthers limits.cancel limits.mayTell limits.probing "
+          "limits.retryAfter limits.secondCopies",
+    list: "classes familyInfo.writes feedback.names policies zones",
+    dict: "familyInfo feedback guarantees limits classes[] policies[]"}
+_KIND = {path: kind for kind, names in _KINDS.items() for path in names.split()}
+_WORDS = {str: "text", bool: "true or false", list: "a list", dict: "an object"}
+_ABOVE_0 = frozenset([
+    "balancers", "tickNs", "classes[].aimNs", "classes[].deadlineNs", "familyInfo.maxUnits",
+    "familyInfo.usualUnits", "limits.connIdleNs", "limits.dialTimeoutNs", "limits.maxAttempts"])
+
+
+def misfit(info: Any, path: str = "", place: str = "") -> str | None:
+    """What is of the wrong kind, by its place and why; None: nothing that is read."""
+    if path in READ or path in _KIND:
+        kind = _KIND.get(path)
+        if kind is not None and not isinstance(info, kind):
+            return f"{place} must be {_WORDS[kind]}, not {info!r:.80}"
+        if kind is None and (type(info) not in (int, float) or not isfinite(info) or info < 0):
+            return f"{place} must be a number from 0 up, not {info!r:.80}"
+        if path in _ABOVE_0 and not info:
+            return f"{place} must be above 0"
+    each: list[tuple[str, str, Any]] = []
+    if isinstance(info, dict):
+        each = [(f"{path}.{name}".strip("."), f"{place}.{name}".strip("."), value)
+                for name, value in info.items()]
+    elif isinstance(info, list):
+        each = [(f"{path}[]", f"{place}[{number}]", value) for number, value in enumerate(info)]
+    return next((found for name, where, value in each if (found := misfit(value, name, where))), None)
+
+
 def paths(info: Any, at: str = "") -> set[str]:
     """Every name in an object of settings, as the wire page writes it."""
     found: set[str] = set()
