Lay the typed interfaces of the serving tier: settings, configuration, errors, calls, messages

Cause: the register of servers and the settings service are gone; the tier's planes are built apart, against interfaces agreed first. Nothing runs yet.

--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,8 @@
 	@test -d $(KIT)/sites || { echo "make sites: no kit at $(KIT) (KIT names its folder)" >&2; exit 1; }
 	for site in deploy/sites/*/; do ln -sfn $(abspath $(KIT))/sites/real.json $(abspath $(KIT))/sites/wire.json \
 		$(abspath $(KIT))/sites/unlock.txt $$site || exit 1; done
+
+# Generated modules of the internal protocol are committed; this makes them anew (needs grpcio-tools).
+.PHONY: protocol
+protocol:
+	$(PYTHON) -m grpc_tools.protoc -I . --python_out=. --pyi_out=. cherrycove/tier/protocol/*.proto
--- /dev/null
+++ b/cherrycove/tier/batch/interface.py
@@ -0,0 +1,40 @@
+"""What batch work asks of the data plane, and what the data plane answers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from enum import Enum
+from typing import Protocol
+
+import attrs
+
+from cherrycove.tier.protocol.batch_pb2 import LeasedItem
+
+
+class ItemState(Enum):
+    COMPLETED = "completed"
+    DEAD_LETTERED = "dead_lettered"
+    RETURNED = "returned"  # not done; may be leased again
+
+
+@attrs.frozen
+class ItemOutcome:
+    """How one execution of an item ended."""
+
+    state: ItemState
+    text: bytes = b""  # COMPLETED: the data of all events in order, with line feeds between them
+    reason: str = ""  # DEAD_LETTERED: unprocessable (422) or attempts (maxAttempts answers of 500)
+    failed_attempts: int = 0  # answers of 500 so far, earlier leases included
+
+
+class ItemExecutor(Protocol):
+    """Runs items at model brokers; implemented by ``cherrycove.tier.dataplane``."""
+
+    def free_places(self) -> int:
+        """How many further items could be started now without harming live requests."""
+
+    async def run_item(self, item: LeasedItem, may_send: Callable[[], bool]) -> ItemOutcome:
+        """Run the item to its end, resuming at other brokers with Last-Event-Id where one breaks off.
+
+        ``may_send`` is asked just before every send to a broker; after False nothing more is sent and the
+        outcome is RETURNED. Cancelling the task closes the broker's connection."""
--- /dev/null
+++ b/cherrycove/tier/settings.py
@@ -0,0 +1,180 @@
+"""The settings file of one process (YAML), read by library and checked with attrs and cattrs.
+
+Unknown keys are ignored, as the deployment pages ask; a missing or wrong key is a ``SettingsError`` that names
+file, key and reason. Durations keep the unit that their key names.
+"""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+import attrs
+import cattrs
+import yaml
+from cattrs.errors import ClassValidationError
+from cattrs.gen import make_dict_structure_fn, override
+
+SETTINGS_VARIABLE = "CHERRYCOVE_CONFIG"
+
+KEEPER_PORT_OFFSET = 0  # offsets into internalPortRange; machines of a deployment have like ports
+STORE_PORT_OFFSET = 1
+PROXY_PORT_OFFSET = 2
+PORT_OFFSETS = {"keeper": KEEPER_PORT_OFFSET, "store": STORE_PORT_OFFSET, "proxy": PROXY_PORT_OFFSET}
+
+
+class SettingsError(ValueError):
+    """A settings file that cannot be used."""
+
+
+@attrs.frozen(kw_only=True)
+class ListenAddresses:
+    """host:port pairs; empty where the role does not serve that interface."""
+
+    frontend: str = ""
+    readiness: str = ""
+    control_plane: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class ProcessLimits:
+    cpu_share: float = 1.0
+    cpu_cores: float = 1.0
+    memory_mb: float = 256.0
+    file_descriptors: int = 1024
+    link_mbps: float = 1000.0
+    disk_mb: float = 0.0
+
+
+@attrs.frozen(kw_only=True)
+class FaultTolerance:
+    """What may be lost at once while every guarantee holds."""
+
+    machine_failures: int = 0
+    zones: int = 0
+    region_failures: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class Bounds:
+    """Figures of the rules in force; names carry their unit."""
+
+    seed_lag_s: float = 3.0
+    address_reuse_s: float = 2.0
+    contact_ms: float = 3000.0
+    acknowledge_ms: float = 4000.0
+    catch_up_s: float = 5.0
+    drain_ms: float = 3000.0
+    grace_period_s: float = 8.0
+    loss_slack_ms: float = 200.0
+    config_apply_ms: float = 2000.0
+    rollback_slack_ms: float = 250.0
+    outer_bound_ms: float = 5000.0
+    recovery_s: float = 12.0
+    pass_ms: float = 120.0
+    again_s: float = 0.0
+    finish_s: float = 10.0
+    status_s: float = 120.0
+    cancel_ms: float = 3000.0
+    settle_ms: float = 1000.0
+    quota_overshoot: float = 0.1
+
+
+@attrs.frozen(kw_only=True)
+class CloudApi:
+    """The platform's list of brokers."""
+
+    address: str = ""
+    rate_per_s: float = 1.0
+    duties: list[Any] = attrs.field(factory=list)
+    max_lag_ms: float = 1000.0
+
+
+@attrs.frozen(kw_only=True)
+class Settings:
+    """Everything a process is told at its start."""
+
+    node_name: str
+    machine_class: str
+    ip_address: str
+    zone: str
+    region: str
+    internal_port_range: list[int]
+    role: str = ""
+    serves: list[str] = attrs.field(factory=list)
+    zones: dict[str, str] = attrs.field(factory=dict)
+    listen_addresses: ListenAddresses = attrs.field(factory=ListenAddresses)
+    seed_nodes: list[str] = attrs.field(factory=list)
+    first_start: bool = False
+    counts_for_quorum: bool = False
+    limits: ProcessLimits = attrs.field(factory=ProcessLimits)
+    data_directory: str | None = None
+    heartbeat_interval_ms: float = 1000.0
+    active_contracts: list[str] = attrs.field(factory=list)
+    fault_tolerance: FaultTolerance = attrs.field(factory=FaultTolerance)
+    bounds: Bounds = attrs.field(factory=Bounds)
+    cloud_api: CloudApi = attrs.field(factory=CloudApi)
+
+    def internal_address(self, program: str) -> str:
+        """host:port on which ``program`` (keeper, store or proxy) of this machine serves internal calls."""
+        return self.peer_address(self.ip_address, program)
+
+    def peer_address(self, ip: str, program: str) -> str:
+        """host:port on which ``program`` of the machine with address ``ip`` serves internal calls."""
+        return f"{ip}:{self.internal_port_range[0] + PORT_OFFSETS[program]}"
+
+    def seed_ips(self) -> tuple[str, ...]:
+        """Addresses of the machines that the operator's list named, without ports."""
+        return tuple(address.rpartition(":")[0] for address in self.seed_nodes)
+
+
+def _camel(name: str) -> str:
+    first, *rest = name.split("_")
+    return first + "".join(part.capitalize() for part in rest)
+
+
+_KEPT_NAMES = {"pass_ms", "again_s"}  # keys that the wire spells with underscores
+
+
+def _converter() -> cattrs.Converter:
+    converter = cattrs.Converter()
+    for cls in (ListenAddresses, ProcessLimits, FaultTolerance, Bounds, CloudApi, Settings):
+        renames = {
+            field.name: override(rename=field.name if field.name in _KEPT_NAMES else _camel(field.name))
+            for field in attrs.fields(cls)
+        }
+        hook = make_dict_structure_fn(cls, converter, **renames)  # type: ignore[arg-type]
+        converter.register_structure_hook(cls, hook)
+    return converter
+
+
+_CONVERTER = _converter()
+
+
+def parse_settings(text: str, source: str = "settings") -> Settings:
+    """Settings from the text of a file; ``source`` names it in errors."""
+    try:
+        document = yaml.load(text, Loader=getattr(yaml, "CSafeLoader", yaml.SafeLoader))
+    except yaml.YAMLError as error:
+        raise SettingsError(f"{source}: not YAML: {error}") from error
+    if not isinstance(document, Mapping):
+        raise SettingsError(f"{source}: the file must hold keys with values")
+    present = {key: value for key, value in document.items() if value is not None}
+    try:
+        return _CONVERTER.structure(present, Settings)
+    except ClassValidationError as error:
+        raise SettingsError(f"{source}: {'; '.join(cattrs.transform_error(error))}") from error
+
+
+def load_settings(path: str | Path | None = None) -> Settings:
+    """Settings from ``path``, or from the file that CHERRYCOVE_CONFIG names."""
+    name = str(path or os.environ.get(SETTINGS_VARIABLE, ""))
+    if not name:
+        raise SettingsError(f"{SETTINGS_VARIABLE} is not set and no file is named")
+    try:
+        text = Path(name).read_text(encoding="utf-8")
+    except OSError as error:
+        raise SettingsError(f"{name}: {error.strerror}") from error
+    return parse_settings(text, name)
