--- /dev/null
+++ b/cherrycove/tier/__main__.py
@@ -0,0 +1,22 @@
+"""``python3 -m cherrycove.tier PROGRAM``: runs a daemon, or the operators' commands (``--help`` lists them)."""
+
+from __future__ import annotations
+
+import sys
+
+DAEMONS = ("proxy", "keeper", "store")
+
+
+def main() -> int:
+    name = sys.argv[1] if len(sys.argv) > 1 else ""
+    if name in DAEMONS:
+        from cherrycove.tier.programs.process import run_daemon
+
+        return run_daemon(name)
+    from cherrycove.tier.cli import application
+
+    return application().run()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/cherrycove/tier/programs/__init__.py
+++ b/cherrycove/tier/programs/__init__.py
@@ -0,0 +1,1 @@
+"""The thin binaries: each assembles the libraries of its planes and hands them to the process's life."""
--- /dev/null
+++ b/cherrycove/tier/programs/process.py
@@ -0,0 +1,86 @@
+"""The life of a daemon: settings, log, event loop, signals, orderly end."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import importlib
+import logging
+import secrets
+import signal
+import sys
+from typing import Protocol
+
+from cherrycove.tier.settings import Settings, SettingsError, load_settings
+
+EXIT_BAD_SETTINGS = 2
+EXIT_CANNOT_START = 1
+INCARNATION_BYTES = 6
+YOUNGEST_COLLECTION = 20_000  # objects made before the collector looks; requests free theirs by count
+
+_LOG = logging.getLogger(__name__)
+
+
+class Program(Protocol):
+    """One daemon, assembled."""
+
+    async def start(self) -> None: ...
+
+    async def stop(self) -> None:
+        """End in order, within the grace period of the settings."""
+
+    def reload(self, settings: Settings) -> None:
+        """The settings file was read again (SIGHUP)."""
+
+
+def new_incarnation() -> str:
+    """A name for this start of the process."""
+    return secrets.token_hex(INCARNATION_BYTES)
+
+
+def run_daemon(name: str) -> int:
+    """Run ``name`` (proxy, keeper or store) until SIGTERM; returns the exit code."""
+    try:
+        settings = load_settings()
+    except SettingsError as error:
+        print(f"cherrycove {name}: {error}", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    _configure_log(name, settings)
+    gc.set_threshold(YOUNGEST_COLLECTION, 20, 50)
+    module = importlib.import_module(f"cherrycove.tier.programs.{name}")
+    try:
+        asyncio.run(_live(module.assemble(settings)))
+    except OSError as error:
+        print(f"cherrycove {name}: {error}", file=sys.stderr)
+        return EXIT_CANNOT_START
+    return 0
+
+
+def _configure_log(name: str, settings: Settings) -> None:
+    from cherrycove.tier.logs import configure
+
+    configure(name, settings.node_name)
+
+
+async def _live(program: Program) -> None:
+    loop = asyncio.get_running_loop()
+    ended = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, ended.set)
+    loop.add_signal_handler(signal.SIGINT, ended.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, program)
+    await program.start()
+    gc.collect()
+    gc.freeze()
+    await ended.wait()
+    _LOG.info("process_stopping")
+    await program.stop()
+
+
+def _reload(program: Program) -> None:
+    try:
+        settings = load_settings()
+    except SettingsError as error:
+        _LOG.warning("settings_unusable", extra={"reason": str(error)})
+        return
+    program.reload(settings)
+    _LOG.info("settings_reloaded")
--- /dev/null
+++ b/cherrycove/tier/programs/proxy.py
@@ -0,0 +1,71 @@
+"""The proxy: carries requests between clients, model brokers and stores; on every frontend machine."""
+
+from __future__ import annotations
+
+import random
+
+from cherrycove.tier.batch.client import BatchClient
+from cherrycove.tier.batch.http_api import BatchApi
+from cherrycove.tier.batch.worker import BatchWorker
+from cherrycove.tier.dataplane import DataPlane
+from cherrycove.tier.distribution.puller import Puller
+from cherrycove.tier.distribution.views import Views
+from cherrycove.tier.programs.process import new_incarnation
+from cherrycove.tier.protocol.control_pb2 import Announcement
+from cherrycove.tier.protocol.rpc import RpcClient
+from cherrycove.tier.settings import Settings
+
+PROGRAM = "proxy"
+
+
+class ProxyProgram:
+    """Assembles the data plane of one machine."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._client = RpcClient()
+        self._incarnation = new_incarnation()
+        self._leaving = False
+        self._views = Views()
+        self._puller = Puller(settings, self._client, self._views, self._announce)
+        self._data_plane = DataPlane(settings, self._views, random.Random())
+        batch_client = BatchClient(self._client, self._views, settings)
+        self._data_plane.attach_batch(BatchApi(batch_client, self._views))
+        self._worker = BatchWorker(
+            settings, batch_client, self._data_plane.executor, self._views, self._incarnation
+        )
+
+    async def start(self) -> None:
+        await self._client.start()
+        await self._data_plane.start()
+        await self._puller.start()
+        await self._worker.start()
+
+    async def stop(self) -> None:
+        self._leaving = True
+        await self._worker.stop()
+        await self._data_plane.drain()
+        await self._data_plane.stop()
+        await self._puller.stop()
+        await self._client.stop()
+
+    def reload(self, settings: Settings) -> None:
+        self._puller.reload(settings)
+
+    def _announce(self) -> Announcement:
+        configuration = self._views.configuration
+        return Announcement(
+            node_name=self._settings.node_name,
+            program=PROGRAM,
+            ip=self._settings.ip_address,
+            zone=self._settings.zone,
+            region=self._settings.region,
+            incarnation=self._incarnation,
+            arrivals_per_s=self._data_plane.arrivals(),
+            configuration_version=configuration.version if configuration else 0,
+            leaving=self._leaving,
+        )
+
+
+def assemble(settings: Settings) -> ProxyProgram:
+    return ProxyProgram(settings)
--- /dev/null
+++ b/cherrycove/tier/programs/replica.py
@@ -0,0 +1,68 @@
+"""What the two replicated programs share: the disk's identity, the group, the announcement to the keepers."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from cherrycove.tier.protocol.control_pb2 import Announcement, Replica
+from cherrycove.tier.protocol.rpc import RpcClient, RpcServer
+from cherrycove.tier.replication.group import ReplicatedGroup
+from cherrycove.tier.replication.identity import open_identity
+from cherrycove.tier.replication.interface import MemberIdentity, StateMachine
+from cherrycove.tier.settings import Settings
+
+DISK_SHARE = 0.8  # part of the disk that a group may use
+BYTES_PER_MB = 1_000_000
+
+
+def open_group(
+    program: str,
+    settings: Settings,
+    machine: StateMachine,
+    server: RpcServer,
+    client: RpcClient,
+) -> tuple[ReplicatedGroup, bool]:
+    """The group of ``program`` on this machine's disk, and whether the disk was empty."""
+    if settings.data_directory is None:
+        raise OSError(f"{program}: the settings name no dataDirectory")
+    directory = Path(settings.data_directory) / program
+    member_id, fresh = open_identity(directory, settings.first_start, settings.ip_address)
+    identity = MemberIdentity(
+        member_id, settings.node_name, settings.internal_address(program), settings.zone
+    )
+    limit = int(settings.limits.disk_mb * BYTES_PER_MB * DISK_SHARE)
+    faults = settings.fault_tolerance.machine_failures
+    group = ReplicatedGroup(program, identity, directory, faults, machine, server, client, limit)
+    return group, fresh
+
+
+def describe(
+    program: str, settings: Settings, group: ReplicatedGroup, fresh: bool, incarnation: str, leaving: bool
+) -> Announcement:
+    """What a replica tells the keepers of itself."""
+    primary = group.confirmed()
+    return Announcement(
+        node_name=settings.node_name,
+        program=program,
+        ip=settings.ip_address,
+        zone=settings.zone,
+        region=settings.region,
+        incarnation=incarnation,
+        member_id=group.identity.member_id,
+        first_start=settings.first_start and fresh,
+        group_primary=primary,
+        group_epoch=group.epoch,
+        group_members=[member.member_id for member in group.members] if primary else [],
+        leaving=leaving,
+    )
+
+
+def identity_of(replica: Replica) -> MemberIdentity:
+    """A member as the keepers name it."""
+    return MemberIdentity(replica.member_id, replica.node_name, replica.address, replica.zone)
+
+
+def standby_of(announcement: Announcement, settings: Settings) -> MemberIdentity:
+    """A member as it announced itself."""
+    address = settings.peer_address(announcement.ip, announcement.program)
+    return MemberIdentity(announcement.member_id, announcement.node_name, address, announcement.zone)
