--- /dev/null
+++ b/cherrycove/tier/batch/client.py
@@ -0,0 +1,169 @@
+"""Calls to the primary of the store group: finds it, follows hints, and tries again within a time budget."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TypeVar
+
+from google.protobuf.message import Message
+from result import Err, Ok, Result
+
+from cherrycove.tier.distribution.views import Views
+from cherrycove.tier.errors import ErrorKind, Failure
+from cherrycove.tier.protocol import batch_pb2 as pb
+from cherrycove.tier.protocol.rpc import RpcClient
+from cherrycove.tier.settings import Settings
+
+TRY_TIMEOUT_S = 0.8  # of one call; a dead store says nothing
+READ_SLACK_S = 0.5  # of one held read, beyond the time it may be held
+FIRST_PAUSE_S = 0.03  # after all stores were tried once
+LONGEST_PAUSE_S = 0.24
+MAX_HINTS_IN_A_ROW = 2  # then the other stores are asked
+
+Reply = TypeVar("Reply", bound=Message)
+
+FINAL_KINDS = frozenset((ErrorKind.NOT_FOUND, ErrorKind.INVALID, ErrorKind.OVERLOADED, ErrorKind.TOO_LARGE))
+
+
+class PrimaryFinder:
+    """Where the primary of the stores may be, best guess first."""
+
+    def __init__(self, views: Views, settings: Settings) -> None:
+        self._views = views
+        self._settings = settings
+        self._confirmed = ""  # address that answered as primary last
+
+    def confirm(self, address: str) -> None:
+        """``address`` answered as the primary."""
+        self._confirmed = address
+
+    def doubt(self, address: str) -> None:
+        """``address`` did not answer as the primary."""
+        if self._confirmed == address:
+            self._confirmed = ""
+
+    def candidates(self) -> list[str]:
+        """Addresses to try, in order, each once."""
+        stores = sorted(
+            self._views.stores(), key=lambda store: (store.group_primary, store.group_epoch), reverse=True
+        )
+        known = [self._confirmed] if self._confirmed else []
+        listed = [self._settings.peer_address(store.ip, "store") for store in stores]
+        return list(dict.fromkeys([*known, *listed]))
+
+
+class BatchClient:
+    """Typed calls of the batch plane."""
+
+    def __init__(self, client: RpcClient, views: Views, settings: Settings) -> None:
+        self._client = client
+        self._finder = PrimaryFinder(views, settings)
+
+    async def submit(self, request: pb.SubmitRequest, budget_s: float) -> Result[pb.SubmitReply, Failure]:
+        """Hand in a job. A certain failure promises that the job was not taken."""
+        return await self._call("batch/submit", request, pb.SubmitReply, budget_s)
+
+    async def read(self, request: pb.ReadRequest, budget_s: float) -> Result[pb.ReadReply, Failure]:
+        """Results from a cursor on; NOT_FOUND only where the primary is sure."""
+        try_timeout_s = request.wait_ms / 1000.0 + READ_SLACK_S
+        return await self._call("batch/read", request, pb.ReadReply, budget_s, try_timeout_s)
+
+    async def body(self, request: pb.BodyRequest, budget_s: float) -> Result[pb.BodyReply, Failure]:
+        """The body of an item that has no result yet."""
+        return await self._call("batch/body", request, pb.BodyReply, budget_s)
+
+    async def end(self, request: pb.EndRequest, budget_s: float) -> Result[pb.EndReply, Failure]:
+        """End a job."""
+        return await self._call("batch/end", request, pb.EndReply, budget_s)
+
+    async def lease(self, request: pb.LeaseRequest, budget_s: float) -> Result[pb.LeaseReply, Failure]:
+        """Renew leases, and ask for more."""
+        return await self._call("batch/lease", request, pb.LeaseReply, budget_s, budget_s)
+
+    async def report(self, request: pb.ReportRequest, budget_s: float) -> Result[pb.ReportReply, Failure]:
+        """Report how an item ended."""
+        return await self._call("batch/report", request, pb.ReportReply, budget_s, budget_s)
+
+    async def _call(
+        self,
+        name: str,
+        request: Message,
+        reply_type: type[Reply],
+        budget_s: float,
+        try_timeout_s: float = TRY_TIMEOUT_S,
+    ) -> Result[Reply, Failure]:
+        attempts = _Attempts(self._client, self._finder, name, request, try_timeout_s)
+        return await attempts.run(reply_type, budget_s)
+
+
+class _Attempts:
+    """All tries of one call."""
+
+    def __init__(
+        self, client: RpcClient, finder: PrimaryFinder, name: str, request: Message, try_timeout_s: float
+    ) -> None:
+        self._client = client
+        self._finder = finder
+        self._name = name
+        self._request = request
+        self._try_timeout_s = try_timeout_s
+        self._certain = True
+        self._last = Failure(ErrorKind.UNAVAILABLE, "no store is known")
+
+    async def run(self, reply_type: type[Reply], budget_s: float) -> Result[Reply, Failure]:
+        deadline = time.monotonic() + budget_s
+        pause_s = FIRST_PAUSE_S
+        while True:
+            answer = await self._round(reply_type, deadline)
+            if answer is not None:
+                return answer
+            remaining = deadline - time.monotonic()
+            if remaining <= pause_s:
+                return Err(self._verdict())
+            await asyncio.sleep(pause_s)
+            pause_s = min(2 * pause_s, LONGEST_PAUSE_S)
+
+    async def _round(self, reply_type: type[Reply], deadline: float) -> Result[Reply, Failure] | None:
+        """Try every store once, those that are named as primary first; None if no try was final."""
+        addresses = self._finder.candidates()
+        hints = 0
+        tried: set[str] = set()
+        while addresses:
+            address = addresses.pop(0)
+            remaining = deadline - time.monotonic()
+            if remaining <= 0:
+                return None
+            if address in tried:
+                continue
+            tried.add(address)
+            timeout_s = min(self._try_timeout_s, remaining)
+            answer = await self._client.call(address, self._name, self._request, reply_type, timeout_s)
+            if isinstance(answer, Ok):
+                self._finder.confirm(address)
+                return answer
+            failure = answer.err_value
+            if failure.kind in FINAL_KINDS:
+                self._finder.confirm(address)
+                return self._final(failure)
+            self._note(address, failure)
+            if failure.primary and hints < MAX_HINTS_IN_A_ROW:
+                hints += 1
+                addresses.insert(0, failure.primary)
+        return None
+
+    def _note(self, address: str, failure: Failure) -> None:
+        self._finder.doubt(address)
+        self._certain = self._certain and failure.certain
+        self._last = failure
+
+    def _final(self, failure: Failure) -> Err[Failure]:
+        """What the primary refused; want of room proves nothing about an earlier try of unknown outcome."""
+        if failure.kind is ErrorKind.OVERLOADED and not self._certain:
+            return Err(self._verdict())
+        return Err(failure)
+
+    def _verdict(self) -> Failure:
+        if self._certain:
+            return Failure(ErrorKind.UNAVAILABLE, self._last.detail)
+        return Failure(ErrorKind.UNCERTAIN, self._last.detail)
--- /dev/null
+++ b/cherrycove/tier/batch/store.py
@@ -0,0 +1,309 @@
+"""Serves batch jobs at the stores: the calls of the proxies, answered by the confirmed primary alone.
+
+The primary answers from its state only while its lease holds, and asks again after every wait. A job, a
+result and an end are acknowledged once the group has committed them. The primary also gives up items past
+their retention, and forgets old jobs.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable, Iterable
+
+from google.protobuf.message import Message
+from result import Err, Ok, Result
+
+from cherrycove.tier.batch.ages import JobAges
+from cherrycove.tier.batch.commands import (
+    PROPOSE_TIMEOUT_S,
+    ResultRecorder,
+    accept_command,
+    end_command,
+    forget_command,
+)
+from cherrycove.tier.batch.jobs import EndOutcome, ItemKey, Job, JobsState
+from cherrycove.tier.batch.leases import Grant, JobTerms, LeaseCall, LeaseDecision, LeaseTable, LeaseTimes
+from cherrycove.tier.batch.signals import ResultSignals
+from cherrycove.tier.errors import ErrorKind, Failure
+from cherrycove.tier.protocol import batch_pb2 as pb
+from cherrycove.tier.protocol.batch_log_pb2 import ItemResult
+from cherrycove.tier.protocol.rpc import RpcServer
+from cherrycove.tier.replication.interface import Group
+from cherrycove.tier.settings import Settings
+
+log = logging.getLogger(__name__)
+
+MAX_READ_WAIT_S = 2.0
+READ_BYTES = 768 * 1024  # of texts in one read; the rest follows at the next cursor
+MEMORY_FRACTION = 0.3  # of the process, for jobs; a snapshot holds them a second time
+DISK_FRACTION = 0.25  # of the disk, for jobs; it holds two snapshots and the log
+MEGABYTE = 1024 * 1024
+MAINTENANCE_INTERVAL_S = 0.5
+FORGET_MARGIN_S = 30.0  # past statusS
+EXPIRED = "expired"
+MAX_RETAINED_S = 1e6  # stands in for "for ever" in messages
+GIVEN_UP_AT_ONCE = 64  # items past their retention in one round of maintenance
+
+Reply = Result[Message, Failure]
+
+
+class BatchStore:
+    """The batch plane of one store; registers its calls at ``server``."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        group: Group,
+        state: JobsState,
+        server: RpcServer,
+        *,
+        clock: Callable[[], float] = time.monotonic,
+        wall_clock: Callable[[], float] = time.time,
+        times: LeaseTimes | None = None,
+    ) -> None:
+        self._settings = settings
+        self._group = group
+        self._state = state
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._times = times or LeaseTimes()
+        self._table: LeaseTable | None = None
+        self._ages = JobAges()
+        self._signals = ResultSignals()
+        self._recorder = ResultRecorder(group)
+        self._maintenance: asyncio.Task[None] | None = None
+        self.state_restored()
+        state.observe(self)
+        group.on_change(self._signals.signal_all)
+        server.register("batch/submit", pb.SubmitRequest, self._submit)
+        server.register("batch/read", pb.ReadRequest, self._read)
+        server.register("batch/body", pb.BodyRequest, self._body)
+        server.register("batch/end", pb.EndRequest, self._end)
+        server.register("batch/lease", pb.LeaseRequest, self._lease)
+        server.register("batch/report", pb.ReportRequest, self._report)
+
+    async def start(self) -> None:
+        """Begin the periodic work of a primary."""
+        self._maintenance = asyncio.create_task(self._maintain())
+
+    async def stop(self) -> None:
+        if self._maintenance is not None:
+            self._maintenance.cancel()
+            await asyncio.gather(self._maintenance, return_exceptions=True)
+            self._maintenance = None
+
+    # Observer of the jobs
+
+    def job_accepted(self, job: Job) -> None:
+        self._ages.see(job.job_id, self._clock())
+        if self._table is not None:
+            self._table.add_job(self._terms(job), earlier_term=False)
+
+    def item_listed(self, job: Job, item_id: str) -> None:
+        if self._table is not None:
+            self._table.resolve(ItemKey(job.job_id, item_id))
+        self._signals.signal(job.job_id)
+
+    def job_ended(self, job: Job) -> None:
+        if self._table is not None:
+            self._table.remove_job(job.job_id)
+        self._signals.signal(job.job_id)
+
+    def jobs_forgotten(self, job_ids: Iterable[str]) -> None:
+        if self._table is not None:
+            for job_id in job_ids:
+                self._table.remove_job(job_id)
+        self._ages.keep_only(self._state.jobs)
+
+    def state_restored(self) -> None:
+        now = self._clock()
+        self._ages.keep_only(self._state.jobs)
+        for job_id in self._state.jobs:
+            self._ages.see(job_id, now)
+        self._table = None
+
+    # Calls
+
+    async def _submit(self, request: pb.SubmitRequest) -> Reply:
+        if not self._group.confirmed():
+            return self._not_primary()
+        if request.job_id in self._state.jobs:
+            return Ok(pb.SubmitReply())
+        if len({item.item_id for item in request.items}) != len(request.items):
+            return Err(Failure(ErrorKind.INVALID, "two items have the same id"))
+        if self._state.stored_bytes + request.ByteSize() > self._room_bytes():
+            return Err(Failure(ErrorKind.OVERLOADED, "no room for further jobs"))
+        command = accept_command(request, int(self._wall_clock() * 1000))
+        outcome = await self._group.propose(command, PROPOSE_TIMEOUT_S)
+        return Err(outcome.err_value) if isinstance(outcome, Err) else Ok(pb.SubmitReply())
+
+    async def _read(self, request: pb.ReadRequest) -> Reply:
+        deadline = self._clock() + min(request.wait_ms / 1000.0, MAX_READ_WAIT_S)
+        while True:
+            if not self._group.confirmed():
+                return self._not_primary()
+            job = self._state.jobs.get(request.job_id)
+            if job is None:
+                return _unknown_job()
+            remaining = deadline - self._clock()
+            if request.cursor < len(job.results) or job.done or remaining <= 0:
+                return Ok(_read_reply(job, request.cursor))
+            await self._signals.wait(request.job_id, remaining)
+
+    async def _body(self, request: pb.BodyRequest) -> Reply:
+        if not self._group.confirmed():
+            return self._not_primary()
+        body = self._state.body(ItemKey(request.job_id, request.item_id))
+        if body is None:
+            return Err(Failure(ErrorKind.NOT_FOUND, "no such item, or it is listed"))
+        return Ok(pb.BodyReply(body=body))
+
+    async def _end(self, request: pb.EndRequest) -> Reply:
+        if not self._group.confirmed():
+            return self._not_primary()
+        job = self._state.jobs.get(request.job_id)
+        if job is None:
+            return _unknown_job()
+        if job.ended:
+            return Ok(pb.EndReply())
+        outcome = await self._group.propose(end_command(request.job_id), PROPOSE_TIMEOUT_S)
+        if isinstance(outcome, Err):
+            return Err(outcome.err_value)
+        return _unknown_job() if outcome.ok_value is EndOutcome.UNKNOWN else Ok(pb.EndReply())
+
+    async def _lease(self, request: pb.LeaseRequest) -> Reply:
+        table = self._current_table()
+        if table is None:
+            return self._not_primary()
+        now = self._clock()
+        running = [ItemKey(entry.job_id, entry.item_id) for entry in request.running]
+        call = LeaseCall(
+            request.proxy,
+            request.incarnation,
+            request.sequence,
+            running,
+            request.capacity,
+            frozenset(request.routes),
+        )
+        return Ok(self._lease_reply(table.exchange(call, now), now))
+
+    async def _report(self, request: pb.ReportRequest) -> Reply:
+        table = self._current_table()
+        if table is None:
+            return self._not_primary()
+        key = ItemKey(request.reference.job_id, request.reference.item_id)
+        job = self._state.jobs.get(key.job_id)
+        item = job.items.get(key.item_id) if job is not None else None
+        if job is None or item is None:
+            return _unknown_job()
+        if job.ended or item.listed:
+            return Ok(pb.ReportReply())
+        outcome = request.WhichOneof("outcome")
+        if outcome == "failed_attempts":
+            table.give_back(request.incarnation, key, request.failed_attempts)
+            return Ok(pb.ReportReply())
+        if outcome is None:
+            return Err(Failure(ErrorKind.INVALID, "a report without an outcome"))
+        completed = outcome == "completed_text"
+        text = request.completed_text if completed else request.dead_letter_reason.encode()
+        recorded = await self._recorder.record(_item_result(key, completed, text))
+        return Err(recorded.err_value) if isinstance(recorded, Err) else Ok(pb.ReportReply())
+
+    # Parts of the calls
+
+    def _not_primary(self) -> Err[Failure]:
+        primary = self._group.primary
+        hint = primary.address if primary is not None else ""
+        return Err(Failure(ErrorKind.NOT_PRIMARY, "this store does not lead", hint))
+
+    def _room_bytes(self) -> float:
+        limits = self._settings.limits
+        memory = limits.memory_mb * MEMORY_FRACTION * MEGABYTE
+        return min(memory, limits.disk_mb * DISK_FRACTION * MEGABYTE) if limits.disk_mb else memory
+
+    def _terms(self, job: Job) -> JobTerms:
+        return self._ages.terms(job, self._clock(), self._wall_clock() * 1000.0)
+
+    def _current_table(self) -> LeaseTable | None:
+        """The leases of this term, begun anew when it is first seen; None while this store does not lead."""
+        if not self._group.confirmed():
+            return None
+        if self._table is None or self._table.epoch != self._group.epoch:
+            self._table = LeaseTable(self._group.epoch, self._clock(), self._times)
+            for job in self._state.jobs.values():
+                if not job.done:
+                    self._table.add_job(self._terms(job), earlier_term=True)
+            log.info("batch.leases.begun", extra={"epoch": self._table.epoch, "jobs": len(self._state.jobs)})
+        return self._table
+
+    def _lease_reply(self, decision: LeaseDecision, now: float) -> pb.LeaseReply:
+        reply = pb.LeaseReply(
+            epoch=self._group.epoch, lease_ms=int(self._times.lease_s * 1000), waiting=decision.waiting
+        )
+        for key in decision.revoked:
+            reply.revoked.add(job_id=key.job_id, item_id=key.item_id)
+        for grant in decision.granted:
+            self._write_grant(reply.items.add(), grant, now)
+        return reply
+
+    def _write_grant(self, leased: pb.LeasedItem, grant: Grant, now: float) -> None:
+        job = self._state.jobs[grant.key.job_id]
+        leased.job_id = job.job_id
+        leased.item.MergeFromString(job.items[grant.key.item_id].encoded)
+        leased.route = job.terms.route
+        leased.host = job.terms.host
+        leased.due_in_ms = int((grant.due - now) * 1000)
+        leased.retained_ms = int(min(grant.retained_until - now, MAX_RETAINED_S) * 1000)
+        leased.failed_attempts = grant.failed_attempts
+        leased.max_attempts = job.terms.max_attempts
+
+    # Periodic work
+
+    async def _maintain(self) -> None:
+        while True:
+            await asyncio.sleep(MAINTENANCE_INTERVAL_S)
+            try:
+                await self.maintain_once()
+            except Exception:  # a fault here must not end the periodic work
+                log.exception("batch.maintenance.failed")
+
+    async def maintain_once(self) -> None:
+        """Free leases that ran out, give up items past their retention, forget old jobs."""
+        table = self._current_table()
+        if table is None:
+            return
+        now = self._clock()
+        table.expire(now)
+        expired = table.past_retention(now)[:GIVEN_UP_AT_ONCE]
+        await asyncio.gather(
+            *(self._recorder.record(_item_result(key, False, EXPIRED.encode())) for key in expired)
+        )
+        await self._forget_old(now)
+
+    async def _forget_old(self, now: float) -> None:
+        old = self._ages.older_than(self._settings.bounds.status_s + FORGET_MARGIN_S, now)
+        done = [job_id for job_id in old if job_id in self._state.jobs and self._state.jobs[job_id].done]
+        if done and self._group.confirmed():
+            await self._group.propose(forget_command(done), PROPOSE_TIMEOUT_S)
+
+
+def _unknown_job() -> Err[Failure]:
+    return Err(Failure(ErrorKind.NOT_FOUND, "no such batch job"))
+
+
+def _item_result(key: ItemKey, completed: bool, text: bytes) -> ItemResult:
+    reference = pb.ItemReference(job_id=key.job_id, item_id=key.item_id)
+    return ItemResult(reference=reference, completed=completed, text=text)
+
+
+def _read_reply(job: Job, cursor: int) -> pb.ReadReply:
+    reply = pb.ReadReply(total=job.total)
+    size = 0
+    for result in job.results[cursor:]:
+        size += len(result.text)
+        if reply.results and size > READ_BYTES:
+            break
+        reply.results.add(item_id=result.item_id, completed=result.completed, text=result.text)
+    return reply
--- /dev/null
+++ b/cherrycove/tier/batch/submission.py
@@ -0,0 +1,98 @@
+"""Reads and checks the batch jobs that clients hand in."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import json
+import re
+from typing import Any
+
+from result import Err, Ok, Result
+
+from cherrycove.tier.configuration import Route
+from cherrycove.tier.errors import ErrorKind, Failure
+from cherrycove.tier.protocol.batch_pb2 import Item, SubmitRequest
+
+MAX_ITEMS = 200
+MAX_TOKENS = 2**32 - 1
+HEADER_NAME = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
+CONTROL = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
+BLANK = re.compile(r"\s")
+
+
+def parse_submission(job_id: str, route: Route, body: bytes) -> Result[SubmitRequest, Failure]:
+    """The job in ``body``, or INVALID with the reason."""
+    if not job_id:
+        return _invalid("Request-Id is missing")
+    try:
+        document = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        return _invalid(f"not JSON: {error}")
+    entries = document.get("requests") if isinstance(document, dict) else None
+    if not isinstance(entries, list):
+        return _invalid("requests: must be a list")
+    if len(entries) > MAX_ITEMS:
+        return _invalid(f"requests: more than {MAX_ITEMS} items")
+    request = _terms(job_id, route)
+    seen: set[str] = set()
+    for number, entry in enumerate(entries):
+        fault = _read_item(request.items.add(), entry, seen)
+        if fault:
+            return _invalid(f"requests[{number}]: {fault}")
+    return Ok(request)
+
+
+def _terms(job_id: str, route: Route) -> SubmitRequest:
+    return SubmitRequest(
+        job_id=job_id,
+        route=route.name,
+        host=route.hostname,
+        completion_target_ms=int(route.completion_target_ms),
+        retention_ms=int(route.retention_s * 1000),
+        max_attempts=route.max_attempts,
+    )
+
+
+def _read_item(item: Item, entry: Any, seen: set[str]) -> str:
+    """Fill ``item`` from one entry; what is wrong with it, or ''."""
+    if not isinstance(entry, dict):
+        return "must be an object"
+    item_id, path, tokens = entry.get("instanceId"), entry.get("path"), entry.get("tokens")
+    if not isinstance(item_id, str) or not item_id or CONTROL.search(item_id):
+        return "instanceId: must be a text"
+    if item_id in seen:
+        return f"instanceId: {item_id} comes twice"
+    seen.add(item_id)
+    if not isinstance(path, str) or not path.startswith("/") or CONTROL.search(path) or BLANK.search(path):
+        return "path: must begin with a slash and hold no blanks"
+    if isinstance(tokens, bool) or not isinstance(tokens, int) or not 0 <= tokens <= MAX_TOKENS:
+        return "tokens: must be a whole number"
+    item.item_id, item.path, item.tokens = item_id, path, tokens
+    return _read_headers(item, entry.get("headers")) or _read_body(item, entry.get("body"))
+
+
+def _read_headers(item: Item, headers: Any) -> str:
+    if not isinstance(headers, dict):
+        return "headers: must be an object"
+    for name, value in headers.items():
+        if not HEADER_NAME.fullmatch(name):
+            return f"headers: {name!r} is not a name"
+        if not isinstance(value, str) or CONTROL.search(value):
+            return f"headers: the value of {name} must be a text of one line"
+        item.headers[name] = value
+    return ""
+
+
+def _read_body(item: Item, text: Any) -> str:
+    if not isinstance(text, str):
+        return "body: must be base64"
+    try:
+        item.body = base64.b64decode(text, validate=True)
+    except (binascii.Error, ValueError):
+        return "body: must be base64"
+    return ""
+
+
+def _invalid(reason: str) -> Err[Failure]:
+    return Err(Failure(ErrorKind.INVALID, reason))
