Add the control plane and its distribution to the data plane

Cause: nobody keeps the list of brokers, the configuration or the processes of the tier any more. Ruled out: a log read by every process (proxies need the newest whole topic, not its history), and reading the platform's list from every proxy (its rate is shared and each call is priced). Change: a replicated state machine for configuration, store group and retire orders; the operator's interface at the confirmed primary; a register of announced processes; one reader of the broker list; topics with versions (epoch, sequence), pulled by version vectors with long polls.

--- /dev/null
+++ b/cherrycove/tier/controlplane/broker_list.py
@@ -0,0 +1,193 @@
+"""Reads the platform's list of brokers, page by page; a sequence of pages counts only when complete."""
+
+from __future__ import annotations
+
+import json
+import logging
+from typing import Any
+
+import aiohttp
+import attrs
+import cattrs
+from cattrs.errors import BaseValidationError
+from cattrs.gen import make_dict_structure_fn, override
+from result import Err, Ok, Result
+
+from cherrycove.tier.errors import ErrorKind, Failure
+from cherrycove.tier.protocol.control_pb2 import BrokerEntry, BrokerList
+from cherrycove.tier.settings import Settings
+
+READS_PER_DRAIN = 5.0  # the list is read so often within bounds.drain_ms
+MIN_INTERVAL_S = 0.3
+MAX_INTERVAL_S = 1.0
+RATE_SHARE = 0.5  # of the platform's rate, which all callers share
+MAX_BACKOFF_S = 2.0
+CALL_TIMEOUT_S = 1.0
+MAX_PAGES = 1000
+READY = "ready"
+
+_log = logging.getLogger(__name__)
+
+
+@attrs.frozen(kw_only=True)
+class Instance:
+    """One entry of the platform's list."""
+
+    instance_id: str
+    service: str
+    address: str
+    zone: str = ""
+    version: str = ""
+    capacity_slots: int = 0
+    state: str = READY
+    warmup_remaining_ms: float = 0.0
+
+    def entry(self) -> BrokerEntry:
+        return BrokerEntry(
+            instance_id=self.instance_id,
+            service=self.service,
+            address=self.address,
+            zone=self.zone,
+            version=self.version,
+            capacity_slots=max(0, self.capacity_slots),
+            draining=self.state != READY,
+            warmup_remaining_ms=max(0, int(self.warmup_remaining_ms)),
+        )
+
+
+@attrs.frozen
+class Page:
+    """One answer of the platform."""
+
+    instances: tuple[BrokerEntry, ...]
+    next_token: str  # empty on the last page
+
+
+def _converter() -> cattrs.Converter:
+    converter = cattrs.Converter()
+    renames = {field.name: override(rename=_camel(field.name)) for field in attrs.fields(Instance)}
+    hook = make_dict_structure_fn(Instance, converter, **renames)  # type: ignore[arg-type]
+    converter.register_structure_hook(Instance, hook)
+    return converter
+
+
+def _camel(name: str) -> str:
+    first, *rest = name.split("_")
+    return first + "".join(part.capitalize() for part in rest)
+
+
+_CONVERTER = _converter()
+
+
+def parse_page(body: bytes) -> Result[Page, Failure]:
+    """The entries of one page; an entry that cannot be read is left out."""
+    try:
+        document = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        return Err(Failure(ErrorKind.INVALID, f"list of brokers: not JSON: {error}"))
+    if not isinstance(document, dict) or not isinstance(document.get("instances"), list):
+        return Err(Failure(ErrorKind.INVALID, "list of brokers: no instances"))
+    entries = [_entry(item) for item in document["instances"]]
+    token = document.get("nextPageToken")
+    return Ok(
+        Page(
+            instances=tuple(entry for entry in entries if entry is not None),
+            next_token="" if token is None else str(token),
+        )
+    )
+
+
+def _entry(item: Any) -> BrokerEntry | None:
+    try:
+        present = {key: value for key, value in item.items() if value is not None}
+        return _CONVERTER.structure(present, Instance).entry()
+    except (AttributeError, BaseValidationError, TypeError, ValueError, OverflowError) as error:
+        _log.warning("broker_entry_unreadable", extra={"reason": str(error)})
+        return None
+
+
+def same_brokers(left: BrokerList, right: BrokerList) -> bool:
+    """Whether two lists say the same, apart from the time that warm-ups still take."""
+    return _without_warmup(left) == _without_warmup(right)
+
+
+def _without_warmup(brokers: BrokerList) -> bytes:
+    copy = BrokerList()
+    copy.CopyFrom(brokers)
+    for entry in copy.brokers:
+        entry.ClearField("warmup_remaining_ms")
+    return copy.SerializeToString(deterministic=True)
+
+
+class ReadPacing:
+    """When to read next: as often as draining asks for, within a share of the platform's rate. Pure."""
+
+    def __init__(self, settings: Settings) -> None:
+        interval = settings.bounds.drain_ms / 1000.0 / READS_PER_DRAIN
+        self._interval_s = min(max(interval, MIN_INTERVAL_S), MAX_INTERVAL_S)
+        self._calls_per_s = max(settings.cloud_api.rate_per_s * RATE_SHARE, 0.1)
+        self._failures = 0
+
+    def succeeded(self, calls: int) -> float:
+        """Seconds until the next read after one that took ``calls`` calls."""
+        self._failures = 0
+        return max(self._interval_s, calls / self._calls_per_s)
+
+    def failed(self, calls: int) -> float:
+        """Seconds until the next read after one that failed."""
+        self._failures += 1
+        backoff = self._interval_s * min(self._failures, 4)
+        return max(min(backoff, MAX_BACKOFF_S), calls / self._calls_per_s)
+
+
+class BrokerListReader:
+    """Calls the platform."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._url = f"http://{settings.cloud_api.address}/instances"
+        self._session: aiohttp.ClientSession | None = None
+        self.calls = 0  # made by the read that is under way or ended last
+
+    async def start(self) -> None:
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        connector = aiohttp.TCPConnector(limit=1, keepalive_timeout=10.0)
+        self._session = aiohttp.ClientSession(connector=connector, timeout=timeout)
+
+    async def stop(self) -> None:
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    async def read(self) -> Result[BrokerList, Failure]:
+        """The whole list, by instance id."""
+        self.calls = 0
+        brokers: dict[str, BrokerEntry] = {}
+        tokens: set[str] = set()
+        token = ""
+        while self.calls < MAX_PAGES:
+            outcome = await self._page(token)
+            if isinstance(outcome, Err):
+                return outcome
+            page = outcome.ok_value
+            brokers.update((entry.instance_id, entry) for entry in page.instances)
+            token = page.next_token
+            if not token:
+                return Ok(BrokerList(brokers=[brokers[key] for key in sorted(brokers)]))
+            if token in tokens:
+                break
+            tokens.add(token)
+        return Err(Failure(ErrorKind.INVALID, "list of brokers: the pages do not end"))
+
+    async def _page(self, token: str) -> Result[Page, Failure]:
+        if self._session is None:
+            return Err(Failure(ErrorKind.UNREACHABLE, "reader is not started"))
+        self.calls += 1
+        parameters = {"pageToken": token} if token else {}
+        try:
+            async with self._session.get(self._url, params=parameters) as response:
+                body = await response.read()
+        except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
+            return Err(Failure(ErrorKind.UNAVAILABLE, f"list of brokers: {type(error).__name__} {error}"))
+        if response.status != 200:
+            return Err(Failure(ErrorKind.UNAVAILABLE, f"list of brokers: status {response.status}"))
+        return parse_page(body)
--- /dev/null
+++ b/cherrycove/tier/controlplane/configuration_decisions.py
@@ -0,0 +1,136 @@
+"""Decides on the configurations that operators send, one at a time."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from result import Err, Ok, Result
+
+from cherrycove.tier.configuration import parse_configuration
+from cherrycove.tier.controlplane.leadership import Leadership
+from cherrycove.tier.controlplane.state import AcceptOutcome, ControlState, content_digest
+from cherrycove.tier.errors import ErrorKind, Failure
+from cherrycove.tier.protocol.keeper_pb2 import AcceptConfiguration, Barrier, Command
+from cherrycove.tier.replication.interface import Group
+
+DECISION_TIMEOUT_S = 2.0  # a change is decided within this time or answered as uncertain
+MAX_VERSION = 2**63 - 1  # versions travel as 64-bit integers
+
+_log = logging.getLogger(__name__)
+
+
+class ConfigurationDecisions:
+    """Serialises the changes, so that of two built on one version the second sees the first committed.
+
+    Only the confirmed primary decides, and it is asked again after every wait. After a change whose outcome
+    is uncertain, a barrier is committed before anything else is decided: by then the change took effect or
+    never will.
+    """
+
+    def __init__(self, group: Group, state: ControlState, leadership: Leadership) -> None:
+        self._group = group
+        self._state = state
+        self._leadership = leadership
+        self._lock = asyncio.Lock()
+        self._unsettled = False
+
+    async def put(self, body: bytes, base_version: int) -> Result[None, Failure]:
+        """Take ``body`` as the configuration that builds on ``base_version``."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + DECISION_TIMEOUT_S
+        async with self._turn(DECISION_TIMEOUT_S) as has_turn:
+            if not has_turn:
+                return Err(Failure(ErrorKind.UNAVAILABLE, "earlier changes are still being decided"))
+            settled = await self._settle(deadline - loop.time())
+            if isinstance(settled, Err):
+                return settled
+            command = self._check(body, base_version)
+            if isinstance(command, Err):
+                return command
+            if command.ok_value is None:
+                return Ok(None)
+            return await self._commit(command.ok_value, deadline - loop.time())
+
+    @asynccontextmanager
+    async def _turn(self, timeout_s: float) -> AsyncIterator[bool]:
+        try:
+            await asyncio.wait_for(self._lock.acquire(), timeout_s)
+        except TimeoutError:
+            yield False
+            return
+        try:
+            yield True
+        finally:
+            self._lock.release()
+
+    async def _settle(self, timeout_s: float) -> Result[None, Failure]:
+        """Ok once the outcome of every earlier change is known here."""
+        if not self._unsettled:
+            return Ok(None)
+        outcome = await self._group.propose(Command(barrier=Barrier()).SerializeToString(), timeout_s)
+        if isinstance(outcome, Err):
+            return Err(Failure(ErrorKind.UNAVAILABLE, "an earlier change is not settled yet"))
+        self._unsettled = False
+        return Ok(None)
+
+    def _check(self, body: bytes, base_version: int) -> Result[AcceptConfiguration | None, Failure]:
+        """The command to commit, or None when exactly this document was taken already. Does not wait."""
+        if not self._leadership.confirmed():
+            return Err(self._leadership.refusal())
+        parsed = parse_configuration(body)
+        digest = content_digest(body)
+        if isinstance(parsed, Err):
+            return parsed
+        version = parsed.ok_value.version
+        if digest is None or version > MAX_VERSION:
+            return Err(Failure(ErrorKind.INVALID, "version: too large"))
+        if self._state.was_accepted(digest, version):
+            return Ok(None)
+        current = self._state.configuration.version
+        if base_version != current:
+            return Err(_mismatch(base_version, current))
+        if version <= current:
+            return Err(_not_newer(version, current))
+        return Ok(
+            AcceptConfiguration(version=version, base_version=base_version, document=body, digest=digest)
+        )
+
+    async def _commit(self, command: AcceptConfiguration, timeout_s: float) -> Result[None, Failure]:
+        if timeout_s <= 0:
+            return Err(Failure(ErrorKind.UNAVAILABLE, "no time left to decide"))
+        message = Command(accept_configuration=command).SerializeToString()
+        self._unsettled = True  # stays so when this call is cancelled
+        outcome = await self._group.propose(message, timeout_s)
+        if isinstance(outcome, Err):
+            self._unsettled = not outcome.err_value.certain
+            return Err(self._uncommitted(outcome.err_value))
+        self._unsettled = False
+        return self._committed(command, outcome.ok_value)
+
+    def _uncommitted(self, failure: Failure) -> Failure:
+        if failure.kind is ErrorKind.NOT_PRIMARY:
+            return self._leadership.refusal()
+        if not failure.certain:
+            return Failure(ErrorKind.DEADLINE, failure.detail)
+        return Failure(ErrorKind.UNAVAILABLE, failure.detail)
+
+    def _committed(self, command: AcceptConfiguration, outcome: object) -> Result[None, Failure]:
+        current = self._state.configuration.version
+        if outcome is AcceptOutcome.BASE_MISMATCH:
+            return Err(_mismatch(command.base_version, current))
+        if outcome is AcceptOutcome.NOT_NEWER:
+            return Err(_not_newer(command.version, current))
+        if outcome is AcceptOutcome.ACCEPTED:
+            _log.info("configuration_accepted", extra={"version": command.version})
+        return Ok(None)
+
+
+def _mismatch(base_version: int, current: int) -> Failure:
+    return Failure(ErrorKind.VERSION_MISMATCH, f"builds on version {base_version}, but {current} is current")
+
+
+def _not_newer(version: int, current: int) -> Failure:
+    return Failure(ErrorKind.INVALID, f"version: {version} is not above the current {current}")
--- /dev/null
+++ b/cherrycove/tier/controlplane/register.py
@@ -0,0 +1,129 @@
+"""The primary's register of the tier's processes: soft state, rebuilt from their announcements. Pure."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import attrs
+
+from cherrycove.tier.protocol.control_pb2 import Announcement, MemberList
+
+MEMBER_TIMEOUT_S = 3.0  # without a pull for so long, a process counts as gone
+LEAVING_TIMEOUT_S = 1.5  # the same, of one that announced to leave
+REMEMBERED_S = 10.0  # a store that is gone is known for so long
+MINOR_CHANGE_INTERVAL_S = 1.0  # rates and versions alone are published no more often
+REPLACED_KEPT = 4  # earlier incarnations of one process that are recognised
+
+
+@attrs.frozen
+class ProcessKey:
+    """One program on one machine."""
+
+    node_name: str
+    program: str
+
+
+@attrs.define
+class Registration:
+    """What is known of one process."""
+
+    announcement: Announcement
+    heard_at: float  # s
+    store_group_revision: int = 0  # that the process had when it announced itself
+    seeded: bool = False  # known from an earlier primary's list only
+    replaced: tuple[str, ...] = ()  # earlier incarnations
+
+    def alive(self, now: float) -> bool:
+        timeout = LEAVING_TIMEOUT_S if self.announcement.leaving else MEMBER_TIMEOUT_S
+        return now - self.heard_at < timeout
+
+
+class Register:
+    """Processes by machine and program. Times are monotonic seconds."""
+
+    def __init__(self) -> None:
+        self._entries: dict[ProcessKey, Registration] = {}
+
+    def seed(self, members: Iterable[Announcement], now: float) -> None:
+        """Processes that an earlier primary knew; each has the usual time to announce itself again."""
+        for member in members:
+            key = ProcessKey(member.node_name, member.program)
+            if key not in self._entries:
+                self._entries[key] = Registration(announcement=member, heard_at=now, seeded=True)
+
+    def resume(self, now: float) -> None:
+        """Nobody could be heard for a while; each process alive before has the usual time again."""
+        for entry in self._entries.values():
+            entry.heard_at = now
+            entry.seeded = True
+
+    def announce(self, announcement: Announcement, now: float, store_group_revision: int = 0) -> None:
+        """A process announced itself; a newer incarnation replaces an older one."""
+        key = ProcessKey(announcement.node_name, announcement.program)
+        known = self._entries.get(key)
+        replaced: tuple[str, ...] = ()
+        if known is not None:
+            if announcement.incarnation in known.replaced:
+                return
+            replaced = known.replaced
+            if known.announcement.incarnation != announcement.incarnation:
+                replaced = (*replaced, known.announcement.incarnation)[-REPLACED_KEPT:]
+        self._entries[key] = Registration(
+            announcement=announcement,
+            heard_at=now,
+            store_group_revision=store_group_revision,
+            replaced=replaced,
+        )
+
+    def forget_old(self, now: float) -> None:
+        """Drop what was not heard of for so long that nothing depends on it."""
+        self._entries = {
+            key: entry for key, entry in self._entries.items() if now - entry.heard_at < REMEMBERED_S
+        }
+
+    def alive(self, now: float, program: str = "") -> list[Registration]:
+        """Processes alive now, of one program or of all, by node name."""
+        found = [
+            entry
+            for entry in self._entries.values()
+            if entry.alive(now) and program in ("", entry.announcement.program)
+        ]
+        return sorted(found, key=lambda entry: (entry.announcement.node_name, entry.announcement.program))
+
+    def remembered(self, program: str) -> list[Registration]:
+        """Processes of one program, also those lately gone."""
+        return [entry for entry in self._entries.values() if entry.announcement.program == program]
+
+    def members(self, now: float) -> MemberList:
+        return MemberList(members=[entry.announcement for entry in self.alive(now)])
+
+
+def _without_minor_fields(members: MemberList) -> bytes:
+    relevant = MemberList()
+    relevant.CopyFrom(members)
+    for member in relevant.members:
+        member.ClearField("arrivals_per_s")
+        member.ClearField("configuration_version")
+    return relevant.SerializeToString(deterministic=True)
+
+
+class MemberListChanges:
+    """Decides when a new list of members is worth publishing."""
+
+    def __init__(self) -> None:
+        self._relevant: bytes | None = None
+        self._whole = b""
+        self._published_at = float("-inf")
+
+    def due(self, members: MemberList, now: float) -> bool:
+        """Whether to publish ``members`` now; True counts as published."""
+        whole = members.SerializeToString(deterministic=True)
+        if self._relevant is not None and whole == self._whole:
+            return False
+        relevant = _without_minor_fields(members)
+        if relevant == self._relevant and now - self._published_at < MINOR_CHANGE_INTERVAL_S:
+            return False
+        self._relevant = relevant
+        self._whole = whole
+        self._published_at = now
+        return True
--- /dev/null
+++ b/cherrycove/tier/controlplane/retirement.py
@@ -0,0 +1,98 @@
+"""Answers the operator's orders to empty a storage machine."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from enum import Enum
+
+from result import Err, Ok, Result
+
+from cherrycove.tier.controlplane.leadership import Leadership
+from cherrycove.tier.controlplane.state import ControlState
+from cherrycove.tier.controlplane.store_group import StoreFleet
+from cherrycove.tier.errors import ErrorKind, Failure
+from cherrycove.tier.protocol.keeper_pb2 import Command, Retire
+from cherrycove.tier.replication.interface import Group
+
+RETIRE_TIMEOUT_S = 2.5  # an order is taken within this time or answered as uncertain
+
+
+class RetireState(Enum):
+    ACTIVE = "active"
+    COMPLETED = "completed"
+
+
+class Retirement:
+    """Only the confirmed primary decides; nothing is refused for good before the stores could be heard."""
+
+    def __init__(
+        self,
+        group: Group,
+        state: ControlState,
+        leadership: Leadership,
+        fleet: Callable[[], StoreFleet],
+        stores_heard: Callable[[], bool],
+        group_size: int,
+    ) -> None:
+        """``fleet`` is the present view; ``stores_heard`` tells whether all stores had time to announce."""
+        self._group = group
+        self._state = state
+        self._leadership = leadership
+        self._fleet = fleet
+        self._stores_heard = stores_heard
+        self._group_size = group_size
+        self._lock = asyncio.Lock()
+
+    async def order(self, node_name: str) -> Result[None, Failure]:
+        try:
+            await asyncio.wait_for(self._lock.acquire(), RETIRE_TIMEOUT_S)
+        except TimeoutError:
+            return Err(Failure(ErrorKind.UNAVAILABLE, "earlier orders are still being decided"))
+        try:
+            return await self._order(node_name)
+        finally:
+            self._lock.release()
+
+    async def _order(self, node_name: str) -> Result[None, Failure]:
+        checked = self._check(node_name)
+        if isinstance(checked, Err):
+            return checked
+        if checked.ok_value is None:
+            return Ok(None)
+        command = Command(retire=checked.ok_value).SerializeToString()
+        outcome = await self._group.propose(command, RETIRE_TIMEOUT_S)
+        if isinstance(outcome, Ok):
+            return Ok(None)
+        failure = outcome.err_value
+        if failure.kind is ErrorKind.NOT_PRIMARY:
+            return Err(self._leadership.refusal())
+        kind = ErrorKind.UNAVAILABLE if failure.certain else ErrorKind.DEADLINE
+        return Err(Failure(kind, failure.detail))
+
+    def _check(self, node_name: str) -> Result[Retire | None, Failure]:
+        """The command to commit, or None when the order is in force already. Does not wait."""
+        if not self._leadership.confirmed():
+            return Err(self._leadership.refusal())
+        fleet = self._fleet()
+        member_id = fleet.member_id(node_name)
+        order = self._state.retire_orders.get(node_name)
+        if order is not None and (not order.completed or member_id in ("", order.member_id)):
+            return Ok(None)
+        if not self._stores_heard():
+            return Err(Failure(ErrorKind.UNAVAILABLE, "the stores have not announced themselves yet"))
+        if not fleet.knows(node_name):
+            return Err(Failure(ErrorKind.NOT_FOUND, f"no storage machine {node_name!r}"))
+        if fleet.left_without(node_name, fleet.alive) < self._group_size:
+            if fleet.left_without(node_name, fleet.remembered) >= self._group_size:
+                return Err(Failure(ErrorKind.UNAVAILABLE, "a storage machine is away at the moment"))
+            return Err(Failure(ErrorKind.CONFLICT, "too few storage machines would remain"))
+        return Ok(Retire(node_name=node_name, member_id=member_id))
+
+    def state(self, node_name: str) -> Result[RetireState, Failure]:
+        if not self._leadership.confirmed():
+            return Err(self._leadership.refusal())
+        order = self._state.retire_orders.get(node_name)
+        if order is None:
+            return Err(Failure(ErrorKind.NOT_FOUND, f"no order to empty {node_name!r}"))
+        return Ok(RetireState.COMPLETED if order.completed else RetireState.ACTIVE)
--- /dev/null
+++ b/cherrycove/tier/controlplane/state.py
@@ -0,0 +1,192 @@
+"""The keepers' replicated state machine: the configuration, the store group's start and the retire orders.
+
+The state is a function of the committed commands alone. Each command re-checks what it depends on, so that of
+two changes built on one version only the first in commit order takes effect.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from collections.abc import Callable, Mapping, Sequence
+from enum import Enum
+
+import attrs
+
+from cherrycove.tier.protocol.control_pb2 import ConfigurationDocument, Replica, StoreGroup
+from cherrycove.tier.protocol.keeper_pb2 import (
+    AcceptConfiguration,
+    AcceptedVersion,
+    Command,
+    ForgetRetired,
+    FormStoreGroup,
+    Retire,
+    Retired,
+    RetireOrder,
+    Snapshot,
+)
+
+MAX_ACCEPTED_VERSIONS = 4096  # accepted versions whose digests are kept
+
+
+class AcceptOutcome(Enum):
+    """What became of an AcceptConfiguration command."""
+
+    ACCEPTED = "accepted"
+    ALREADY_ACCEPTED = "already_accepted"  # exactly this document was taken earlier
+    BASE_MISMATCH = "base_mismatch"  # another version is current
+    NOT_NEWER = "not_newer"  # its version is not above the current one
+
+
+@attrs.frozen
+class Applied:
+    """Outcome of every other command: whether it changed anything."""
+
+    changed: bool
+
+
+def content_digest(body: bytes) -> bytes | None:
+    """SHA-256 of the JSON content of ``body``, equal for equal content; None when it is not JSON."""
+    try:
+        document = json.loads(body)
+        canonical = json.dumps(document, sort_keys=True, separators=(",", ":"))
+    except (ValueError, RecursionError):
+        return None
+    return hashlib.sha256(canonical.encode()).digest()
+
+
+class ControlState:
+    """Implements ``StateMachine``; readers use it only where the group is confirmed."""
+
+    def __init__(self) -> None:
+        self._configuration = ConfigurationDocument()
+        self._accepted: dict[int, bytes] = {}
+        self._store_group_revision = 0
+        self._initial: tuple[Replica, ...] = ()
+        self._orders: dict[str, RetireOrder] = {}
+        self._listeners: list[Callable[[], None]] = []
+
+    @property
+    def configuration(self) -> ConfigurationDocument:
+        """The newest configuration; version 0 before the first."""
+        return self._configuration
+
+    @property
+    def store_group_revision(self) -> int:
+        """Counts the changes of ``store_group``; 0 before the first."""
+        return self._store_group_revision
+
+    @property
+    def initial_stores(self) -> Sequence[Replica]:
+        """The replicas that begin the store group; empty until formed."""
+        return self._initial
+
+    @property
+    def retire_orders(self) -> Mapping[str, RetireOrder]:
+        """Retire orders by node name, also completed ones."""
+        return self._orders
+
+    def store_group(self) -> StoreGroup:
+        return StoreGroup(initial=self._initial, retiring=sorted(self._orders))
+
+    def was_accepted(self, digest: bytes, version: int) -> bool:
+        """Whether exactly the document with ``digest`` was accepted under ``version``."""
+        return self._accepted.get(version) == digest
+
+    def on_change(self, callback: Callable[[], None]) -> None:
+        """Call back after each command or snapshot that changed the state."""
+        self._listeners.append(callback)
+
+    def apply(self, index: int, command: bytes) -> AcceptOutcome | Applied:
+        message = Command.FromString(command)
+        kind = message.WhichOneof("body")
+        if kind == "accept_configuration":
+            return self._accept(message.accept_configuration)
+        if kind == "form_store_group":
+            return self._form(message.form_store_group)
+        if kind == "retire":
+            return self._retire(message.retire)
+        if kind == "retired":
+            return self._retired(message.retired)
+        if kind == "forget_retired":
+            return self._forget(message.forget_retired)
+        return Applied(changed=False)
+
+    def snapshot(self) -> bytes:
+        snapshot = Snapshot(
+            configuration=self._configuration,
+            accepted=[AcceptedVersion(version=v, digest=digest) for v, digest in self._accepted.items()],
+            store_group_revision=self._store_group_revision,
+            initial=self._initial,
+            retire_orders=self._orders.values(),
+        )
+        return snapshot.SerializeToString()
+
+    def restore(self, data: bytes) -> None:
+        snapshot = Snapshot.FromString(data)
+        self._configuration = snapshot.configuration
+        self._accepted = {entry.version: entry.digest for entry in snapshot.accepted}
+        self._store_group_revision = snapshot.store_group_revision
+        self._initial = tuple(snapshot.initial)
+        self._orders = {order.node_name: order for order in snapshot.retire_orders}
+        self._changed()
+
+    def _accept(self, command: AcceptConfiguration) -> AcceptOutcome:
+        if self.was_accepted(command.digest, command.version):
+            return AcceptOutcome.ALREADY_ACCEPTED
+        if command.base_version != self._configuration.version:
+            return AcceptOutcome.BASE_MISMATCH
+        if command.version <= self._configuration.version:
+            return AcceptOutcome.NOT_NEWER
+        self._configuration = ConfigurationDocument(version=command.version, document=command.document)
+        self._accepted[command.version] = command.digest
+        while len(self._accepted) > MAX_ACCEPTED_VERSIONS:
+            del self._accepted[next(iter(self._accepted))]
+        self._changed()
+        return AcceptOutcome.ACCEPTED
+
+    def _form(self, command: FormStoreGroup) -> Applied:
+        if self._initial or not command.initial:
+            return Applied(changed=False)
+        self._initial = tuple(command.initial)
+        return self._store_group_changed()
+
+    def _retire(self, command: Retire) -> Applied:
+        order = self._orders.get(command.node_name)
+        same_disk = order is not None and order.member_id == command.member_id
+        if order is not None and (same_disk or not command.member_id):
+            return Applied(changed=False)
+        self._orders[command.node_name] = RetireOrder(
+            node_name=command.node_name,
+            member_id=command.member_id,
+            revision=self._store_group_revision + 1,
+        )
+        return self._store_group_changed()
+
+    def _retired(self, command: Retired) -> Applied:
+        order = self._orders.get(command.node_name)
+        if order is None or order.completed:
+            return Applied(changed=False)
+        self._orders[command.node_name] = RetireOrder(
+            node_name=command.node_name,
+            member_id=command.member_id or order.member_id,
+            completed=True,
+            revision=order.revision,
+        )
+        return self._store_group_changed()
+
+    def _forget(self, command: ForgetRetired) -> Applied:
+        order = self._orders.get(command.node_name)
+        if order is None or not order.completed or order.member_id != command.member_id:
+            return Applied(changed=False)
+        del self._orders[command.node_name]
+        return self._store_group_changed()
+
+    def _store_group_changed(self) -> Applied:
+        self._store_group_revision += 1
+        self._changed()
+        return Applied(changed=True)
+
+    def _changed(self) -> None:
+        for callback in self._listeners:
+            callback()
--- /dev/null
+++ b/cherrycove/tier/controlplane/term.py
@@ -0,0 +1,43 @@
+"""Tracks the spans of time in which this keeper leads."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from cherrycove.tier.replication.interface import Group
+
+_log = logging.getLogger(__name__)
+
+
+class Term:
+    """The present term: an epoch in which this replica is the confirmed primary. A lost lease pauses it."""
+
+    def __init__(self, group: Group, on_begin: Callable[[int], None], on_end: Callable[[], None]) -> None:
+        """``on_begin`` is told the epoch, also when a term goes on after a pause."""
+        self._group = group
+        self._on_begin = on_begin
+        self._on_end = on_end
+        self._epoch: int | None = None
+
+    @property
+    def epoch(self) -> int | None:
+        """The epoch that was led at the last update; None while none was."""
+        return self._epoch
+
+    def update(self) -> None:
+        """Compare with the group, and begin or end the term."""
+        epoch = self._group.epoch if self._group.confirmed() else None
+        if epoch == self._epoch:
+            return
+        self._epoch = epoch
+        if epoch is None:
+            _log.info("keeper_term_paused")
+            self._on_end()
+        else:
+            _log.info("keeper_term_begun", extra={"epoch": epoch})
+            self._on_begin(epoch)
+
+    def holds(self) -> bool:
+        """Whether this replica still leads in the epoch of the last update."""
+        return self._epoch is not None and self._epoch == self._group.epoch and self._group.confirmed()
--- /dev/null
+++ b/cherrycove/tier/controlplane/topics.py
@@ -0,0 +1,74 @@
+"""Turns the keepers' state into topics for the data plane."""
+
+from __future__ import annotations
+
+from cherrycove.tier.controlplane.broker_list import same_brokers
+from cherrycove.tier.controlplane.register import MemberListChanges
+from cherrycove.tier.controlplane.state import ControlState
+from cherrycove.tier.distribution.publisher import Publisher
+from cherrycove.tier.distribution.topics import BROKERS, CONFIGURATION, MEMBERS, STORE_GROUP
+from cherrycove.tier.protocol.control_pb2 import BrokerList, MemberList, TopicUpdate, TopicVersion
+
+
+class ControlTopics:
+    """Publishes committed state under epoch 0, and soft state under the epoch of the term it belongs to."""
+
+    def __init__(self, publisher: Publisher, state: ControlState) -> None:
+        self._publisher = publisher
+        self._state = state
+        self._epoch = 0
+        self._sequence = 0
+        self._member_changes = MemberListChanges()
+        self._brokers: BrokerList | None = None
+
+    @property
+    def epoch(self) -> int:
+        """Epoch of the newest term that was begun here; 0 before the first."""
+        return self._epoch
+
+    @property
+    def brokers(self) -> BrokerList | None:
+        """The newest list of this term; None before the first."""
+        return self._brokers
+
+    def begin_term(self, epoch: int) -> None:
+        """Forget the soft state of earlier epochs; pullers keep theirs until this epoch publishes its own.
+
+        A term that goes on in the same epoch after a pause keeps what it has, and counts on."""
+        if epoch == self._epoch:
+            return
+        self._epoch = epoch
+        self._sequence = 0
+        self._member_changes = MemberListChanges()
+        self._brokers = None
+        self._publisher.board.withdraw(BROKERS)
+        self._publisher.board.withdraw(MEMBERS)
+        self.publish_state()
+
+    def publish_state(self) -> None:
+        """Publish what is committed, as far as it is newer than before."""
+        document = self._state.configuration
+        if document.version:
+            version = TopicVersion(topic=CONFIGURATION, epoch=0, sequence=document.version)
+            self._publish(TopicUpdate(version=version, configuration=document))
+        revision = self._state.store_group_revision
+        if revision:
+            version = TopicVersion(topic=STORE_GROUP, epoch=0, sequence=revision)
+            self._publish(TopicUpdate(version=version, store_group=self._state.store_group()))
+
+    def publish_members(self, members: MemberList, now: float) -> None:
+        if self._member_changes.due(members, now):
+            self._publish(TopicUpdate(version=self._next(MEMBERS), members=members))
+
+    def publish_brokers(self, brokers: BrokerList) -> None:
+        if self._brokers is None or not same_brokers(self._brokers, brokers):
+            self._brokers = brokers
+            self._publish(TopicUpdate(version=self._next(BROKERS), brokers=brokers))
+
+    def _next(self, topic: str) -> TopicVersion:
+        self._sequence += 1
+        return TopicVersion(topic=topic, epoch=self._epoch, sequence=self._sequence)
+
+    def _publish(self, update: TopicUpdate) -> None:
+        if self._publisher.board.publish(update):
+            self._publisher.wake()
--- /dev/null
+++ b/cherrycove/tier/distribution/puller.py
@@ -0,0 +1,181 @@
+"""Keeps the views of one process as new as the primary keeper's, by long-poll pulls."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from contextlib import suppress
+
+from result import Err, Ok
+
+from cherrycove.tier.configuration import parse_configuration
+from cherrycove.tier.distribution.keeper_choice import MAX_PAUSE_S, KeeperChoice
+from cherrycove.tier.distribution.publisher import PULL_CALL
+from cherrycove.tier.distribution.topics import VersionVector
+from cherrycove.tier.distribution.views import Broker, Views
+from cherrycove.tier.errors import ErrorKind, Failure
+from cherrycove.tier.protocol.control_pb2 import (
+    Announcement,
+    BrokerEntry,
+    ConfigurationDocument,
+    PullReply,
+    PullRequest,
+    TopicUpdate,
+)
+from cherrycove.tier.protocol.rpc import RpcClient
+from cherrycove.tier.settings import Settings
+
+WAIT_MS = 700  # how long the keeper may hold a pull
+CALL_MARGIN_S = 0.6  # after the wait, an unanswered pull is given up
+
+_log = logging.getLogger(__name__)
+
+
+class ViewUpdater:
+    """Applies updates of topics to the views. Within one life no topic goes back."""
+
+    def __init__(self, views: Views) -> None:
+        self._views = views
+        self.vector = VersionVector()
+
+    def apply(self, updates: list[TopicUpdate]) -> bool:
+        """Tell whether anything was newer than what the views held."""
+        newer = [update for update in updates if self.vector.advance(update.version)]
+        for update in newer:
+            self._apply_one(update)
+        if newer:
+            self._views.changed()
+        return bool(newer)
+
+    def _apply_one(self, update: TopicUpdate) -> None:
+        body = update.WhichOneof("body")
+        if body == "configuration":
+            self._apply_configuration(update.configuration)
+        elif body == "brokers":
+            self._views.brokers = tuple(_broker(entry) for entry in update.brokers.brokers)
+        elif body == "members":
+            self._views.members = tuple(update.members.members)
+        elif body == "store_group":
+            self._views.store_group = update.store_group
+
+    def _apply_configuration(self, document: ConfigurationDocument) -> None:
+        current = self._views.configuration
+        if current is not None and document.version <= current.version:
+            return
+        parsed = parse_configuration(document.document)
+        if isinstance(parsed, Err):
+            _log.error("configuration_unreadable", extra={"reason": parsed.err_value.detail})
+            return
+        self._views.configuration = parsed.ok_value
+        self._views.document = document.document
+        _log.info("configuration_in_force", extra={"version": document.version})
+
+
+def _seeds(settings: Settings) -> list[str]:
+    return [settings.peer_address(ip, "keeper") for ip in settings.seed_ips()]
+
+
+def _broker(entry: BrokerEntry) -> Broker:
+    return Broker(
+        instance_id=entry.instance_id,
+        service=entry.service,
+        address=entry.address,
+        zone=entry.zone,
+        capacity_slots=entry.capacity_slots,
+        draining=entry.draining,
+        warmup_remaining_ms=entry.warmup_remaining_ms,
+        version=entry.version,
+    )
+
+
+class Puller:
+    """One task that pulls for as long as the process lives."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        client: RpcClient,
+        views: Views,
+        announce: Callable[[], Announcement],
+    ) -> None:
+        """``announce`` describes this process at the time of each pull."""
+        self._settings = settings
+        self._client = client
+        self._views = views
+        self._announce = announce
+        self._updater = ViewUpdater(views)
+        self._choice = KeeperChoice(_seeds(settings))
+        self._task: asyncio.Task[None] | None = None
+        self._call: asyncio.Task[None] | None = None
+        self._restart = False
+
+    async def start(self) -> None:
+        self._task = asyncio.create_task(self._run(), name="puller")
+
+    async def stop(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+            with suppress(asyncio.CancelledError):
+                await self._task
+            self._task = None
+
+    def reload(self, settings: Settings) -> None:
+        """The settings were read again; the seeds may differ."""
+        self._settings = settings
+        self._choice.reseed(_seeds(settings))
+
+    def announce_now(self) -> None:
+        """Give up the pull that is held and pull again at once, since the announcement changed."""
+        if self._call is not None:
+            self._restart = True
+            self._call.cancel()
+
+    async def _run(self) -> None:
+        while True:
+            call = asyncio.create_task(self._pull_once())
+            self._call = call
+            try:
+                await call
+            except asyncio.CancelledError:
+                if not self._restart:
+                    call.cancel()
+                    raise
+            except Exception:
+                _log.exception("pull_failed")
+                await asyncio.sleep(MAX_PAUSE_S)
+            finally:
+                self._call = None
+                self._restart = False
+
+    async def _pull_once(self) -> None:
+        target = self._choice.target()
+        if not target:
+            await asyncio.sleep(MAX_PAUSE_S)
+            return
+        request = PullRequest(
+            announcement=self._announce(), versions=self._updater.vector.messages(), wait_ms=WAIT_MS
+        )
+        outcome = await self._client.call(
+            target, PULL_CALL, request, PullReply, WAIT_MS / 1000.0 + CALL_MARGIN_S
+        )
+        if isinstance(outcome, Ok):
+            self._answered(target, outcome.ok_value)
+        else:
+            await asyncio.sleep(self._after_failure(target, outcome.err_value))
+
+    def _answered(self, target: str, reply: PullReply) -> None:
+        self._choice.answered(target)
+        self._views.last_contact = asyncio.get_running_loop().time()
+        if self._updater.apply(list(reply.updates)):
+            self._choice.learn(self._keepers())
+
+    def _after_failure(self, target: str, failure: Failure) -> float:
+        now = asyncio.get_running_loop().time()
+        if failure.kind is ErrorKind.NOT_PRIMARY:
+            return self._choice.not_primary(target, failure.primary, now)
+        return self._choice.failed(target, now)
+
+    def _keepers(self) -> list[str]:
+        keepers = [member.ip for member in self._views.members if member.program == "keeper"]
+        return [self._settings.peer_address(ip, "keeper") for ip in keepers]
