--- /dev/null
+++ b/cherrycove/tier/dataplane/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission: which held request goes to which model broker, when, and what waits or is refused. Pure."""
--- /dev/null
+++ b/cherrycove/tier/dataplane/connections.py
@@ -0,0 +1,88 @@
+"""Connections to model brokers: the pool of the present broker, told apart by request id.
+
+It owns when a connection may be used again. It must never hand out one on which bytes of an earlier answer
+may still come, or one that the broker is about to close.
+"""
+
+from __future__ import annotations
+
+from functools import partial
+from time import monotonic
+from typing import Any
+
+import aiohttp
+from aiohttp import StreamReader
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.connector import Connection
+from aiohttp.http import RawResponseMessage
+
+from cherrycove.http1.back import Connector, NodeConnection
+from cherrycove.tier.dataplane.headers import REQUEST_ID, keep_alive_s
+
+REST_S = 0.008  # behind an answer before its connection is used again; a second answer comes a few ms late
+IDLE_S = 4.0  # that a connection is kept where the broker tells nothing
+KEPT_PART = 0.7  # of the time a broker keeps an idle connection that is used; the rest is for the way
+
+
+class BrokerConnection(NodeConnection):
+    """One connection; takes the answer that carries the id of the request that was sent."""
+
+    def __init__(self, loop: Any) -> None:
+        super().__init__(loop)
+        self._expected_id = ""
+        self._idle_s = IDLE_S
+        self._answered_at = float("inf")
+
+    def expect(self, request_id: str) -> None:
+        """From now on only the answer to this request is taken."""
+        self._expected_id = request_id
+        self._answered_at = float("inf")
+
+    def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
+        message = data[0]
+        identity = message.headers.get(REQUEST_ID)
+        if self._answer is None and identity is not None and identity != self._expected_id:
+            self._should_close = True  # the late second answer to another request
+            return
+        kept = keep_alive_s(message.headers)
+        if kept is not None:
+            self._idle_s = kept * KEPT_PART
+        super().feed_data(data, size)
+
+    def data_received(self, data: bytes) -> None:
+        super().data_received(data)
+        if self._answer is not None and self._answer.is_eof():
+            self._answered_at = min(self._answered_at, monotonic())
+
+    def is_connected(self) -> bool:
+        return super().is_connected() and monotonic() - self._answered_at < self._idle_s
+
+
+class BrokerRequest(aiohttp.ClientRequest):
+    """A request that tells its connection which answer to take."""
+
+    async def send(self, conn: Connection) -> aiohttp.ClientResponse:
+        protocol = conn.protocol
+        if isinstance(protocol, BrokerConnection):
+            protocol.expect(self.headers.get(REQUEST_ID, ""))
+        return await super().send(conn)
+
+
+class BrokerConnector(Connector):
+    """The pool; ``set_limit`` bounds the connections to each broker."""
+
+    def __init__(self, most: int, most_per_broker: int) -> None:
+        super().__init__(
+            REST_S, IDLE_S * 4, limit=most, limit_per_host=most_per_broker,
+            happy_eyeballs_delay=None, use_dns_cache=False,
+        )  # fmt: skip
+        self._factory = partial(BrokerConnection, loop=self._loop)  # type: ignore[assignment]
+
+    def set_limit(self, most_per_broker: int) -> None:
+        self._limit_per_host = most_per_broker
+
+    async def _create_connection(self, *request: Any) -> ResponseHandler:
+        protocol = await super()._create_connection(*request)
+        if isinstance(protocol, BrokerConnection):
+            protocol.expect("")
+        return protocol
--- /dev/null
+++ b/cherrycove/tier/dataplane/ingress.py
@@ -0,0 +1,179 @@
+"""Clients over HTTP/1.1: their connections, the whole of each request, and where it goes.
+
+It owns the bounds on what a client may send and the choice by host and path. It decides nothing about a
+request that has a route.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Protocol
+
+import aiohttp
+from aiohttp import web
+from aiohttp.abc import AbstractStreamWriter
+from aiohttp.http import RawRequestMessage
+from aiohttp.streams import StreamReader
+from yarl import URL
+
+from cherrycove.tier.configuration import ClientLimits, Configuration, Route
+from cherrycove.tier.dataplane.arrivals import Arrivals
+from cherrycove.tier.dataplane.dispatch import Dispatcher
+from cherrycove.tier.dataplane.headers import REQUEST_ID
+from cherrycove.tier.dataplane.relay import own_answer
+from cherrycove.tier.distribution.views import Views
+from cherrycove.tier.settings import Settings
+
+BATCH_KIND = "batch"
+BATCH_PATHS = ("/api/lots/", "/api/items/")
+BACKLOG = 1024  # connections to be accepted
+PARSER_LINE_BYTES = 256 * 1024  # the configuration's own bound is below it
+READ_BYTES = 32 * 1024
+UNCONFIGURED_RETRY_S = 0.5
+SHUTDOWN_TIMEOUT_S = 0.3
+
+
+class BatchApi(Protocol):
+    """Serves the calls for batch jobs."""
+
+    async def handle(
+        self, request: web.BaseRequest, body: bytes, route: Route | None
+    ) -> web.StreamResponse: ...
+
+
+class ClientServer(web.Server):
+    """The library's server; each new connection gets the time-out in force."""
+
+    def __init__(self, ingress: Ingress) -> None:
+        super().__init__(
+            ingress.handle, request_factory=ingress.make_request, handler_cancellation=True, access_log=None,
+            auto_decompress=False, max_line_size=PARSER_LINE_BYTES, max_field_size=PARSER_LINE_BYTES,
+            lingering_time=0.0, read_bufsize=READ_BYTES,
+        )  # fmt: skip
+        self._ingress = ingress
+
+    def __call__(self) -> web.RequestHandler:
+        self._kwargs["keepalive_timeout"] = self._ingress.limits.idle_timeout_ms / 1000
+        return super().__call__()
+
+
+class Ingress:
+    """Takes clients' requests on the frontend address."""
+
+    def __init__(
+        self, settings: Settings, views: Views, dispatcher: Dispatcher, batch_api: BatchApi | None
+    ) -> None:
+        self._settings = settings
+        self._views = views
+        self._dispatcher = dispatcher
+        self.batch_api = batch_api
+        self.arrivals = Arrivals()
+        self.open_requests = 0
+        self.last_active = 0.0  # loop time at which a request last began or ended
+        self._closing = False
+        self._runner: web.ServerRunner | None = None
+
+    @property
+    def limits(self) -> ClientLimits:
+        configuration = self._views.configuration
+        return configuration.limits if configuration else ClientLimits()
+
+    async def start(self) -> None:
+        self._runner = web.ServerRunner(ClientServer(self), shutdown_timeout=SHUTDOWN_TIMEOUT_S)
+        await self._runner.setup()
+        host, _, port = self._settings.listen_addresses.frontend.rpartition(":")
+        await web.TCPSite(self._runner, host, int(port), backlog=BACKLOG).start()
+
+    async def stop(self) -> None:
+        if self._runner is not None:
+            await self._runner.cleanup()
+            self._runner = None
+
+    def close_connections(self) -> None:
+        """From now on each answer ends its connection."""
+        self._closing = True
+
+    def closing(self) -> bool:
+        return self._closing
+
+    def make_request(
+        self, message: RawRequestMessage, payload: StreamReader, protocol: web.RequestHandler,
+        writer: AbstractStreamWriter, task: asyncio.Task[None],
+    ) -> web.BaseRequest:  # fmt: skip
+        """A request whose body is read up to the bound in force."""
+        return web.BaseRequest(
+            message, payload, protocol, writer, task, asyncio.get_running_loop(),
+            client_max_size=self.limits.max_body_bytes,
+        )  # fmt: skip
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        loop = asyncio.get_running_loop()
+        self.open_requests += 1
+        self.last_active = arrived = loop.time()
+        try:
+            return await self._respond(request, arrived)
+        finally:
+            self.open_requests -= 1
+            self.last_active = loop.time()
+
+    async def _respond(self, request: web.BaseRequest, arrived: float) -> web.StreamResponse:
+        if _head_bytes(request) > self.limits.max_header_bytes:
+            return self._own(request, 431, "the head is too long", whole=False)
+        try:
+            async with asyncio.timeout(self.limits.idle_timeout_ms / 1000):
+                body = await _body(request)
+        except web.HTTPRequestEntityTooLarge:
+            return self._own(request, 413, "the body is too long", whole=False)
+        except TimeoutError:
+            return self._own(request, 408, "the body did not come in time", whole=False)
+        except (web.RequestPayloadError, aiohttp.ClientPayloadError, ValueError):
+            return self._own(request, 400, "the body cannot be read", whole=False)
+        return await self._route(request, body, arrived)
+
+    async def _route(self, request: web.BaseRequest, body: bytes, arrived: float) -> web.StreamResponse:
+        configuration = self._views.configuration
+        if configuration is None:
+            return self._own(request, 503, "no configuration yet", retry_after_s=UNCONFIGURED_RETRY_S)
+        target = request.raw_path
+        path = target.partition("?")[0]
+        route = configuration.match(request.headers.get("Host", ""), path)
+        if self.batch_api is not None and _is_batch_call(request, path, route):
+            return await self.batch_api.handle(request, body, route or _batch_route(configuration, request))
+        if route is None or route.route_kind == BATCH_KIND:
+            return self._own(request, 404, "no route")
+        if URL(f"http://h{target}", encoded=True).raw_path_qs != target:
+            return self._own(request, 400, "the target cannot be passed on unchanged")
+        self.arrivals.add(route.name, arrived)
+        return await self._dispatcher.handle(request, body, route, arrived, self.closing)
+
+    def _own(self, request: web.BaseRequest, status: int, text: str, whole: bool = True,
+             retry_after_s: float | None = None) -> web.Response:  # fmt: skip
+        identity = request.headers.get(REQUEST_ID, "")
+        return own_answer(status, text, identity, self._closing or not whole, retry_after_s)
+
+
+def _head_bytes(request: web.BaseRequest) -> int:
+    fields = sum(len(name) + len(value) + len(": \r\n") for name, value in request.raw_headers)
+    return len(request.method) + len(request.raw_path) + fields
+
+
+async def _body(request: web.BaseRequest) -> bytes:
+    if not request.body_exists:
+        return b""
+    if request.headers.get("Expect", "").lower() == "100-continue" and request.transport is not None:
+        request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+    return await request.read()
+
+
+def _is_batch_call(request: web.BaseRequest, path: str, route: Route | None) -> bool:
+    if route is not None:
+        return route.route_kind == BATCH_KIND and request.method == "POST"
+    return path.startswith(BATCH_PATHS)
+
+
+def _batch_route(configuration: Configuration, request: web.BaseRequest) -> Route | None:
+    host = request.headers.get("Host", "").partition(":")[0].lower()
+    return next(
+        (each for each in configuration.routes
+         if each.route_kind == BATCH_KIND and each.hostname.lower() == host), None,
+    )  # fmt: skip
--- /dev/null
+++ b/cherrycove/tier/dataplane/items.py
@@ -0,0 +1,193 @@
+"""Runs batch items at model brokers: the ItemExecutor of the batch plane.
+
+It owns one execution of an item. It must never report an item completed unless its stream ended whole, and
+never send one that its worker no longer may.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import attrs
+from multidict import CIMultiDict
+
+from cherrycove.tier.batch.interface import ItemOutcome, ItemState
+from cherrycove.tier.configuration import Route
+from cherrycove.tier.dataplane.admission.interface import Ending, Refuse, Ticket
+from cherrycove.tier.dataplane.dispatch import ENDINGS
+from cherrycove.tier.dataplane.events import Event, EventSplitter, EventTooLongError
+from cherrycove.tier.dataplane.gate import Gate, Grant
+from cherrycove.tier.dataplane.headers import DEADLINE_MS, LAST_EVENT_ID, REQUEST_ID, end_to_end
+from cherrycove.tier.dataplane.prompt import parse_prompt
+from cherrycove.tier.dataplane.upstream import (
+    AnswerBrokenError,
+    BreakReason,
+    BrokerAnswer,
+    MayHaveRun,
+    NotRun,
+    Outgoing,
+    Upstream,
+)
+from cherrycove.tier.distribution.views import Views
+from cherrycove.tier.protocol.batch_pb2 import LeasedItem
+
+PAUSE_S = 0.1  # after a send without progress; doubles up to the longest
+LONGEST_PAUSE_S = 1.0
+SILENCE_S = 5.0  # without a byte after which a broker is given up
+MOST_FRUITLESS_SENDS = 20  # in a row, before the item is given back
+UNPROCESSABLE = 422
+SERVER_ERROR = 500
+
+
+class BrokerItemExecutor:
+    """Sends items through admission to brokers and collects what they generate."""
+
+    def __init__(self, views: Views, gate: Gate, upstream: Upstream, rng: random.Random) -> None:
+        self._views = views
+        self._gate = gate
+        self._upstream = upstream
+        self._rng = rng
+
+    def free_places(self) -> int:
+        return self._gate.free_places()
+
+    async def run_item(self, item: LeasedItem, may_send: Callable[[], bool]) -> ItemOutcome:
+        run = ItemRun(gate=self._gate, upstream=self._upstream, item=item, failed=item.failed_attempts)
+        while True:
+            route = self._route(item)
+            if route is None:
+                return run.returned()
+            outcome = await run.attempt(self._ticket(item, route), may_send)
+            if outcome is not None:
+                return outcome
+
+    def _route(self, item: LeasedItem) -> Route | None:
+        configuration = self._views.configuration
+        return configuration.route(item.route) if configuration is not None else None
+
+    def _ticket(self, item: LeasedItem, route: Route) -> Ticket:
+        now = asyncio.get_running_loop().time()
+        services = [each.service for each in route.splits]
+        weights = [each.weight for each in route.splits]
+        due = now + item.due_in_ms / 1000
+        return Ticket(
+            route=route.name, service=self._rng.choices(services, weights)[0], arrived=now,
+            aim_s=max(due - now, 0.0), end=float("inf"), due=due, batch=True,
+            prompt=parse_prompt(CIMultiDict(item.item.headers)),
+        )  # fmt: skip
+
+
+@attrs.define(eq=False, kw_only=True)
+class ItemRun:
+    """One execution: what has come so far, over all its sends."""
+
+    gate: Gate
+    upstream: Upstream
+    item: LeasedItem
+    failed: int  # answers of 500
+    last_id: int | None = None
+    data: list[bytes] = attrs.field(factory=list)
+    fruitless: int = 0  # sends in a row that brought nothing
+    pause_s: float = PAUSE_S
+
+    def returned(self) -> ItemOutcome:
+        return ItemOutcome(ItemState.RETURNED, failed_attempts=self.failed)
+
+    async def attempt(self, ticket: Ticket, may_send: Callable[[], bool]) -> ItemOutcome | None:
+        """One send; None if the item should be sent again."""
+        granted = await self.gate.acquire(ticket)
+        if isinstance(granted, Refuse):
+            return await self._rest()
+        ending = Ending.LEFT
+        try:
+            if not may_send():
+                return self.returned()
+            outcome, ending = await self._send(granted)
+        except AnswerBrokenError:
+            outcome, ending = None, Ending.BROKEN
+        except TimeoutError:
+            outcome, ending = None, Ending.SILENT
+        finally:
+            granted.finish(ending)
+        return outcome or await self._rest()
+
+    async def _rest(self) -> ItemOutcome | None:
+        """Pause before the next send; give the item back after many that brought nothing."""
+        self.fruitless += 1
+        if self.fruitless >= MOST_FRUITLESS_SENDS:
+            return self.returned()
+        await asyncio.sleep(self.pause_s)
+        self.pause_s = min(self.pause_s * 2, LONGEST_PAUSE_S)
+        return None
+
+    async def _send(self, grant: Grant) -> tuple[ItemOutcome | None, Ending]:
+        async with asyncio.timeout(SILENCE_S) as patience:
+            sent = await self.upstream.send(grant.broker, self._outgoing(), None)
+            if isinstance(sent, NotRun):
+                return None, ENDINGS[sent.reason]
+            if isinstance(sent, MayHaveRun):
+                return None, Ending.BROKEN
+            answer = sent.answer
+            try:
+                grant.answered(answer.load)
+                if answer.status // 100 == 2:
+                    return await self._collect(answer, grant, patience), Ending.SERVED
+                await answer.read()
+                return self._failure(answer.status), Ending.SERVED
+            finally:
+                answer.close()
+
+    def _outgoing(self) -> Outgoing:
+        item = self.item.item
+        headers = end_to_end(CIMultiDict(item.headers))
+        headers.popall(DEADLINE_MS, None)
+        headers["Host"] = self.item.host
+        headers[REQUEST_ID] = item.item_id
+        if self.last_id is not None:
+            headers[LAST_EVENT_ID] = str(self.last_id)
+        return Outgoing(item.item_id, "POST", item.path, headers, item.body)
+
+    def _failure(self, status: int) -> ItemOutcome | None:
+        if status == UNPROCESSABLE:
+            return ItemOutcome(ItemState.DEAD_LETTERED, reason="unprocessable", failed_attempts=self.failed)
+        if status == SERVER_ERROR:
+            self.failed += 1
+            if self.failed >= self.item.max_attempts:
+                return ItemOutcome(ItemState.DEAD_LETTERED, reason="attempts", failed_attempts=self.failed)
+        return None
+
+    async def _collect(
+        self, answer: BrokerAnswer, grant: Grant, patience: asyncio.Timeout
+    ) -> ItemOutcome:
+        """Take all events to the stream's own end."""
+        loop, splitter = asyncio.get_running_loop(), EventSplitter()
+        while piece := await answer.chunk():
+            grant.heard()
+            patience.reschedule(loop.time() + SILENCE_S)
+            try:
+                events = splitter.feed(piece)
+            except EventTooLongError as error:
+                raise AnswerBrokenError(BreakReason.GARBLED, str(error)) from error
+            for event in events:
+                self._take(event)
+        if splitter.pending.strip():
+            raise AnswerBrokenError(BreakReason.GARBLED, "the stream ends within an event")
+        return ItemOutcome(
+            ItemState.COMPLETED, text=b"\n".join(self.data), failed_attempts=self.failed
+        )
+
+    def _take(self, event: Event) -> None:
+        """Keep the event if it is the next one; ``AnswerBrokenError`` where one before it is missing."""
+        if event.id is None:
+            if event.data is not None:
+                raise AnswerBrokenError(BreakReason.GARBLED, "an event without id")
+            return
+        if self.last_id is not None and event.id <= self.last_id:
+            return
+        if self.last_id is not None and event.id != self.last_id + 1:
+            raise AnswerBrokenError(BreakReason.GARBLED, f"event {event.id} after {self.last_id}")
+        self.last_id = event.id
+        self.data.append(event.data or b"")
+        self.fruitless, self.pause_s = 0, PAUSE_S
--- /dev/null
+++ b/cherrycove/tier/dataplane/readiness.py
@@ -0,0 +1,37 @@
+"""The platform's question whether this machine should get new connections."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from aiohttp import web
+
+READINESS_PATH = "/api/readiness"
+SHUTDOWN_TIMEOUT_S = 0.1
+
+
+class Readiness:
+    """Serves ``GET /api/readiness`` on its own address: 200 while ``ready`` says so, else 503."""
+
+    def __init__(self, address: str, ready: Callable[[], bool]) -> None:
+        self._address = address
+        self._ready = ready
+        self._runner: web.ServerRunner | None = None
+
+    async def start(self) -> None:
+        host, _, port = self._address.rpartition(":")
+        self._runner = web.ServerRunner(
+            web.Server(self._handle, access_log=None), shutdown_timeout=SHUTDOWN_TIMEOUT_S
+        )
+        await self._runner.setup()
+        await web.TCPSite(self._runner, host, int(port)).start()
+
+    async def stop(self) -> None:
+        if self._runner is not None:
+            await self._runner.cleanup()
+            self._runner = None
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path != READINESS_PATH:
+            return web.Response(status=404)
+        return web.Response(status=200 if self._ready() else 503)
--- /dev/null
+++ b/cherrycove/tier/dataplane/relay.py
@@ -0,0 +1,121 @@
+"""Passing a broker's answer on to the client.
+
+It owns the one answer that a client gets. It must never end a stream as complete that did not end whole at a
+broker, and never pass an event on twice or out of order.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from cherrycove.tier.dataplane.events import Event, EventSplitter, EventTooLongError
+from cherrycove.tier.dataplane.headers import end_to_end
+from cherrycove.tier.dataplane.upstream import AnswerBrokenError, BreakReason, BrokerAnswer
+
+Heard = Callable[[], None]
+
+
+class StreamRelay:
+    """One client's stream, which the answers of several brokers may feed one after the other."""
+
+    def __init__(self, request: web.BaseRequest, last_id: int | None, resumable: bool, closing: bool) -> None:
+        self._request = request
+        self._resumable = resumable
+        self._closing = closing
+        self._response: web.StreamResponse | None = None
+        self.last_id = last_id  # of the event that the client has
+
+    @property
+    def begun(self) -> bool:
+        """Whether the client has been sent something of the answer."""
+        return self._response is not None
+
+    async def feed(self, answer: BrokerAnswer, heard: Heard) -> web.StreamResponse:
+        """Pass on all that is new in ``answer``; returns once it ended whole, else ``AnswerBrokenError``."""
+        if self._resumable:
+            await self._feed_events(answer, heard)
+        else:
+            await self._feed_bytes(answer, heard)
+        response = await self._begin(answer)
+        await response.write_eof()
+        return response
+
+    def abort(self) -> web.StreamResponse:
+        """Close the client's connection within the answer, so that it does not look complete."""
+        assert self._response is not None
+        self._request.protocol.force_close()
+        return self._response
+
+    async def _feed_bytes(self, answer: BrokerAnswer, heard: Heard) -> None:
+        while piece := await answer.chunk():
+            heard()
+            response = await self._begin(answer)
+            await response.write(piece)
+
+    async def _feed_events(self, answer: BrokerAnswer, heard: Heard) -> None:
+        splitter = EventSplitter()
+        while piece := await answer.chunk():
+            heard()
+            try:
+                events = splitter.feed(piece)
+            except EventTooLongError as error:
+                raise AnswerBrokenError(BreakReason.GARBLED, str(error)) from error
+            await self._pass_on(answer, events)
+        if splitter.pending.strip():
+            raise AnswerBrokenError(BreakReason.GARBLED, "the stream ends within an event")
+
+    async def _pass_on(self, answer: BrokerAnswer, events: list[Event]) -> None:
+        new = b""
+        for event in events:
+            if self._is_next(event):
+                new += event.raw
+        if new:
+            response = await self._begin(answer)
+            await response.write(new)
+
+    def _is_next(self, event: Event) -> bool:
+        """Whether the client lacks the event; ``AnswerBrokenError`` where one before it is missing."""
+        if event.id is None:
+            return event.data is None or self.last_id is None
+        if self.last_id is not None:
+            if event.id <= self.last_id:
+                return False
+            if event.id != self.last_id + 1:
+                raise AnswerBrokenError(BreakReason.GARBLED, f"event {event.id} after {self.last_id}")
+        self.last_id = event.id
+        return True
+
+    async def _begin(self, answer: BrokerAnswer) -> web.StreamResponse:
+        if self._response is None:
+            self._response = web.StreamResponse(status=answer.status, headers=end_to_end(answer.headers))
+            self._response.enable_chunked_encoding()
+            if self._closing:
+                self._response.force_close()
+            await self._response.prepare(self._request)
+        return self._response
+
+
+def whole_answer(answer: BrokerAnswer, body: bytes, closing: bool) -> web.Response:
+    """An answer that was read to its end."""
+    response = web.Response(status=answer.status, headers=end_to_end(answer.headers), body=body)
+    if closing:
+        response.force_close()
+    return response
+
+
+def own_answer(
+    status: int, text: str, request_id: str, closing: bool, retry_after_s: float | None = None
+) -> web.Response:
+    """An answer of this system."""
+    headers: CIMultiDict[str] = CIMultiDict({"Content-Type": "text/plain"})
+    if request_id:
+        headers["Request-Id"] = request_id
+    if retry_after_s is not None:
+        headers["Retry-After"] = f"{retry_after_s:.3f}"
+    response = web.Response(status=status, headers=headers, body=text.encode() + b"\n")
+    if closing:
+        response.force_close()
+    return response
--- /dev/null
+++ b/tests/tier/test_dataplane_exchanges.py
@@ -0,0 +1,375 @@
+"""Whole exchanges through the data plane on loopback: what is passed on, and how each one ends."""
+
+from __future__ import annotations
+
+import asyncio
+
+from dataplane_world import TIMEOUT_S, World, configuration_bytes, route
+from toy_broker import SIGNATURE, Received, ToyBroker, Wire, stream
+
+
+def events(first: int, last: int) -> bytes:
+    return b"".join(f"id: {number}\ndata: word {number}\n\n".encode() for number in range(first, last + 1))
+
+
+def test_a_request_and_its_answer_pass_unchanged() -> None:
+    async def story() -> None:
+        async with World([ToyBroker()]) as world:
+            reply = await world.ask(
+                "/once/a%2Fb//..;x?q=%20+&a=%41", b"\0body\xff",
+                headers={"Model": "m", "Connection": "close, X-Hop", "X-Hop": "1", "X-End": "2"},
+            )  # fmt: skip
+            assert (reply.status, reply.body, reply.complete) == (200, b"\0body\xff", True)
+            assert reply.headers["response-signature"] == SIGNATURE
+            assert reply.headers["request-id"] == "r1"
+            (received,) = world.brokers[0].received
+            assert (received.method, received.body) == ("POST", b"\0body\xff")
+            assert received.target == "/once/a%2Fb//..;x?q=%20+&a=%41"
+            assert received.headers["expected-instance"] == "i-1"
+            assert received.headers["host"] == "nony24.example"
+            assert received.headers["model"] == "m" and received.headers["x-end"] == "2"
+            assert "x-hop" not in received.headers
+            assert 2000 < int(received.headers["deadline-ms"]) <= 3000
+
+    asyncio.run(story())
+
+
+def test_a_body_in_chunks_is_sent_on_with_a_length() -> None:
+    async def story() -> None:
+        async with World([ToyBroker()]) as world:
+            client = await world.client()
+            client.writer.write(
+                b"POST /once/c HTTP/1.1\r\nHost: nony24.example\r\nRequest-Id: r1\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+            )
+            reply = await client.reply()
+            assert reply.body == b"abcde"
+            assert world.brokers[0].received[0].headers["content-length"] == "5"
+
+    asyncio.run(story())
+
+
+def test_one_connection_of_a_client_serves_many_requests_over_one_to_the_broker() -> None:
+    async def story() -> None:
+        async with World([ToyBroker()]) as world:
+            client = await world.client()
+            for number in range(5):
+                body = f"{number}".encode()
+                assert (await client.ask("/once/x", body, headers={"Request-Id": f"r{number}"})).body == body
+            assert world.brokers[0].connections == 1
+
+    asyncio.run(story())
+
+
+def test_unknown_routes_and_hosts_get_404() -> None:
+    async def story() -> None:
+        async with World([ToyBroker()]) as world:
+            assert (await world.ask("/nowhere/x")).status == 404
+            assert (await world.ask("/once/x", headers={"Host": "other.example"})).status == 404
+            assert not world.brokers[0].received
+
+    asyncio.run(story())
+
+
+def test_without_a_configuration_a_request_is_told_to_come_back() -> None:
+    async def story() -> None:
+        async with World([ToyBroker()], document=None) as world:
+            reply = await world.ask("/once/x")
+            assert reply.status == 503 and float(reply.headers["retry-after"]) > 0
+            assert await world.readiness() == 503
+            world.tell(configuration_bytes())
+            assert await world.readiness() == 200
+            assert (await world.ask("/once/x")).status == 200
+
+    asyncio.run(story())
+
+
+def test_a_head_or_body_over_the_bounds_is_refused() -> None:
+    async def story() -> None:
+        async with World([ToyBroker()]) as world:
+            assert (await world.ask("/once/x", b"x" * 100_001)).status == 413
+            assert (await world.ask("/once/x", headers={"X-Long": "x" * 5000})).status == 431
+            assert (await world.ask("/once/x", b"x" * 100_000)).status == 200
+
+    asyncio.run(story())
+
+
+def test_a_stream_is_passed_on_event_by_event_and_ends_whole() -> None:
+    async def story() -> None:
+        seen = asyncio.Event()
+
+        async def script(wire: Wire, request: Received) -> None:
+            await wire.stream_head(request)
+            await wire.event(1, "word 1")
+            await seen.wait()
+            await wire.event(2, "word 2")
+            await wire.end_stream()
+
+        for prefix in ("/stream/x", "/resume/x"):
+            seen.clear()
+            async with World([ToyBroker(script=script)]) as world, asyncio.timeout(TIMEOUT_S):
+                client = await world.client()
+                await client.send(prefix)
+                status, headers = await client.head()
+                assert (status, headers["content-type"]) == (200, "text/event-stream")
+                assert headers["response-signature"] == SIGNATURE
+                assert await client.chunk() == events(1, 1)
+                seen.set()
+                assert await client.chunk() == events(2, 2)
+                assert await client.chunk() == b""
+
+    asyncio.run(story())
+
+
+def test_a_stream_that_breaks_off_does_not_look_complete() -> None:
+    async def story() -> None:
+        async with World([ToyBroker(script=stream(3, breaks_after=2)), ToyBroker("i-2")]) as world:
+            world.tell(listed=world.brokers[:1])
+            reply = await world.ask("/stream/x")
+            assert (reply.status, reply.body, reply.complete) == (200, events(1, 2), False)
+
+    asyncio.run(story())
+
+
+def test_a_resumable_stream_goes_on_at_another_broker() -> None:
+    async def story() -> None:
+        brokers = [ToyBroker("i-1"), ToyBroker("i-2")]
+        brokers[0].scripts = brokers[1].scripts = [stream(5, breaks_after=3), stream(5)]
+        async with World(brokers) as world:
+            reply = await world.ask("/resume/x")
+            assert (reply.status, reply.body, reply.complete) == (200, events(1, 5), True)
+            received = [request for broker in brokers for request in broker.received]
+            assert sorted(request.headers.get("last-event-id", "") for request in received) == ["", "3"]
+            assert {request.headers["request-id"] for request in received} == {"r1"}
+            assert {request.headers["expected-instance"] for request in received} == {"i-1", "i-2"}
+
+    asyncio.run(story())
+
+
+def test_a_resumed_stream_drops_what_the_client_has_and_takes_no_gap() -> None:
+    async def from_start(wire: Wire, request: Received) -> None:
+        await wire.stream_head(request)
+        for number in (1, 2, 3, 4):
+            await wire.event(number, f"word {number}")
+        await wire.end_stream()
+
+    async def with_gap(wire: Wire, request: Received) -> None:
+        await wire.stream_head(request)
+        await wire.event(4, "word 4")
+        await wire.end_stream()
+
+    async def story() -> None:
+        for second, last, complete in ((from_start, 4, True), (with_gap, 2, False)):
+            brokers = [ToyBroker("i-1", scripts=[stream(4, breaks_after=2)], script=second)]
+            brokers.append(ToyBroker("i-2", scripts=[stream(4, breaks_after=2)], script=second))
+            async with World(brokers) as world:
+                shared = brokers[0].scripts
+                brokers[1].scripts = shared
+                reply = await world.ask("/resume/x")
+                assert (reply.body, reply.complete) == (events(1, last), complete)
+
+    asyncio.run(story())
+
+
+def test_the_clients_own_last_event_id_is_passed_on() -> None:
+    async def story() -> None:
+        async with World([ToyBroker(script=stream(5))]) as world:
+            reply = await world.ask("/resume/x", headers={"Last-Event-Id": "3"})
+            assert (reply.body, reply.complete) == (events(4, 5), True)
+
+    asyncio.run(story())
+
+
+async def reset(wire: Wire, request: Received) -> None:
+    wire.reset()
+
+
+async def cut(wire: Wire, request: Received) -> None:
+    await wire.head(request, Response_Signature=SIGNATURE, Content_Length="10")
+    await wire.write(b"half")
+    wire.close()
+
+
+async def garbage(wire: Wire, request: Received) -> None:
+    await wire.write(b"\x00\x01 this is no answer\r\n\r\n")
+    wire.close()
+
+
+async def wrong_id(wire: Wire, request: Received) -> None:
+    await wire.write(
+        b"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nResponse-Signature: s\r\nContent-Length: 2\r\n\r\nno"
+    )
+    wire.close()
+
+
+async def without_id(wire: Wire, request: Received) -> None:
+    await wire.write(b"HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nContent-Length: 2\r\n\r\nno")
+
+
+async def unstamped(wire: Wire, request: Received) -> None:
+    await wire.head(request, Content_Length="2")
+    await wire.write(b"no")
+
+
+async def busy_without_proof(wire: Wire, request: Received) -> None:
+    await wire.head(request, "503 Service Unavailable", Content_Length="0", Response_Signature=SIGNATURE)
+
+
+BREAKS = (reset, cut, garbage, wrong_id, without_id, unstamped, busy_without_proof)
+
+
+def test_what_may_have_run_is_not_sent_again_and_gets_no_promise() -> None:
+    async def story() -> None:
+        for script in BREAKS:
+            brokers = [ToyBroker("i-1", script=script), ToyBroker("i-2", script=script)]
+            async with World(brokers) as world:
+                for target in ("/once/x", "/stream/x"):
+                    for broker in brokers:
+                        broker.received.clear()
+                    reply = await world.ask(target)
+                    assert reply.status == 502, script
+                    assert "response-signature" not in reply.headers
+                    assert sum(len(broker.received) for broker in brokers) == 1, script
+
+    asyncio.run(story())
+
+
+def test_an_idempotent_request_is_repeated_elsewhere() -> None:
+    async def story() -> None:
+        for script in BREAKS:
+            brokers = [ToyBroker("i-1"), ToyBroker("i-2")]
+            brokers[0].scripts = brokers[1].scripts = [script]
+            async with World(brokers) as world:
+                reply = await world.ask("/again/x", b"data")
+                assert (reply.status, reply.body) == (200, b"data"), script
+                assert sorted(len(broker.received) for broker in brokers) == [1, 1]
+
+    asyncio.run(story())
+
+
+def test_no_more_brokers_run_it_than_the_route_allows() -> None:
+    async def story() -> None:
+        brokers = [ToyBroker(f"i-{number}", script=reset) for number in range(4)]
+        async with World(brokers) as world:
+            assert (await world.ask("/again/x")).status == 502
+            assert sum(len(broker.received) for broker in brokers) == 2
+
+    asyncio.run(story())
+
+
+def test_a_broker_that_did_not_run_it_is_no_attempt() -> None:
+    async def story() -> None:
+        full = ToyBroker("i-1", slots=0)
+        other = ToyBroker("i-2")
+        async with World([full, other]) as world:
+            for _ in range(6):
+                assert (await world.ask("/once/x", b"data")).body == b"data"
+            other.instance_id = "i-3"  # another broker took over the address
+            full.slots = 8
+            for _ in range(6):
+                assert (await world.ask("/once/x", b"data")).body == b"data"
+            assert other.rejected >= 1
+
+    asyncio.run(story())
+
+
+def test_a_broker_nobody_listens_at_is_passed_over() -> None:
+    async def story() -> None:
+        async with World([ToyBroker("i-1"), ToyBroker("i-2")]) as world:
+            await world.brokers[0].stop()
+            for _ in range(6):
+                assert (await world.ask("/once/x", b"data")).body == b"data"
+
+    asyncio.run(story())
+
+
+def test_failures_of_a_broker_are_passed_on_with_their_stamp() -> None:
+    async def failing(wire: Wire, request: Received) -> None:
+        await wire.answer(request, b"why", "500 Internal Server Error")
+
+    async def story() -> None:
+        async with World([ToyBroker(script=failing)]) as world:
+            reply = await world.ask("/once/x")
+            assert (reply.status, reply.body) == (500, b"why")
+            assert reply.headers["response-signature"] == SIGNATURE
+
+    asyncio.run(story())
+
+
+def test_a_client_that_leaves_ends_the_work() -> None:
+    async def story() -> None:
+        started = asyncio.Event()
+        ended = asyncio.Event()
+
+        async def script(wire: Wire, request: Received) -> None:
+            started.set()
+            await wire.reader.read()  # until the proxy closes
+            ended.set()
+
+        async with World([ToyBroker(script=script)]) as world, asyncio.timeout(TIMEOUT_S):
+            client = await world.client()
+            await client.send("/stream/x")
+            await started.wait()
+            client.close()
+            await ended.wait()
+
+    asyncio.run(story())
+
+
+def test_the_time_out_of_the_route_ends_a_silent_exchange_without_a_promise() -> None:
+    async def silent(wire: Wire, request: Received) -> None:
+        await wire.reader.read()
+
+    async def half(wire: Wire, request: Received) -> None:
+        await wire.stream_head(request)
+        await wire.event(1, "word 1")
+        await wire.reader.read()
+
+    async def story() -> None:
+        routes = [route("stream", "/stream/", "streaming", timeoutMs=150)]
+        async with World([ToyBroker(script=silent)], document=configuration_bytes(routes)) as world:
+            assert (await world.ask("/stream/x")).status == 504
+            world.brokers[0].script = half
+            reply = await world.ask("/stream/x")
+            assert (reply.status, reply.body, reply.complete) == (200, events(1, 1), False)
+
+    asyncio.run(story())
+
+
+def test_late_second_answers_reach_no_request() -> None:
+    async def twice(wire: Wire, request: Received) -> None:
+        await wire.answer(request, request.body)
+        await wire.answer(request, request.body)
+
+    async def story() -> None:
+        async with World([ToyBroker(script=twice)]) as world:
+            client = await world.client()
+            for number in range(10):
+                body = f"{number}".encode()
+                assert (await client.ask("/once/x", body, headers={"Request-Id": f"r{number}"})).body == body
+
+    asyncio.run(story())
+
+
+def test_a_draining_proxy_is_unready_and_closes_connections_behind_its_answers() -> None:
+    async def story() -> None:
+        release = asyncio.Event()
+
+        async def script(wire: Wire, request: Received) -> None:
+            await release.wait()
+            await wire.answer(request, b"done")
+
+        async with World([ToyBroker(script=script)]) as world, asyncio.timeout(TIMEOUT_S):
+            client = await world.client()
+            await client.send("/once/x")
+            await world.brokers[0].wait_received()
+            draining = asyncio.create_task(world.plane.drain(8.0))
+            assert await world.readiness() == 503
+            release.set()
+            reply = await client.reply()
+            assert (reply.status, reply.body, reply.headers["connection"]) == (200, b"done", "close")
+            later = await world.ask("/once/y")
+            assert (later.status, later.headers["connection"]) == (200, "close")
+            draining.cancel()
+
+    asyncio.run(story())
