Replicated groups: segment log, elections, write quorums, change of members

Cause: configuration and batch jobs must survive the loss of f disks at the moment of an acknowledgement. Ruled out: truncating segments in place, since an overwritten tail that is half lost looks like damage; entries are superseded by later ones instead. Ruled out: swapping a member under the new list's quorums alone, since a majority of the old list need not meet one of the new; an open change counts both lists.

--- /dev/null
+++ b/cherrycove/tier/replication/elections.py
@@ -0,0 +1,192 @@
+"""Elections: when a replica stands, whom it grants its vote, and when it has won."""
+
+from __future__ import annotations
+
+import attrs
+
+from cherrycove.tier.protocol.replication_pb2 import Message, VoteReply, VoteRequest
+from cherrycove.tier.replication.core import ReplicaCore, Role
+from cherrycove.tier.replication.interface import MemberIdentity
+from cherrycove.tier.storage.promises import Promise
+
+NEVER = float("-inf")
+
+
+@attrs.define
+class Campaign:
+    """One round of votes that this replica asks for."""
+
+    preliminary: bool
+    epoch: int
+    handed_over: bool = False
+    asked: bool = False
+    votes: set[str] = attrs.field(factory=set)
+
+
+class Elections:
+    """Stands for election and votes. A won election shows as ``won``."""
+
+    def __init__(self, core: ReplicaCore, now: float, fresh: bool) -> None:
+        """``fresh``: the disk was empty, so no primary was ever heard of."""
+        self._core = core
+        self._heard_at = NEVER if fresh else now  # what was heard before the start is forgotten
+        self._heard_epoch = core.epoch
+        self._campaign: Campaign | None = None
+        self._deadline = now + self._timeout()
+        self._owed: tuple[MemberIdentity, VoteRequest] | None = None  # a vote to be sent when it is synced
+        self.won = False
+
+    # Time-outs
+
+    def _spread(self) -> float:
+        """Share of a time-out that keeps members from standing at the same moment."""
+        timing = self._core.timing
+        ids = sorted(member.member_id for member in self._core.members)
+        own = self._core.identity.member_id
+        rank = ids.index(own) if own in ids else len(ids)
+        return rank * timing.stagger_s + self._core.random.random() * timing.jitter_s
+
+    def _timeout(self) -> float:
+        return self._core.timing.election_timeout_s + self._spread()
+
+    def heard_primary(self, now: float) -> None:
+        """The primary of the newest epoch has sent something."""
+        self._heard_at = now
+        self._heard_epoch = self._core.epoch
+        self._campaign = None
+        self._deadline = now + self._timeout()
+
+    def postpone(self, now: float) -> None:
+        """Give others time before standing."""
+        self._campaign = None
+        self._deadline = now + self._timeout()
+
+    def hasten(self, now: float) -> None:
+        """Stand soon: the whole group starts for the first time."""
+        self._deadline = now + self._core.timing.first_election_s + self._spread()
+
+    def _heard_lately(self, now: float) -> bool:
+        return now - self._heard_at < self._core.timing.election_timeout_s
+
+    # Standing
+
+    def tick(self, now: float) -> None:
+        core = self._core
+        if core.role is Role.PRIMARY or now < self._deadline or not core.is_member or core.disk_failing:
+            return
+        self._deadline = now + core.timing.retry_s + self._spread()
+        core.become(Role.BACKUP, None)
+        self._campaign = Campaign(True, core.epoch + 1)
+        self._ask()
+        self._count(now)
+
+    def stand(self, now: float, handed_over: bool = False) -> None:
+        """Promise a new epoch to itself; votes are asked for when that is synced."""
+        core = self._core
+        epoch = core.epoch + 1
+        core.write_promise(Promise(epoch, core.identity.member_id, core.promise.committed))
+        core.become(Role.CANDIDATE, None)
+        core.effects.changed = True
+        self._campaign = Campaign(False, epoch, handed_over)
+        self._deadline = now + self._timeout()
+
+    def written(self, now: float) -> None:
+        """The disk made progress."""
+        campaign = self._campaign
+        if campaign is not None and not campaign.asked and self._core.promise_durable:
+            self._ask()
+            self._count(now)
+
+    def _ask(self) -> None:
+        campaign = self._campaign
+        if campaign is None:
+            return
+        core = self._core
+        campaign.asked = True
+        campaign.votes.add(core.identity.member_id)
+        for peer in core.peers():
+            request = VoteRequest(
+                preliminary=campaign.preliminary,
+                epoch=campaign.epoch,
+                last_index=core.log.last_index,
+                last_epoch=core.log.last_epoch,
+                handed_over=campaign.handed_over,
+            )
+            core.send(peer, Message(vote_request=request))
+
+    def _count(self, now: float) -> None:
+        campaign = self._campaign
+        if campaign is None or not self._core.electorate().elects(campaign.votes):
+            return
+        if campaign.preliminary:
+            self.stand(now)
+        elif self._core.role is Role.CANDIDATE and self._core.epoch == campaign.epoch:
+            self._campaign = None
+            self.won = True
+
+    def receive_reply(self, sender: MemberIdentity, epoch: int, reply: VoteReply, now: float) -> None:
+        campaign = self._campaign
+        if epoch > self._core.epoch:
+            self._core.adopt_epoch(epoch)
+            self._campaign = None
+        elif campaign is None or (campaign.preliminary, campaign.epoch) != (reply.preliminary, reply.epoch):
+            return
+        elif reply.granted:
+            campaign.votes.add(sender.member_id)
+            self._count(now)
+
+    # Voting
+
+    def receive_request(
+        self, sender: MemberIdentity, request: VoteRequest, confirmed: bool, now: float
+    ) -> None:
+        """``confirmed``: this replica itself leads under a valid lease."""
+        if request.preliminary:
+            granted = request.epoch > self._core.epoch and not self._refuses(request, confirmed, now)
+            self._reply(sender, request, granted)
+            return
+        if request.epoch < self._core.epoch or self._bound_to_primary(request, confirmed, now):
+            self._reply(sender, request, False)
+            return
+        vote = sender.member_id if self._new_enough(request) else ""
+        self._core.adopt_epoch(request.epoch, vote)
+        self._vote(sender, request, now)
+
+    def _refuses(self, request: VoteRequest, confirmed: bool, now: float) -> bool:
+        return self._bound_to_primary(request, confirmed, now) or not self._new_enough(request)
+
+    def _bound_to_primary(self, request: VoteRequest, confirmed: bool, now: float) -> bool:
+        """Whether a primary may still hold a lease that counts on this replica."""
+        if confirmed:
+            return True
+        lease_given_up = request.handed_over and request.epoch == self._heard_epoch + 1
+        return self._heard_lately(now) and not lease_given_up
+
+    def _new_enough(self, request: VoteRequest) -> bool:
+        log = self._core.log
+        return (request.last_epoch, request.last_index) >= (log.last_epoch, log.last_index)
+
+    def _vote(self, sender: MemberIdentity, request: VoteRequest, now: float) -> None:
+        core = self._core
+        promise = core.promise
+        if promise.voted_for == "" and self._new_enough(request):
+            core.write_promise(Promise(promise.epoch, sender.member_id, promise.committed))
+        granted = core.promise.voted_for == sender.member_id
+        if granted:
+            self.postpone(now)
+        if granted and not core.promise_durable:
+            self._owed = (sender, request)
+        else:
+            self._reply(sender, request, granted)
+
+    def send_owed_vote(self) -> None:
+        if self._owed is None or not self._core.promise_durable:
+            return
+        sender, request = self._owed
+        self._owed = None
+        if self._core.promise.epoch == request.epoch and self._core.promise.voted_for == sender.member_id:
+            self._reply(sender, request, True)
+
+    def _reply(self, sender: MemberIdentity, request: VoteRequest, granted: bool) -> None:
+        reply = VoteReply(preliminary=request.preliminary, epoch=request.epoch, granted=granted)
+        self._core.send(sender, Message(vote_reply=reply))
--- /dev/null
+++ b/cherrycove/tier/replication/group.py
@@ -0,0 +1,315 @@
+"""A replicated group at run time: one machine with its clock, writer thread and internal calls."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from random import Random
+
+import attrs
+from result import Err, Ok, Result
+
+from cherrycove.tier.errors import ErrorKind, Failure
+from cherrycove.tier.protocol.replication_pb2 import Batch, Message
+from cherrycove.tier.protocol.rpc import RpcClient, RpcServer
+from cherrycove.tier.replication.core import Role
+from cherrycove.tier.replication.interface import MemberIdentity, StateMachine
+from cherrycove.tier.replication.machine import ReplicaMachine
+from cherrycove.tier.replication.proposals import Proposals
+from cherrycove.tier.replication.recruiting import Wishes
+from cherrycove.tier.replication.timing import Timing
+from cherrycove.tier.replication.transport import Transport
+from cherrycove.tier.replication.writer import DiskWriter
+from cherrycove.tier.storage.entries import Entry, EntryKind
+from cherrycove.tier.storage.files import DamagedStorageError
+from cherrycove.tier.storage.identity import new_identity
+from cherrycove.tier.storage.store import RecoveredState, ReplicaStorage
+
+CALL_PREFIX = "replicate/"
+TICK_S = 0.05
+STOP_COMMIT_S = 0.5  # an orderly stop waits so long for open proposals
+STOP_FLUSH_S = 0.5  # and so long for its last messages
+SNAPSHOT_LOG_BYTES = 1024 * 1024  # a snapshot is taken when the log behind the last one is larger
+
+logger = logging.getLogger(__name__)
+
+
+@attrs.frozen
+class _Shown:
+    """What was logged last."""
+
+    role: Role
+    epoch: int
+    primary: str
+    members: tuple[str, ...]
+
+
+class ReplicatedGroup:
+    """Implements ``replication.interface.Group``."""
+
+    def __init__(
+        self,
+        name: str,
+        identity: MemberIdentity,
+        directory: Path,
+        faults: int,
+        machine: StateMachine,
+        server: RpcServer,
+        client: RpcClient,
+        disk_limit_bytes: int = 0,
+        random: Random | None = None,
+        timing: Timing | None = None,
+        snapshot_log_bytes: int = SNAPSHOT_LOG_BYTES,
+    ) -> None:
+        """``identity.member_id`` is that of ``directory`` (``storage.identity.open_identity``)."""
+        self._name = name
+        self._identity = identity
+        self._directory = directory
+        self._faults = faults
+        self._state = machine
+        self._disk_limit = disk_limit_bytes
+        self._random = random or Random()
+        self._timing = timing or Timing()
+        self._snapshot_log_bytes = snapshot_log_bytes
+        self._transport = Transport(client, CALL_PREFIX + name, self._receive_replies)
+        self._proposals = Proposals()
+        self._wishes = Wishes()
+        self._listeners: list[Callable[[], None]] = []
+        self._machine: ReplicaMachine | None = None
+        self._writer: DiskWriter | None = None
+        self._ticker: asyncio.Task[None] | None = None
+        self._starting = asyncio.Lock()
+        self._applied_index = 0
+        self._log_bytes = 0  # applied since the last snapshot
+        self._snapshot_bytes = 0
+        self._snapshot_ticket = 0  # of the snapshot that is being written; 0: none
+        self._stopping = False
+        self._shown: _Shown | None = None
+        self._reply: tuple[str, list[Message]] | None = None  # messages that go back with the present call
+        server.register(CALL_PREFIX + name, Batch, self._receive)
+
+    # Group
+
+    @property
+    def identity(self) -> MemberIdentity:
+        return self._identity
+
+    @property
+    def epoch(self) -> int:
+        return self._machine.epoch if self._machine is not None else 0
+
+    @property
+    def primary(self) -> MemberIdentity | None:
+        return self._machine.primary if self._machine is not None else None
+
+    @property
+    def members(self) -> tuple[MemberIdentity, ...]:
+        return self._machine.members if self._machine is not None else ()
+
+    def confirmed(self) -> bool:
+        return self._machine is not None and self._machine.confirmed(time.monotonic())
+
+    async def propose(self, command: bytes, timeout_s: float) -> Result[object, Failure]:
+        machine = self._machine
+        if machine is None or self._stopping:
+            return Err(self._not_primary())
+        index = machine.propose(command, time.monotonic())
+        if index is None:
+            return Err(self._not_primary())
+        future = self._proposals.add(index, machine.epoch)
+        self._run_effects()
+        return await self._proposals.outcome(future, timeout_s)
+
+    def _not_primary(self) -> Failure:
+        primary = self.primary
+        known = primary is not None and primary.member_id != self._identity.member_id
+        address = primary.address if primary is not None and known else ""
+        return Failure(ErrorKind.NOT_PRIMARY, f"{self._name}: this replica does not lead", primary=address)
+
+    def offer_standbys(self, standbys: Sequence[MemberIdentity]) -> None:
+        self._wishes.standbys = tuple(standbys)
+
+    def retire(self, node_names: frozenset[str]) -> None:
+        self._wishes.retiring = node_names
+
+    def on_change(self, callback: Callable[[], None]) -> None:
+        self._listeners.append(callback)
+
+    # Life
+
+    async def start(self, initial_members: Sequence[MemberIdentity] = ()) -> None:
+        """Read the disk and take part; may be called again when the initial members become known.
+
+        ``initial_members`` counts only where nothing is logged yet and this replica is among them."""
+        async with self._starting:
+            if self._machine is None:
+                recovered, storage = await asyncio.to_thread(self._recover)
+                self._begin(recovered, storage)
+        if initial_members and self._machine is not None:
+            self._machine.bootstrap(initial_members, time.monotonic())
+            self._run_effects()
+
+    def _recover(self) -> tuple[RecoveredState, ReplicaStorage]:
+        storage = ReplicaStorage(self._directory, self._disk_limit)
+        try:
+            return storage.recover(), storage
+        except DamagedStorageError as error:
+            storage.close()
+            details = {"group": self._name, "member": self._identity.member_id, "reason": str(error)}
+            logger.error("disk_damaged", extra=details)
+        self._identity = attrs.evolve(self._identity, member_id=new_identity(self._directory))
+        storage = ReplicaStorage(self._directory, self._disk_limit)
+        return storage.recover(), storage
+
+    def _begin(self, recovered: RecoveredState, storage: ReplicaStorage) -> None:
+        self._machine = ReplicaMachine(
+            self._identity,
+            self._faults,
+            recovered,
+            storage,
+            self._random,
+            time.monotonic(),
+            self._timing,
+            self._wishes,
+        )
+        self._writer = DiskWriter(storage, self._written, self._write_failed, self._snapshot_skipped)
+        self._writer.start()
+        self._run_effects()
+        self._ticker = asyncio.get_running_loop().create_task(self._tick())
+
+    async def _tick(self) -> None:
+        while self._machine is not None:
+            self._machine.tick(time.monotonic())
+            self._run_effects()
+            await asyncio.sleep(TICK_S)
+
+    async def stop(self) -> None:
+        """Hand over if this replica leads, then end. The disk stays as it is."""
+        self._stopping = True
+        machine, writer = self._machine, self._writer
+        if machine is None or writer is None:
+            return
+        if machine.role is Role.PRIMARY:
+            await self._proposals.settled(STOP_COMMIT_S)
+            machine.hand_over(time.monotonic())
+            self._run_effects()
+            await self._transport.flush(STOP_FLUSH_S)
+        if self._ticker is not None:
+            self._ticker.cancel()
+        self._machine = None
+        self._transport.stop()
+        await writer.stop()
+        self._proposals.give_up()
+
+    # Events
+
+    def _written(self, ticket: int) -> None:
+        if self._machine is None:
+            return
+        if self._snapshot_ticket and ticket >= self._snapshot_ticket:
+            self._snapshot_ticket = 0
+        self._machine.written(ticket, time.monotonic())
+        self._run_effects()
+
+    def _write_failed(self, error: OSError) -> None:
+        logger.error("disk_write_failed", extra={"group": self._name, "reason": str(error)})
+        if self._machine is not None:
+            self._machine.write_failed(time.monotonic())
+            self._run_effects()
+
+    def _snapshot_skipped(self, ticket: int, error: OSError) -> None:
+        logger.warning("snapshot_skipped", extra={"group": self._name, "reason": str(error)})
+        if self._machine is not None:
+            self._machine.snapshot_skipped(ticket)
+
+    async def _receive(self, batch: Batch) -> Result[Batch, Failure]:
+        machine = self._machine
+        if machine is None:
+            return Err(Failure(ErrorKind.UNAVAILABLE, f"{self._name}: not started"))
+        if batch.receiver_id != self._identity.member_id:
+            return Err(Failure(ErrorKind.NOT_FOUND, f"{self._name}: no member {batch.receiver_id} here"))
+        sender = MemberIdentity(batch.sender_id, "", batch.sender_address)
+        replies: list[Message] = []
+        self._reply = (batch.sender_id, replies)
+        self._deliver(machine, sender, batch)
+        self._reply = None
+        return Ok(Batch(messages=replies))
+
+    def _receive_replies(self, peer: MemberIdentity, batch: Batch) -> None:
+        if self._machine is not None:
+            self._deliver(self._machine, peer, batch)
+
+    def _deliver(self, machine: ReplicaMachine, sender: MemberIdentity, batch: Batch) -> None:
+        for message in batch.messages:
+            machine.receive(sender, message, time.monotonic())
+            self._run_effects()
+
+    # Effects
+
+    def _run_effects(self) -> None:
+        machine, writer = self._machine, self._writer
+        if machine is None or writer is None:
+            return
+        effects = machine.take_effects()
+        if effects.writes:
+            writer.submit(effects.writes)
+        if effects.restore is not None:
+            self._restore(effects.restore.index, effects.restore.state)
+        for outgoing in effects.messages:
+            self._send(outgoing.receiver, outgoing.message)
+        for entry in effects.committed:
+            self._apply(entry)
+        if effects.committed:
+            self._take_snapshot(machine)
+        if effects.changed:
+            self._changed(machine)
+
+    def _send(self, receiver: MemberIdentity, message: Message) -> None:
+        if self._reply is not None and self._reply[0] == receiver.member_id:
+            self._reply[1].append(message)
+        else:
+            self._transport.send(self._identity, receiver, message)
+
+    def _restore(self, index: int, state: bytes) -> None:
+        self._state.restore(state)
+        self._applied_index = index
+        self._snapshot_bytes = len(state)
+        self._log_bytes = 0
+
+    def _apply(self, entry: Entry) -> None:
+        self._applied_index = entry.index
+        self._log_bytes += entry.size
+        outcome: object = None
+        if entry.kind is EntryKind.COMMAND:
+            outcome = self._state.apply(entry.index, entry.payload)
+        self._proposals.committed(entry.index, entry.epoch, outcome)
+
+    def _take_snapshot(self, machine: ReplicaMachine) -> None:
+        due = max(self._snapshot_log_bytes, self._snapshot_bytes // 2)
+        if self._snapshot_ticket or self._log_bytes <= due:
+            return
+        state = self._state.snapshot()
+        self._snapshot_bytes = len(state)
+        self._log_bytes = 0
+        self._snapshot_ticket = machine.save_snapshot(state, time.monotonic())
+        self._run_effects()
+
+    def _changed(self, machine: ReplicaMachine) -> None:
+        primary = machine.primary
+        members = tuple(member.member_id for member in machine.members)
+        shown = _Shown(machine.role, machine.epoch, primary.member_id if primary else "", members)
+        if shown != self._shown:
+            self._shown = shown
+            details = {
+                "group": self._name,
+                "role": shown.role.value,
+                "epoch": shown.epoch,
+                "primary": shown.primary,
+                "members": list(members),
+            }
+            logger.info("replica_changed", extra=details)
+        for callback in self._listeners:
+            callback()
--- /dev/null
+++ b/cherrycove/tier/replication/log.py
@@ -0,0 +1,118 @@
+"""The log of one replica in memory: the entries behind a base, with the member lists that they hold."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import attrs
+
+from cherrycove.tier.protocol.replication_pb2 import Member, MemberList
+from cherrycove.tier.replication.interface import MemberIdentity
+from cherrycove.tier.storage.entries import Entry, EntryKind
+
+KEPT_ENTRIES = 256  # kept in memory before a snapshot, for backups that lag a little
+KEPT_BYTES = 1024 * 1024
+
+Members = tuple[MemberIdentity, ...]
+
+
+def to_message(member: MemberIdentity) -> Member:
+    return Member(
+        member_id=member.member_id, node_name=member.node_name, address=member.address, zone=member.zone
+    )
+
+
+def from_message(member: Member) -> MemberIdentity:
+    return MemberIdentity(member.member_id, member.node_name, member.address, member.zone)
+
+
+def encode_members(members: Sequence[MemberIdentity]) -> bytes:
+    ordered = sorted(members, key=lambda member: member.member_id)
+    return MemberList(members=[to_message(member) for member in ordered]).SerializeToString(deterministic=True)
+
+
+def decode_members(data: bytes) -> Members:
+    return tuple(from_message(member) for member in MemberList.FromString(data).members)
+
+
+@attrs.frozen
+class MembersAt:
+    """A member list and the index from which it is in force."""
+
+    index: int
+    members: Members
+
+
+class ReplicatedLog:
+    """Entries ``base_index + 1`` to ``last_index``."""
+
+    def __init__(self, base_index: int = 0, base_epoch: int = 0, members: Members = ()) -> None:
+        self.base_index = base_index
+        self.base_epoch = base_epoch
+        self._entries: list[Entry] = []
+        self._lists = [MembersAt(base_index, members)]
+
+    @property
+    def last_index(self) -> int:
+        return self.base_index + len(self._entries)
+
+    @property
+    def last_epoch(self) -> int:
+        return self._entries[-1].epoch if self._entries else self.base_epoch
+
+    def epoch_at(self, index: int) -> int | None:
+        """Epoch of the entry at ``index``; None where it is not in memory."""
+        if index == self.base_index:
+            return self.base_epoch
+        position = index - self.base_index - 1
+        return self._entries[position].epoch if 0 <= position < len(self._entries) else None
+
+    def append(self, entries: Sequence[Entry]) -> None:
+        """Add ``entries``, without a gap; those already there from the first one's index on are dropped."""
+        self._truncate(entries[0].index)
+        self._entries.extend(entries)
+        for entry in entries:
+            if entry.kind is EntryKind.MEMBERS:
+                self._lists.append(MembersAt(entry.index, decode_members(entry.payload)))
+
+    def _truncate(self, index: int) -> None:
+        del self._entries[index - self.base_index - 1 :]
+        while self._lists[-1].index >= index and len(self._lists) > 1:
+            self._lists.pop()
+
+    def entries(self, first: int, last: int) -> list[Entry]:
+        """Entries ``first`` to ``last``, both included."""
+        return self._entries[first - self.base_index - 1 : last - self.base_index]
+
+    def bounded(self, first: int, limit_bytes: int) -> list[Entry]:
+        """Entries from ``first`` on, at least one if there is one, of about ``limit_bytes`` at most."""
+        position = first - self.base_index - 1
+        end = position
+        size = 0
+        while end < len(self._entries) and (end == position or size + self._entries[end].size <= limit_bytes):
+            size += self._entries[end].size
+            end += 1
+        return self._entries[position:end]
+
+    def members_at(self, index: int) -> MembersAt:
+        """The list in force at ``index``."""
+        return next((at for at in reversed(self._lists) if at.index <= index), self._lists[0])
+
+    @property
+    def newest_members(self) -> MembersAt:
+        return self._lists[-1]
+
+    def compact(self, index: int) -> None:
+        """Forget entries up to ``index``, but for a few."""
+        base = index
+        size = 0
+        while base > self.base_index and index - base < KEPT_ENTRIES and size < KEPT_BYTES:
+            size += self._entries[base - self.base_index - 1].size
+            base -= 1
+        if base == self.base_index:
+            return
+        kept = MembersAt(base, self.members_at(base).members)
+        self._lists = [kept] + [at for at in self._lists if at.index > base]
+        self.base_epoch = self.epoch_at(base) or 0
+        del self._entries[: base - self.base_index]
+        self.base_index = base
--- /dev/null
+++ b/cherrycove/tier/replication/membership_policy.py
@@ -0,0 +1,94 @@
+"""Which change of members a primary wants next. Pure: a view of the group goes in, one step comes out."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import attrs
+
+from cherrycove.tier.replication.interface import MemberIdentity
+
+
+@attrs.frozen
+class GroupView:
+    """The group as its primary sees it."""
+
+    primary: MemberIdentity
+    members: tuple[MemberIdentity, ...]
+    standbys: tuple[MemberIdentity, ...]  # alive outside the group
+    unreachable: frozenset[str]  # member ids that have been silent for too long
+    retiring: frozenset[str]  # node names
+    target_size: int
+
+
+@attrs.frozen
+class Change:
+    """Take ``add`` in, drop ``remove``, or both in one step."""
+
+    add: MemberIdentity | None = None
+    remove: MemberIdentity | None = None
+
+    def apply(self, members: Iterable[MemberIdentity]) -> tuple[MemberIdentity, ...]:
+        kept = [member for member in members if self.remove is None or member.member_id != self.remove.member_id]
+        return (*kept, self.add) if self.add is not None else tuple(kept)
+
+
+@attrs.frozen
+class HandOverPrimary:
+    """The primary's own machine is to leave: another member must lead first."""
+
+
+Step = Change | HandOverPrimary
+
+
+def _same_machine(one: MemberIdentity, other: MemberIdentity) -> bool:
+    return one.address == other.address or (one.node_name != "" and one.node_name == other.node_name)
+
+
+def _candidates(view: GroupView) -> list[MemberIdentity]:
+    """Standbys that may be taken in; those in zones without a member first."""
+    ids = {member.member_id for member in view.members}
+    zones = {member.zone for member in view.members if member.member_id not in view.unreachable}
+    usable = [
+        standby
+        for standby in view.standbys
+        if standby.member_id not in ids and standby.node_name not in view.retiring
+    ]
+    return sorted(usable, key=lambda standby: (standby.zone in zones, standby.node_name, standby.member_id))
+
+
+def _emptied(view: GroupView, standbys: list[MemberIdentity]) -> Change | None:
+    for standby in standbys:
+        for member in view.members:
+            if member.member_id != view.primary.member_id and _same_machine(standby, member):
+                return Change(add=standby, remove=member)
+    return None
+
+
+def _retiring(view: GroupView, standbys: list[MemberIdentity]) -> Step | None:
+    leaving = [member for member in view.members if member.node_name in view.retiring]
+    if not leaving or not (standbys or len(view.members) > view.target_size):
+        return None
+    others = [member for member in leaving if member.member_id != view.primary.member_id]
+    if others:
+        return Change(add=standbys[0] if standbys else None, remove=others[0])
+    return HandOverPrimary() if len(view.members) > 1 else Change(add=standbys[0]) if standbys else None
+
+
+def _unreachable(view: GroupView, standbys: list[MemberIdentity]) -> Change | None:
+    gone = [member for member in view.members if member.member_id in view.unreachable]
+    return Change(add=standbys[0], remove=gone[0]) if gone and standbys else None
+
+
+def next_step(view: GroupView) -> Step | None:
+    """The most urgent change, or None while the group is as it should be."""
+    standbys = _candidates(view)
+    emptied = _emptied(view, standbys)
+    if emptied is not None:
+        return emptied
+    retiring = _retiring(view, standbys)
+    if retiring is not None:
+        return retiring
+    if len(view.members) < view.target_size and standbys:
+        return Change(add=standbys[0])
+    return _unreachable(view, standbys)
--- /dev/null
+++ b/cherrycove/tier/replication/primary.py
@@ -0,0 +1,148 @@
+"""What a primary does: append, replicate, commit, hold its lease, change members, hand over."""
+
+from __future__ import annotations
+
+from cherrycove.tier.protocol.replication_pb2 import AppendReply, HandOver, Message, SnapshotReply
+from cherrycove.tier.replication.core import ReplicaCore, Role
+from cherrycove.tier.replication.interface import MemberIdentity
+from cherrycove.tier.replication.log import encode_members
+from cherrycove.tier.replication.membership_policy import Change
+from cherrycove.tier.replication.peers import Peer, SnapshotSource
+from cherrycove.tier.replication.recruiting import Recruiting, Wishes
+from cherrycove.tier.storage.entries import Entry, EntryKind
+
+
+class Primary:
+    """One time as primary, from the election that was won until the role is lost."""
+
+    def __init__(self, core: ReplicaCore, wishes: Wishes, source: SnapshotSource, now: float) -> None:
+        self._core = core
+        self._source = source
+        self._recruiting = Recruiting(core, wishes, source)
+        self._peers: dict[str, Peer] = {}
+        self._wishes = wishes
+        self._started = now
+        self._update_peers(now)
+        self._noop_index = self._append(EntryKind.NOOP, b"", now)
+
+    # Entries
+
+    def propose(self, command: bytes, now: float) -> int:
+        """The index that ``command`` will have if it commits in this epoch."""
+        return self._append(EntryKind.COMMAND, command, now)
+
+    def _append(self, kind: EntryKind, payload: bytes, now: float) -> int:
+        log = self._core.log
+        entry = Entry(log.last_index + 1, self._core.epoch, kind, payload)
+        self._core.append([entry], now)
+        for peer in self._all_peers():
+            peer.replicate(now)
+        return entry.index
+
+    def advance(self, now: float) -> None:
+        """Commit what has enough synced copies."""
+        core = self._core
+        advanced = False
+        while True:
+            synced = {member_id: peer.match_index for member_id, peer in self._peers.items()}
+            synced[core.identity.member_id] = core.synced_index
+            index = min(core.electorate().committable(synced), core.log.last_index)
+            if index < self._noop_index or not core.advance_commit(index):
+                break
+            advanced = True
+        if advanced:
+            for peer in self._all_peers():
+                peer.notify(now)
+            self._update_peers(now)
+
+    # Peers
+
+    def _all_peers(self) -> list[Peer]:
+        learner = self._recruiting.learner
+        peers = list(self._peers.values())
+        return peers if learner is None else [*peers, learner]
+
+    def _update_peers(self, now: float) -> None:
+        known = self._peers
+        learner = self._recruiting.learner
+        self._peers = {}
+        for member in self._core.peers():
+            peer = known.get(member.member_id)
+            if peer is None and learner is not None and learner.member.member_id == member.member_id:
+                peer = learner
+                self._recruiting.learner = None
+            self._peers[member.member_id] = peer or Peer(self._core, member, self._source, now)
+
+    def _peer(self, member_id: str) -> Peer | None:
+        learner = self._recruiting.learner
+        if learner is not None and learner.member.member_id == member_id:
+            return learner
+        return self._peers.get(member_id)
+
+    def receive_reply(self, sender: MemberIdentity, reply: AppendReply, now: float) -> None:
+        peer = self._peer(sender.member_id)
+        if peer is not None:
+            peer.receive_reply(reply, now)
+            self.advance(now)
+
+    def receive_snapshot_reply(self, sender: MemberIdentity, reply: SnapshotReply, now: float) -> None:
+        peer = self._peer(sender.member_id)
+        if peer is not None:
+            peer.receive_snapshot_reply(reply, now)
+
+    # Lease
+
+    def _confirmed_since(self, now: float) -> float:
+        acknowledged = {member_id: peer.acknowledged for member_id, peer in self._peers.items()}
+        acknowledged[self._core.identity.member_id] = now
+        return self._core.electorate().confirmed_since(acknowledged)
+
+    def confirmed(self, now: float) -> bool:
+        """Whether nobody else can have been elected yet, and all that others committed is applied here."""
+        if self._core.commit_index < self._noop_index:
+            return False
+        return now - self._confirmed_since(now) < self._core.timing.lease_s
+
+    # Time
+
+    def tick(self, now: float) -> None:
+        for peer in self._peers.values():
+            peer.tick(now)
+        if now - max(self._confirmed_since(now), self._started) > self._core.timing.step_down_s:
+            self._core.become(Role.BACKUP, None)
+        elif self._stalled(now):
+            self.hand_over(now)
+        elif self._core.commit_index >= self._noop_index and not self._core.change_open():
+            self._change_members(now)
+
+    def _stalled(self, now: float) -> bool:
+        """Whether others commit while this disk does not finish a write."""
+        core = self._core
+        slow = now - core.stalled_since() > core.timing.disk_stall_s
+        return slow and core.commit_index > core.synced_index
+
+    def _change_members(self, now: float) -> None:
+        limit = self._core.timing.unreachable_s
+        silent = frozenset(key for key, peer in self._peers.items() if now - peer.heard_at > limit)
+        step = self._recruiting.step(silent, now)
+        if step is None:
+            return
+        if not isinstance(step, Change):
+            self.hand_over(now)
+            return
+        members = encode_members(step.apply(self._core.members))
+        self._append(EntryKind.MEMBERS, members, now)
+        self._update_peers(now)
+        self.advance(now)
+
+    def hand_over(self, now: float) -> bool:
+        """Give the lease up and have the best backup stand at once; whether there is one."""
+        retiring = self._wishes.retiring
+        ready = [peer for peer in self._peers.values() if peer.responsive(now)]
+        if not ready:
+            return False
+        best = max(ready, key=lambda peer: (peer.member.node_name not in retiring, peer.match_index))
+        best.replicate(now)
+        self._core.become(Role.BACKUP, None)
+        self._core.send(best.member, Message(hand_over=HandOver()))
+        return True
--- /dev/null
+++ b/cherrycove/tier/replication/timing.py
@@ -0,0 +1,23 @@
+"""Durations of the replication protocol, in seconds."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class Timing:
+    """The lease must end before any backup that renewed it may vote again: lease_s < election_timeout_s."""
+
+    heartbeat_s: float = 0.15
+    lease_s: float = 0.7
+    election_timeout_s: float = 0.9  # a backup that heard its primary within this time grants no vote
+    stagger_s: float = 0.1  # added per rank of the member id, so that one backup stands first
+    jitter_s: float = 0.06  # random, added to every election time-out
+    first_election_s: float = 0.1  # time-out in place of election_timeout_s when the whole group is new
+    retry_s: float = 0.2  # a candidate that was not elected stands again after this time and more
+    step_down_s: float = 1.5  # a primary that could not renew its lease for so long stops leading
+    disk_stall_s: float = 1.0  # a primary whose own sync takes longer, while others sync, hands over
+    unreachable_s: float = 2.0  # a member that is silent for so long may be replaced
+    resend_s: float = 0.4  # an unanswered snapshot chunk is sent again after this time
+    set_aside_s: float = 5.0  # a standby that could not be caught up is not tried again for so long
--- /dev/null
+++ b/cherrycove/tier/storage/identity.py
@@ -0,0 +1,58 @@
+"""The identity of a disk: a replica is a member of its group only as long as its disk keeps what it promised."""
+
+from __future__ import annotations
+
+import uuid
+from pathlib import Path
+
+from cherrycove.tier.storage.files import DamagedStorageError, remove_files, replace_file
+
+IDENTITY_FILE = "identity"
+FIRST_START_PREFIX = "first-"
+_ENCODING = "ascii"
+
+
+def first_member_id(ip: str) -> str:
+    """Member id of a replica that starts for the first time, together with the deployment, at address ``ip``."""
+    return FIRST_START_PREFIX + ip
+
+
+def _read(path: Path) -> str:
+    try:
+        text = path.read_text(_ENCODING)
+    except UnicodeDecodeError as error:
+        raise DamagedStorageError(f"{path}: {error}") from error
+    member_id, _, check = text.partition("\n")
+    if not member_id or check != member_id:
+        raise DamagedStorageError(f"{path}: not an identity")
+    return member_id
+
+
+def _create(directory: Path, member_id: str) -> str:
+    replace_file(directory / IDENTITY_FILE, f"{member_id}\n{member_id}".encode(_ENCODING))
+    return member_id
+
+
+def new_identity(directory: Path) -> str:
+    """Empty ``directory`` and give it a random member id."""
+    remove_files(directory)
+    return _create(directory, uuid.uuid4().hex[:16])
+
+
+def open_identity(directory: Path, first_start: bool, ip: str) -> tuple[str, bool]:
+    """The member id of the disk at ``directory`` and whether it was created just now.
+
+    An empty disk gets a random id, or ``first-IP`` at the first start of the deployment, so that members of the
+    initial group can be named by their addresses alone. The id is synced before this returns. Blocks.
+    """
+    directory.mkdir(parents=True, exist_ok=True)
+    path = directory / IDENTITY_FILE
+    if path.exists():
+        try:
+            return _read(path), False
+        except DamagedStorageError:
+            return new_identity(directory), True
+    written = any(not entry.name.endswith(".tmp") for entry in directory.iterdir())
+    if first_start and not written:
+        return _create(directory, first_member_id(ip)), True
+    return new_identity(directory), True
--- /dev/null
+++ b/cherrycove/tier/storage/promises.py
@@ -0,0 +1,92 @@
+"""The newest epoch that a replica has promised to, with its vote, in two slots that are written in turn.
+
+A torn write harms only the slot that was being written; the other one holds the promise before it.
+"""
+
+from __future__ import annotations
+
+import os
+import struct
+import zlib
+from pathlib import Path
+
+import attrs
+
+from cherrycove.tier.storage.files import DamagedStorageError, replace_file, write_all
+
+PROMISE_FILE = "promise"
+_SLOT_BYTES = 4096
+_HEADER = struct.Struct("<IQQQH")  # CRC-32 of the rest, sequence, epoch, committed index, length of the vote in bytes
+
+
+@attrs.frozen
+class Promise:
+    """Nothing of an epoch below ``epoch`` is accepted, and in ``epoch`` only ``voted_for`` has this vote."""
+
+    epoch: int = 0
+    voted_for: str = ""  # member id; "" while the vote is free
+    committed: int = 0  # index up to which the log on this disk is known to be committed
+
+
+@attrs.frozen
+class _Slot:
+    sequence: int
+    promise: Promise
+
+
+def _encode(slot: _Slot) -> bytes:
+    vote = slot.promise.voted_for.encode()
+    rest = _HEADER.pack(0, slot.sequence, slot.promise.epoch, slot.promise.committed, len(vote))[4:] + vote
+    return (zlib.crc32(rest).to_bytes(4, "little") + rest).ljust(_SLOT_BYTES, b"\0")
+
+
+def _decode(data: bytes) -> _Slot | None:
+    if len(data) < _HEADER.size:
+        return None
+    checksum, sequence, epoch, committed, length = _HEADER.unpack_from(data)
+    end = _HEADER.size + length
+    if end > len(data) or zlib.crc32(data[4:end]) != checksum:
+        return None
+    vote = data[_HEADER.size : end].decode("utf-8", "replace")
+    return _Slot(sequence, Promise(epoch, vote, committed))
+
+
+class PromiseFile:
+    """The promise on disk."""
+
+    def __init__(self, directory: Path) -> None:
+        self._path = directory / PROMISE_FILE
+        self._slot = _Slot(0, Promise())
+        self._descriptor = -1
+
+    @property
+    def promise(self) -> Promise:
+        return self._slot.promise
+
+    def open(self, may_create: bool) -> Promise:
+        """Read the newest promise; a missing file is damage unless ``may_create``."""
+        if not self._path.exists():
+            if not may_create:
+                raise DamagedStorageError(f"{self._path} is missing")
+            replace_file(self._path, _encode(self._slot) * 2)
+        data = self._path.read_bytes()
+        slots = [_decode(data[start : start + _SLOT_BYTES]) for start in (0, _SLOT_BYTES)]
+        valid = [slot for slot in slots if slot is not None]
+        if not valid:
+            raise DamagedStorageError(f"{self._path}: no valid slot")
+        self._slot = max(valid, key=lambda slot: slot.sequence)
+        self._descriptor = os.open(self._path, os.O_WRONLY)
+        return self._slot.promise
+
+    def write(self, promise: Promise) -> None:
+        """Store ``promise`` and sync it."""
+        slot = _Slot(self._slot.sequence + 1, promise)
+        os.lseek(self._descriptor, (slot.sequence % 2) * _SLOT_BYTES, os.SEEK_SET)
+        write_all(self._descriptor, _encode(slot))
+        os.fdatasync(self._descriptor)
+        self._slot = slot
+
+    def close(self) -> None:
+        if self._descriptor >= 0:
+            os.close(self._descriptor)
+            self._descriptor = -1
--- /dev/null
+++ b/cherrycove/tier/storage/store.py
@@ -0,0 +1,109 @@
+"""The durable state of one replica as a whole: promise, snapshot and log in one directory."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from pathlib import Path
+
+import attrs
+
+from cherrycove.tier.storage.entries import ENTRY_OVERHEAD_BYTES, FRAME_OVERHEAD_BYTES, Entry
+from cherrycove.tier.storage.files import DamagedStorageError, sync_directory
+from cherrycove.tier.storage.promises import Promise, PromiseFile
+from cherrycove.tier.storage.segments import SEGMENT_BYTES, SegmentLog, no_space, segment_names
+from cherrycove.tier.storage.snapshots import (
+    SNAPSHOT_PREFIX,
+    Snapshot,
+    read_snapshot,
+    read_state,
+    snapshot_path,
+    write_snapshot,
+)
+
+RESERVED_BYTES = 64 * 1024  # of the disk's limit, for identity, promise and folders
+
+
+@attrs.frozen
+class RecoveredState:
+    """What a replica finds on its disk at its start."""
+
+    promise: Promise
+    snapshot: Snapshot | None
+    entries: list[Entry]  # behind the snapshot, without a gap
+
+
+class ReplicaStorage:
+    """Writes of one replica. All methods block; one thread at a time uses them."""
+
+    def __init__(self, directory: Path, limit_bytes: int = 0, segment_bytes: int = SEGMENT_BYTES) -> None:
+        """``limit_bytes`` bounds the directory; 0 sets no bound."""
+        self._directory = directory
+        self._limit = limit_bytes - RESERVED_BYTES if limit_bytes else 0
+        self._promises = PromiseFile(directory)
+        self._log = SegmentLog(directory, segment_bytes)
+        self._snapshot_path: Path | None = None
+        self._snapshot_bytes = 0
+
+    @property
+    def size(self) -> int:
+        """Bytes of log and snapshot."""
+        return self._log.size + self._snapshot_bytes
+
+    def recover(self) -> RecoveredState:
+        """Read everything; cut a torn tail. Raises DamagedStorageError where synced data is not there any more."""
+        for leftover in self._directory.glob("*.tmp"):
+            leftover.unlink()
+        paths = sorted(self._directory.glob(f"{SNAPSHOT_PREFIX}*"))
+        may_create = not paths and not segment_names(self._directory)
+        promise = self._promises.open(may_create)
+        snapshot, first_number = read_snapshot(paths[-1]) if paths else (None, 1)
+        for path in paths[:-1]:
+            path.unlink()
+        if snapshot is not None:
+            self._snapshot_path = paths[-1]
+            self._snapshot_bytes = snapshot.size
+        entries = self._log.recover(snapshot.index if snapshot else 0, first_number)
+        newest = entries[-1].epoch if entries else snapshot.epoch if snapshot else 0
+        if newest > promise.epoch:
+            raise DamagedStorageError(f"log of epoch {newest}, promise of epoch {promise.epoch}")
+        return RecoveredState(promise, snapshot, entries)
+
+    def write_promise(self, promise: Promise) -> None:
+        """Store and sync the newest promise."""
+        self._promises.write(promise)
+
+    def append(self, entries: Sequence[Entry]) -> None:
+        """Store and sync entries; one whose index is not above the last replaces that one and all behind it."""
+        self._check_room(FRAME_OVERHEAD_BYTES + sum(entry.size for entry in entries))
+        self._log.append(entries)
+
+    def save_snapshot(self, snapshot: Snapshot, tail: Sequence[Entry]) -> None:
+        """Store a snapshot with the entries behind it, then remove what both make superfluous."""
+        room = snapshot.size + sum(entry.size for entry in tail) + ENTRY_OVERHEAD_BYTES
+        self._check_room(room)
+        self._log.roll()
+        first_number = self._log.next_number
+        if tail:
+            self._log.append(tail)
+        path = write_snapshot(self._directory, snapshot, first_number)
+        previous, self._snapshot_path = self._snapshot_path, path
+        self._snapshot_bytes = snapshot.size
+        self._log.remove_below(first_number)
+        if previous is not None and previous != path:
+            previous.unlink(missing_ok=True)
+        sync_directory(self._directory)
+
+    def read_state(self, index: int, offset: int, size: int) -> bytes:
+        """Part of the state in the stored snapshot of entry ``index``; empty if another one is stored by now."""
+        path = self._snapshot_path
+        if path is None or path != snapshot_path(self._directory, index):
+            return b""
+        return read_state(path, offset, size)
+
+    def _check_room(self, wanted: int) -> None:
+        if self._limit and self.size + wanted > self._limit:
+            raise no_space()
+
+    def close(self) -> None:
+        self._log.close()
+        self._promises.close()
