--- a/cherrycove/tier/programs/replica.py
+++ b/cherrycove/tier/programs/replica.py
@@ -7,7 +7,7 @@
 from cherrycove.tier.protocol.control_pb2 import Announcement, Replica
 from cherrycove.tier.protocol.rpc import RpcClient, RpcServer
 from cherrycove.tier.replication.group import ReplicatedGroup
-from cherrycove.tier.replication.identity import open_identity
+from cherrycove.tier.storage.identity import open_identity
 from cherrycove.tier.replication.interface import MemberIdentity, StateMachine
 from cherrycove.tier.settings import Settings
 
