Control plane: exchanges with operator, platform and pullers as tests

Cause: the control plane had no tests. Change: each term publishes committed state anew; transcripts over loopback with a group in memory and a stand-in for the platform's list; pure parts step by step with the test's clock.

--- a/cherrycove/tier/controlplane/keeper.py
+++ b/cherrycove/tier/controlplane/keeper.py
@@ -78,7 +78,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._publisher.serve_on(server)
         server.register(STATUS_CALL, StatusRequest, self.status)
-        state.on_change(self._topics.publish_state)
+        state.on_change(self._on_state_change)
         group.on_change(self._on_group_change)
 
     async def start(self) -> None:
@@ -137,12 +137,17 @@
         self._term.update()
         self._publisher.wake()
 
+    def _on_state_change(self) -> None:
+        if self._term.epoch is not None:
+            self._topics.publish_state()
+
     def _begin_term(self, epoch: int) -> None:
         now = _now()
         self._term_began = now
         self._members_due_at = now
         if epoch == self._topics.epoch:
             self._register.resume(now)
+            self._topics.publish_state()
             return
         self._register = Register()
         self._forming = GroupForming(self._settings)
--- a/cherrycove/tier/controlplane/topics.py
+++ b/cherrycove/tier/controlplane/topics.py
@@ -32,17 +32,13 @@
         return self._brokers
 
     def begin_term(self, epoch: int) -> None:
-        """Forget the soft state of earlier epochs; pullers keep theirs until this epoch publishes its own.
-
-        A term that goes on in the same epoch after a pause keeps what it has, and counts on."""
-        if epoch == self._epoch:
-            return
+        """Forget what was published in earlier epochs; pullers keep theirs until something newer comes."""
         self._epoch = epoch
         self._sequence = 0
         self._member_changes = MemberListChanges()
         self._brokers = None
-        self._publisher.board.withdraw(BROKERS)
-        self._publisher.board.withdraw(MEMBERS)
+        for topic in (CONFIGURATION, STORE_GROUP, BROKERS, MEMBERS):
+            self._publisher.board.withdraw(topic)
         self.publish_state()
 
     def publish_state(self) -> None:
--- /dev/null
+++ b/tests/tier/control_support.py
@@ -0,0 +1,392 @@
+"""What the tests of the control plane share: keepers on loopback, a group in memory, a platform's list.
+
+Keepers listen at 127.0.0.1, 127.0.0.2 and so on, all at the same ports, as machines of a deployment do. Every
+wait ends on an event; ports are the system's choice.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+from collections.abc import Awaitable, Callable, Sequence
+from contextlib import ExitStack
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+from result import Err, Ok, Result
+
+from cherrycove.tier.controlplane.keeper import Keeper
+from cherrycove.tier.controlplane.state import ControlState
+from cherrycove.tier.distribution.puller import Puller
+from cherrycove.tier.distribution.views import Views
+from cherrycove.tier.errors import ErrorKind, Failure
+from cherrycove.tier.protocol.control_pb2 import Announcement, Replica
+from cherrycove.tier.protocol.rpc import RpcClient, RpcServer
+from cherrycove.tier.replication.interface import MemberIdentity
+from cherrycove.tier.settings import (
+    Bounds,
+    CloudApi,
+    FaultTolerance,
+    ListenAddresses,
+    Settings,
+)
+
+STEP_TIMEOUT_S = 10.0  # a test that waits longer has failed
+
+
+def free_ports(count: int, hosts: Sequence[str] = ("127.0.0.1",)) -> list[int]:
+    """Ports that are free at every one of ``hosts``."""
+    found: list[int] = []
+    with ExitStack() as held:
+        while len(found) < count:
+            first = held.enter_context(socket.socket())
+            first.bind((hosts[0], 0))
+            port = first.getsockname()[1]
+            try:
+                for host in hosts[1:]:
+                    held.enter_context(socket.socket()).bind((host, port))
+            except OSError:
+                continue
+            found.append(port)
+    return found
+
+
+def document(version: int, **changes: Any) -> bytes:
+    """A small valid configuration."""
+    route = {
+        "name": "refunds",
+        "hostname": "shop.example",
+        "pathPrefix": "/refunds/",
+        "routeKind": "idempotent",
+        "timeoutMs": 3000,
+        "service": "ledger",
+    }
+    body = {"version": version, "routes": [route], "services": [{"name": "ledger"}], **changes}
+    return json.dumps(body).encode()
+
+
+class MemoryGroup:
+    """One replica's view of a group whose log is a list in memory."""
+
+    def __init__(self, replicas: MemoryReplicas, identity: MemberIdentity, state: ControlState) -> None:
+        self._replicas = replicas
+        self.identity = identity
+        self.state = state
+        self.standbys: tuple[MemberIdentity, ...] = ()
+        self.standbys_offered = asyncio.Event()
+        self.callbacks: list[Callable[[], None]] = []
+
+    @property
+    def epoch(self) -> int:
+        return self._replicas.epoch
+
+    @property
+    def primary(self) -> MemberIdentity | None:
+        leader = self._replicas.leader
+        return None if leader is None else leader.identity
+
+    @property
+    def members(self) -> tuple[MemberIdentity, ...]:
+        return tuple(group.identity for group in self._replicas.groups)
+
+    def confirmed(self) -> bool:
+        return self._replicas.leader is self and self._replicas.lease
+
+    async def propose(self, command: bytes, timeout_s: float) -> Result[object, Failure]:
+        return await self._replicas.propose(self, command)
+
+    def offer_standbys(self, standbys: Sequence[MemberIdentity]) -> None:
+        self.standbys = tuple(standbys)
+        if standbys:
+            self.standbys_offered.set()
+
+    def retire(self, node_names: frozenset[str]) -> None:
+        raise AssertionError("keepers are not retired")
+
+    def on_change(self, callback: Callable[[], None]) -> None:
+        self.callbacks.append(callback)
+
+
+class MemoryReplicas:
+    """The group of all keepers of a test; the test decides who leads and what happens to a proposal."""
+
+    def __init__(self) -> None:
+        self.groups: list[MemoryGroup] = []
+        self.leader: MemoryGroup | None = None
+        self.lease = True
+        self.epoch = 0
+        self.committed = 0
+        self.proposed = 0
+        self.gate: asyncio.Event | None = None  # proposals wait here while it is not None
+        self.waiting = asyncio.Event()  # a proposal has come to the gate
+        self.next_outcomes: list[
+            str
+        ] = []  # of the next proposals: uncertain_taken, uncertain_lost, not_primary
+
+    def add(self, identity: MemberIdentity, state: ControlState) -> MemoryGroup:
+        group = MemoryGroup(self, identity, state)
+        self.groups.append(group)
+        return group
+
+    def lead(self, leader: MemoryGroup | None, lease: bool = True) -> None:
+        """``leader`` leads from now on, in a newer epoch."""
+        self.leader = leader
+        self.lease = lease
+        self.epoch += 1
+        for group in self.groups:
+            for callback in group.callbacks:
+                callback()
+
+    async def propose(self, group: MemoryGroup, command: bytes) -> Result[object, Failure]:
+        self.proposed += 1
+        if self.gate is not None:
+            self.waiting.set()
+            await self.gate.wait()
+        outcome = self.next_outcomes.pop(0) if self.next_outcomes else "taken"
+        if outcome == "not_primary" or not group.confirmed():
+            return Err(Failure(ErrorKind.NOT_PRIMARY, "does not lead"))
+        if outcome == "uncertain_lost":
+            return Err(Failure(ErrorKind.UNCERTAIN, "no answer of the backups"))
+        results = [replica.state.apply(self.committed, command) for replica in self.groups]
+        self.committed += 1
+        if outcome == "uncertain_taken":
+            return Err(Failure(ErrorKind.UNCERTAIN, "no answer of the backups"))
+        return Ok(results[self.groups.index(group)])
+
+
+class PlatformList:
+    """Stands in for the platform: pages of instances, a status to fail with, and events for each call."""
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._runner: web.AppRunner | None = None
+        self.pages: list[list[dict[str, Any]]] = [[]]
+        self.endless = False
+        self.failures: dict[int, int] = {}  # status of the next call for the page of that number
+        self.down = False
+        self.calls: list[str] = []  # page tokens asked for
+        self.called = asyncio.Event()
+
+    async def start(self) -> None:
+        application = web.Application()
+        application.router.add_get("/instances", self._answer)
+        self._runner = web.AppRunner(application, access_log=None, shutdown_timeout=0.1)
+        await self._runner.setup()
+        host, _, port = self._address.rpartition(":")
+        await web.TCPSite(self._runner, host, int(port)).start()
+
+    async def stop(self) -> None:
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _answer(self, request: web.Request) -> web.Response:
+        token = request.query.get("pageToken", "")
+        self.calls.append(token)
+        self.called.set()
+        self.called = asyncio.Event()
+        number = int(token.removeprefix("page-") or 0)
+        if self.down or number in self.failures:
+            return web.Response(status=self.failures.pop(number, 503))
+        following = f"page-{number + 1}" if number + 1 < len(self.pages) else None
+        if self.endless:
+            following = "page-0"
+        return web.json_response({"instances": self.pages[number], "nextPageToken": following})
+
+
+def instance(name: str, **changes: Any) -> dict[str, Any]:
+    """One entry of the platform's list."""
+    return {
+        "service": "ledger",
+        "address": "10.0.0.9:8080",
+        "zone": "north",
+        "version": "v1",
+        "capacitySlots": 48,
+        "state": "ready",
+        "warmupRemainingMs": 0,
+        "instanceId": name,
+        "stage": "both",
+        **changes,
+    }
+
+
+class World:
+    """Keepers, the platform and clients of one test."""
+
+    def __init__(self, keepers: int, machine_failures: int = 1) -> None:
+        self.hosts = [f"127.0.0.{number + 1}" for number in range(keepers)]
+        self.control_port, self.internal_port, platform_port = free_ports(3, self.hosts)
+        self.replicas = MemoryReplicas()
+        self.platform = PlatformList(f"127.0.0.1:{platform_port}")
+        self.keepers = [KeeperNode(self, self.settings(host, machine_failures)) for host in self.hosts]
+        self.http: aiohttp.ClientSession | None = None
+        self.transcript: list[str] = []
+        self._closers: list[Callable[[], Awaitable[None]]] = []
+
+    def settings(self, host: str, machine_failures: int = 1, node_name: str = "") -> Settings:
+        return Settings(
+            node_name=node_name or f"core-{host.rpartition('.')[2]}",
+            machine_class="core",
+            ip_address=host,
+            zone="north",
+            region="land",
+            internal_port_range=[self.internal_port, self.internal_port + 9],
+            seed_nodes=[f"{one}:{self.control_port}" for one in self.hosts],
+            listen_addresses=ListenAddresses(control_plane=f"{host}:{self.control_port}"),
+            fault_tolerance=FaultTolerance(machine_failures=machine_failures),
+            bounds=Bounds(drain_ms=1500.0),
+            cloud_api=CloudApi(address=self.platform._address, rate_per_s=100.0),
+        )
+
+    async def __aenter__(self) -> World:
+        self.http = aiohttp.ClientSession()
+        await self.platform.start()
+        for keeper in self.keepers:
+            await keeper.start()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for close in reversed(self._closers):
+            await close()
+        for keeper in self.keepers:
+            await keeper.stop()
+        await self.platform.stop()
+        assert self.http is not None
+        await self.http.close()
+
+    def lead(self, number: int | None, lease: bool = True) -> None:
+        self.replicas.lead(None if number is None else self.keepers[number].group, lease)
+
+    async def client(self, announcement: Announcement) -> Client:
+        """A process of the tier that pulls from the keepers."""
+        client = Client(self.settings("127.0.0.1", node_name=announcement.node_name), announcement)
+        self._closers.append(client.stop)
+        await client.start()
+        return client
+
+    async def operator(
+        self, keeper: int, method: str, path: str, body: bytes | None = None, if_match: str | None = None
+    ) -> tuple[int, bytes]:
+        """One call of the operator; the transcript gets a line of it."""
+        assert self.http is not None
+        headers = {} if if_match is None else {"If-Match": if_match}
+        url = f"http://{self.hosts[keeper]}:{self.control_port}{path}"
+        call = self.http.request(method, url, data=body, headers=headers, allow_redirects=False)
+        async with asyncio.timeout(STEP_TIMEOUT_S), call as response:
+            answer = await response.read()
+            self.transcript.append(self._line(keeper, method, path, body, if_match, response))
+            return response.status, answer
+
+    def _line(
+        self,
+        keeper: int,
+        method: str,
+        path: str,
+        body: bytes | None,
+        if_match: str | None,
+        response: aiohttp.ClientResponse,
+    ) -> str:
+        told = "" if if_match is None else f" on {if_match}"
+        if body is not None and method == "PUT":
+            told = f" {_version(body)}{told}"
+        location = response.headers.get("Location", "")
+        for number, host in enumerate(self.hosts):
+            location = location.replace(f"http://{host}:{self.control_port}", f"keeper {number}")
+        return f"keeper {keeper}: {method} {path}{told} -> {response.status} {location}".rstrip()
+
+
+def _version(body: bytes) -> str:
+    try:
+        return f"v{json.loads(body)['version']}"
+    except (ValueError, KeyError, TypeError):
+        return "unreadable"
+
+
+class KeeperNode:
+    """One keeper process, without its replication."""
+
+    def __init__(self, world: World, settings: Settings) -> None:
+        self.settings = settings
+        self.state = ControlState()
+        self.address = settings.internal_address("keeper")
+        identity = MemberIdentity(
+            f"disk-{settings.node_name}", settings.node_name, self.address, settings.zone
+        )
+        self.group = world.replicas.add(identity, self.state)
+        self.views = Views()
+        self._server = RpcServer()
+        self.client = RpcClient()
+        self.keeper = Keeper(settings, self.group, self.state, self._server, self.client, self.views)
+        self._puller = Puller(settings, self.client, self.views, self._announce)
+
+    def _announce(self) -> Announcement:
+        return Announcement(
+            node_name=self.settings.node_name,
+            program="keeper",
+            ip=self.settings.ip_address,
+            incarnation="1",
+            member_id=self.group.identity.member_id,
+            group_epoch=self.group.epoch,
+        )
+
+    async def start(self) -> None:
+        await self.client.start()
+        await self.keeper.start()
+        await self._server.start(self.address)
+        await self._puller.start()
+
+    async def stop(self) -> None:
+        await self._puller.stop()
+        await self.keeper.stop()
+        await self._server.stop()
+        await self.client.stop()
+
+
+class Client:
+    """A process that pulls; ``announcement`` may be changed by the test."""
+
+    def __init__(self, settings: Settings, announcement: Announcement) -> None:
+        self.announcement = announcement
+        self.views = Views()
+        self._rpc = RpcClient()
+        self.puller = Puller(settings, self._rpc, self.views, lambda: self.announcement)
+        self._changed = asyncio.Event()
+        self.views.on_change(self._note)
+
+    def _note(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def start(self) -> None:
+        await self._rpc.start()
+        await self.puller.start()
+
+    async def stop(self) -> None:
+        await self.puller.stop()
+        await self._rpc.stop()
+
+    async def until(self, holds: Callable[[Views], bool]) -> None:
+        """Wait for an update after which ``holds`` is true."""
+        async with asyncio.timeout(STEP_TIMEOUT_S):
+            while not holds(self.views):
+                await self._changed.wait()
+
+
+def store(name: str, **changes: Any) -> Announcement:
+    """A store as it announces itself at the first start."""
+    fields: dict[str, Any] = {
+        "node_name": name,
+        "program": "store",
+        "ip": "127.0.0.1",
+        "zone": f"zone-{name[-1]}",
+        "incarnation": "1",
+        "member_id": f"disk-{name}",
+        "first_start": True,
+        **changes,
+    }
+    return Announcement(**fields)
+
+
+def replica(name: str) -> Replica:
+    return Replica(member_id=f"disk-{name}", node_name=name, address="127.0.0.1:1", zone=f"zone-{name[-1]}")
--- /dev/null
+++ b/tests/tier/test_control_brokers.py
@@ -0,0 +1,128 @@
+"""Reading the platform's list: pages, failures, pacing."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+from control_support import PlatformList, World, free_ports, instance
+from result import Err, Ok
+
+from cherrycove.tier.controlplane.broker_list import (
+    MAX_INTERVAL_S,
+    MIN_INTERVAL_S,
+    RATE_SHARE,
+    BrokerListReader,
+    ReadPacing,
+    parse_page,
+    same_brokers,
+)
+from cherrycove.tier.protocol.control_pb2 import Announcement, BrokerEntry, BrokerList
+from cherrycove.tier.settings import Bounds, CloudApi, Settings
+
+
+def settings(address: str = "", drain_ms: float = 3000.0, rate_per_s: float = 40.0) -> Settings:
+    return Settings(
+        node_name="core-1",
+        machine_class="core",
+        ip_address="127.0.0.1",
+        zone="north",
+        region="land",
+        internal_port_range=[1, 2],
+        bounds=Bounds(drain_ms=drain_ms),
+        cloud_api=CloudApi(address=address, rate_per_s=rate_per_s),
+    )
+
+
+def test_a_page_is_read_and_bad_entries_are_left_out() -> None:
+    body = {
+        "instances": [
+            instance("i-1", state="draining", warmupRemainingMs=700.5, news={"a": 1}),
+            instance("i-2", zone=None),
+            {"instanceId": "i-3"},
+            "i-4",
+            instance("i-5", capacitySlots="many"),
+        ],
+        "nextPageToken": 7,
+    }
+    page = parse_page(json.dumps(body).encode()).unwrap()
+    assert page.next_token == "7"
+    assert [entry.instance_id for entry in page.instances] == ["i-1", "i-2"]
+    assert page.instances[0].draining and page.instances[0].warmup_remaining_ms == 700
+    assert page.instances[1].zone == "" and page.instances[1].capacity_slots == 48
+
+
+def test_what_is_no_page_is_a_failure() -> None:
+    for body in (b"", b"{", b"[]", b"{}", b'{"instances":{}}', b"[" * 100_000):
+        assert isinstance(parse_page(body), Err)
+
+
+def test_warm_up_time_alone_is_no_change() -> None:
+    first = BrokerList(brokers=[BrokerEntry(instance_id="a", warmup_remaining_ms=900)])
+    later = BrokerList(brokers=[BrokerEntry(instance_id="a", warmup_remaining_ms=100)])
+    draining = BrokerList(brokers=[BrokerEntry(instance_id="a", draining=True)])
+    assert same_brokers(first, later)
+    assert not same_brokers(first, draining)
+
+
+def test_the_pace_follows_draining_and_the_platforms_rate() -> None:
+    assert ReadPacing(settings(drain_ms=3000.0)).succeeded(1) == 0.6
+    assert ReadPacing(settings(drain_ms=100.0)).succeeded(1) == MIN_INTERVAL_S
+    assert ReadPacing(settings(drain_ms=60_000.0)).succeeded(1) == MAX_INTERVAL_S
+    assert ReadPacing(settings(rate_per_s=2.0)).succeeded(4) == 4 / (2.0 * RATE_SHARE)
+    pacing = ReadPacing(settings(drain_ms=3000.0))
+    pauses = [pacing.failed(1) for _ in range(6)]
+    assert pauses[0] == 0.6
+    assert pauses == sorted(pauses)
+    assert pauses[-1] == 2.0
+    assert pacing.succeeded(1) == 0.6
+
+
+def test_all_pages_make_one_list() -> None:
+    async def exchange() -> None:
+        platform = PlatformList(f"127.0.0.1:{free_ports(1)[0]}")
+        await platform.start()
+        reader = BrokerListReader(settings(platform._address))
+        await reader.start()
+        platform.pages = [[instance("i-2")], [instance("i-3")], [instance("i-1")]]
+        brokers = (await reader.read()).unwrap()
+        assert [entry.instance_id for entry in brokers.brokers] == ["i-1", "i-2", "i-3"]
+        assert platform.calls == ["", "page-1", "page-2"]
+        assert reader.calls == 3
+        for page, status in ((0, 429), (1, 429), (2, 500)):
+            platform.failures[page] = status
+            assert isinstance(await reader.read(), Err)
+        platform.endless = True
+        assert isinstance(await reader.read(), Err)
+        platform.endless = False
+        assert isinstance(await reader.read(), Ok)
+        await platform.stop()
+        assert isinstance(await reader.read(), Err)
+        await reader.stop()
+        assert isinstance(await reader.read(), Err)
+
+    asyncio.run(exchange())
+
+
+def test_only_the_primary_reads_and_a_failed_read_keeps_the_list() -> None:
+    async def exchange() -> None:
+        async with World(2) as world:
+            world.platform.pages = [[instance("i-1")]]
+            assert world.platform.calls == []
+            world.lead(0)
+            client = await world.client(Announcement(node_name="f1", program="proxy", incarnation="1"))
+            await client.until(lambda views: len(views.brokers) == 1)
+            world.platform.failures[0] = 429
+            world.platform.pages = [[instance("i-1")], [instance("i-2", state="draining")]]
+            await client.until(lambda views: len(views.brokers) == 2)
+            assert [broker.draining for broker in client.views.brokers] == [False, True]
+            world.platform.down = True
+            world.lead(1)
+            epoch = world.replicas.epoch
+            await client.until(lambda views: any(one.group_epoch == epoch for one in views.members))
+            assert len(client.views.brokers) == 2
+            world.platform.pages = [[instance("i-9")]]
+            world.platform.down = False
+            await client.until(lambda views: [one.instance_id for one in views.brokers] == ["i-9"])
+
+    asyncio.run(exchange())
--- /dev/null
+++ b/tests/tier/test_control_operator.py
@@ -0,0 +1,219 @@
+"""Whole exchanges with the operator, over loopback; each test ends with the approved transcript."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+from control_support import World, document, store
+
+CONFIGURATION = "/api/configuration"
+
+
+def approved(world: World, transcript: str) -> None:
+    assert "\n".join(world.transcript) == "\n".join(line.strip() for line in transcript.strip().splitlines())
+
+
+def test_a_configuration_is_taken_resent_and_read() -> None:
+    async def exchange() -> None:
+        async with World(1) as world:
+            world.lead(0)
+            await world.operator(0, "GET", CONFIGURATION)
+            spelled = document(3).replace(b": ", b":   ")
+            await world.operator(0, "PUT", CONFIGURATION, spelled, "0")
+            await world.operator(0, "PUT", CONFIGURATION, spelled, "0")
+            await world.operator(0, "PUT", CONFIGURATION, document(8), '"3"')
+            await world.operator(0, "PUT", CONFIGURATION, document(3), "0")
+            await world.operator(0, "PUT", CONFIGURATION, document(9), "3")
+            await world.operator(0, "PUT", CONFIGURATION, document(7), "8")
+            _, body = await world.operator(0, "GET", CONFIGURATION)
+            assert body == document(8)
+            assert world.replicas.committed == 2
+            approved(
+                world,
+                """
+                keeper 0: GET /api/configuration -> 404
+                keeper 0: PUT /api/configuration v3 on 0 -> 200
+                keeper 0: PUT /api/configuration v3 on 0 -> 200
+                keeper 0: PUT /api/configuration v8 on "3" -> 200
+                keeper 0: PUT /api/configuration v3 on 0 -> 200
+                keeper 0: PUT /api/configuration v9 on 3 -> 412
+                keeper 0: PUT /api/configuration v7 on 8 -> 400
+                keeper 0: GET /api/configuration -> 200
+                """,
+            )
+
+    asyncio.run(exchange())
+
+
+def test_what_is_invalid_is_refused_with_the_reason() -> None:
+    async def exchange() -> None:
+        async with World(1) as world:
+            world.lead(0)
+            broken = document(4, services=[])
+            _, body = await world.operator(0, "PUT", CONFIGURATION, broken, "0")
+            assert "ledger" in json.loads(body)["detail"]
+            await world.operator(0, "PUT", CONFIGURATION, document(4)[:-1], "0")
+            await world.operator(0, "PUT", CONFIGURATION, document(2**63), "0")
+            await world.operator(0, "PUT", CONFIGURATION, document(4))
+            for header in ("", "x", "-1", "1, 2", "9" * 25, "*", "0x1", "１"):
+                await world.operator(0, "PUT", CONFIGURATION, document(4), header)
+            await world.operator(0, "PUT", CONFIGURATION, b" " * (16 * 1024 * 1024 + 1), "0")
+            assert {line.rpartition(" ")[2] for line in world.transcript[:-1]} == {"400"}
+            assert world.transcript[-1] == "keeper 0: PUT /api/configuration unreadable on 0 -> 413"
+            assert world.replicas.proposed == 0
+
+    asyncio.run(exchange())
+
+
+def test_a_backup_names_the_primary_or_asks_to_come_back() -> None:
+    async def exchange() -> None:
+        async with World(2) as world:
+            world.lead(0)
+            await world.operator(1, "PUT", CONFIGURATION, document(3), "0")
+            await world.operator(1, "PUT", CONFIGURATION, b"{", "x")
+            await world.operator(1, "GET", CONFIGURATION)
+            await world.operator(1, "POST", "/api/retire/s1", b"{}")
+            await world.operator(1, "GET", "/api/retire/s%201?a=b")
+            world.lead(None)
+            await world.operator(1, "PUT", CONFIGURATION, document(3), "0")
+            await world.operator(0, "GET", CONFIGURATION)
+            approved(
+                world,
+                """
+                keeper 1: PUT /api/configuration v3 on 0 -> 307 keeper 0/api/configuration
+                keeper 1: PUT /api/configuration unreadable on x -> 307 keeper 0/api/configuration
+                keeper 1: GET /api/configuration -> 307 keeper 0/api/configuration
+                keeper 1: POST /api/retire/s1 -> 307 keeper 0/api/retire/s1
+                keeper 1: GET /api/retire/s%201?a=b -> 307 keeper 0/api/retire/s%201?a=b
+                keeper 1: PUT /api/configuration v3 on 0 -> 503
+                keeper 0: GET /api/configuration -> 503
+                """,
+            )
+
+    asyncio.run(exchange())
+
+
+def test_a_primary_whose_lease_ran_out_refuses_nothing_for_good() -> None:
+    async def exchange() -> None:
+        async with World(1) as world:
+            world.lead(0)
+            await world.operator(0, "PUT", CONFIGURATION, document(3), "0")
+            world.lead(0, lease=False)
+            await world.operator(0, "PUT", CONFIGURATION, document(4), "9")
+            await world.operator(0, "PUT", CONFIGURATION, b"{", "3")
+            await world.operator(0, "GET", CONFIGURATION)
+            await world.operator(0, "POST", "/api/retire/unknown", b"{}")
+            assert [line.rpartition(" ")[2] for line in world.transcript] == [
+                "200",
+                "503",
+                "503",
+                "503",
+                "503",
+            ]
+
+    asyncio.run(exchange())
+
+
+def test_of_two_changes_at_once_one_wins() -> None:
+    async def exchange() -> None:
+        async with World(1) as world:
+            world.lead(0)
+            world.replicas.gate = asyncio.Event()
+            first = asyncio.create_task(world.operator(0, "PUT", CONFIGURATION, document(3), "0"))
+            await world.replicas.waiting.wait()
+            others = [
+                asyncio.create_task(world.operator(0, "PUT", CONFIGURATION, body, "0"))
+                for body in (document(3, limits={}), document(5), document(3))
+            ]
+            world.replicas.gate.set()
+            statuses = [(await task)[0] for task in (first, *others)]
+            assert statuses == [200, 412, 412, 200]
+            assert world.replicas.committed == 1
+
+    asyncio.run(exchange())
+
+
+def test_leadership_lost_while_a_change_waits_for_its_turn() -> None:
+    async def exchange() -> None:
+        async with World(2) as world:
+            world.lead(0)
+            world.replicas.gate = asyncio.Event()
+            first = asyncio.create_task(world.operator(0, "PUT", CONFIGURATION, document(3), "0"))
+            await world.replicas.waiting.wait()
+            second = asyncio.create_task(world.operator(0, "PUT", CONFIGURATION, document(5), "4"))
+            world.lead(1)
+            world.replicas.gate.set()
+            assert (await first)[0] == 307
+            assert (await second)[0] == 307
+
+    asyncio.run(exchange())
+
+
+def test_after_an_uncertain_outcome_a_barrier_comes_before_the_next_decision() -> None:
+    async def exchange() -> None:
+        async with World(1) as world:
+            world.lead(0)
+            world.replicas.next_outcomes = ["uncertain_taken", "uncertain_lost"]
+            await world.operator(0, "PUT", CONFIGURATION, document(3), "0")
+            await world.operator(0, "PUT", CONFIGURATION, document(3, limits={}), "0")
+            await world.operator(0, "PUT", CONFIGURATION, document(3, limits={}), "0")
+            await world.operator(0, "PUT", CONFIGURATION, document(3), "0")
+            world.replicas.next_outcomes = ["uncertain_lost"]
+            await world.operator(0, "PUT", CONFIGURATION, document(6), "3")
+            await world.operator(0, "PUT", CONFIGURATION, document(6), "3")
+            approved(
+                world,
+                """
+                keeper 0: PUT /api/configuration v3 on 0 -> 504
+                keeper 0: PUT /api/configuration v3 on 0 -> 503
+                keeper 0: PUT /api/configuration v3 on 0 -> 412
+                keeper 0: PUT /api/configuration v3 on 0 -> 200
+                keeper 0: PUT /api/configuration v6 on 3 -> 504
+                keeper 0: PUT /api/configuration v6 on 3 -> 200
+                """,
+            )
+
+    asyncio.run(exchange())
+
+
+def test_a_store_is_emptied_step_by_step() -> None:
+    async def exchange() -> None:
+        async with World(1) as world:
+            world.lead(0)
+            await world.operator(0, "POST", "/api/retire/s4", b'{"durationS":10}')
+            stores = {name: await world.client(store(name)) for name in ("s1", "s2", "s3", "s4")}
+            await stores["s1"].until(lambda views: len(views.store_group.initial) == 3)
+            while (await world.operator(0, "POST", "/api/retire/unknown", b"{}"))[0] == 503:
+                world.transcript.pop()
+            members = ["disk-s1", "disk-s2", "disk-s3"]
+            leader = store("s1", group_primary=True, group_epoch=2, group_members=members)
+            stores["s1"].announcement = leader
+            await world.operator(0, "POST", "/api/retire/s3", b'{"durationS":10}')
+            await world.operator(0, "POST", "/api/retire/s3", b'{"durationS":10}')
+            await world.operator(0, "POST", "/api/retire/s2", b'{"durationS":10}')
+            await stores["s1"].until(lambda views: list(views.store_group.retiring) == ["s3"])
+            await world.operator(0, "GET", "/api/retire/s3")
+            members = ["disk-s1", "disk-s2", "disk-s4"]
+            stores["s1"].announcement = store("s1", group_primary=True, group_epoch=2, group_members=members)
+            stores["s1"].puller.announce_now()
+            order = world.keepers[0].state.retire_orders
+            await stores["s2"].until(lambda views: order["s3"].completed)
+            _, body = await world.operator(0, "GET", "/api/retire/s3")
+            assert json.loads(body) == {"state": "completed"}
+            await world.operator(0, "GET", "/api/retire/s1")
+            approved(
+                world,
+                """
+                keeper 0: POST /api/retire/s4 -> 503
+                keeper 0: POST /api/retire/unknown -> 404
+                keeper 0: POST /api/retire/s3 -> 200
+                keeper 0: POST /api/retire/s3 -> 200
+                keeper 0: POST /api/retire/s2 -> 409
+                keeper 0: GET /api/retire/s3 -> 200
+                keeper 0: GET /api/retire/s3 -> 200
+                keeper 0: GET /api/retire/s1 -> 404
+                """,
+            )
+
+    asyncio.run(exchange())
--- /dev/null
+++ b/tests/tier/test_control_register.py
@@ -0,0 +1,91 @@
+"""The register of processes and the list of members, with a clock of the test."""
+
+from __future__ import annotations
+
+from control_support import store
+
+from cherrycove.tier.controlplane.register import (
+    LEAVING_TIMEOUT_S,
+    MEMBER_TIMEOUT_S,
+    MINOR_CHANGE_INTERVAL_S,
+    REMEMBERED_S,
+    MemberListChanges,
+    Register,
+)
+from cherrycove.tier.protocol.control_pb2 import Announcement, MemberList
+
+
+def names(register: Register, now: float) -> list[str]:
+    return [entry.announcement.node_name for entry in register.alive(now)]
+
+
+def test_a_process_is_alive_for_a_while_after_each_announcement() -> None:
+    register = Register()
+    register.announce(store("s2"), 0.0)
+    register.announce(store("s1"), 1.0)
+    assert names(register, 1.0) == ["s1", "s2"]
+    assert names(register, MEMBER_TIMEOUT_S) == ["s1"]
+    register.announce(store("s2"), MEMBER_TIMEOUT_S)
+    assert names(register, MEMBER_TIMEOUT_S) == ["s1", "s2"]
+
+
+def test_a_process_that_leaves_is_gone_sooner() -> None:
+    register = Register()
+    register.announce(store("s1", leaving=True), 0.0)
+    assert names(register, 0.0) == ["s1"]
+    assert names(register, LEAVING_TIMEOUT_S) == []
+
+
+def test_a_newer_incarnation_replaces_and_the_older_is_not_heard_again() -> None:
+    register = Register()
+    register.announce(store("s1", incarnation="1", member_id="old"), 0.0)
+    register.announce(store("s1", incarnation="2", member_id="new"), 1.0)
+    register.announce(store("s1", incarnation="1", member_id="old"), 1.1)
+    assert [entry.announcement.member_id for entry in register.alive(1.1)] == ["new"]
+
+
+def test_two_programs_of_one_machine_are_two_processes() -> None:
+    register = Register()
+    register.announce(Announcement(node_name="m1", program="keeper"), 0.0)
+    register.announce(Announcement(node_name="m1", program="store"), 0.0)
+    assert len(register.alive(0.0)) == 2
+    assert len(register.alive(0.0, "store")) == 1
+
+
+def test_gone_processes_are_remembered_for_a_while() -> None:
+    register = Register()
+    register.announce(store("s1"), 0.0)
+    register.forget_old(REMEMBERED_S - 0.1)
+    assert len(register.remembered("store")) == 1
+    register.forget_old(REMEMBERED_S)
+    assert register.remembered("store") == []
+
+
+def test_an_earlier_primarys_list_does_not_hide_what_was_announced() -> None:
+    register = Register()
+    register.announce(store("s1", incarnation="2"), 0.0)
+    register.seed([store("s1", incarnation="1"), store("s2")], 0.5)
+    assert [entry.seeded for entry in register.alive(0.5)] == [False, True]
+    register.announce(store("s2"), 0.6)
+    assert [entry.seeded for entry in register.alive(0.6)] == [False, False]
+    register.resume(30.0)
+    assert [entry.seeded for entry in register.alive(30.0)] == [True, True]
+
+
+def proxy(rate: float, configuration_version: int = 1, leaving: bool = False) -> MemberList:
+    announcement = Announcement(
+        node_name="f1", program="proxy", configuration_version=configuration_version, leaving=leaving
+    )
+    announcement.arrivals_per_s["refunds"] = rate
+    return MemberList(members=[announcement])
+
+
+def test_changes_of_rates_alone_are_published_at_intervals() -> None:
+    changes = MemberListChanges()
+    assert changes.due(MemberList(), 0.0)
+    assert changes.due(proxy(1.0), 0.1)
+    assert not changes.due(proxy(1.0), 5.0)
+    assert changes.due(proxy(2.0), 5.0)
+    assert not changes.due(proxy(3.0, 2), 5.0 + MINOR_CHANGE_INTERVAL_S / 2)
+    assert changes.due(proxy(3.0, 2), 5.0 + MINOR_CHANGE_INTERVAL_S)
+    assert changes.due(proxy(3.0, 2, leaving=True), 5.1 + MINOR_CHANGE_INTERVAL_S)
--- /dev/null
+++ b/tests/tier/test_control_state.py
@@ -0,0 +1,130 @@
+"""The keepers' state machine, command by command."""
+
+from __future__ import annotations
+
+from control_support import document, replica
+
+from cherrycove.tier.controlplane import state as state_module
+from cherrycove.tier.controlplane.state import AcceptOutcome, Applied, ControlState, content_digest
+from cherrycove.tier.protocol.keeper_pb2 import (
+    AcceptConfiguration,
+    Barrier,
+    Command,
+    ForgetRetired,
+    FormStoreGroup,
+    Retire,
+    Retired,
+)
+
+
+def accept(state: ControlState, version: int, base: int, body: bytes | None = None) -> object:
+    body = document(version) if body is None else body
+    digest = content_digest(body)
+    assert digest is not None
+    command = AcceptConfiguration(version=version, base_version=base, document=body, digest=digest)
+    return state.apply(0, Command(accept_configuration=command).SerializeToString())
+
+
+def order(state: ControlState, **body: object) -> bool:
+    outcome = state.apply(0, Command(**body).SerializeToString())  # type: ignore[arg-type]
+    assert isinstance(outcome, Applied)
+    return outcome.changed
+
+
+def test_of_two_changes_on_one_version_the_first_wins() -> None:
+    state = ControlState()
+    assert accept(state, 3, 0) is AcceptOutcome.ACCEPTED
+    assert accept(state, 5, 0) is AcceptOutcome.BASE_MISMATCH
+    assert accept(state, 5, 3) is AcceptOutcome.ACCEPTED
+    assert accept(state, 5, 5) is AcceptOutcome.ALREADY_ACCEPTED
+    assert accept(state, 4, 5) is AcceptOutcome.NOT_NEWER
+    assert state.configuration.version == 5
+    assert state.configuration.document == document(5)
+
+
+def test_two_different_documents_of_one_version() -> None:
+    state = ControlState()
+    assert accept(state, 3, 0) is AcceptOutcome.ACCEPTED
+    assert accept(state, 3, 0, document(3, limits={})) is AcceptOutcome.BASE_MISMATCH
+    assert accept(state, 3, 3, document(3, limits={})) is AcceptOutcome.NOT_NEWER
+
+
+def test_a_document_is_known_again_after_newer_ones_and_in_another_spelling() -> None:
+    state = ControlState()
+    accept(state, 3, 0)
+    accept(state, 9, 3)
+    spelled = document(3).replace(b": ", b":  ")
+    assert accept(state, 3, 0, spelled) is AcceptOutcome.ALREADY_ACCEPTED
+    assert state.configuration.version == 9
+
+
+def test_known_documents_are_bounded(monkeypatch) -> None:  # type: ignore[no-untyped-def]
+    monkeypatch.setattr(state_module, "MAX_ACCEPTED_VERSIONS", 2)
+    state = ControlState()
+    for version in (1, 2, 3):
+        accept(state, version, version - 1)
+    assert accept(state, 1, 0) is AcceptOutcome.BASE_MISMATCH
+    assert accept(state, 2, 1) is AcceptOutcome.ALREADY_ACCEPTED
+
+
+def test_the_store_group_is_formed_once() -> None:
+    state = ControlState()
+    assert not order(state, form_store_group=FormStoreGroup())
+    assert order(state, form_store_group=FormStoreGroup(initial=[replica("s1"), replica("s2")]))
+    assert not order(state, form_store_group=FormStoreGroup(initial=[replica("s3")]))
+    assert [one.node_name for one in state.initial_stores] == ["s1", "s2"]
+    assert state.store_group_revision == 1
+
+
+def test_a_machine_is_retired_and_its_name_taken_by_a_new_one() -> None:
+    state = ControlState()
+    assert order(state, retire=Retire(node_name="s1", member_id="a"))
+    assert not order(state, retire=Retire(node_name="s1", member_id="a"))
+    assert not order(state, retire=Retire(node_name="s1", member_id=""))
+    assert order(state, retired=Retired(node_name="s1", member_id="a"))
+    assert not order(state, retired=Retired(node_name="s1", member_id="a"))
+    assert state.retire_orders["s1"].completed
+    assert list(state.store_group().retiring) == ["s1"]
+    assert not order(state, forget_retired=ForgetRetired(node_name="s1", member_id="b"))
+    assert order(state, forget_retired=ForgetRetired(node_name="s1", member_id="a"))
+    assert list(state.store_group().retiring) == []
+
+
+def test_an_order_takes_on_the_disk_of_its_machine() -> None:
+    state = ControlState()
+    order(state, retire=Retire(node_name="s1", member_id=""))
+    assert order(state, retire=Retire(node_name="s1", member_id="a"))
+    assert state.retire_orders["s1"].member_id == "a"
+    assert state.retire_orders["s1"].revision == 2
+
+
+def test_a_snapshot_holds_the_whole_state() -> None:
+    state = ControlState()
+    accept(state, 3, 0)
+    accept(state, 7, 3)
+    order(state, form_store_group=FormStoreGroup(initial=[replica("s1")]))
+    order(state, retire=Retire(node_name="s1", member_id="a"))
+    restored = ControlState()
+    changes: list[int] = []
+    restored.on_change(lambda: changes.append(restored.configuration.version))
+    restored.restore(state.snapshot())
+    assert changes == [7]
+    assert restored.snapshot() == state.snapshot()
+    assert accept(restored, 3, 0) is AcceptOutcome.ALREADY_ACCEPTED
+    assert not order(restored, retire=Retire(node_name="s1", member_id="a"))
+
+
+def test_a_barrier_changes_nothing() -> None:
+    state = ControlState()
+    before = state.snapshot()
+    assert not order(state, barrier=Barrier())
+    assert not order(state)
+    assert state.snapshot() == before
+
+
+def test_what_is_not_json_has_no_digest() -> None:
+    assert content_digest(b"{") is None
+    assert content_digest(b"\xff") is None
+    assert content_digest(b"[" * 100_000) is None
+    assert content_digest(b'{"b":1,"a":2}') == content_digest(b'{ "a": 2, "b": 1 }')
+    assert content_digest(b'{"a":1}') != content_digest(b'{"a":2}')
--- /dev/null
+++ b/tests/tier/test_distribution_topics.py
@@ -0,0 +1,140 @@
+"""Version vectors, the publisher's board, the choice of a keeper and the updating of views, step by step."""
+
+from __future__ import annotations
+
+from control_support import document
+
+from cherrycove.tier.distribution.keeper_choice import HINT_IGNORED_S, MAX_PAUSE_S, MIN_PAUSE_S, KeeperChoice
+from cherrycove.tier.distribution.puller import ViewUpdater
+from cherrycove.tier.distribution.topics import TopicBoard, Version, VersionVector
+from cherrycove.tier.distribution.views import Views
+from cherrycove.tier.protocol.control_pb2 import (
+    Announcement,
+    BrokerEntry,
+    BrokerList,
+    ConfigurationDocument,
+    MemberList,
+    StoreGroup,
+    TopicUpdate,
+    TopicVersion,
+)
+
+
+def version(topic: str, epoch: int, sequence: int) -> TopicVersion:
+    return TopicVersion(topic=topic, epoch=epoch, sequence=sequence)
+
+
+def configuration(number: int, body: bytes | None = None) -> TopicUpdate:
+    sent = ConfigurationDocument(version=number, document=document(number) if body is None else body)
+    return TopicUpdate(version=version("configuration", 0, number), configuration=sent)
+
+
+def brokers(epoch: int, sequence: int, *names: str) -> TopicUpdate:
+    entries = BrokerList(brokers=[BrokerEntry(instance_id=name, draining=name == "old") for name in names])
+    return TopicUpdate(version=version("brokers", epoch, sequence), brokers=entries)
+
+
+def test_a_newer_epoch_wins_over_a_higher_sequence() -> None:
+    vector = VersionVector()
+    assert vector.advance(version("members", 2, 9))
+    assert not vector.advance(version("members", 2, 9))
+    assert not vector.advance(version("members", 1, 50))
+    assert vector.advance(version("members", 3, 1))
+    assert vector.get("members") == Version(3, 1)
+    assert vector.get("brokers") == Version(0, 0)
+    assert VersionVector(vector.messages()).get("members") == Version(3, 1)
+
+
+def test_the_board_gives_what_is_missing() -> None:
+    board = TopicBoard()
+    assert board.publish(configuration(4))
+    assert board.publish(brokers(2, 1, "a"))
+    assert not board.publish(brokers(1, 7, "b"))
+    assert len(board.missing(VersionVector())) == 2
+    has_brokers = VersionVector([version("brokers", 2, 1)])
+    assert board.missing(has_brokers) == [configuration(4)]
+    assert board.missing(VersionVector([version("brokers", 2, 1), version("configuration", 0, 9)])) == []
+    board.withdraw("configuration")
+    assert board.missing(has_brokers) == []
+
+
+def test_views_never_go_back() -> None:
+    views = Views()
+    calls: list[int] = []
+    views.on_change(lambda: calls.append(1))
+    updater = ViewUpdater(views)
+    assert updater.apply([configuration(4), brokers(2, 1, "a", "old")])
+    assert not updater.apply([configuration(3), brokers(1, 9, "b")])
+    assert calls == [1]
+    assert views.configuration is not None and views.configuration.version == 4
+    assert views.document == document(4)
+    assert [(one.instance_id, one.draining) for one in views.brokers] == [("a", False), ("old", True)]
+
+
+def test_an_unreadable_configuration_leaves_the_one_before_in_force() -> None:
+    views = Views()
+    updater = ViewUpdater(views)
+    updater.apply([configuration(4)])
+    updater.apply([configuration(5, b"{")])
+    assert views.configuration is not None and views.configuration.version == 4
+
+
+def test_views_of_members_and_of_the_store_group() -> None:
+    views = Views()
+    proxies = [Announcement(node_name="f1", program="proxy"), Announcement(node_name="f2", program="proxy")]
+    proxies[1].leaving = True
+    members = MemberList(members=[*proxies, Announcement(node_name="s1", program="store")])
+    group = StoreGroup(retiring=["s1"])
+    updater = ViewUpdater(views)
+    updater.apply(
+        [
+            TopicUpdate(version=version("members", 1, 1), members=members),
+            TopicUpdate(version=version("store_group", 0, 1), store_group=group),
+        ]
+    )
+    assert [one.node_name for one in views.proxies()] == ["f1"]
+    assert [one.node_name for one in views.stores()] == ["s1"]
+    assert list(views.store_group.retiring) == ["s1"]
+
+
+def test_hints_are_followed_and_failures_rotate() -> None:
+    choice = KeeperChoice(["a", "b"])
+    assert choice.target() == "a"
+    assert choice.not_primary("a", "c", 0.0) == 0.0
+    assert choice.target() == "c"
+    choice.answered("c")
+    assert choice.target() == "c"
+    assert choice.failed("c", 1.0) == MIN_PAUSE_S
+    assert choice.target() == "b"
+    assert choice.not_primary("b", "c", 1.1) > 0.0
+    assert choice.target() == "a"
+    assert choice.not_primary("a", "c", 1.0 + HINT_IGNORED_S) == 0.0
+    assert choice.target() == "c"
+
+
+def test_hints_in_a_circle_are_slowed_down() -> None:
+    choice = KeeperChoice(["a", "b"])
+    pauses = [choice.not_primary(*pair, 0.0) for pair in (("a", "b"), ("b", "a"), ("a", "b"))]
+    assert pauses[:2] == [0.0, 0.0]
+    assert pauses[2] > 0.0
+
+
+def test_pauses_grow_to_a_bound() -> None:
+    choice = KeeperChoice(["a"])
+    pauses = [choice.failed("a", float(turn)) for turn in range(20)]
+    assert pauses[0] == MIN_PAUSE_S
+    assert pauses == sorted(pauses)
+    assert pauses[-1] == MAX_PAUSE_S
+
+
+def test_keepers_learned_from_the_members_are_tried_after_the_seeds() -> None:
+    choice = KeeperChoice(["a"])
+    choice.learn(["a", "d"])
+    tried = []
+    for turn in range(4):
+        tried.append(choice.target())
+        choice.failed(tried[-1], float(turn))
+    assert tried == ["a", "d", "a", "d"]
+    choice.reseed(["e"])
+    assert KeeperChoice([]).target() == ""
+    assert choice.target() in ("e", "a", "d")
