Control plane: a broker missing between two pages is not taken for gone; retire orders decided sooner

Cause: pages of the platform's list are read one after the other, so a list that shifts can hide a broker for one read; an order to empty a known machine waited for the start of a term without need. Ruled out: a second read at once, since calls are priced. Change: in a list of several pages a broker is gone after two reads without it; only refusals wait until the stores were heard; one log line for each change of members.

--- /dev/null
+++ b/cherrycove/tier/controlplane/broker_changes.py
@@ -0,0 +1,37 @@
+"""What changed between two reads of the platform's list. Pure."""
+
+from __future__ import annotations
+
+from cherrycove.tier.protocol.control_pb2 import BrokerEntry, BrokerList
+
+
+def same_brokers(left: BrokerList, right: BrokerList) -> bool:
+    """Whether two lists say the same, apart from the time that warm-ups still take."""
+    return _without_warmup(left) == _without_warmup(right)
+
+
+def _without_warmup(brokers: BrokerList) -> bytes:
+    copy = BrokerList()
+    copy.CopyFrom(brokers)
+    for entry in copy.brokers:
+        entry.ClearField("warmup_remaining_ms")
+    return copy.SerializeToString(deterministic=True)
+
+
+class AbsenceCheck:
+    """Believes that a broker is gone after two reads without it, where a list has several pages.
+
+    Pages are read one after the other; when the list shifts in between, a broker can be on none of them."""
+
+    def __init__(self) -> None:
+        self._known: dict[str, BrokerEntry] = {}  # of the last read
+        self._missed: dict[str, BrokerEntry] = {}  # kept although the last read was without them
+
+    def fold(self, read: BrokerList, pages: int) -> BrokerList:
+        """The list to believe after ``read``, which took ``pages`` calls."""
+        present = {entry.instance_id: entry for entry in read.brokers}
+        missed = {key: entry for key, entry in self._known.items() if key not in present}
+        self._known = present
+        self._missed = missed if pages > 1 else {}
+        believed = {**present, **self._missed}
+        return BrokerList(brokers=[believed[key] for key in sorted(believed)])
--- a/cherrycove/tier/controlplane/broker_list.py
+++ b/cherrycove/tier/controlplane/broker_list.py
@@ -106,19 +106,6 @@
         return None
 
 
-def same_brokers(left: BrokerList, right: BrokerList) -> bool:
-    """Whether two lists say the same, apart from the time that warm-ups still take."""
-    return _without_warmup(left) == _without_warmup(right)
-
-
-def _without_warmup(brokers: BrokerList) -> bytes:
-    copy = BrokerList()
-    copy.CopyFrom(brokers)
-    for entry in copy.brokers:
-        entry.ClearField("warmup_remaining_ms")
-    return copy.SerializeToString(deterministic=True)
-
-
 class ReadPacing:
     """When to read next: as often as draining asks for, within a share of the platform's rate. Pure."""
 
--- a/cherrycove/tier/controlplane/keeper.py
+++ b/cherrycove/tier/controlplane/keeper.py
@@ -9,6 +9,7 @@
 
 from result import Err, Ok, Result
 
+from cherrycove.tier.controlplane.broker_changes import AbsenceCheck
 from cherrycove.tier.controlplane.broker_list import BrokerListReader, ReadPacing
 from cherrycove.tier.controlplane.configuration_decisions import ConfigurationDecisions
 from cherrycove.tier.controlplane.leadership import Leadership
@@ -70,6 +71,7 @@
         self._forming = GroupForming(settings)
         self._reader = BrokerListReader(settings)
         self._pacing = ReadPacing(settings)
+        self._absences = AbsenceCheck()
         decisions = ConfigurationDecisions(group, state, self._leadership)
         retirement = Retirement(
             group, state, self._leadership, self._fleet, self._stores_heard, full_size(settings)
@@ -151,6 +153,7 @@
             return
         self._register = Register()
         self._forming = GroupForming(self._settings)
+        self._absences = AbsenceCheck()
         if now - self._views.last_contact < SEED_AGE_S:
             self._register.seed(self._views.members, now)
         else:
@@ -216,7 +219,7 @@
             await asyncio.sleep(self._pacing.failed(self._reader.calls))
             return
         if self._term.holds() and self._term.epoch == epoch:
-            self._topics.publish_brokers(outcome.ok_value)
+            self._topics.publish_brokers(self._absences.fold(outcome.ok_value, self._reader.calls))
         await asyncio.sleep(self._pacing.succeeded(self._reader.calls))
 
 
--- a/cherrycove/tier/controlplane/retirement.py
+++ b/cherrycove/tier/controlplane/retirement.py
@@ -79,15 +79,19 @@
         order = self._state.retire_orders.get(node_name)
         if order is not None and (not order.completed or member_id in ("", order.member_id)):
             return Ok(None)
+        enough = fleet.left_without(node_name, fleet.alive) >= self._group_size
+        if fleet.knows(node_name) and enough:
+            return Ok(Retire(node_name=node_name, member_id=member_id))
+        return Err(self._refusal(node_name, fleet))
+
+    def _refusal(self, node_name: str, fleet: StoreFleet) -> Failure:
         if not self._stores_heard():
-            return Err(Failure(ErrorKind.UNAVAILABLE, "the stores have not announced themselves yet"))
+            return Failure(ErrorKind.UNAVAILABLE, "the stores have not announced themselves yet")
         if not fleet.knows(node_name):
-            return Err(Failure(ErrorKind.NOT_FOUND, f"no storage machine {node_name!r}"))
-        if fleet.left_without(node_name, fleet.alive) < self._group_size:
-            if fleet.left_without(node_name, fleet.remembered) >= self._group_size:
-                return Err(Failure(ErrorKind.UNAVAILABLE, "a storage machine is away at the moment"))
-            return Err(Failure(ErrorKind.CONFLICT, "too few storage machines would remain"))
-        return Ok(Retire(node_name=node_name, member_id=member_id))
+            return Failure(ErrorKind.NOT_FOUND, f"no storage machine {node_name!r}")
+        if fleet.left_without(node_name, fleet.remembered) >= self._group_size:
+            return Failure(ErrorKind.UNAVAILABLE, "a storage machine is away at the moment")
+        return Failure(ErrorKind.CONFLICT, "too few storage machines would remain")
 
     def state(self, node_name: str) -> Result[RetireState, Failure]:
         if not self._leadership.confirmed():
--- a/cherrycove/tier/controlplane/topics.py
+++ b/cherrycove/tier/controlplane/topics.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
-from cherrycove.tier.controlplane.broker_list import same_brokers
+import logging
+
+from cherrycove.tier.controlplane.broker_changes import same_brokers
 from cherrycove.tier.controlplane.register import MemberListChanges
 from cherrycove.tier.controlplane.state import ControlState
 from cherrycove.tier.distribution.publisher import Publisher
 from cherrycove.tier.distribution.topics import BROKERS, CONFIGURATION, MEMBERS, STORE_GROUP
 from cherrycove.tier.protocol.control_pb2 import BrokerList, MemberList, TopicUpdate, TopicVersion
 
+_log = logging.getLogger(__name__)
+
 
 class ControlTopics:
     """Publishes committed state under epoch 0, and soft state under the epoch of the term it belongs to."""
@@ -19,6 +23,7 @@
         self._epoch = 0
         self._sequence = 0
         self._member_changes = MemberListChanges()
+        self._member_names: set[str] = set()
         self._brokers: BrokerList | None = None
 
     @property
@@ -54,6 +59,7 @@
 
     def publish_members(self, members: MemberList, now: float) -> None:
         if self._member_changes.due(members, now):
+            self._log_members(members)
             self._publish(TopicUpdate(version=self._next(MEMBERS), members=members))
 
     def publish_brokers(self, brokers: BrokerList) -> None:
@@ -61,6 +67,13 @@
             self._brokers = brokers
             self._publish(TopicUpdate(version=self._next(BROKERS), brokers=brokers))
 
+    def _log_members(self, members: MemberList) -> None:
+        names = {f"{member.program}/{member.node_name}" for member in members.members}
+        if names != self._member_names:
+            joined, gone = sorted(names - self._member_names), sorted(self._member_names - names)
+            _log.info("members_changed", extra={"joined": joined, "gone": gone, "alive": len(names)})
+            self._member_names = names
+
     def _next(self, topic: str) -> TopicVersion:
         self._sequence += 1
         return TopicVersion(topic=topic, epoch=self._epoch, sequence=self._sequence)
--- a/tests/tier/test_control_brokers.py
+++ b/tests/tier/test_control_brokers.py
@@ -8,6 +8,7 @@
 from control_support import PlatformList, World, free_ports, instance
 from result import Err, Ok
 
+from cherrycove.tier.controlplane.broker_changes import AbsenceCheck, same_brokers
 from cherrycove.tier.controlplane.broker_list import (
     MAX_INTERVAL_S,
     MIN_INTERVAL_S,
@@ -15,7 +16,6 @@
     BrokerListReader,
     ReadPacing,
     parse_page,
-    same_brokers,
 )
 from cherrycove.tier.protocol.control_pb2 import Announcement, BrokerEntry, BrokerList
 from cherrycove.tier.settings import Bounds, CloudApi, Settings
@@ -65,6 +65,19 @@
     assert not same_brokers(first, draining)
 
 
+def test_in_a_list_of_several_pages_a_broker_is_gone_after_two_reads() -> None:
+    def listed(*names: str) -> BrokerList:
+        return BrokerList(brokers=[BrokerEntry(instance_id=name) for name in names])
+
+    absences = AbsenceCheck()
+    assert absences.fold(listed("a", "b"), 2) == listed("a", "b")
+    assert absences.fold(listed("b", "c"), 2) == listed("a", "b", "c")
+    assert absences.fold(listed("b"), 2) == listed("b", "c")
+    assert absences.fold(listed("b"), 2) == listed("b")
+    assert absences.fold(listed(), 1) == listed()
+    assert AbsenceCheck().fold(listed("a"), 1) == listed("a")
+
+
 def test_the_pace_follows_draining_and_the_platforms_rate() -> None:
     assert ReadPacing(settings(drain_ms=3000.0)).succeeded(1) == 0.6
     assert ReadPacing(settings(drain_ms=100.0)).succeeded(1) == MIN_INTERVAL_S
