Admission of the tier: credits by kind, deadline queues and L by broker, placement by prompt and load

Cause: requests went to the broker with the least outstanding here, blind to what others sent, to shared prompt parts, to silent brokers and to batch items.

Ruled out: holding requests strictly by L where brokers tell their load: with few requests for each proxy and broker the windows fill slowly, and requests were held while places were free. A fresh report of free places goes first; L holds where nothing fresh is known, and in overload.

Change: a pure scheduler on the records and the controller of finchrack, and a gate with its clock and futures.

--- /dev/null
+++ b/cherrycove/tier/dataplane/admission/broker_state.py
@@ -0,0 +1,121 @@
+"""One broker as admission sees it: its deadline queue and L, its load, its health, what it keeps. Pure."""
+
+from __future__ import annotations
+
+from math import inf
+
+import attrs
+
+from cherrycove.tier.configuration import Service
+from cherrycove.tier.dataplane.admission.cache import PartCache
+from cherrycove.tier.dataplane.admission.health import Health
+from cherrycove.tier.dataplane.admission.interface import Ticket
+from cherrycove.tier.dataplane.admission.load import LoadEstimate
+from cherrycove.tier.distribution.views import Broker
+from finchrack.state import PERIOD, NodeQueue, Recent
+
+START_L = 4.0  # of a broker that nothing is known of
+UNKNOWN_SLOTS = 16  # where neither the list nor the configuration tells
+BATCH_PART = 0.7  # of the slots up to which batch items that are not urgent are sent
+URGENT_PART = 0.95  # and those that are
+WARMING_SLOWER = 1.0  # more time that a broker takes at the start of its warm-up
+
+
+@attrs.define(eq=False, kw_only=True)
+class BrokerState:
+    broker: Broker
+    service: Service | None
+    node: NodeQueue
+    load: LoadEstimate
+    cache: PartCache
+    warm_at: float
+    health: Health = attrs.field(factory=Health)
+    out: dict[Ticket, float] = attrs.field(factory=dict)  # sends that have not ended, by their time
+    silent: set[Ticket] = attrs.field(factory=set)  # of them, those that have brought nothing
+    tokens: int = 0  # memory that the sends take, shared parts counted for each
+    listed: bool = True
+
+    @property
+    def id(self) -> str:
+        return self.broker.instance_id
+
+    @property
+    def memory_tokens(self) -> int:
+        return self.service.engine.kv_cache_tokens if self.service else 0
+
+    def serves(self, ticket: Ticket) -> bool:
+        """Whether the ticket could run there, sooner or later."""
+        return (
+            self.listed
+            and not self.broker.draining
+            and self.broker.service == ticket.service
+            and not 0 < self.memory_tokens < ticket.prompt.tokens
+        )
+
+    def takes(self, ticket: Ticket, now: float) -> bool:
+        """Whether the ticket may go there, now or once there is room."""
+        return self.serves(ticket) and ticket.open_at(self.id, now) and self.health.usable(now)
+
+    def has_room(self, now: float, proxies: int) -> bool:
+        """Whether a live request may be sent there now: under L, or at a place known to be free."""
+        free = self.load.free(now, proxies)
+        if self.load.fresh(now):
+            return free >= 1 and (not self.node.overload or self.node.out < self.node.threshold)
+        return now >= self.load.full_until and self.node.out < min(self.node.threshold, self.load.slots)
+
+    def takes_overdue(self, now: float, proxies: int) -> bool:
+        """Whether a request that is past its aim may be sent there regardless of L."""
+        if self.load.fresh(now):
+            return self.load.free(now, proxies) >= 1
+        return now >= self.load.full_until and self.node.out < self.load.slots
+
+    def batch_places(self, now: float, proxies: int, urgent: bool = False) -> float:
+        """How many batch items more it could take, of all proxies together."""
+        if self.node.overload or now < self.load.full_until or not self.health.usable(now):
+            return 0.0
+        bound = self.load.slots * (URGENT_PART if urgent else BATCH_PART)
+        return max(bound - self.load.total(now, proxies), 0.0)
+
+    def send(self, ticket: Ticket, now: float) -> None:
+        self.out[ticket] = now
+        self.silent.add(ticket)
+        self.load.out += 1
+        self.tokens += ticket.prompt.tokens
+        self.health.sent()
+        self.cache.add(ticket.prompt)
+        if not ticket.batch:
+            self.node.count_sent(now, 1.0)
+
+    def end(self, ticket: Ticket) -> float:
+        """The send is over; when it began."""
+        self.silent.discard(ticket)
+        self.load.out -= 1
+        self.tokens -= ticket.prompt.tokens
+        self.node.out -= not ticket.batch
+        return self.out.pop(ticket)
+
+    def oldest_silent(self) -> float:
+        """When the oldest send went out that has brought nothing; inf if all have."""
+        return min((self.out[ticket] for ticket in self.silent), default=inf)
+
+    def slowness(self, now: float) -> float:
+        """How many times its usual time it takes while it warms up."""
+        warm_up_s = self.broker.warmup_remaining_ms / 1000
+        if now >= self.warm_at or warm_up_s <= 0:
+            return 1.0
+        return 1.0 + WARMING_SLOWER * (self.warm_at - now) / warm_up_s
+
+
+def new_broker(broker: Broker, service: Service | None, number: int, now: float) -> BrokerState:
+    """A broker that has just been listed; ``number`` tells it apart in its queue."""
+    engine_slots = service.engine.capacity_slots if service else 0
+    slots = broker.capacity_slots or engine_slots or UNKNOWN_SLOTS
+    queue = NodeQueue(number, min(START_L, float(slots)), Recent(PERIOD), Recent(PERIOD), broker.instance_id)
+    return BrokerState(
+        broker=broker,
+        service=service,
+        node=queue,
+        load=LoadEstimate(slots=slots),
+        cache=PartCache(service.engine.kv_cache_tokens if service else 0),
+        warm_at=now + broker.warmup_remaining_ms / 1000,
+    )
--- a/cherrycove/tier/dataplane/admission/interface.py
+++ b/cherrycove/tier/dataplane/admission/interface.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from enum import Enum
+from math import inf
 
 import attrs
 
+from cherrycove.tier.configuration import Configuration
 from cherrycove.tier.dataplane.prompt import NO_PROMPT, Prompt
+from cherrycove.tier.distribution.views import Broker
+from finchrack.state import Request
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -18,11 +23,18 @@
     arrived: float
     aim_s: float  # an answer within this time from the arrival earns its full worth
     end: float  # when it must be answered at the latest
+    patience_s: float  # how long the client waits from its arrival
     prompt: Prompt = NO_PROMPT
     batch: bool = False
-    due: float = 0.0  # order at a broker's queue
-    excluded: set[str] = attrs.field(factory=set)  # instance ids that did not take it or broke off
+    due: float = inf  # order of batch items; that of live requests is worked out
     sends: int = 0
+    held_since: float = 0.0  # when it last began to wait
+    record: Request | None = None  # of a live request, in the queues
+    shut: dict[str, float] = attrs.field(factory=dict)  # by instance id: until when it is not sent there
+
+    def open_at(self, instance_id: str, now: float) -> bool:
+        """Whether it may be sent to this broker now, as far as its own past goes."""
+        return self.shut.get(instance_id, -inf) <= now
 
 
 class Ending(Enum):
@@ -37,9 +49,19 @@
     LEFT = "left"  # the client left, or its time was over
 
 
+@attrs.frozen(kw_only=True)
+class Knowledge:
+    """What the views say, as far as admission needs it."""
+
+    configuration: Configuration | None
+    brokers: tuple[Broker, ...]
+    proxies: int  # alive, this one included
+    rates: Mapping[str, float]  # requests a second by route, over all proxies
+
+
 @attrs.frozen
 class Send:
-    """The ticket may be sent to this broker now."""
+    """The ticket is to be sent to this broker now."""
 
     ticket: Ticket
     instance_id: str
@@ -47,10 +69,17 @@
 
 @attrs.frozen
 class Refuse:
-    """No broker has room, and none will have in time."""
+    """The ticket will not be sent: no broker has room, and none will have in time."""
 
     ticket: Ticket
     retry_after_s: float
 
 
-Action = Send | Refuse
+@attrs.frozen
+class Abandon:
+    """The broker that has this ticket has gone silent; the send may be given up."""
+
+    ticket: Ticket
+
+
+Action = Send | Refuse | Abandon
--- /dev/null
+++ b/cherrycove/tier/dataplane/admission/limits.py
@@ -0,0 +1,37 @@
+"""L of each broker: the controller of ``finchrack``, stepped at the end of each window. Pure."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Sequence
+
+from cherrycove.tier.dataplane.admission.broker_state import START_L, BrokerState
+from finchrack.controller import set_threshold
+from finchrack.interface import RequestClass
+from finchrack.state import PERIOD, Window
+
+SAMPLES = 4  # first events that a new L is worked out from; a window that has fewer goes on
+MOST_WAITS = 256  # that a window keeps of one kind
+
+
+def note_wait(state: BrokerState, kind: str, wait_s: float) -> None:
+    """A request of this kind was sent after it was held for ``wait_s``."""
+    state.node.window.waits.setdefault(kind, deque(maxlen=MOST_WAITS)).append(wait_s)
+
+
+def note_served(state: BrokerState, kind: str, latency_s: float) -> None:
+    """The first event of a request came ``latency_s`` after its send."""
+    state.node.window.served += 1
+    state.node.window.latencies.setdefault(kind, []).append(latency_s)
+
+
+def close_window(state: BrokerState, classes: Sequence[RequestClass], now: float) -> None:
+    """Set L from what the window showed. The ceiling is what the broker runs at once: a proxy may use all of
+    it while the others are idle, and the broker's own reports bound what they do together."""
+    node = state.node
+    if sum(map(len, node.window.latencies.values())) < SAMPLES:
+        return
+    ceiling = float(max(state.load.slots, 1))
+    set_threshold(node, classes, now + PERIOD, ceiling / node.threshold)
+    node.threshold = min(max(node.threshold, min(START_L, ceiling)), ceiling)
+    node.window = Window(most_out=node.out)
--- a/cherrycove/tier/dataplane/dispatch.py
+++ b/cherrycove/tier/dataplane/dispatch.py
@@ -37,7 +37,7 @@
 )
 
 MARGIN_S = 0.02  # ahead of the client's deadline, for the answer's way
-MOST_SENDS = 12  # of one request, also those that were refused
+MOST_SENDS = 24  # of one request, also those that were refused
 RETRY_AFTER_S = 0.3  # advised where nothing better is known
 SERVER_ERROR = 500
 
@@ -73,11 +73,10 @@
     def _ticket(self, request: web.BaseRequest, route: Route, arrived: float) -> Ticket:
         patience_ms = whole_number(request.headers.get(DEADLINE_MS))
         held_ms = route.timeout_ms if patience_ms is None else min(patience_ms, route.timeout_ms)
-        aim_s = route.target_latency_ms / 1000
         return Ticket(
-            route=route.name, service=self._service(route), arrived=arrived, aim_s=aim_s,
-            due=arrived + aim_s, end=arrived + held_ms / 1000 - MARGIN_S,
-            prompt=parse_prompt(request.headers),
+            route=route.name, service=self._service(route), arrived=arrived,
+            aim_s=route.target_latency_ms / 1000, end=arrived + held_ms / 1000 - MARGIN_S,
+            patience_s=(patience_ms or held_ms) / 1000, prompt=parse_prompt(request.headers),
         )  # fmt: skip
 
     def _service(self, route: Route) -> str:
--- a/cherrycove/tier/dataplane/gate.py
+++ b/cherrycove/tier/dataplane/gate.py
@@ -5,11 +5,21 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from math import inf
 
 import attrs
 
-from cherrycove.tier.dataplane.admission.interface import Ending, Refuse, Ticket
+from cherrycove.tier.dataplane.admission.interface import (
+    Abandon,
+    Action,
+    Ending,
+    Knowledge,
+    Refuse,
+    Send,
+    Ticket,
+)
+from cherrycove.tier.dataplane.admission.scheduler import Scheduler
 from cherrycove.tier.dataplane.headers import InstanceLoad
 from cherrycove.tier.distribution.views import Broker, Views
 
@@ -21,63 +31,121 @@
     gate: Gate
     ticket: Ticket
     broker: Broker
-    sent_at: float
-    on_stalled: Callable[[], None] | None = None  # called once if the broker seems to have gone silent
+    on_stalled: Callable[[], None] | None = None  # called if the broker seems to have gone silent
 
     def answered(self, load: InstanceLoad | None) -> None:
         """The head of the answer has come."""
+        self.gate.answered(self.ticket, load)
 
     def heard(self) -> None:
-        """Something has come."""
+        """Some of the answer's body has come."""
+        self.gate.heard(self.ticket)
 
     def finish(self, ending: Ending) -> None:
-        self.gate.finish(self, ending)
+        self.gate.finish(self.ticket, ending)
 
 
 class Gate:
-    """Least outstanding, first come first."""
+    """Lets exchanges wait for admission, and carries out what it decides."""
 
     def __init__(self, views: Views, rng: random.Random) -> None:
         self._views = views
         self._rng = rng
-        self._out: Counter[str] = Counter()
-        self._changed = asyncio.Event()
+        self._scheduler: Scheduler | None = None
+        self._waiting: dict[Ticket, asyncio.Future[Grant | Refuse]] = {}
+        self._grants: dict[Ticket, Grant] = {}
+        self._timer: asyncio.TimerHandle | None = None
+
+    def start(self) -> None:
+        """Begin to follow the views; within the event loop."""
+        self._scheduler = Scheduler(self._rng, self._now())
+        self._views.on_change(self._learn)
+        self._learn()
+
+    def stop(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
 
     async def acquire(self, ticket: Ticket) -> Grant | Refuse:
-        loop = asyncio.get_running_loop()
-        while True:
-            grant = self._grant(ticket)
-            if grant is not None:
-                return grant
-            self._changed.clear()
-            try:
-                async with asyncio.timeout_at(min(ticket.end, ticket.arrived + ticket.aim_s)):
-                    await self._changed.wait()
-            except TimeoutError:
-                return Refuse(ticket, 0.3)
-            if loop.time() >= ticket.end:
-                return Refuse(ticket, 0.3)
-
-    def _grant(self, ticket: Ticket) -> Grant | None:
-        free = [
-            broker for broker in self._views.brokers
-            if broker.service == ticket.service and not broker.draining
-            and broker.instance_id not in ticket.excluded
-            and self._out[broker.instance_id] < max(broker.capacity_slots, 1)
-        ]  # fmt: skip
-        if not free:
-            return None
-        broker = min(free, key=lambda each: (self._out[each.instance_id], self._rng.random()))
-        self._out[broker.instance_id] += 1
-        ticket.sends += 1
-        return Grant(self, ticket, broker, asyncio.get_running_loop().time())
-
-    def finish(self, grant: Grant, ending: Ending) -> None:
-        self._out[grant.broker.instance_id] -= 1
-        if ending is not Ending.SERVED:
-            grant.ticket.excluded.add(grant.broker.instance_id)
-        self._changed.set()
+        """Wait until the ticket may be sent, or is refused."""
+        answer: asyncio.Future[Grant | Refuse] = asyncio.get_running_loop().create_future()
+        self._waiting[ticket] = answer
+        try:
+            self._carry_out(self._admission.arrive(self._now(), ticket))
+            return await answer
+        except asyncio.CancelledError:
+            if answer.done() and not answer.cancelled() and isinstance(answer.result(), Grant):
+                self.finish(ticket, Ending.LEFT)
+            raise
+        finally:
+            if self._waiting.pop(ticket, None) is not None:
+                self._admission.withdraw(ticket)
+
+    def answered(self, ticket: Ticket, load: InstanceLoad | None) -> None:
+        self._admission.answered(self._now(), ticket, load)
+
+    def heard(self, ticket: Ticket) -> None:
+        self._admission.heard(self._now(), ticket)
+
+    def finish(self, ticket: Ticket, ending: Ending) -> None:
+        self._grants.pop(ticket, None)
+        self._carry_out(self._admission.ended(self._now(), ticket, ending))
 
     def free_places(self) -> int:
-        free = (max(int(b.capacity_slots * 0.7) - self._out[b.instance_id], 0) for b in self._views.brokers)
-        return sum(free) // max(len(self._views.proxies()), 1)
+        """How many batch items could be started now."""
+        return self._admission.free_places(self._now()) if self._scheduler is not None else 0
+
+    @property
+    def _admission(self) -> Scheduler:
+        assert self._scheduler is not None, "the gate has not been started"
+        return self._scheduler
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def _learn(self) -> None:
+        views = self._views
+        proxies = views.proxies()
+        rates: Counter[str] = Counter()
+        for proxy in proxies:
+            rates.update(dict(proxy.arrivals_per_s))
+        knowledge = Knowledge(
+            configuration=views.configuration, brokers=views.brokers, proxies=len(proxies), rates=rates
+        )
+        self._carry_out(self._admission.know(self._now(), knowledge))
+
+    def _carry_out(self, actions: Iterable[Action]) -> None:
+        for action in actions:
+            match action:
+                case Send():
+                    self._grant(action)
+                case Refuse():
+                    self._settle(action.ticket, action)
+                case Abandon():
+                    grant = self._grants.get(action.ticket)
+                    if grant is not None and grant.on_stalled is not None:
+                        grant.on_stalled()
+        self._arm()
+
+    def _grant(self, action: Send) -> None:
+        broker = self._admission.roster.states[action.instance_id].broker
+        grant = self._grants[action.ticket] = Grant(self, action.ticket, broker)
+        self._settle(action.ticket, grant)
+
+    def _settle(self, ticket: Ticket, outcome: Grant | Refuse) -> None:
+        answer = self._waiting.pop(ticket, None)
+        if answer is not None and not answer.done():
+            answer.set_result(outcome)
+        elif isinstance(outcome, Grant):
+            asyncio.get_running_loop().call_soon(self.finish, ticket, Ending.LEFT)
+
+    def _arm(self) -> None:
+        """One timer, for when admission next wants to look."""
+        when = self._admission.next_wake()
+        if self._timer is None and when < inf:
+            self._timer = asyncio.get_running_loop().call_at(when, self._wake)
+
+    def _wake(self) -> None:
+        self._timer = None
+        self._carry_out(self._admission.wake(self._now()))
--- a/cherrycove/tier/dataplane/items.py
+++ b/cherrycove/tier/dataplane/items.py
@@ -9,6 +9,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from math import inf
 
 import attrs
 from multidict import CIMultiDict
@@ -74,7 +75,7 @@
         due = now + item.due_in_ms / 1000
         return Ticket(
             route=route.name, service=self._rng.choices(services, weights)[0], arrived=now,
-            aim_s=max(due - now, 0.0), end=float("inf"), due=due, batch=True,
+            aim_s=max(due - now, 0.0), end=inf, patience_s=inf, due=due, batch=True,
             prompt=parse_prompt(CIMultiDict(item.item.headers)),
         )  # fmt: skip
 
--- a/cherrycove/tier/dataplane/plane.py
+++ b/cherrycove/tier/dataplane/plane.py
@@ -48,6 +48,7 @@
 
     async def start(self) -> None:
         await self._upstream.start()
+        self._gate.start()
         self._views.on_change(self._views_changed)
         self._views_changed()
         await self._ingress.start()
@@ -56,6 +57,7 @@
     async def stop(self) -> None:
         await self._readiness.stop()
         await self._ingress.stop()
+        self._gate.stop()
         await self._upstream.stop()
 
     async def drain(self, grace_s: float | None = None) -> None:
