Control plane: the last list of brokers is passed on while the platform is down; a test with real disks

Cause: a process that started after a change of primary knew no brokers until the platform answered again. Ruled out: publishing the earlier list at once, since the first read replaces it within a fraction of a second. Change: a primary that cannot read the list for 2 s publishes what the primary before it knew. Three keepers with real replication show that an acknowledged change outlives the primary and a restart of all.

--- a/cherrycove/tier/controlplane/broker_changes.py
+++ b/cherrycove/tier/controlplane/broker_changes.py
@@ -2,9 +2,24 @@
 
 from __future__ import annotations
 
+from cherrycove.tier.distribution.views import Broker
 from cherrycove.tier.protocol.control_pb2 import BrokerEntry, BrokerList
 
 
+def broker_entry(broker: Broker) -> BrokerEntry:
+    """The message that a view of a broker was made of."""
+    return BrokerEntry(
+        instance_id=broker.instance_id,
+        service=broker.service,
+        address=broker.address,
+        zone=broker.zone,
+        capacity_slots=broker.capacity_slots,
+        draining=broker.draining,
+        warmup_remaining_ms=broker.warmup_remaining_ms,
+        version=broker.version,
+    )
+
+
 def same_brokers(left: BrokerList, right: BrokerList) -> bool:
     """Whether two lists say the same, apart from the time that warm-ups still take."""
     return _without_warmup(left) == _without_warmup(right)
--- a/cherrycove/tier/controlplane/keeper.py
+++ b/cherrycove/tier/controlplane/keeper.py
@@ -9,7 +9,7 @@
 
 from result import Err, Ok, Result
 
-from cherrycove.tier.controlplane.broker_changes import AbsenceCheck
+from cherrycove.tier.controlplane.broker_changes import AbsenceCheck, broker_entry
 from cherrycove.tier.controlplane.broker_list import BrokerListReader, ReadPacing
 from cherrycove.tier.controlplane.configuration_decisions import ConfigurationDecisions
 from cherrycove.tier.controlplane.leadership import Leadership
@@ -24,7 +24,7 @@
 from cherrycove.tier.distribution.topics import STORE_GROUP, VersionVector
 from cherrycove.tier.distribution.views import Views
 from cherrycove.tier.errors import Failure
-from cherrycove.tier.protocol.control_pb2 import PullRequest, Replica
+from cherrycove.tier.protocol.control_pb2 import BrokerList, PullRequest, Replica
 from cherrycove.tier.protocol.keeper_pb2 import Command, FormStoreGroup, StatusReply, StatusRequest
 from cherrycove.tier.protocol.rpc import RpcClient, RpcServer
 from cherrycove.tier.replication.interface import Group, MemberIdentity
@@ -35,6 +35,7 @@
 STORES_HEARD_S = 1.5  # after a term began, every store had time to announce itself
 MEMBERS_HEARD_S = 1.0  # the same, before a list of members replaces that of an earlier primary
 SEED_AGE_S = 5.0  # an earlier primary's list of members that is older is of no use
+INHERIT_AFTER_S = 2.0  # a list of brokers that cannot be read for so long is taken from the earlier primary
 COMMAND_TIMEOUT_S = 2.0
 ERROR_PAUSE_S = 0.5
 
@@ -71,6 +72,7 @@
         self._forming = GroupForming(settings)
         self._reader = BrokerListReader(settings)
         self._pacing = ReadPacing(settings)
+        self._inherited = BrokerList()
         self._absences = AbsenceCheck()
         decisions = ConfigurationDecisions(group, state, self._leadership)
         retirement = Retirement(
@@ -156,8 +158,10 @@
         self._absences = AbsenceCheck()
         if now - self._views.last_contact < SEED_AGE_S:
             self._register.seed(self._views.members, now)
+            self._inherited = BrokerList(brokers=[broker_entry(one) for one in self._views.brokers])
         else:
             self._members_due_at = now + MEMBERS_HEARD_S
+            self._inherited = BrokerList()
         self._topics.begin_term(epoch)
 
     def _end_term(self) -> None:
@@ -216,12 +220,20 @@
         outcome = await self._reader.read()
         if isinstance(outcome, Err):
             _log.info("broker_list_unread", extra={"reason": outcome.err_value.detail})
+            self._inherit_brokers()
             await asyncio.sleep(self._pacing.failed(self._reader.calls))
             return
         if self._term.holds() and self._term.epoch == epoch:
             self._topics.publish_brokers(self._absences.fold(outcome.ok_value, self._reader.calls))
         await asyncio.sleep(self._pacing.succeeded(self._reader.calls))
 
+    def _inherit_brokers(self) -> None:
+        """While the platform does not answer, processes that start still learn what was known last."""
+        waited = _now() - self._term_began
+        unknown = self._topics.brokers is None and len(self._inherited.brokers) > 0
+        if self._term.holds() and unknown and waited >= INHERIT_AFTER_S:
+            self._topics.publish_brokers(self._inherited)
+
 
 async def _repeat(step: Callable[[], Awaitable[None]]) -> None:
     """Run ``step`` again and again; an unforeseen error in one pass does not end the others."""
--- a/tests/tier/test_control_brokers.py
+++ b/tests/tier/test_control_brokers.py
@@ -117,6 +117,27 @@
     asyncio.run(exchange())
 
 
+def test_a_new_primary_passes_on_the_last_list_while_the_platform_is_down() -> None:
+    async def exchange() -> None:
+        async with World(2) as world:
+            world.platform.pages = [[instance("i-1", warmupRemainingMs=5), instance("i-2", state="draining")]]
+            world.lead(0)
+            watcher = await world.client(Announcement(node_name="core-2", program="watch", incarnation="1"))
+            await watcher.until(lambda views: len(views.brokers) == 2)
+            world.platform.down = True
+            async with asyncio.timeout(10.0):
+                while not world.keepers[1].views.brokers:
+                    await world.platform.called.wait()
+            world.lead(1)
+            starts = await world.client(Announcement(node_name="f1", program="proxy", incarnation="1"))
+            await starts.until(lambda views: len(views.members) > 0)
+            assert starts.views.brokers == ()
+            await starts.until(lambda views: len(views.brokers) > 0)
+            assert starts.views.brokers == watcher.views.brokers
+
+    asyncio.run(exchange())
+
+
 def test_only_the_primary_reads_and_a_failed_read_keeps_the_list() -> None:
     async def exchange() -> None:
         async with World(2) as world:
--- /dev/null
+++ b/tests/tier/test_control_replicated.py
@@ -0,0 +1,97 @@
+"""Keepers with real replication and real disks over loopback: a change survives the loss of the primary."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import aiohttp
+from control_support import STEP_TIMEOUT_S, document, free_ports
+
+from cherrycove.tier.controlplane.keeper import Keeper
+from cherrycove.tier.controlplane.state import ControlState
+from cherrycove.tier.protocol.rpc import RpcClient, RpcServer
+from cherrycove.tier.replication.group import ReplicatedGroup
+from cherrycove.tier.replication.interface import MemberIdentity
+from cherrycove.tier.settings import CloudApi, ListenAddresses, Settings
+
+HOSTS = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
+
+
+class Node:
+    """One keeper on one disk."""
+
+    def __init__(self, host: str, ports: list[int], folder: Path) -> None:
+        control, internal, platform = ports
+        settings = Settings(
+            node_name=f"core-{host[-1]}",
+            machine_class="core",
+            ip_address=host,
+            zone="north",
+            region="land",
+            internal_port_range=[internal, internal + 9],
+            listen_addresses=ListenAddresses(control_plane=f"{host}:{control}"),
+            cloud_api=CloudApi(address=f"127.0.0.1:{platform}"),
+        )
+        self.host = host
+        self.address = settings.internal_address("keeper")
+        self.identity = MemberIdentity(f"disk-{host}", settings.node_name, self.address)
+        self.server = RpcServer()
+        self.client = RpcClient()
+        state = ControlState()
+        disk = folder / host
+        disk.mkdir(exist_ok=True)
+        self.group = ReplicatedGroup("keeper", self.identity, disk, 1, state, self.server, self.client)
+        self.keeper = Keeper(settings, self.group, state, self.server, self.client)
+
+    async def start(self, members: list[MemberIdentity]) -> None:
+        await self.client.start()
+        await self.group.start(members)
+        await self.keeper.start()
+        await self.server.start(self.address)
+
+    async def stop(self) -> None:
+        await self.keeper.stop()
+        await self.server.stop()
+        await self.group.stop()
+        await self.client.stop()
+
+
+async def call(nodes: list[Node], port: int, method: str, body: bytes = b"", base: int = 0) -> bytes:
+    """One order of an operator who turns to the next keeper after each answer that is not clear."""
+    turn = 0
+    async with asyncio.timeout(STEP_TIMEOUT_S), aiohttp.ClientSession() as session:
+        while True:
+            url = f"http://{nodes[turn % len(nodes)].host}:{port}/api/configuration"
+            turn += 1
+            try:
+                headers = {"If-Match": str(base)}
+                async with session.request(method, url, data=body or None, headers=headers) as response:
+                    answer = await response.read()
+                    if response.status == 200:
+                        return answer
+                    assert response.status >= 500
+            except aiohttp.ClientError:
+                continue
+
+
+def test_an_acknowledged_change_outlives_the_primary_and_then_all_processes(tmp_path: Path) -> None:
+    async def exchange() -> None:
+        ports = free_ports(3, HOSTS)
+        nodes = [Node(host, ports, tmp_path) for host in HOSTS]
+        members = [node.identity for node in nodes]
+        await asyncio.gather(*(node.start(members) for node in nodes))
+        await call(nodes, ports[0], "PUT", document(3), 0)
+        first = next(node for node in nodes if node.group.confirmed())
+        await first.stop()
+        left = [node for node in nodes if node is not first]
+        assert await call(left, ports[0], "GET") == document(3)
+        await call(left, ports[0], "PUT", document(3), 0)
+        await call(left, ports[0], "PUT", document(7), 3)
+        await asyncio.gather(*(node.stop() for node in left))
+        again = [Node(host, ports, tmp_path) for host in HOSTS]
+        await asyncio.gather(*(node.start([]) for node in again))
+        assert await call(again, ports[0], "GET") == document(7)
+        await asyncio.gather(*(node.stop() for node in again))
+
+    asyncio.run(exchange())
