--- a/cherrycove/tier/dataplane/admission/broker_state.py
+++ b/cherrycove/tier/dataplane/admission/broker_state.py
@@ -15,6 +15,7 @@
 from finchrack.state import PERIOD, NodeQueue, Recent
 
 START_L = 4.0  # of a broker that nothing is known of
+UNKNOWN_CONNECTIONS = 64  # where the configuration tells no limit
 UNKNOWN_SLOTS = 16  # where neither the list nor the configuration tells
 BATCH_PART = 0.7  # of the slots up to which batch items that are not urgent are sent
 URGENT_PART = 0.95  # and those that are
@@ -43,6 +44,12 @@
     def memory_tokens(self) -> int:
         return self.service.engine.kv_cache_tokens if self.service else 0
 
+    def connections(self, proxies: int) -> int:
+        """Left of this proxy's part of the connections that the broker accepts, less a spare one."""
+        limit = self.service.connection_limit if self.service else 0
+        part = max(limit // proxies - 1, 1) if limit else UNKNOWN_CONNECTIONS
+        return max(part - len(self.out), 0)
+
     def serves(self, ticket: Ticket) -> bool:
         """Whether the ticket could run there, sooner or later."""
         return (
@@ -58,6 +65,8 @@
 
     def has_room(self, now: float, proxies: int) -> bool:
         """Whether a live request may be sent there now: under L, or at a place known to be free."""
+        if not self.connections(proxies):
+            return False
         free = self.load.free(now, proxies)
         if self.load.fresh(now):
             return free >= 1 and (not self.node.overload or self.node.out < self.node.threshold)
@@ -65,13 +74,16 @@
 
     def takes_overdue(self, now: float, proxies: int) -> bool:
         """Whether a request that is past its aim may be sent there regardless of L."""
+        if not self.connections(proxies):
+            return False
         if self.load.fresh(now):
             return self.load.free(now, proxies) >= 1
         return now >= self.load.full_until and self.node.out < self.load.slots
 
     def batch_places(self, now: float, proxies: int, urgent: bool = False) -> float:
         """How many batch items more it could take, of all proxies together."""
-        if self.node.overload or now < self.load.full_until or not self.health.usable(now):
+        blocked = self.node.overload or now < self.load.full_until or not self.health.usable(now)
+        if blocked or not self.connections(proxies):
             return 0.0
         bound = self.load.slots * (URGENT_PART if urgent else BATCH_PART)
         return max(bound - self.load.total(now, proxies), 0.0)
--- a/cherrycove/tier/dataplane/admission/health.py
+++ b/cherrycove/tier/dataplane/admission/health.py
@@ -8,6 +8,7 @@
 
 FIRST_REST_S = 0.2  # after a failure; doubles with each further one
 LONGEST_REST_S = 2.0
+BATCH_TRIAL_S = 1.0  # behind a rest in which only batch items try the broker, if others take live requests
 BREAKS_UNTIL_REST = 3  # answers in a row that broke off
 LEAST_SILENCE_S = 0.5  # before a broker can count as silent
 SILENCE_FACTOR = 4.0  # times the usual time to a first event
@@ -25,8 +26,13 @@
     heard_at: float = -inf
 
     def usable(self, now: float) -> bool:
+        """Whether one request at least may be sent there."""
         return self.failures == 0 or (now >= self.rest_until and not self.trial)
 
+    def trusted(self, now: float) -> bool:
+        """Whether it is as good as the others for a live request."""
+        return self.failures == 0 or (now >= self.rest_until + BATCH_TRIAL_S and not self.trial)
+
     def sent(self) -> None:
         self.trial = self.failures > 0
 
--- a/cherrycove/tier/dataplane/admission/limits.py
+++ b/cherrycove/tier/dataplane/admission/limits.py
@@ -12,6 +12,13 @@
 
 SAMPLES = 4  # first events that a new L is worked out from; a window that has fewer goes on
 MOST_WAITS = 256  # that a window keeps of one kind
+LEAST_LATENCY_S = 0.0001  # a first event that came within one turn of the loop
+
+
+def note_arrival(state: BrokerState, due: float, window_end: float) -> None:
+    """A request has come to this broker's queue, or straight to the broker."""
+    state.node.window.arrivals += 1
+    state.node.window.new_due += due <= window_end
 
 
 def note_wait(state: BrokerState, kind: str, wait_s: float) -> None:
@@ -22,7 +29,9 @@
 def note_served(state: BrokerState, kind: str, latency_s: float) -> None:
     """The first event of a request came ``latency_s`` after its send."""
     state.node.window.served += 1
-    state.node.window.latencies.setdefault(kind, []).append(latency_s)
+    state.node.window.latencies.setdefault(kind, []).append(
+        max(latency_s, LEAST_LATENCY_S)
+    )
 
 
 def close_window(state: BrokerState, classes: Sequence[RequestClass], now: float) -> None:
--- a/cherrycove/tier/dataplane/admission/scheduler.py
+++ b/cherrycove/tier/dataplane/admission/scheduler.py
@@ -149,10 +149,11 @@
         """How many batch items this proxy could start now, besides those that wait here."""
         if self._held:
             return 0
+        proxies = self.roster.proxies
         states = [each for each in self.roster.states.values() if each.listed and not each.broker.draining]
-        places = sum(each.batch_places(now, self.roster.proxies) for each in states)
-        part = int(places / self.roster.proxies) or int(places >= 1)
-        return max(part - len(self._items), 0)
+        places = sum(each.batch_places(now, proxies) for each in states)
+        part = int(places / proxies) or int(places >= 1)
+        return max(min(part, sum(each.connections(proxies) for each in states)) - len(self._items), 0)
 
     # What is learned
 
@@ -213,7 +214,10 @@
             among = [each for each in places if each.takes(ticket, now)]
             if not among:
                 continue
-            state = self._choose(ticket, among, now)
+            trusted = [each for each in among if each.health.trusted(now)]
+            state = self._choose(ticket, trusted or among, now)
+            if ticket.record is None or ticket.record.node is not state.node:
+                limits.note_arrival(state, ticket.due, self._window_end)
             self._unhold(ticket)
             limits.note_wait(state, ticket.route, now - ticket.held_since)
             self._send(ticket, state, now)
@@ -237,7 +241,7 @@
         kind.volume.credits -= 1.0
         state = self._choose(ticket, among, now)
         record.leave()
-        record.wait_at(state.node, now)
+        record.wait_at(state.node, now)  # which counts the arrival
         state.node.window.new_due += record.due <= self._window_end
 
     def _choose(self, ticket: Ticket, among: list[BrokerState], now: float) -> BrokerState:
--- a/cherrycove/tier/dataplane/plane.py
+++ b/cherrycove/tier/dataplane/plane.py
@@ -80,10 +80,8 @@
         return not self._draining and self._views.configuration is not None and bool(self._views.brokers)
 
     def _views_changed(self) -> None:
-        """Divide the connections that a broker takes among the proxies."""
+        """The pool's bound on connections to one broker; admission keeps to that of each service."""
         configuration = self._views.configuration
-        limits = [each.connection_limit for each in configuration.services if each.connection_limit > 0] \
-            if configuration else []  # fmt: skip
-        proxies = max(len(self._views.proxies()), 1)
-        if limits:
-            self._upstream.limit_connections(max(min(limits) // proxies - 1, 1))
+        limits = [service.connection_limit for service in configuration.services] if configuration else []
+        most = max(limits, default=0) // max(len(self._views.proxies()), 1)
+        self._upstream.limit_connections(max(most - 1, 1) if most else self._most_connections)
--- a/cherrycove/tier/dataplane/upstream.py
+++ b/cherrycove/tier/dataplane/upstream.py
@@ -30,8 +30,8 @@
 )
 from cherrycove.tier.distribution.views import Broker
 
-CONNECT_TIMEOUT_S = 0.4
-PLACE_TIMEOUT_S = 0.6  # for a place among the connections of a broker, and the connection itself
+CONNECT_TIMEOUT_S = 0.25
+PLACE_TIMEOUT_S = 0.5  # for a place among the connections of a broker, and the connection itself
 MOST_ANSWER_BYTES = 32 * 1024 * 1024  # of an answer that is read whole
 MISDIRECTED = 421
 DISCARD_TIMEOUT_S = 0.05
