Data plane: time-out of a head, items follow the configuration and leave silent brokers, ranks in the queue

Cause: a client could hold a connection with half a head; an item that waited long could still go to the service of an older configuration, and stayed five seconds at a broker gone silent; requests of different rank waited alike.

Ruled out: strict ranks, under which a less urgent kind could be starved.

--- a/cherrycove/tier/dataplane/admission/interface.py
+++ b/cherrycove/tier/dataplane/admission/interface.py
@@ -26,7 +26,8 @@
     patience_s: float  # how long the client waits from its arrival
     prompt: Prompt = NO_PROMPT
     batch: bool = False
-    due: float = inf  # order of batch items; that of live requests is worked out
+    due: float = inf  # of a live request it is worked out
+    order: float = inf  # place among the live requests that wait
     sends: int = 0
     held_since: float = 0.0  # when it last began to wait
     record: Request | None = None  # of a live request, in the queues
--- a/cherrycove/tier/dataplane/admission/kinds.py
+++ b/cherrycove/tier/dataplane/admission/kinds.py
@@ -13,6 +13,7 @@
 
 LEAST_CREDITS = 1.0  # at a refill, so that a rare kind is let through
 RETRY_PART = 0.95  # of the longest patience seen; a client that has less has tried before
+RANK_PART = 0.5  # of the aim by which a request waits behind one of the next more urgent rank
 LEAST_AIM_S = 0.001
 
 
@@ -46,6 +47,7 @@
         due = ticket.arrived + ticket.aim_s - self._tried_before(ticket)
         record = Request(number, self.cls, self.volume, 1.0, 1.0, None, None, due, ticket.end)
         ticket.record, ticket.due = record, due
+        ticket.order = due + self.route.priority * RANK_PART * ticket.aim_s
         record.wait_for_credit(lobby)
         return record
 
--- a/cherrycove/tier/dataplane/admission/scheduler.py
+++ b/cherrycove/tier/dataplane/admission/scheduler.py
@@ -48,7 +48,7 @@
     def __init__(self, rng: random.Random, now: float) -> None:
         self.roster = Roster()
         self._placement = Placement(rng)
-        self._held: list[Ticket] = []  # live requests that wait, the earliest due first
+        self._held: list[Ticket] = []  # live requests that wait, in their order
         self._items = ItemsQueue()
         self._where: dict[Ticket, BrokerState] = {}  # sends that have not ended
         self._lobby = NodeQueue(None, LOBBY_L, Recent(PERIOD), Recent(PERIOD))  # where requests await credit
@@ -84,7 +84,7 @@
             return [Refuse(ticket, 0.0)]
         self._serial += 1
         kind.enter(ticket, self._serial, self._lobby)
-        insort(self._held, ticket, key=lambda each: each.due)
+        insort(self._held, ticket, key=lambda each: each.order)
         self._look(now)
         if ticket in self._held:
             self._spend_credit(ticket, now)
--- a/cherrycove/tier/dataplane/gate.py
+++ b/cherrycove/tier/dataplane/gate.py
@@ -123,9 +123,7 @@
                 case Refuse():
                     self._settle(action.ticket, action)
                 case Abandon():
-                    grant = self._grants.get(action.ticket)
-                    if grant is not None and grant.on_stalled is not None:
-                        grant.on_stalled()
+                    self._abandon(action.ticket)
         self._arm()
 
     def _grant(self, action: Send) -> None:
@@ -133,6 +131,12 @@
         grant = self._grants[action.ticket] = Grant(self, action.ticket, broker)
         self._settle(action.ticket, grant)
 
+    def _abandon(self, ticket: Ticket) -> None:
+        grant = self._grants.get(ticket)
+        if grant is not None and grant.on_stalled is not None:
+            stalled, grant.on_stalled = grant.on_stalled, None  # once
+            stalled()
+
     def _settle(self, ticket: Ticket, outcome: Grant | Refuse) -> None:
         answer = self._waiting.pop(ticket, None)
         if answer is not None and not answer.done():
--- a/cherrycove/tier/dataplane/ingress.py
+++ b/cherrycove/tier/dataplane/ingress.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Protocol
+from typing import Any, Protocol
 
 import aiohttp
 from aiohttp import web
@@ -41,20 +41,47 @@
     ) -> web.StreamResponse: ...
 
 
+class ClientConnection(web.RequestHandler):
+    """The library's connection to a client, closed if the rest of a head does not come in time."""
+
+    def __init__(self, manager: web.Server, *, head_timeout_s: float, **settings: Any) -> None:
+        super().__init__(manager, **settings)
+        self._head_timeout_s = head_timeout_s
+        self._head_timer: asyncio.TimerHandle | None = None
+        self.busy = False  # a request is open
+
+    def data_received(self, data: bytes) -> None:
+        if not self.busy and self._head_timer is None:
+            self._head_timer = self._loop.call_later(self._head_timeout_s, self.force_close)
+        super().data_received(data)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        self.head_came()
+        super().connection_lost(exc)
+
+    def head_came(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+
 class ClientServer(web.Server):
-    """The library's server; each new connection gets the time-out in force."""
+    """The library's server; each new connection gets the time-outs in force."""
 
     def __init__(self, ingress: Ingress) -> None:
         super().__init__(
-            ingress.handle, request_factory=ingress.make_request, handler_cancellation=True, access_log=None,
-            auto_decompress=False, max_line_size=PARSER_LINE_BYTES, max_field_size=PARSER_LINE_BYTES,
-            lingering_time=0.0, read_bufsize=READ_BYTES,
-        )  # fmt: skip
+            ingress.handle, request_factory=ingress.make_request, handler_cancellation=True
+        )
         self._ingress = ingress
 
     def __call__(self) -> web.RequestHandler:
-        self._kwargs["keepalive_timeout"] = self._ingress.limits.idle_timeout_ms / 1000
-        return super().__call__()
+        limits = self._ingress.limits
+        return ClientConnection(
+            self, head_timeout_s=limits.header_timeout_ms / 1000, loop=asyncio.get_running_loop(),
+            access_log=None, keepalive_timeout=limits.idle_timeout_ms / 1000, auto_decompress=False,
+            max_line_size=PARSER_LINE_BYTES, max_field_size=PARSER_LINE_BYTES, lingering_time=0.0,
+            read_bufsize=READ_BYTES,
+        )  # fmt: skip
 
 
 class Ingress:
@@ -101,6 +128,9 @@
         writer: AbstractStreamWriter, task: asyncio.Task[None],
     ) -> web.BaseRequest:  # fmt: skip
         """A request whose body is read up to the bound in force."""
+        if isinstance(protocol, ClientConnection):
+            protocol.busy = True
+            protocol.head_came()
         return web.BaseRequest(
             message, payload, protocol, writer, task, asyncio.get_running_loop(),
             client_max_size=self.limits.max_body_bytes,
@@ -115,6 +145,8 @@
         finally:
             self.open_requests -= 1
             self.last_active = loop.time()
+            if isinstance(request.protocol, ClientConnection):
+                request.protocol.busy = False
 
     async def _respond(self, request: web.BaseRequest, arrived: float) -> web.StreamResponse:
         if _head_bytes(request) > self.limits.max_header_bytes:
--- a/cherrycove/tier/dataplane/items.py
+++ b/cherrycove/tier/dataplane/items.py
@@ -60,7 +60,9 @@
             route = self._route(item)
             if route is None:
                 return run.returned()
-            outcome = await run.attempt(self._ticket(item, route), may_send)
+            outcome = await run.attempt(
+                self._ticket(item, route), may_send, lambda service: self._is_served_by(item, service)
+            )
             if outcome is not None:
                 return outcome
 
@@ -68,6 +70,10 @@
         configuration = self._views.configuration
         return configuration.route(item.route) if configuration is not None else None
 
+    def _is_served_by(self, item: LeasedItem, service: str) -> bool:
+        route = self._route(item)
+        return route is not None and service in route.services
+
     def _ticket(self, item: LeasedItem, route: Route) -> Ticket:
         now = asyncio.get_running_loop().time()
         services = [each.service for each in route.splits]
@@ -96,8 +102,11 @@
     def returned(self) -> ItemOutcome:
         return ItemOutcome(ItemState.RETURNED, failed_attempts=self.failed)
 
-    async def attempt(self, ticket: Ticket, may_send: Callable[[], bool]) -> ItemOutcome | None:
-        """One send; None if the item should be sent again."""
+    async def attempt(
+        self, ticket: Ticket, may_send: Callable[[], bool], still_served: Callable[[str], bool]
+    ) -> ItemOutcome | None:
+        """One send; None if the item should be sent again. ``still_served`` tells whether the configuration
+        in force, which may have changed while the item waited, sends it to this service."""
         granted = await self.gate.acquire(ticket)
         if isinstance(granted, Refuse):
             return await self._rest()
@@ -105,6 +114,8 @@
         try:
             if not may_send():
                 return self.returned()
+            if not still_served(ticket.service):
+                return None
             outcome, ending = await self._send(granted)
         except AnswerBrokenError:
             outcome, ending = None, Ending.BROKEN
@@ -125,6 +136,7 @@
 
     async def _send(self, grant: Grant) -> tuple[ItemOutcome | None, Ending]:
         async with asyncio.timeout(SILENCE_S) as patience:
+            grant.on_stalled = lambda: patience.reschedule(0.0)
             sent = await self.upstream.send(grant.broker, self._outgoing(), None)
             if isinstance(sent, NotRun):
                 return None, ENDINGS[sent.reason]
--- a/tests/tier/test_dataplane_exchanges.py
+++ b/tests/tier/test_dataplane_exchanges.py
@@ -373,3 +373,67 @@
             draining.cancel()
 
     asyncio.run(story())
+
+
+def test_a_resumable_stream_leaves_a_broker_that_goes_silent_and_others_stay() -> None:
+    async def story() -> None:
+        async def half(wire: Wire, request: Received) -> None:
+            await wire.stream_head(request)
+            await wire.event(1, "word 1")
+            await wire.event(2, "word 2")
+            await wire.reader.read()
+
+        for target, complete in (("/resume/x", True), ("/stream/x", False)):
+            brokers = [ToyBroker("i-1", script=stream(4)), ToyBroker("i-2", script=stream(4))]
+            brokers[0].scripts = brokers[1].scripts = [half]
+            async with World(brokers) as world:
+                reply = await world.ask(target)
+                assert (reply.body, reply.complete) == (events(1, 4 if complete else 2), complete)
+                assert sum(len(broker.received) for broker in brokers) == (2 if complete else 1)
+
+    asyncio.run(story())
+
+
+def test_a_head_that_does_not_come_to_its_end_closes_the_connection() -> None:
+    async def story() -> None:
+        document = configuration_bytes(headerTimeoutMs=100)
+        async with World([ToyBroker()], document=document) as world, asyncio.timeout(TIMEOUT_S):
+            client = await world.client()
+            client.writer.write(b"POST /once/x HTTP/1.1\r\nHost: nony")
+            assert await client.reader.read() == b""
+            client = await world.client()
+            assert (await client.ask("/once/x", b"1")).status == 200
+            assert (await client.ask("/once/x", b"2")).status == 200
+
+    asyncio.run(story())
+
+
+def test_a_broker_that_leaves_or_tells_a_short_idle_time_gets_no_second_request_there() -> None:
+    async def leaving(wire: Wire, request: Received) -> None:
+        await wire.answer(request, b"", Connection="close")
+
+    async def short(wire: Wire, request: Received) -> None:
+        await wire.answer(request, b"", Keep_Alive="timeout=0")
+
+    async def story() -> None:
+        for script in (leaving, short):
+            async with World([ToyBroker(script=script)]) as world:
+                for _ in range(3):
+                    assert (await world.ask("/once/x")).status == 200
+                assert world.brokers[0].connections == 3
+
+    asyncio.run(story())
+
+
+def test_a_broker_that_closes_an_idle_connection_costs_no_request() -> None:
+    async def story() -> None:
+        async def last(wire: Wire, request: Received) -> None:
+            await wire.answer(request, request.body)
+            wire.close()
+
+        async with World([ToyBroker(script=last)]) as world:
+            client = await world.client()
+            for number in range(5):
+                assert (await client.ask("/once/x", b"%d" % number)).body == b"%d" % number
+
+    asyncio.run(story())
