--- a/cherrycove/tier/replication/core.py
+++ b/cherrycove/tier/replication/core.py
@@ -64,11 +64,13 @@
         recovered: RecoveredState,
         timing: Timing,
         random: Random,
+        kept_entries: int,
     ) -> None:
         self.identity = identity
         self.faults = faults
         self.timing = timing
         self.random = random
+        self._kept_entries = kept_entries
         self.role = Role.BACKUP
         self.primary: MemberIdentity | None = None
         self.promise = recovered.promise
@@ -148,7 +150,7 @@
             self.effects.changed = True
 
     def follow(self, primary: MemberIdentity) -> None:
-        """``primary`` leads the newest epoch; its full identity is taken from the member list, if it is there."""
+        """``primary`` leads the newest epoch; the member list has its full identity, if it is there."""
         listed = (member for member in self.members if member.member_id == primary.member_id)
         self.become(Role.BACKUP, next(listed, primary))
 
@@ -198,7 +200,7 @@
                 self.durable_promise = write.promise
             if write.snapshot is not None:
                 self.snapshot = write.snapshot
-                self.log.compact(write.snapshot.index)
+                self.log.compact(write.snapshot.index, self._kept_entries)
 
     @property
     def promise_durable(self) -> bool:
--- a/cherrycove/tier/replication/group.py
+++ b/cherrycove/tier/replication/group.py
@@ -109,6 +109,10 @@
     def members(self) -> tuple[MemberIdentity, ...]:
         return self._machine.members if self._machine is not None else ()
 
+    def listed(self) -> frozenset[str]:
+        """Ids of all members whose votes count, also those of the former list while a change is open."""
+        return self._machine.listed() if self._machine is not None else frozenset()
+
     def confirmed(self) -> bool:
         return self._machine is not None and self._machine.confirmed(time.monotonic())
 
--- a/cherrycove/tier/replication/log.py
+++ b/cherrycove/tier/replication/log.py
@@ -28,7 +28,8 @@
 
 def encode_members(members: Sequence[MemberIdentity]) -> bytes:
     ordered = sorted(members, key=lambda member: member.member_id)
-    return MemberList(members=[to_message(member) for member in ordered]).SerializeToString(deterministic=True)
+    message = MemberList(members=[to_message(member) for member in ordered])
+    return message.SerializeToString(deterministic=True)
 
 
 def decode_members(data: bytes) -> Members:
@@ -102,14 +103,14 @@
     def newest_members(self) -> MembersAt:
         return self._lists[-1]
 
-    def compact(self, index: int) -> None:
-        """Forget entries up to ``index``, but for a few."""
+    def compact(self, index: int, kept_entries: int = KEPT_ENTRIES) -> None:
+        """Forget entries up to ``index``, but for the last ``kept_entries`` of them."""
         base = index
         size = 0
-        while base > self.base_index and index - base < KEPT_ENTRIES and size < KEPT_BYTES:
+        while base > self.base_index and index - base < kept_entries and size < KEPT_BYTES:
             size += self._entries[base - self.base_index - 1].size
             base -= 1
-        if base == self.base_index:
+        if base <= self.base_index:
             return
         kept = MembersAt(base, self.members_at(base).members)
         self._lists = [kept] + [at for at in self._lists if at.index > base]
--- a/cherrycove/tier/replication/machine.py
+++ b/cherrycove/tier/replication/machine.py
@@ -1,7 +1,7 @@
 """The replica as a pure machine: events in, effects out.
 
-Every event brings the time (monotonic seconds). After each event the caller takes the effects, hands the writes
-to its writer in order, applies what was committed and sends the messages.
+Every event brings the time (monotonic seconds). After each event the caller takes the effects, hands the
+writes to its writer in order, applies what was committed and sends the messages.
 """
 
 from __future__ import annotations
@@ -15,7 +15,7 @@
 from cherrycove.tier.replication.effects import Effects
 from cherrycove.tier.replication.elections import Elections
 from cherrycove.tier.replication.interface import MemberIdentity
-from cherrycove.tier.replication.log import encode_members
+from cherrycove.tier.replication.log import KEPT_ENTRIES, encode_members
 from cherrycove.tier.replication.peers import SnapshotSource
 from cherrycove.tier.replication.primary import Primary
 from cherrycove.tier.replication.recruiting import Wishes
@@ -38,11 +38,12 @@
         now: float,
         timing: Timing | None = None,
         wishes: Wishes | None = None,
+        kept_entries: int = KEPT_ENTRIES,
     ) -> None:
-        """``wishes`` may be changed by its owner at any time."""
+        """``wishes`` may be changed by its owner at any time. ``kept_entries`` stay in memory before a snapshot."""
         timing = timing or Timing()
         empty = recovered.snapshot is None and not recovered.entries and recovered.promise.epoch == 0
-        self._core = ReplicaCore(identity, faults, recovered, timing, random)
+        self._core = ReplicaCore(identity, faults, recovered, timing, random, kept_entries)
         self._elections = Elections(self._core, now, fresh=empty)
         self._backup = Backup(self._core)
         self._primary: Primary | None = None
@@ -76,6 +77,20 @@
     def last_index(self) -> int:
         return self._core.log.last_index
 
+    def epoch_at(self, index: int) -> int | None:
+        """Epoch of the log entry at ``index``; None where it is not in memory."""
+        return self._core.log.epoch_at(index)
+
+    @property
+    def base_index(self) -> int:
+        """Entries up to here are in the snapshot only."""
+        return self._core.log.base_index
+
+    def listed(self) -> frozenset[str]:
+        """Ids of all members whose votes count here, also those of the list before while a change is open."""
+        electorate = self._core.electorate()
+        return frozenset(member.member_id for member in (*electorate.current, *(electorate.previous or ())))
+
     def confirmed(self, now: float) -> bool:
         """Whether this replica leads under a valid lease and has committed an entry of its epoch."""
         primary = self._leading()
--- a/cherrycove/tier/replication/membership_policy.py
+++ b/cherrycove/tier/replication/membership_policy.py
@@ -29,7 +29,8 @@
     remove: MemberIdentity | None = None
 
     def apply(self, members: Iterable[MemberIdentity]) -> tuple[MemberIdentity, ...]:
-        kept = [member for member in members if self.remove is None or member.member_id != self.remove.member_id]
+        removed = self.remove.member_id if self.remove is not None else ""
+        kept = [member for member in members if member.member_id != removed]
         return (*kept, self.add) if self.add is not None else tuple(kept)
 
 
--- a/cherrycove/tier/replication/peers.py
+++ b/cherrycove/tier/replication/peers.py
@@ -62,6 +62,7 @@
         self._transfer: Transfer | None = None
         self._resent_us = -1  # rejections of messages sent before this are known
         self._sent_at = NEVER
+        self._probing = True  # where its log joins this one is not known: one message at a time
 
     def responsive(self, now: float) -> bool:
         return now - self.heard_at < RESPONSIVE_S
@@ -76,11 +77,12 @@
         """Send what it lacks, as far as unanswered messages allow."""
         if not self.responsive(now):
             return
+        if self._needs_snapshot():
+            self._send_chunk(now)
+            return
         log = self._core.log
-        while self._next_index <= log.last_index and len(self._outstanding) < OUTSTANDING_APPENDS:
-            if self._needs_snapshot():
-                self._send_chunk(now)
-                return
+        allowed = 1 if self._probing else OUTSTANDING_APPENDS
+        while self._next_index <= log.last_index and len(self._outstanding) < allowed:
             entries = log.bounded(self._next_index, APPEND_BYTES)
             messages = [
                 Entry(index=entry.index, epoch=entry.epoch, kind=entry.kind, payload=entry.payload)
@@ -149,13 +151,15 @@
     def receive_reply(self, reply: AppendReply, now: float) -> None:
         self._heard(reply.sent_us, now)
         if reply.accepted:
+            self._probing = False
             self.match_index = max(self.match_index, reply.match_index)
             self._next_index = max(self._next_index, self.match_index + 1)
             while self._outstanding and self._outstanding[0] <= self.match_index:
                 self._outstanding.popleft()
-        elif reply.sent_us > self._resent_us:
+        elif reply.sent_us >= self._resent_us:
             self._resent_us = microseconds(now)
             self._outstanding.clear()
+            self._probing = True
             self._next_index = max(self.match_index, min(self._next_index - 1, reply.last_index)) + 1
         self.replicate(now)
 
--- a/cherrycove/tier/replication/quorums.py
+++ b/cherrycove/tier/replication/quorums.py
@@ -1,36 +1,37 @@
 """Sizes of quorums, and why committed entries survive.
 
-With f faults to be borne and n members in force: an entry commits when W = min(f + 1, n) members have synced it,
-and a candidate needs E = max(n - W + 1, n // 2 + 1) votes.
-
-*One list.* E + W > n, so every election quorum meets every commit quorum; and E > n / 2, so two election quorums
-meet and, with one synced vote for each epoch, an epoch has at most one primary. A voter grants its vote only to a
-log at least as new as its own (epoch of the last entry, then index), and accepts nothing of an epoch below its
-promise. A primary counts copies only up to entries of its own epoch, beginning with the no-op that it appends
-first. Hence whoever is elected holds every entry committed in an epoch before: take the first primary for which
-it fails; a voter of it had synced the entry when it voted, so the candidate's last entry is of the same epoch as
-the voter's (then its log contains the entry, since an epoch has one primary that never rewrites its log), or of a
-newer epoch, whose primary held the entry and passed on its log whole.
-
-*Changed lists.* A members entry M replaces list C by C' as soon as it is appended; it is appended only when the
-primary's no-op is committed and no other change is uncommitted. A change may swap one member for another, so a
-majority of C and one of C' need not meet. Therefore:
+With f faults to be borne and n members in force: an entry commits when W = min(f + 1, n) members have
+synced it, and a candidate needs E = max(n - W + 1, n // 2 + 1) votes.
+
+*One list.* E + W > n, so every election quorum meets every commit quorum; and E > n / 2, so two election
+quorums meet and, with one synced vote for each epoch, an epoch has at most one primary. A voter grants its
+vote only to a log at least as new as its own (epoch of the last entry, then index), and accepts nothing of
+an epoch below its promise. A primary counts copies only up to entries of its own epoch, beginning with the
+no-op that it appends first. Hence whoever is elected holds every entry committed in an epoch before: take
+the first primary for which it fails; a voter of it had synced the entry when it voted, so the candidate's
+last entry is of the same epoch as the voter's (then its log contains the entry, since an epoch has one
+primary that never rewrites its log), or of a newer epoch, whose primary held the entry and passed on its
+log whole.
+
+*Changed lists.* A members entry M replaces list C by C' as soon as it is appended; it is appended only when
+the primary's no-op is committed and no other change is uncommitted. A change may swap one member for
+another, so a majority of C and one of C' need not meet. Therefore:
 
 - M and what follows commits only when synced on W' members of C' and, besides, on n - E + 1 members of C.
-- A replica that does not know whether its newest members entry M is committed is elected, or confirmed in its
-  lease, only by E' members of C' and by E members of C.
-
-Two candidates of one epoch then meet in a voter: both without M meet in C; one with M uncommitted also needs E of
-C; and one that knows M to be committed meets no candidate without M, since n - E + 1 synced copies in C leave
-fewer than E voters there that would grant their vote to a log without M. An entry before M commits with W of C;
-a candidate without M needs E of C, and a candidate with M holds the entry anyway. An entry behind M commits only
-together with M or after it, when candidates without M are shut out and those with M need E' of C', which meets
-the W' copies. Every entry committed under C stands on W' members of C' once M is committed, because logs have no
-gaps; so f disks may be lost again from then on.
-
-A voter needs no list of its own: it is asked under its member id by a candidate that holds a list with that id,
-and the argument counts voters by the candidate's list. An emptied disk has a new id, is asked by nobody, and so
-neither promises nor votes before a members entry names it.
+- A replica that does not know whether its newest members entry M is committed is elected, or confirmed in
+  its lease, only by E' members of C' and by E members of C.
+
+Two candidates of one epoch then meet in a voter: both without M meet in C; one with M uncommitted also
+needs E of C; and one that knows M to be committed meets no candidate without M, since n - E + 1 synced
+copies in C leave fewer than E voters there that would grant their vote to a log without M. An entry before
+M commits with W of C; a candidate without M needs E of C, and a candidate with M holds the entry anyway. An
+entry behind M commits only together with M or after it, when candidates without M are shut out and those
+with M need E' of C', which meets the W' copies. Every entry committed under C stands on W' members of C'
+once M is committed, because logs have no gaps; so f disks may be lost again from then on.
+
+A voter needs no list of its own: it is asked under its member id by a candidate that holds a list with that
+id, and the argument counts voters by the candidate's list. An emptied disk has a new id, is asked by
+nobody, and so neither promises nor votes before a members entry names it.
 """
 
 from __future__ import annotations
@@ -55,7 +56,9 @@
     return max(members - write_quorum(members, faults) + 1, members // 2 + 1)
 
 
-def _reached(values: Mapping[str, Value], members: Sequence[MemberIdentity], count: int, lowest: Value) -> Value:
+def _reached(
+    values: Mapping[str, Value], members: Sequence[MemberIdentity], count: int, lowest: Value
+) -> Value:
     """The highest value that ``count`` of ``members`` have reached; ``lowest`` for those without one."""
     ordered = sorted((values.get(member.member_id, lowest) for member in members), reverse=True)
     return ordered[count - 1] if 0 < count <= len(ordered) else lowest
@@ -63,7 +66,7 @@
 
 @attrs.frozen
 class Electorate:
-    """The members whose votes and copies count: the list in force, and the one before while a change is open."""
+    """The members whose votes and copies count: the list in force; the one before while a change is open."""
 
     faults: int
     current: tuple[MemberIdentity, ...]
@@ -90,7 +93,7 @@
         )
 
     def committable(self, synced: Mapping[str, int]) -> int:
-        """The highest index with enough synced copies; whether its epoch allows it is the caller's to check."""
+        """The highest index with enough synced copies; its epoch is the caller's to check."""
         count = write_quorum(len(self.current), self.faults)
         reached = _reached(synced, self.current, count, 0)
         if self.previous is None:
--- a/cherrycove/tier/replication/recruiting.py
+++ b/cherrycove/tier/replication/recruiting.py
@@ -52,9 +52,7 @@
 
     def _view(self, unreachable: frozenset[str], now: float) -> GroupView:
         standbys = tuple(
-            standby
-            for standby in self._wishes.standbys
-            if self._set_aside.get(standby.member_id, now) <= now
+            standby for standby in self._wishes.standbys if self._set_aside.get(standby.member_id, now) <= now
         )
         return GroupView(
             primary=self._core.identity,
--- a/cherrycove/tier/replication/transport.py
+++ b/cherrycove/tier/replication/transport.py
@@ -1,4 +1,5 @@
-"""One-way messages between replicas over internal calls: queued for each peer, sent in batches, lost on failure."""
+"""One-way messages between replicas over internal calls: queued for each peer, sent in batches, lost on
+failure."""
 
 from __future__ import annotations
 
--- /dev/null
+++ b/cherrycove/tier/simulation/__main__.py
@@ -0,0 +1,49 @@
+"""Run many seeds: ``python -m cherrycove.tier.simulation --seeds 2000``."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+import time
+from functools import partial
+from multiprocessing import Pool
+
+from cherrycove.tier.simulation.invariants import InvariantBrokenError
+from cherrycove.tier.simulation.mutations import EMPTIED_KEEPS_IDENTITY, NAMES, without
+from cherrycove.tier.simulation.scenario import run_seed
+
+
+def _attempt(mutation: str, seed: int) -> tuple[int, str]:
+    try:
+        with without(mutation):
+            outcome = run_seed(seed, emptied_keeps_identity=mutation == EMPTIED_KEEPS_IDENTITY)
+    except InvariantBrokenError as error:
+        return seed, str(error)
+    return seed, "" if outcome.acknowledged else "-"
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="python -m cherrycove.tier.simulation", description=__doc__)
+    parser.add_argument("--seeds", type=int, default=200)
+    parser.add_argument("--first", type=int, default=0)
+    parser.add_argument("--processes", type=int, default=2)
+    parser.add_argument("--without", choices=NAMES, default="", help="take one guard out")
+    options = parser.parse_args()
+    started = time.monotonic()
+    broken = 0
+    idle = 0
+    with Pool(options.processes) as pool:
+        seeds = range(options.first, options.first + options.seeds)
+        for seed, detail in pool.imap_unordered(partial(_attempt, options.without), seeds, chunksize=4):
+            if detail == "-":
+                idle += 1
+            elif detail:
+                broken += 1
+                print(f"seed {seed}: {detail}", flush=True)
+    duration = time.monotonic() - started
+    print(f"{options.seeds} seeds in {duration:.1f} s: {broken} broken, {idle} without any commit")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/cherrycove/tier/simulation/mutations.py
@@ -0,0 +1,97 @@
+"""Guards that can be taken out of the protocol, to show that the invariants notice their absence."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
+from typing import Any
+from unittest import mock
+
+from cherrycove.tier.replication import quorums
+from cherrycove.tier.replication.backup import Backup
+from cherrycove.tier.replication.core import ReplicaCore
+from cherrycove.tier.replication.elections import Elections
+from cherrycove.tier.replication.primary import Primary
+from cherrycove.tier.replication.quorums import Electorate
+
+Patches = Iterator[Any]
+
+
+def _acknowledge_before_sync() -> Patches:
+    def match_index(backup: Any) -> int:
+        return int(backup._verified)
+
+    yield mock.patch.object(Backup, "_match_index", match_index)
+
+
+def _commit_before_own_sync() -> Patches:
+    append = ReplicaCore.append
+
+    def synced_at_once(core: ReplicaCore, *arguments: Any) -> None:
+        append(core, *arguments)
+        core.synced_index = core.log.last_index
+
+    yield mock.patch.object(ReplicaCore, "append", synced_at_once)
+
+
+def _vote_without_log_check() -> Patches:
+    yield mock.patch.object(Elections, "_new_enough", lambda elections, request: True)
+
+
+def _one_copy_fewer() -> Patches:
+    election_quorum = quorums.election_quorum
+
+    def unchanged(members: int, faults: int) -> int:
+        return max(members - min(faults + 1, members) + 1, members // 2 + 1)
+
+    assert unchanged(3, 1) == election_quorum(3, 1)
+    yield mock.patch.object(quorums, "election_quorum", unchanged)
+    yield mock.patch.object(quorums, "write_quorum", lambda members, faults: max(1, min(faults, members)))
+
+
+def _vote_before_sync() -> Patches:
+    yield mock.patch.object(ReplicaCore, "promise_durable", True)
+
+
+def _vote_within_lease() -> Patches:
+    yield mock.patch.object(Elections, "_bound_to_primary", lambda *arguments: False)
+
+
+def _count_copies_of_older_epochs() -> Patches:
+    init = Primary.__init__
+
+    def from_the_start(primary: Any, *arguments: Any) -> None:
+        init(primary, *arguments)
+        primary._noop_index = 0
+
+    yield mock.patch.object(Primary, "__init__", from_the_start)
+
+
+def _new_list_alone() -> Patches:
+    def electorate(core: ReplicaCore) -> Electorate:
+        return Electorate(core.faults, core.members)
+
+    yield mock.patch.object(ReplicaCore, "electorate", electorate)
+
+
+MUTATIONS: dict[str, Callable[[], Patches]] = {
+    "acknowledge-before-sync": _acknowledge_before_sync,
+    "commit-before-own-sync": _commit_before_own_sync,
+    "vote-without-log-check": _vote_without_log_check,
+    "one-copy-fewer": _one_copy_fewer,
+    "vote-before-sync": _vote_before_sync,
+    "vote-within-lease": _vote_within_lease,
+    "count-copies-of-older-epochs": _count_copies_of_older_epochs,
+    "new-list-alone": _new_list_alone,
+}
+EMPTIED_KEEPS_IDENTITY = "emptied-keeps-identity"  # a mutation of the world, not of the protocol
+NAMES = (*MUTATIONS, EMPTIED_KEEPS_IDENTITY)
+
+
+@contextmanager
+def without(name: str) -> Iterator[None]:
+    """Run with the guard ``name`` taken out; "" takes out none."""
+    with ExitStack() as stack:
+        for patch in MUTATIONS[name]() if name in MUTATIONS else ():
+            stack.enter_context(patch)
+        yield
--- a/cherrycove/tier/storage/entries.py
+++ b/cherrycove/tier/storage/entries.py
@@ -1,7 +1,8 @@
 """Log entries, and the checksummed frames that carry them in a segment.
 
-A frame holds the entries of one write. The writer syncs a frame before it writes the next one, so after a loss of
-power only the last frame can be missing or torn; a valid frame behind an invalid one means a damaged disk.
+A frame holds the entries of one write. The writer syncs a frame before it writes the next one, so after a
+loss of power only the last frame can be missing or torn; a valid frame behind an invalid one means a
+damaged disk.
 """
 
 from __future__ import annotations
--- a/cherrycove/tier/storage/identity.py
+++ b/cherrycove/tier/storage/identity.py
@@ -1,4 +1,5 @@
-"""The identity of a disk: a replica is a member of its group only as long as its disk keeps what it promised."""
+"""The identity of a disk: a replica is a member of its group only as long as its disk keeps what it
+promised."""
 
 from __future__ import annotations
 
@@ -13,7 +14,7 @@
 
 
 def first_member_id(ip: str) -> str:
-    """Member id of a replica that starts for the first time, together with the deployment, at address ``ip``."""
+    """Member id of a replica at address ``ip`` that starts for the first time, with the whole deployment."""
     return FIRST_START_PREFIX + ip
 
 
@@ -42,8 +43,8 @@
 def open_identity(directory: Path, first_start: bool, ip: str) -> tuple[str, bool]:
     """The member id of the disk at ``directory`` and whether it was created just now.
 
-    An empty disk gets a random id, or ``first-IP`` at the first start of the deployment, so that members of the
-    initial group can be named by their addresses alone. The id is synced before this returns. Blocks.
+    An empty disk gets a random id, or ``first-IP`` at the first start of the deployment, so that members of
+    the initial group can be named by their addresses alone. The id is synced before this returns. Blocks.
     """
     directory.mkdir(parents=True, exist_ok=True)
     path = directory / IDENTITY_FILE
--- a/cherrycove/tier/storage/promises.py
+++ b/cherrycove/tier/storage/promises.py
@@ -16,7 +16,7 @@
 
 PROMISE_FILE = "promise"
 _SLOT_BYTES = 4096
-_HEADER = struct.Struct("<IQQQH")  # CRC-32 of the rest, sequence, epoch, committed index, length of the vote in bytes
+_HEADER = struct.Struct("<IQQQH")  # CRC-32 of the rest, sequence, epoch, committed, bytes of the vote
 
 
 @attrs.frozen
--- a/cherrycove/tier/storage/segments.py
+++ b/cherrycove/tier/storage/segments.py
@@ -1,8 +1,8 @@
 """The log on disk: append-only segment files of checksummed frames.
 
-Nothing is overwritten: an entry whose index is not above the last one replaces that position and all behind it.
-Segments are numbered; a file's name is its number and the index of its first entry. A new segment is begun only
-after the one before it is synced.
+Nothing is overwritten: an entry whose index is not above the last one replaces that position and all behind
+it. Segments are numbered; a file's name is its number and the index of its first entry. A new segment is
+begun only after the one before it is synced.
 """
 
 from __future__ import annotations
@@ -49,7 +49,7 @@
 
 
 def _read_segment(directory: Path, name: SegmentName, last: bool) -> tuple[list[Entry], int, bool]:
-    """Entries of a segment, the offset behind its last valid frame, and whether anything stands behind that."""
+    """Entries of a segment, the offset behind its last valid frame, and whether more stands there."""
     data = (directory / name.file_name).read_bytes()
     entries: list[Entry] = []
     offset = 0
@@ -126,7 +126,7 @@
             os.close(descriptor)
 
     def append(self, entries: Sequence[Entry]) -> None:
-        """Write ``entries`` as one frame and sync it. After an OSError nothing of it counts; it may be retried."""
+        """Write ``entries`` as one frame and sync it. After an OSError none of it counts; try again."""
         self._clean()
         if self._descriptor < 0 or self._length >= self._segment_bytes:
             self._begin(entries[0].index)
--- a/cherrycove/tier/storage/snapshots.py
+++ b/cherrycove/tier/storage/snapshots.py
@@ -12,7 +12,7 @@
 
 SNAPSHOT_PREFIX = "snapshot-"
 _MAGIC = b"CvS1"
-_HEADER = struct.Struct("<4sIQQQIQ")  # magic, CRC-32 of the rest, index, epoch, segment, members', state's bytes
+_HEADER = struct.Struct("<4sIQQQIQ")  # magic, CRC-32, index, epoch, segment, bytes of members, of state
 _CHECKED_FROM = 8
 
 
--- a/cherrycove/tier/storage/store.py
+++ b/cherrycove/tier/storage/store.py
@@ -50,7 +50,7 @@
         return self._log.size + self._snapshot_bytes
 
     def recover(self) -> RecoveredState:
-        """Read everything; cut a torn tail. Raises DamagedStorageError where synced data is not there any more."""
+        """Read everything; cut a torn tail. Raises DamagedStorageError where synced data is lost."""
         for leftover in self._directory.glob("*.tmp"):
             leftover.unlink()
         paths = sorted(self._directory.glob(f"{SNAPSHOT_PREFIX}*"))
@@ -73,7 +73,7 @@
         self._promises.write(promise)
 
     def append(self, entries: Sequence[Entry]) -> None:
-        """Store and sync entries; one whose index is not above the last replaces that one and all behind it."""
+        """Store and sync entries; one that is not above the last replaces its position and all behind."""
         self._check_room(FRAME_OVERHEAD_BYTES + sum(entry.size for entry in entries))
         self._log.append(entries)
 
@@ -94,7 +94,7 @@
         sync_directory(self._directory)
 
     def read_state(self, index: int, offset: int, size: int) -> bytes:
-        """Part of the state in the stored snapshot of entry ``index``; empty if another one is stored by now."""
+        """Part of the state in the stored snapshot of entry ``index``; empty if that one is gone."""
         path = self._snapshot_path
         if path is None or path != snapshot_path(self._directory, index):
             return b""
--- a/tests/tier/test_replication_loopback.py
+++ b/tests/tier/test_replication_loopback.py
@@ -84,9 +84,7 @@
 
 
 def make_nodes(path: Path, count: int) -> list[Node]:
-    return [
-        Node(f"n{number}", f"127.0.0.1:{free_port()}", path / f"n{number}") for number in range(count)
-    ]
+    return [Node(f"n{number}", f"127.0.0.1:{free_port()}", path / f"n{number}") for number in range(count)]
 
 
 def initial_members(nodes: list[Node]) -> list[MemberIdentity]:
--- /dev/null
+++ b/tests/tier/test_replication_simulation.py
@@ -0,0 +1,44 @@
+"""Seeded worlds of replicas under faults: nothing breaks, and the checks notice a guard that is taken out."""
+
+from __future__ import annotations
+
+import pytest
+
+from cherrycove.tier.simulation.invariants import InvariantBrokenError
+from cherrycove.tier.simulation.mutations import EMPTIED_KEEPS_IDENTITY, without
+from cherrycove.tier.simulation.scenario import run_seed
+
+SEEDS = 200
+SEEDS_A_TEST = 20
+MUTATION_SEEDS = 400
+# Where the search begins, so that it is short; any range of so many seeds should do.
+FIRST_SEED = {
+    "acknowledge-before-sync": 0,
+    "commit-before-own-sync": 0,
+    "vote-without-log-check": 0,
+    "one-copy-fewer": 0,
+    "vote-before-sync": 310,
+    "vote-within-lease": 290,
+    "count-copies-of-older-epochs": 0,
+    "new-list-alone": 220,
+    EMPTIED_KEEPS_IDENTITY: 0,
+}
+
+
+@pytest.mark.parametrize("first", range(0, SEEDS, SEEDS_A_TEST))
+def test_no_invariant_breaks(first: int) -> None:
+    for seed in range(first, first + SEEDS_A_TEST):
+        outcome = run_seed(seed)
+        assert outcome.acknowledged > 0, f"seed {seed} acknowledged nothing"
+
+
+@pytest.mark.parametrize("name", FIRST_SEED)
+def test_a_missing_guard_is_noticed(name: str) -> None:
+    first = FIRST_SEED[name]
+    with without(name), pytest.raises(InvariantBrokenError):
+        for seed in range(first, first + MUTATION_SEEDS):
+            run_seed(seed, emptied_keeps_identity=name == EMPTIED_KEEPS_IDENTITY)
+
+
+def test_a_seed_gives_the_same_run_again() -> None:
+    assert run_seed(7) == run_seed(7)
