Internal calls over 1 MiB pass; configurations' numbers are checked; a change of members names both lists

Ruled out: the state machine, which never looked at these. Change: an own request factory; hooks for whole and finite numbers; listed() of the group in announcements; leaving processes announce it at once.

--- a/cherrycove/tier/__main__.py
+++ b/cherrycove/tier/__main__.py
@@ -1,4 +1,4 @@
-"""``python3 -m cherrycove.tier PROGRAM``: runs a daemon, or the operators' commands (``--help`` lists them)."""
+"""``python3 -m cherrycove.tier PROGRAM``: runs a daemon, or an operators' command (``--help``)."""
 
 from __future__ import annotations
 
--- a/cherrycove/tier/configuration.py
+++ b/cherrycove/tier/configuration.py
@@ -1,4 +1,4 @@
-"""The operator's configuration: parsed by library (json, attrs, cattrs), checked, and matched against requests.
+"""The operator's configuration: parsed by library, checked, and matched against requests.
 
 The exact bytes that the operator sent are kept beside the parsed form, since they are what a read gives back.
 """
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Iterator, Mapping
 from typing import Any
 
@@ -38,7 +39,7 @@
     route_kind: str
     service: str = ""
     traffic_split: list[Split] = attrs.field(factory=list)
-    timeout_ms: float = 0.0
+    timeout_ms: float = math.inf  # absent only on batch routes, whose items it does not bind
     target_latency_ms: float = 1000.0
     priority: int = 0
     max_attempts: int = 1
@@ -136,6 +137,9 @@
 def _converter() -> cattrs.Converter:
     converter = cattrs.Converter()
     converter.register_structure_hook(str, _text)
+    converter.register_structure_hook(int, _whole_number)
+    converter.register_structure_hook(float, _finite_number)
+    converter.register_structure_hook(bool, _truth)
     for cls in (Split, Route, Engine, Service, ClientLimits, Configuration):
         renames = {
             field.name: override(rename=field.name if field.name in _KEPT_NAMES else _camel(field.name))
@@ -152,9 +156,33 @@
     return value
 
 
+def _whole_number(value: Any, _: Any) -> int:
+    if isinstance(value, bool) or not isinstance(value, int | float) or value != int(value):
+        raise ValueError(f"must be a whole number, not {value!r}")
+    return int(value)
+
+
+def _truth(value: Any, _: Any) -> bool:
+    if not isinstance(value, bool):
+        raise ValueError(f"must be true or false, not {value!r}")
+    return value
+
+
+def _finite_number(value: Any, _: Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+        raise ValueError(f"must be a finite number, not {value!r}")
+    return float(value)
+
+
 _CONVERTER = _converter()
 
 
+def _reason(error: BaseException, _: type[Any] | None) -> str:
+    if isinstance(error, KeyError):
+        return f"key {error.args[0]} is missing"
+    return str(error)
+
+
 def _without_nulls(value: Any) -> Any:
     if isinstance(value, Mapping):
         return {key: _without_nulls(item) for key, item in value.items() if item is not None}
@@ -194,7 +222,9 @@
             yield f"{label}: a weight is below 0"
     if route.splits and sum(split.weight for split in route.splits) <= 0:
         yield f"{label}: the weights add up to 0"
-    if route.timeout_ms <= 0 and route.route_kind != "batch":
+    if math.isinf(route.timeout_ms) and route.route_kind != "batch":
+        yield f"{label}: timeoutMs is missing"
+    if route.timeout_ms <= 0:
         yield f"{label}: timeoutMs must be above 0"
     if route.max_attempts < 1:
         yield f"{label}: maxAttempts must be at least 1"
@@ -211,7 +241,8 @@
     try:
         configuration = _CONVERTER.structure(_without_nulls(document), Configuration)
     except BaseValidationError as error:
-        return Err(Failure(ErrorKind.INVALID, f"{source}: {'; '.join(cattrs.transform_error(error))}"))
+        reasons = cattrs.transform_error(error, format_exception=_reason)
+        return Err(Failure(ErrorKind.INVALID, f"{source}: {'; '.join(reasons)}"))
     except (TypeError, ValueError, OverflowError) as error:
         return Err(Failure(ErrorKind.INVALID, f"{source}: {error}"))
     faults = list(_faults(configuration))
--- a/cherrycove/tier/errors.py
+++ b/cherrycove/tier/errors.py
@@ -57,7 +57,7 @@
 
     kind: ErrorKind
     detail: str = ""
-    primary: str = ""  # with NOT_PRIMARY: the RPC address (host:port) of the replica that leads, "" if unknown
+    primary: str = ""  # with NOT_PRIMARY: RPC address (host:port) of the replica that leads, "": unknown
 
     @property
     def answer(self) -> Answer:
--- a/cherrycove/tier/programs/keeper.py
+++ b/cherrycove/tier/programs/keeper.py
@@ -1,4 +1,4 @@
-"""The keeper: configuration, register of processes and brokers, operator's API; replicated on core machines."""
+"""The keeper: configuration, register of processes and brokers, operator's API; replicated."""
 
 from __future__ import annotations
 
@@ -27,8 +27,10 @@
         self._incarnation = new_incarnation()
         self._leaving = False
         self._group, self._fresh = open_group(PROGRAM, settings, self._state, self._server, self._client)
-        self._keeper = Keeper(settings, self._group, self._state, self._server, self._client)
         self._views = Views()
+        self._keeper = Keeper(
+            settings, self._group, self._state, self._server, self._client, self._views
+        )
         self._puller = Puller(settings, self._client, self._views, self._announce)
 
     async def start(self) -> None:
@@ -40,6 +42,7 @@
 
     async def stop(self) -> None:
         self._leaving = True
+        self._puller.announce_now()
         await self._group.stop()
         await self._puller.stop()
         await self._keeper.stop()
--- a/cherrycove/tier/programs/proxy.py
+++ b/cherrycove/tier/programs/proxy.py
@@ -43,6 +43,7 @@
 
     async def stop(self) -> None:
         self._leaving = True
+        self._puller.announce_now()
         await self._worker.stop()
         await self._data_plane.drain()
         await self._data_plane.stop()
--- a/cherrycove/tier/programs/replica.py
+++ b/cherrycove/tier/programs/replica.py
@@ -7,9 +7,9 @@
 from cherrycove.tier.protocol.control_pb2 import Announcement, Replica
 from cherrycove.tier.protocol.rpc import RpcClient, RpcServer
 from cherrycove.tier.replication.group import ReplicatedGroup
-from cherrycove.tier.storage.identity import open_identity
 from cherrycove.tier.replication.interface import MemberIdentity, StateMachine
 from cherrycove.tier.settings import Settings
+from cherrycove.tier.storage.identity import open_identity
 
 DISK_SHARE = 0.8  # part of the disk that a group may use
 BYTES_PER_MB = 1_000_000
@@ -52,7 +52,7 @@
         first_start=settings.first_start and fresh,
         group_primary=primary,
         group_epoch=group.epoch,
-        group_members=[member.member_id for member in group.members] if primary else [],
+        group_members=sorted(group.listed()) if primary else [],
         leaving=leaving,
     )
 
--- a/cherrycove/tier/programs/store.py
+++ b/cherrycove/tier/programs/store.py
@@ -44,6 +44,7 @@
 
     async def stop(self) -> None:
         self._leaving = True
+        self._puller.announce_now()
         await self._group.stop()
         await self._puller.stop()
         await self._store.stop()
--- a/cherrycove/tier/protocol/__init__.py
+++ b/cherrycove/tier/protocol/__init__.py
@@ -1,4 +1,4 @@
-"""The internal protocol: protobuf messages (``*.proto``, generated ``*_pb2.py``) and the calls that carry them.
+"""The internal protocol: protobuf messages (``*.proto``, generated ``*_pb2.py``) and their calls.
 
 ``make protocol`` generates the modules anew; the results are committed.
 """
--- a/cherrycove/tier/protocol/rpc.py
+++ b/cherrycove/tier/protocol/rpc.py
@@ -1,8 +1,8 @@
 """Internal calls: protobuf messages in HTTP bodies, by aiohttp on both sides.
 
-A call is ``POST /rpc/NAME``. A 200 carries the reply message; any other status carries an ``X-Error-Kind`` of the
-closed list, a sentence as body and, for NOT_PRIMARY, the address of the primary in ``X-Primary``. A call that
-gets no answer is UNREACHABLE when no connection came up and UNCERTAIN otherwise.
+A call is ``POST /rpc/NAME``. A 200 carries the reply message; any other status carries an ``X-Error-Kind`` of
+the closed list, a sentence as body and, for NOT_PRIMARY, the address of the primary in ``X-Primary``. A call
+that gets no answer is UNREACHABLE when no connection came up and UNCERTAIN otherwise.
 """
 
 from __future__ import annotations
@@ -41,7 +41,7 @@
 
     async def start(self, address: str) -> None:
         host, _, port = address.rpartition(":")
-        server = web.Server(self._handle, client_max_size=MAX_MESSAGE_BYTES, access_log=None)  # type: ignore[arg-type]
+        server = web.Server(self._handle, request_factory=_request_factory(), access_log=None)
         self._runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         await self._runner.setup()
         await web.TCPSite(self._runner, host, int(port)).start()
@@ -67,6 +67,18 @@
         return web.Response(body=outcome.ok_value.SerializeToString())
 
 
+def _request_factory() -> Callable[..., web.BaseRequest]:
+    """Requests with bodies up to MAX_MESSAGE_BYTES; the server's own factory stops at 1 MiB."""
+    loop = asyncio.get_running_loop()
+
+    def make(message: Any, payload: Any, protocol: Any, writer: Any, task: Any) -> web.BaseRequest:
+        return web.BaseRequest(
+            message, payload, protocol, writer, task, loop, client_max_size=MAX_MESSAGE_BYTES
+        )
+
+    return make
+
+
 def _error(failure: Failure) -> web.Response:
     headers = {KIND_HEADER: failure.kind.value}
     if failure.primary:
@@ -106,7 +118,7 @@
                 return Err(_failure(response, body))
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Err(Failure(ErrorKind.UNREACHABLE, f"{address} {name}: {error}"))
-        except (aiohttp.ClientError, asyncio.TimeoutError, OSError, DecodeError) as error:
+        except (TimeoutError, aiohttp.ClientError, OSError, DecodeError) as error:
             return Err(Failure(ErrorKind.UNCERTAIN, f"{address} {name}: {type(error).__name__} {error}"))
 
 
--- a/cherrycove/tier/replication/group.py
+++ b/cherrycove/tier/replication/group.py
@@ -32,6 +32,7 @@
 TICK_S = 0.05
 STOP_COMMIT_S = 0.5  # an orderly stop waits so long for open proposals
 STOP_FLUSH_S = 0.5  # and so long for its last messages
+USABLE_DISK_SHARE = 0.9  # of the disk's limit; the rest is for entries of replication itself
 SNAPSHOT_LOG_BYTES = 1024 * 1024  # a snapshot is taken when the log behind the last one is larger
 
 logger = logging.getLogger(__name__)
@@ -79,6 +80,7 @@
         self._wishes = Wishes()
         self._listeners: list[Callable[[], None]] = []
         self._machine: ReplicaMachine | None = None
+        self._storage: ReplicaStorage | None = None
         self._writer: DiskWriter | None = None
         self._ticker: asyncio.Task[None] | None = None
         self._starting = asyncio.Lock()
@@ -120,6 +122,8 @@
         machine = self._machine
         if machine is None or self._stopping:
             return Err(self._not_primary())
+        if self._disk_nearly_full(len(command)):
+            return Err(Failure(ErrorKind.OVERLOADED, f"{self._name}: the disk is nearly full"))
         index = machine.propose(command, time.monotonic())
         if index is None:
             return Err(self._not_primary())
@@ -127,6 +131,10 @@
         self._run_effects()
         return await self._proposals.outcome(future, timeout_s)
 
+    def _disk_nearly_full(self, wanted: int) -> bool:
+        limit = self._disk_limit * USABLE_DISK_SHARE
+        return limit > 0 and self._storage is not None and self._storage.size + wanted > limit
+
     def _not_primary(self) -> Failure:
         primary = self.primary
         known = primary is not None and primary.member_id != self._identity.member_id
@@ -179,6 +187,7 @@
             self._timing,
             self._wishes,
         )
+        self._storage = storage
         self._writer = DiskWriter(storage, self._written, self._write_failed, self._snapshot_skipped)
         self._writer.start()
         self._run_effects()
@@ -238,8 +247,10 @@
         sender = MemberIdentity(batch.sender_id, "", batch.sender_address)
         replies: list[Message] = []
         self._reply = (batch.sender_id, replies)
-        self._deliver(machine, sender, batch)
-        self._reply = None
+        try:
+            self._deliver(machine, sender, batch)
+        finally:
+            self._reply = None
         return Ok(Batch(messages=replies))
 
     def _receive_replies(self, peer: MemberIdentity, batch: Batch) -> None:
@@ -288,7 +299,11 @@
         self._log_bytes += entry.size
         outcome: object = None
         if entry.kind is EntryKind.COMMAND:
-            outcome = self._state.apply(entry.index, entry.payload)
+            try:
+                outcome = self._state.apply(entry.index, entry.payload)
+            except Exception:  # a command must not stop those behind it; all replicas fare alike
+                logger.exception("apply_failed", extra={"group": self._name, "index": entry.index})
+                self._proposals.failed(entry.index)
         self._proposals.committed(entry.index, entry.epoch, outcome)
 
     def _take_snapshot(self, machine: ReplicaMachine) -> None:
--- a/cherrycove/tier/settings.py
+++ b/cherrycove/tier/settings.py
@@ -1,7 +1,7 @@
 """The settings file of one process (YAML), read by library and checked with attrs and cattrs.
 
-Unknown keys are ignored, as the deployment pages ask; a missing or wrong key is a ``SettingsError`` that names
-file, key and reason. Durations keep the unit that their key names.
+Unknown keys are ignored, as the deployment pages ask; a missing or wrong key is a ``SettingsError`` that
+names file, key and reason. Durations keep the unit that their key names.
 """
 
 from __future__ import annotations
