--- a/cherrycove/tier/membership/beliefs.py
+++ b/cherrycove/tier/membership/beliefs.py
@@ -8,7 +8,14 @@
 
 from cherrycove.tier.membership.dissemination import DisseminationQueue
 from cherrycove.tier.membership.effects import MemberChanged
-from cherrycove.tier.membership.model import Member, MemberKey, MemberState, MemberStatus, Parameters
+from cherrycove.tier.membership.model import (
+    Member,
+    MemberKey,
+    MemberState,
+    MemberStatus,
+    Parameters,
+    check_incarnation,
+)
 from cherrycove.tier.membership.table import MemberTable
 from cherrycove.tier.protocol.membership_pb2 import ReceiverView, Update
 
@@ -68,7 +75,7 @@
         """Merge one update of a datagram; most are known already, which costs little."""
         record = update.member
         known = self.table.get(MemberKey(record.node_name, record.program))
-        if known is not None and known.state == update.state:
+        if known is not None and known.state.value == int(update.state):
             member = known.member
             if member.incarnation == record.incarnation and member.process_id == record.process_id:
                 return False
@@ -76,6 +83,7 @@
 
     def hear_view(self, view: ReceiverView, now: float) -> None:
         """Refute, where it is wrong, what another process believes of this one."""
+        check_incarnation(view.incarnation)
         believed = attrs.evolve(self.own.member, process_id=view.process_id, incarnation=view.incarnation)
         self._hear_of_self(MemberStatus(believed, MemberState(view.state)), now)
 
--- a/cherrycove/tier/membership/machine.py
+++ b/cherrycove/tier/membership/machine.py
@@ -11,7 +11,7 @@
 import random
 from collections.abc import Callable
 
-from cherrycove.tier.membership.beliefs import NEVER, Beliefs
+from cherrycove.tier.membership.beliefs import Beliefs
 from cherrycove.tier.membership.contacts import ContactBook
 from cherrycove.tier.membership.effects import Effect, StartExchange
 from cherrycove.tier.membership.exchange import ExchangeSchedule, TableExchange
@@ -49,6 +49,7 @@
         self._sequence = 0
         self._period_at = now + rng.random() * parameters.period_s
         self._gossip_at = now
+        self._due_at = now
         self._stalled = False
         self._exchanges: list[StartExchange] = []
 
@@ -70,16 +71,7 @@
 
     def next_wakeup(self) -> float:
         """When ``tick`` is due."""
-        deadlines = [self._period_at, self._schedule.due_at]
-        if self._beliefs.table.running_count == 1:
-            deadlines.append(self._contacts.lonely_at)
-        if self._probe is not None:
-            deadlines += [self._probe.direct_deadline, self._probe.deadline]
-        if self._beliefs.queue:
-            deadlines.append(self._gossip_at)
-        for suspicion in self._beliefs.suspicions.values():
-            deadlines += [suspicion.deadline, suspicion.verify_at]
-        return min(deadlines)
+        return self._due_at
 
     def tick(self, now: float) -> list[Effect]:
         """Do everything that is due."""
@@ -93,7 +85,7 @@
                 self._start_exchange(now)
             if now >= self._gossip_at and self._beliefs.queue:
                 self._gossip(now)
-        return self._take_effects()
+        return self._take_effects(now)
 
     def leave(self, now: float) -> list[Effect]:
         """Tell some members that this process ends; they spread it."""
@@ -101,7 +93,7 @@
         peers = self._beliefs.table.peers()
         for status in self._sample(peers, self._parameters.farewell_members):
             self._outbox.ping(self._address_of(status.member), status, self._next_sequence())
-        return self._take_effects()
+        return self._take_effects(now)
 
     # Messages
 
@@ -119,7 +111,7 @@
             for update in datagram.updates:
                 self._beliefs.hear_update(update, now)
         self._answer(now, source, sender.member, datagram)
-        return self._take_effects()
+        return self._take_effects(now)
 
     @property
     def exchange(self) -> TableExchange:
@@ -135,7 +127,7 @@
             address = self._address_of(status.member)
             self._outbox.ping(address, status, self._contacts.open(self._next_sequence(), now))
             self._order.insert_next(status.member.key)
-        return self._take_effects()
+        return self._take_effects(now)
 
     # Probing
 
@@ -155,9 +147,9 @@
             return
         period_s = self._parameters.period_s
         sequence = self._next_sequence()
-        direct_deadline = now + self._parameters.direct_timeout_periods * period_s
+        retry_at = now + self._parameters.direct_timeout_periods * period_s
         deadline = now + self._parameters.probe_timeout_periods * period_s
-        self._probe = Probe(status.member, sequence, direct_deadline, deadline)
+        self._probe = Probe(status.member, sequence, retry_at, deadline)
         self._outbox.ping(self._address_of(status.member), status, sequence)
 
     def _check_probe(self, now: float) -> None:
@@ -167,8 +159,8 @@
         if now >= probe.deadline:
             self._probe = None
             self._beliefs.suspect(probe.target, now)
-        elif now >= probe.direct_deadline:
-            probe.direct_deadline = NEVER
+        elif now >= probe.retry_at:
+            probe.retry_at = now + self._parameters.retry_periods * self._parameters.period_s
             self._probe_through_others(probe)
 
     def _probe_through_others(self, probe: Probe) -> None:
@@ -176,7 +168,7 @@
         if status is None:
             return
         self._outbox.ping(self._address_of(status.member), status, probe.sequence)
-        probe.indirect_sequence = self._next_sequence()
+        probe.indirect_sequence = probe.indirect_sequence or self._next_sequence()
         others = [peer for peer in self._beliefs.table.peers() if peer.member.key != probe.target.key]
         for helper in self._sample(others, self._parameters.indirect_members):
             address = self._address_of(helper.member)
@@ -262,7 +254,7 @@
 
         Two short stalls in a row are not told from slowness, which must not keep the protocol from going on.
         """
-        lateness = now - self.next_wakeup()
+        lateness = now - self._due_at
         limit_s = self._parameters.stall_periods * self._parameters.period_s
         if lateness <= (self._parameters.period_s if self._stalled else limit_s):
             self._stalled = False if lateness >= 0.0 else self._stalled
@@ -271,13 +263,25 @@
         self._postpone(lateness + limit_s)
         return True
 
+    def _earliest_deadline(self) -> float:
+        deadlines = [self._period_at, self._schedule.due_at]
+        if self._beliefs.table.running_count == 1:
+            deadlines.append(self._contacts.lonely_at)
+        if self._probe is not None:
+            deadlines += [self._probe.retry_at, self._probe.deadline]
+        if self._beliefs.queue:
+            deadlines.append(self._gossip_at)
+        for suspicion in self._beliefs.suspicions.values():
+            deadlines += [suspicion.deadline, suspicion.verify_at]
+        return min(deadlines)
+
     def _postpone(self, delay_s: float) -> None:
         self._period_at += delay_s
         self._gossip_at += delay_s
         self._schedule.due_at += delay_s
         self._contacts.lonely_at += delay_s
         if self._probe is not None:
-            self._probe.direct_deadline += delay_s
+            self._probe.retry_at += delay_s
             self._probe.deadline += delay_s
         for suspicion in self._beliefs.suspicions.values():
             suspicion.deadline += delay_s
@@ -290,11 +294,12 @@
         self._sequence += 1
         return self._sequence
 
-    def _take_effects(self) -> list[Effect]:
+    def _take_effects(self, now: float) -> list[Effect]:
         changes = self._beliefs.take_changes()
         for change in changes:
             if change.began:
                 self._order.insert(change.current.member.key)
         effects: list[Effect] = [*changes, *self._outbox.take(), *self._exchanges]
         self._exchanges = []
+        self._due_at = max(now, self._earliest_deadline())
         return effects
--- a/cherrycove/tier/membership/model.py
+++ b/cherrycove/tier/membership/model.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import math
+import socket
 from enum import IntEnum
 from typing import NamedTuple
 
 import attrs
 
 from cherrycove.tier.protocol.membership_pb2 import MemberRecord, Update
+from cherrycove.tier.settings import PORT_OFFSETS
+
+INCARNATION_LIMIT = 1 << 62  # far above any counter; keeps room to raise it
 
 
 class MemberState(IntEnum):
@@ -67,6 +71,11 @@
 
     @staticmethod
     def from_record(record: MemberRecord) -> Member:
+        """The member in a message; ``ValueError`` if no process of the tier describes itself so."""
+        if not (record.node_name and record.process_id and record.program in PORT_OFFSETS):
+            raise ValueError("a member needs a name, a process id and a known program")
+        check_incarnation(record.incarnation)
+        _check_ip(record.ip)
         return Member(
             node_name=record.node_name,
             program=record.program,
@@ -78,6 +87,19 @@
         )
 
 
+def check_incarnation(incarnation: int) -> None:
+    """``ValueError`` for a counter that no member reaches."""
+    if incarnation >= INCARNATION_LIMIT:
+        raise ValueError(f"incarnation {incarnation} is too high")
+
+
+def _check_ip(ip: str) -> None:
+    try:
+        socket.inet_pton(socket.AF_INET, ip)
+    except OSError as error:
+        raise ValueError(f"{ip!r} is no IPv4 address") from error
+
+
 @attrs.frozen
 class MemberStatus:
     """A member and what is believed of it."""
@@ -102,7 +124,8 @@
     """Times of the protocol, as multiples of its period, and counts."""
 
     period_s: float
-    direct_timeout_periods: float = 0.2  # until a silent member is probed through others
+    direct_timeout_periods: float = 0.15  # until a silent member is probed through others
+    retry_periods: float = 0.1  # between further tries, direct and through others
     probe_timeout_periods: float = 0.5  # until a silent member is suspected
     suspicion_periods: float = 1.0  # times log10 of the number of members
     rumour_periods: float = 1.0  # suspicion of a member that somebody else has declared dead
@@ -120,6 +143,7 @@
     verifications_per_batch: int = 10
     farewell_members: int = 6  # members told directly that this one leaves
     retransmission_factor: float = 3.0  # times log2 of the number of members
+    fewest_transmissions: int = 10
     max_datagram_bytes: int = 1150
 
     def suspicion_s(self, members: int) -> float:
@@ -128,4 +152,4 @@
 
     def transmissions(self, members: int) -> int:
         """How often an update is sent on."""
-        return math.ceil(self.retransmission_factor * math.log2(members + 1))
+        return max(self.fewest_transmissions, math.ceil(self.retransmission_factor * math.log2(members + 1)))
--- a/cherrycove/tier/membership/probing.py
+++ b/cherrycove/tier/membership/probing.py
@@ -15,7 +15,7 @@
 
     target: Member
     sequence: int
-    direct_deadline: float  # when other members are asked to probe it too; inf once they were
+    retry_at: float  # when it is pinged again, and other members are asked to
     deadline: float  # when it is suspected
     indirect_sequence: int | None = None  # of the answers that other members pass on
 
--- /dev/null
+++ b/tests/tier/test_membership_loopback.py
@@ -0,0 +1,118 @@
+"""Membership with real datagrams and calls on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+from collections.abc import Callable
+
+import attrs
+
+from cherrycove.tier.membership.swim import Swim
+from cherrycove.tier.protocol.rpc import RpcClient, RpcServer
+from cherrycove.tier.settings import ListenAddresses, Settings
+
+PERIOD_MS = 60.0
+WAIT_S = 15.0
+SEED_IP = "127.0.0.1"
+
+
+@attrs.define
+class Running:
+    swim: Swim
+    server: RpcServer
+    client: RpcClient
+    changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    async def until(self, condition: Callable[[], bool]) -> None:
+        """Wait for the change of members after which ``condition`` holds."""
+        async with asyncio.timeout(WAIT_S):
+            while not condition():
+                self.changed.clear()
+                await self.changed.wait()
+
+    async def until_known(self, *processes: tuple[str, str]) -> None:
+        """Wait until exactly these processes (name, process id) are known to run."""
+        await self.until(lambda: self.known() == set(processes))
+
+    def known(self) -> set[tuple[str, str]]:
+        return {(member.node_name, member.process_id) for member in self.swim.members()}
+
+    async def stop(self, leave: bool) -> None:
+        await self.swim.stop(leave=leave)
+        await self.client.stop()
+        await self.server.stop()
+
+
+def free_port() -> int:
+    """A port that is free for calls and for datagrams."""
+    with socket.socket() as stream, socket.socket(type=socket.SOCK_DGRAM) as datagram:
+        stream.bind(("", 0))
+        datagram.bind(("", stream.getsockname()[1]))
+        return int(stream.getsockname()[1])
+
+
+async def started(name: str, ip: str, port: int, incarnation: str) -> Running:
+    settings = Settings(
+        node_name=name,
+        machine_class="core",
+        ip_address=ip,
+        zone="z1",
+        region="r1",
+        internal_port_range=[port, port + 3],
+        listen_addresses=ListenAddresses(),
+        seed_nodes=[f"{SEED_IP}:1"],
+        heartbeat_interval_ms=PERIOD_MS,
+    )
+    server, client = RpcServer(), RpcClient()
+    swim = Swim(settings, "keeper", incarnation, server, client, random.Random(ip))
+    running = Running(swim, server, client)
+    swim.on_change(running.changed.set)
+    await client.start()
+    await server.start(settings.internal_address("keeper"))
+    await swim.start()
+    return running
+
+
+def test_processes_join_leave_die_and_return() -> None:
+    async def exchange() -> None:
+        port = free_port()
+        first = await started("a", SEED_IP, port, "a1")
+        second = await started("b", "127.0.0.2", port, "b1")
+        third = await started("c", "127.0.0.3", port, "c1")
+        for process in (first, second, third):
+            await process.until_known(("a", "a1"), ("b", "b1"), ("c", "c1"))
+
+        await third.stop(leave=True)
+        await first.until_known(("a", "a1"), ("b", "b1"))
+        await second.until_known(("a", "a1"), ("b", "b1"))
+        states = {status.member.node_name: status.state.name for status in first.swim.statuses()}
+        assert states == {"a": "ALIVE", "b": "ALIVE", "c": "LEFT"}
+
+        await second.stop(leave=False)
+        await first.until_known(("a", "a1"))
+
+        returned = await started("b", "127.0.0.2", port, "b2")
+        await first.until_known(("a", "a1"), ("b", "b2"))
+        await returned.until_known(("a", "a1"), ("b", "b2"))
+        await returned.stop(leave=True)
+        await first.stop(leave=True)
+
+    asyncio.run(exchange())
+
+
+def test_garbled_datagrams_are_ignored() -> None:
+    async def exchange() -> None:
+        port = free_port()
+        first = await started("a", SEED_IP, port, "a1")
+        with socket.socket(type=socket.SOCK_DGRAM) as stranger:
+            for garbled in (b"", b"\xff" * 50, b"\x0a\x03abc", random.Random(1).randbytes(1100)):
+                stranger.sendto(garbled, (SEED_IP, port))
+        second = await started("b", "127.0.0.2", port, "b1")
+        await first.until_known(("a", "a1"), ("b", "b1"))
+        await second.until_known(("a", "a1"), ("b", "b1"))
+        await second.stop(leave=False)
+        await first.stop(leave=False)
+
+    asyncio.run(exchange())
