Command line of the tier: check, config, status, batch status, retire, storage

Operators had no means to look at a running tier or to check a file before sending it. Commands call the interfaces that are there already; a configuration is checked before it is sent, and sent again unchanged until an answer is clear, which is safe since an order that was taken is acknowledged again. A replica's folder is recovered from a copy, so that verifying uses the replica's own rules and changes nothing. Ruled out: a reader of its own for segments, which would drift from the one that counts; cleo's exit code 1 for wrong usage, which reads like a refusal. Cleo is imported when a command runs, never by a daemon.

--- /dev/null
+++ b/cherrycove/tier/cli/__init__.py
@@ -0,0 +1,43 @@
+"""The operators' command line.
+
+It reads files and asks running processes over the network; it changes a tier only through the operator's API.
+Daemons never import it.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from cleo.application import Application
+
+
+def application() -> Application:
+    """The command line with all its commands; libraries are imported here and not before."""
+    from cherrycove.tier.cli.application import CommandLine
+    from cherrycove.tier.cli.batch import BatchStatusCommand
+    from cherrycove.tier.cli.check import CheckConfigurationCommand, CheckSettingsCommand
+    from cherrycove.tier.cli.configuration import (
+        ConfigDiffCommand,
+        ConfigGetCommand,
+        ConfigPutCommand,
+    )
+    from cherrycove.tier.cli.retire import RetireCommand
+    from cherrycove.tier.cli.status import StatusCommand
+    from cherrycove.tier.cli.storage import StorageInspectCommand, StorageVerifyCommand
+
+    command_line = CommandLine()
+    for command in (
+        CheckSettingsCommand(),
+        CheckConfigurationCommand(),
+        ConfigGetCommand(),
+        ConfigPutCommand(),
+        ConfigDiffCommand(),
+        StatusCommand(),
+        BatchStatusCommand(),
+        RetireCommand(),
+        StorageInspectCommand(),
+        StorageVerifyCommand(),
+    ):
+        command_line.add(command)
+    return command_line
--- /dev/null
+++ b/cherrycove/tier/cli/application.py
@@ -0,0 +1,41 @@
+"""The cleo application: commands end with the exit codes of the command line, wrong usage included."""
+
+from __future__ import annotations
+
+from cleo.application import Application
+from cleo.exceptions import CleoError
+from cleo.io.inputs.input import Input
+from cleo.io.io import IO
+from cleo.io.outputs.output import Output, Type
+
+from cherrycove.tier.cli.command import ExitCode
+
+NAME = "cherrycove"
+
+
+class CommandLine(Application):
+    """Runs one command; ``run`` returns its exit code."""
+
+    def __init__(self) -> None:
+        super().__init__(NAME)
+        self.auto_exits(False)
+        self._wrong_usage = False
+
+    def run(
+        self,
+        input: Input | None = None,
+        output: Output | None = None,
+        error_output: Output | None = None,
+    ) -> int:
+        """Run the command that ``input`` names, by default that of the process's arguments."""
+        self._wrong_usage = False
+        exit_code = super().run(input, output, error_output)
+        return int(ExitCode.INVALID) if self._wrong_usage else exit_code
+
+    def render_error(self, error: Exception, io: IO) -> None:
+        """Tell of wrong usage in one line, of anything else with a trace."""
+        if not isinstance(error, CleoError):
+            super().render_error(error, io)
+            return
+        self._wrong_usage = True
+        io.write_error_line(f"{NAME}: {error}", type=Type.RAW)
--- /dev/null
+++ b/cherrycove/tier/cli/operator_client.py
@@ -0,0 +1,110 @@
+"""HTTP calls to a tier: addresses are tried in turn, redirects followed, overload waited out."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Mapping, Sequence
+from urllib.parse import urlsplit
+
+import aiohttp
+import attrs
+
+from cherrycove.tier.cli.command import CommandError, ExitCode, Problem
+
+MAX_REDIRECTS = 2
+ATTEMPT_TIMEOUT_S = 2.0
+CONNECT_TIMEOUT_S = 1.0
+FIRST_PAUSE_S = 0.1
+MAX_PAUSE_S = 1.0
+RETRIED_STATUSES = (408, 429)  # besides all from 500 on
+DEFAULT_TIMEOUT_S = 10
+
+
+@attrs.frozen
+class HttpAnswer:
+    status: int
+    body: bytes
+    address: str  # host:port that gave it
+
+
+@attrs.frozen
+class HttpCall:
+    """One call as it is sent, again and again, until an answer is clear."""
+
+    method: str
+    path: str
+    headers: Mapping[str, str] = attrs.field(factory=dict)
+    body: bytes | None = None
+
+
+def call(addresses: Sequence[str], request: HttpCall, timeout_s: float) -> HttpAnswer:
+    """The first clear answer from ``addresses`` (host:port); ends the command if none comes in time."""
+    return asyncio.run(_call(addresses, request, timeout_s))
+
+
+async def _call(addresses: Sequence[str], request: HttpCall, timeout_s: float) -> HttpAnswer:
+    for address in addresses:
+        _check_address(address)
+    last = Problem("no answer", ", ".join(addresses))
+    try:
+        async with asyncio.timeout(timeout_s), aiohttp.ClientSession() as session:
+            pause_s = FIRST_PAUSE_S
+            while True:
+                for address in addresses:
+                    answer = await _attempt(session, address, request)
+                    if isinstance(answer, HttpAnswer):
+                        return answer
+                    last = answer
+                await asyncio.sleep(pause_s)
+                pause_s = min(2.0 * pause_s, MAX_PAUSE_S)
+    except TimeoutError:
+        raise CommandError(ExitCode.UNANSWERED, last) from None
+
+
+async def _attempt(session: aiohttp.ClientSession, address: str, request: HttpCall) -> HttpAnswer | Problem:
+    """A clear answer, or why there is none."""
+    timeout = aiohttp.ClientTimeout(total=ATTEMPT_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S)
+    url = f"http://{address}{request.path}"
+    try:
+        for _ in range(MAX_REDIRECTS + 1):
+            async with session.request(
+                request.method,
+                url,
+                data=request.body,
+                headers=request.headers,
+                timeout=timeout,
+                allow_redirects=False,
+            ) as response:
+                body = await response.read()
+                if response.status == 307 and "Location" in response.headers:
+                    url = response.headers["Location"]
+                    continue
+                return _judge(HttpAnswer(response.status, body, urlsplit(url).netloc))
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        return Problem(str(error) or "no answer in time", urlsplit(url).netloc)
+    return Problem("too many redirects", address)
+
+
+def _judge(answer: HttpAnswer) -> HttpAnswer | Problem:
+    if answer.status < 500 and answer.status not in RETRIED_STATUSES:
+        return answer
+    return Problem(f"status {answer.status} {reason_of(answer)}".rstrip(), answer.address)
+
+
+def _check_address(address: str) -> None:
+    host, _, port = address.rpartition(":")
+    if not (host and port.isascii() and port.isdigit()):
+        raise CommandError(ExitCode.INVALID, Problem(f"{address!r} is not HOST:PORT"))
+
+
+def reason_of(answer: HttpAnswer) -> str:
+    """The sentence that came with a failure."""
+    text = answer.body.decode("utf-8", "replace").strip()
+    if not text.startswith("{"):
+        return text
+    try:
+        document = json.loads(text)
+    except ValueError:
+        return text
+    return str(document.get("detail") or document.get("error") or "")
--- /dev/null
+++ b/cherrycove/tier/cli/storage.py
@@ -0,0 +1,110 @@
+"""``storage``: what a replica's folder holds, and whether it is whole. The folder itself is never changed."""
+
+from __future__ import annotations
+
+import shutil
+import tempfile
+from pathlib import Path
+from typing import Any
+
+import attrs
+from cleo.helpers import argument
+
+from cherrycove.tier.cli.command import CommandError, ExitCode, Outcome, Problem, TierCommand
+from cherrycove.tier.storage.files import DamagedStorageError
+from cherrycove.tier.storage.identity import IDENTITY_FILE, open_identity
+from cherrycove.tier.storage.segments import segment_names
+from cherrycove.tier.storage.store import RecoveredState, ReplicaStorage
+
+DIRECTORY_ARGUMENT = argument("directory", "Folder of one replica (dataDirectory/keeper or .../store).")
+
+
+@attrs.frozen
+class Inspection:
+    """A folder as its replica would find it at its next start."""
+
+    member_id: str
+    state: RecoveredState
+    segments: list[tuple[str, int]]  # name, bytes
+    torn_bytes: int  # at the end of the log, from a write that was never acknowledged
+
+
+def inspect(directory: Path) -> Inspection:
+    """Recover a copy of ``directory``, just as its replica would; DamagedStorageError where that fails."""
+    with tempfile.TemporaryDirectory(prefix="cherrycove-") as scratch:
+        copy = Path(scratch) / "copy"
+        shutil.copytree(directory, copy)
+        member_id, created = open_identity(copy, first_start=False, ip="")
+        if created:
+            raise DamagedStorageError(f"{directory / IDENTITY_FILE}: not an identity")
+        segments = [(name.file_name, (copy / name.file_name).stat().st_size) for name in segment_names(copy)]
+        return _recover(copy, member_id, segments)
+
+
+def _recover(copy: Path, member_id: str, segments: list[tuple[str, int]]) -> Inspection:
+    storage = ReplicaStorage(copy)
+    try:
+        state = storage.recover()
+    finally:
+        storage.close()
+    kept = [copy / name for name, _ in segments]
+    present = {path.name: path.stat().st_size for path in kept if path.exists()}
+    torn_bytes = sum(size - present.get(name, 0) for name, size in segments[-1:])
+    return Inspection(member_id, state, segments, torn_bytes)
+
+
+class StorageCommand(TierCommand):
+    """A command about one replica's folder."""
+
+    arguments = [DIRECTORY_ARGUMENT]
+
+    def inspected(self) -> Inspection:
+        """What the folder holds; ends the command where it is damaged or holds no replica."""
+        path = Path(self.argument("directory"))
+        if not (path / IDENTITY_FILE).is_file():
+            raise CommandError(ExitCode.INVALID, Problem("holds no replica", str(path), IDENTITY_FILE))
+        try:
+            return inspect(path)
+        except DamagedStorageError as error:
+            raise CommandError(ExitCode.FAILED, Problem(str(error), str(path))) from error
+        except OSError as error:
+            raise CommandError(ExitCode.FAILED, Problem(str(error), str(path))) from error
+
+
+class StorageInspectCommand(StorageCommand):
+    name = "storage inspect"
+    description = "Shows what a replica's folder holds."
+
+    def perform(self) -> Outcome:
+        document = _document(self.inspected())
+        lines = [f"{name}: {value}" for name, value in document.items() if name != "segments"]
+        lines += [f"segment {segment['file']}: {segment['bytes']} bytes" for segment in document["segments"]]
+        return Outcome(document, lines)
+
+
+class StorageVerifyCommand(StorageCommand):
+    name = "storage verify"
+    description = "Tells whether a replica could start from its folder; 0 if so."
+
+    def perform(self) -> Outcome:
+        inspection = self.inspected()
+        path = self.argument("directory")
+        document = {"directory": path, "whole": True, "tornBytes": inspection.torn_bytes}
+        return Outcome(document, [f"{path}: whole; {inspection.torn_bytes} bytes of an unfinished write"])
+
+
+def _document(inspection: Inspection) -> dict[str, Any]:
+    state = inspection.state
+    snapshot_index = state.snapshot.index if state.snapshot is not None else 0
+    return {
+        "memberId": inspection.member_id,
+        "epoch": state.promise.epoch,
+        "votedFor": state.promise.voted_for,
+        "committed": state.promise.committed,
+        "snapshotIndex": snapshot_index,
+        "snapshotBytes": state.snapshot.size if state.snapshot is not None else 0,
+        "entries": len(state.entries),
+        "lastIndex": state.entries[-1].index if state.entries else snapshot_index,
+        "tornBytes": inspection.torn_bytes,
+        "segments": [{"file": name, "bytes": size} for name, size in inspection.segments],
+    }
--- /dev/null
+++ b/tests/tier/test_tier_cli.py
@@ -0,0 +1,592 @@
+"""The operators' commands, run through cleo against stand-ins on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import subprocess
+import sys
+import threading
+from collections.abc import Awaitable, Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import attrs
+import pytest
+from aiohttp import web
+from cleo.testers.application_tester import ApplicationTester
+from cleo.testers.command_tester import CommandTester
+from result import Err, Ok, Result
+
+from cherrycove.tier.cli import application
+from cherrycove.tier.cli.differences import differences
+from cherrycove.tier.errors import ErrorKind, Failure
+from cherrycove.tier.protocol.control_pb2 import Announcement, BrokerEntry, BrokerList, Replica
+from cherrycove.tier.protocol.keeper_pb2 import RetireOrder, StatusReply, StatusRequest
+from cherrycove.tier.protocol.rpc import RpcServer
+from cherrycove.tier.storage.entries import Entry, EntryKind
+from cherrycove.tier.storage.identity import open_identity
+from cherrycove.tier.storage.promises import Promise
+from cherrycove.tier.storage.snapshots import Snapshot
+from cherrycove.tier.storage.store import ReplicaStorage
+
+DONE, FAILED, INVALID, UNANSWERED = 0, 1, 2, 3
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "hostname": "a.example",
+            "pathPrefix": "/x/",
+            "routeKind": "streaming",
+            "timeoutMs": 3000,
+            "service": "s-1",
+        }
+    ],
+    "services": [{"name": "s-1"}],
+}
+SETTINGS = """
+nodeName: core-1
+machineClass: core
+ipAddress: 10.0.0.1
+zone: z1
+region: r1
+internalPortRange: [7720, 7735]
+serves: [control_plane]
+"""
+
+
+@attrs.frozen
+class Run:
+    exit_code: int
+    output: str
+    errors: str
+
+    @property
+    def document(self) -> Any:
+        return json.loads(self.output)
+
+
+def run(command: str, arguments: str = "") -> Run:
+    tester = CommandTester(application().find(command))
+    exit_code = tester.execute(arguments)
+    return Run(exit_code, tester.io.fetch_output(), tester.io.fetch_error())
+
+
+# Stand-ins
+
+
+@attrs.frozen
+class Received:
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@attrs.frozen
+class Scripted:
+    status: int
+    body: bytes = b"{}"
+    headers: dict[str, str] = attrs.field(factory=dict)
+
+
+class Loop:
+    """An event loop in a thread, for servers beside commands that block."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever)
+        self._thread.start()
+
+    def run(self, awaitable: Awaitable[Any]) -> Any:
+        async def wait() -> Any:
+            return await awaitable
+
+        return asyncio.run_coroutine_threadsafe(wait(), self._loop).result(timeout=20)
+
+    def close(self) -> None:
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+        self._loop.close()
+
+
+class StandIn:
+    """Answers HTTP calls one after another as scripted; the last answer stays."""
+
+    def __init__(self, *answers: Scripted) -> None:
+        self.answers = list(answers)
+        self.received: list[Received] = []
+        self.address = ""
+        self._runner: web.ServerRunner | None = None
+
+    async def start(self) -> None:
+        self._runner = web.ServerRunner(web.Server(self._handle))  # type: ignore[arg-type]
+        await self._runner.setup()
+        await web.TCPSite(self._runner, "127.0.0.1", 0).start()
+        host, port = self._runner.addresses[0][:2]
+        self.address = f"{host}:{port}"
+
+    async def stop(self) -> None:
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _handle(self, request: web.BaseRequest) -> web.Response:
+        body = await request.read()
+        self.received.append(Received(request.method, request.path_qs, dict(request.headers), body))
+        answer = self.answers.pop(0) if len(self.answers) > 1 else self.answers[0]
+        return web.Response(status=answer.status, body=answer.body, headers=answer.headers)
+
+
+StartStandIn = Callable[..., StandIn]
+StartKeeper = Callable[[Callable[[str], Result[StatusReply, Failure]]], str]
+
+
+@pytest.fixture
+def loop() -> Iterator[Loop]:
+    loop = Loop()
+    yield loop
+    loop.close()
+
+
+@pytest.fixture
+def stand_in(loop: Loop) -> Iterator[StartStandIn]:
+    started: list[StandIn] = []
+
+    def start(*answers: Scripted) -> StandIn:
+        server = StandIn(*answers)
+        loop.run(server.start())
+        started.append(server)
+        return server
+
+    yield start
+    for server in started:
+        loop.run(server.stop())
+
+
+@pytest.fixture
+def keeper(loop: Loop) -> Iterator[StartKeeper]:
+    """Starts a server of internal calls whose status is what a function makes of its address."""
+    started: list[RpcServer] = []
+
+    def start(reply: Callable[[str], Result[StatusReply, Failure]]) -> str:
+        server = RpcServer()
+        address = f"127.0.0.1:{free_port()}"
+
+        async def status(_: StatusRequest) -> Result[StatusReply, Failure]:
+            return reply(address)
+
+        server.register("status", StatusRequest, status)
+        loop.run(server.start(address))
+        started.append(server)
+        return address
+
+    yield start
+    for server in started:
+        loop.run(server.stop())
+
+
+def free_port() -> int:
+    import socket
+
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+@pytest.fixture
+def configuration_file(tmp_path: Path) -> Path:
+    path = tmp_path / "new.json"
+    path.write_text(json.dumps(CONFIGURATION))
+    return path
+
+
+def in_force(version: int) -> Scripted:
+    return Scripted(200, json.dumps({**CONFIGURATION, "version": version}).encode())
+
+
+# check
+
+
+def test_valid_settings(tmp_path: Path) -> None:
+    path = tmp_path / "boot.yaml"
+    path.write_text(SETTINGS + "someNewKey: 5\n")
+    assert run("check settings", str(path)) == Run(DONE, f"{path}: valid; node core-1 in z1\n", "")
+    assert run("check settings", f"{path} --json").document == {
+        "file": str(path),
+        "valid": True,
+        "node": "core-1",
+        "machineClass": "core",
+        "serves": ["control_plane"],
+    }
+
+
+def test_settings_without_a_key_name_file_key_and_reason(tmp_path: Path) -> None:
+    path = tmp_path / "boot.yaml"
+    path.write_text(SETTINGS.replace("zone: z1\n", ""))
+    outcome = run("check settings", f"{path} --json")
+    assert outcome.exit_code == INVALID
+    (error,) = outcome.document["errors"]
+    assert error["source"] == str(path)
+    assert "zone" in error["key"] + error["reason"]
+
+
+def test_a_file_that_is_not_there() -> None:
+    outcome = run("check settings", "/nowhere/boot.yaml")
+    assert outcome == Run(INVALID, "", "/nowhere/boot.yaml: No such file or directory\n")
+
+
+def test_valid_configuration(configuration_file: Path) -> None:
+    outcome = run("check configuration", str(configuration_file))
+    assert outcome == Run(DONE, f"{configuration_file}: valid; version 7, 1 routes, 1 services\n", "")
+
+
+def test_invalid_configuration_names_every_fault(tmp_path: Path) -> None:
+    path = tmp_path / "bad.json"
+    route = {**CONFIGURATION["routes"][0], "service": "s-9", "timeoutMs": 0}  # type: ignore[index]
+    path.write_text(json.dumps({**CONFIGURATION, "routes": [route]}))
+    outcome = run("check configuration", str(path))
+    assert outcome.exit_code == INVALID
+    assert outcome.errors == (
+        f"{path}: route r-1: service 's-9' is not among the services\n"
+        f"{path}: route r-1: timeoutMs must be above 0\n"
+    )
+
+
+# config
+
+
+def test_get_prints_the_configuration_as_it_was_sent(stand_in: StartStandIn) -> None:
+    server = stand_in(Scripted(200, b'{"version": 7,\n "routes": []}'))
+    outcome = run("config get", f"--keeper {server.address}")
+    assert outcome == Run(DONE, '{"version": 7,\n "routes": []}\n', "")
+
+
+def test_get_before_the_first_configuration(stand_in: StartStandIn) -> None:
+    server = stand_in(Scripted(404))
+    assert run("config get", f"--keeper {server.address}").exit_code == FAILED
+
+
+def test_put_builds_on_the_version_in_force(stand_in: StartStandIn, configuration_file: Path) -> None:
+    server = stand_in(in_force(5), Scripted(200))
+    outcome = run("config put", f"{configuration_file} --keeper {server.address} --json")
+    assert outcome.document == {"version": 7, "baseVersion": 5, "acknowledged": True}
+    assert outcome.exit_code == DONE
+    assert [call.method for call in server.received] == ["GET", "PUT"]
+    assert server.received[1].headers["If-Match"] == "5"
+    assert server.received[1].body == configuration_file.read_bytes()
+
+
+def test_put_of_the_first_configuration(stand_in: StartStandIn, configuration_file: Path) -> None:
+    server = stand_in(Scripted(404), Scripted(200))
+    assert run("config put", f"{configuration_file} --keeper {server.address}").exit_code == DONE
+    assert server.received[1].headers["If-Match"] == "0"
+
+
+def test_put_on_a_given_version(stand_in: StartStandIn, configuration_file: Path) -> None:
+    server = stand_in(Scripted(200))
+    run("config put", f"{configuration_file} --keeper {server.address} --if-match 6")
+    assert [call.headers["If-Match"] for call in server.received] == ["6"]
+
+
+def test_put_follows_the_redirect_to_the_primary(stand_in: StartStandIn, configuration_file: Path) -> None:
+    primary = stand_in(Scripted(200))
+    location = f"http://{primary.address}/api/configuration"
+    other = stand_in(Scripted(307, headers={"Location": location}))
+    outcome = run("config put", f"{configuration_file} --keeper {other.address} --if-match 6")
+    assert outcome.exit_code == DONE
+    assert primary.received[0].body == configuration_file.read_bytes()
+    assert primary.received[0].headers["If-Match"] == "6"
+
+
+def test_put_is_sent_again_unchanged_until_an_answer_is_clear(
+    stand_in: StartStandIn, configuration_file: Path
+) -> None:
+    server = stand_in(Scripted(503), Scripted(503), Scripted(200))
+    outcome = run("config put", f"{configuration_file} --keeper {server.address} --if-match 6")
+    assert outcome.exit_code == DONE
+    assert len(server.received) == 3
+    assert len({call.body for call in server.received}) == 1
+
+
+def test_put_goes_to_the_next_keeper(stand_in: StartStandIn, configuration_file: Path) -> None:
+    server = stand_in(Scripted(200))
+    silent = f"127.0.0.1:{free_port()}"
+    arguments = f"{configuration_file} --keeper {silent} --keeper {server.address} --if-match 6"
+    assert run("config put", arguments).exit_code == DONE
+
+
+def test_put_on_a_version_that_is_not_in_force(stand_in: StartStandIn, configuration_file: Path) -> None:
+    server = stand_in(Scripted(412, b'{"error": "version_mismatch", "detail": "version 9 is in force"}'))
+    outcome = run("config put", f"{configuration_file} --keeper {server.address} --if-match 6")
+    assert outcome == Run(FAILED, "", f"{server.address}: status 412 version 9 is in force\n")
+
+
+def test_an_invalid_file_is_not_sent(stand_in: StartStandIn, tmp_path: Path) -> None:
+    server = stand_in(Scripted(200))
+    path = tmp_path / "bad.json"
+    path.write_text("{")
+    assert run("config put", f"{path} --keeper {server.address}").exit_code == INVALID
+    assert server.received == []
+
+
+def test_no_keeper_answers(configuration_file: Path) -> None:
+    silent = f"127.0.0.1:{free_port()}"
+    outcome = run("config put", f"{configuration_file} --keeper {silent} --if-match 6 --timeout 1")
+    assert outcome.exit_code == UNANSWERED
+    assert outcome.errors.startswith(f"{silent}: ")
+
+
+def test_diff_of_equal_configurations(stand_in: StartStandIn, configuration_file: Path) -> None:
+    server = stand_in(in_force(7))
+    assert run("config diff", f"{configuration_file} --keeper {server.address}") == Run(DONE, "", "")
+
+
+def test_diff_names_keys(stand_in: StartStandIn, configuration_file: Path) -> None:
+    changed = json.loads(json.dumps(CONFIGURATION))
+    changed["routes"][0]["timeoutMs"] = 5000
+    changed["routes"].append({"name": "r-2"})
+    server = stand_in(Scripted(200, json.dumps(changed).encode()))
+    outcome = run("config diff", f"{configuration_file} --keeper {server.address}")
+    assert outcome == Run(
+        FAILED, '~ routes.r-1.timeoutMs: 5000 -> 3000\n- routes.r-2: {"name": "r-2"}\n', ""
+    )
+
+
+def test_lists_without_different_names_are_compared_whole() -> None:
+    (difference,) = differences({"a": [{"name": "x"}, {"name": "x"}]}, {"a": [{"name": "x"}]})
+    assert difference.key == "a"
+
+
+@pytest.mark.parametrize("arguments", ("", "--keeper nonsense", "--keeper 127.0.0.1:1 --timeout soon"))
+def test_wrong_options(arguments: str) -> None:
+    assert run("config get", arguments).exit_code == INVALID
+
+
+# retire
+
+
+def test_retire_orders(stand_in: StartStandIn) -> None:
+    server = stand_in(Scripted(200))
+    assert run("retire", f"storage-1 --keeper {server.address} --duration 20").exit_code == DONE
+    (received,) = server.received
+    assert (received.method, received.path) == ("POST", "/api/retire/storage-1")
+    assert json.loads(received.body) == {"durationS": 20}
+
+
+def test_retire_is_refused(stand_in: StartStandIn) -> None:
+    server = stand_in(Scripted(409, b'{"error": "conflict", "detail": "too few would remain"}'))
+    outcome = run("retire", f"storage-1 --keeper {server.address}")
+    assert outcome == Run(FAILED, "", f"{server.address}: status 409 too few would remain\n")
+
+
+@pytest.mark.parametrize(("state", "exit_code"), (("active", FAILED), ("completed", DONE)))
+def test_retire_status(stand_in: StartStandIn, state: str, exit_code: int) -> None:
+    server = stand_in(Scripted(200, json.dumps({"state": state}).encode()))
+    outcome = run("retire", f"--status storage-1 --keeper {server.address} --json")
+    assert outcome.document == {"node": "storage-1", "state": state}
+    assert outcome.exit_code == exit_code
+    assert server.received[0].method == "GET"
+
+
+# batch
+
+
+def page(total: int, *states: str) -> Scripted:
+    results = [{"instanceId": str(place), "state": state} for place, state in enumerate(states)]
+    return Scripted(200, json.dumps({"total": total, "results": results}).encode())
+
+
+def test_batch_status_reads_all_pages(stand_in: StartStandIn) -> None:
+    server = stand_in(page(4, "completed", "dead_lettered"), page(4, "completed"), page(4))
+    outcome = run("batch status", f"j-1 --proxy {server.address} --host a.example")
+    assert outcome == Run(FAILED, "j-1: total 4, completed 2, deadLettered 1, open 1\n", "")
+    assert [call.path for call in server.received] == [
+        "/api/lots/j-1?pageCursor=0",
+        "/api/lots/j-1?pageCursor=2",
+        "/api/lots/j-1?pageCursor=3",
+    ]
+    assert server.received[0].headers["Host"] == "a.example"
+
+
+def test_batch_status_of_a_finished_job(stand_in: StartStandIn) -> None:
+    server = stand_in(page(1, "completed"), page(1))
+    outcome = run("batch status", f"j-1 --proxy {server.address} --host a.example --json")
+    assert outcome.exit_code == DONE
+    assert outcome.document == {"job": "j-1", "total": 1, "completed": 1, "deadLettered": 0, "open": 0}
+
+
+def test_batch_status_of_an_unknown_job(stand_in: StartStandIn) -> None:
+    server = stand_in(Scripted(404))
+    assert run("batch status", f"j-1 --proxy {server.address} --host a.example").exit_code == FAILED
+
+
+def test_batch_status_needs_proxy_and_host() -> None:
+    assert run("batch status", "j-1 --proxy 127.0.0.1:1").errors == "--host: is required\n"
+
+
+# status
+
+
+def status_of(address: str, confirmed: bool, primary_address: str) -> StatusReply:
+    return StatusReply(
+        node_name="core-1" if confirmed else "core-2",
+        epoch=4,
+        confirmed=confirmed,
+        primary="core-1",
+        members=[Replica(member_id="m1", node_name="core-1", address=primary_address, zone="z1")],
+        configuration_version=9,
+        retire_orders=[RetireOrder(node_name="storage-1", completed=True)],
+        brokers=BrokerList(
+            brokers=[
+                BrokerEntry(instance_id="i-1", service="s-1", address="10.0.0.9:80"),
+                BrokerEntry(instance_id="i-2", service="s-1", address="10.0.0.8:80", draining=True),
+            ]
+        ),
+        announcements=[
+            Announcement(
+                node_name="web-1", program="proxy", ip="10.0.0.5", zone="z1", configuration_version=9
+            ),
+            Announcement(
+                node_name="core-1",
+                program="keeper",
+                ip="10.0.0.1",
+                zone="z1",
+                group_primary=True,
+                group_epoch=4,
+            ),
+        ],
+    )
+
+
+def test_status_is_that_of_the_primary(keeper: StartKeeper) -> None:
+    primary = keeper(lambda address: Ok(status_of(address, True, address)))
+    other = keeper(lambda address: Ok(status_of(address, False, primary)))
+    outcome = run("status", f"--keeper {other}")
+    assert outcome == Run(
+        DONE,
+        "epoch 4, primary core-1 (confirmed), asked core-1\n"
+        "configuration version 9\n"
+        "keepers: core-1\n"
+        "stores at first: none\n"
+        "retire storage-1: completed\n"
+        "keeper core-1 10.0.0.1 z1: primary of epoch 4\n"
+        "proxy web-1 10.0.0.5 z1: configuration 9\n"
+        "brokers of s-1: 2, 1 draining\n",
+        "",
+    )
+
+
+def test_status_without_a_primary(keeper: StartKeeper) -> None:
+    other = keeper(lambda address: Ok(status_of(address, False, f"127.0.0.1:{free_port()}")))
+    outcome = run("status", f"--keeper {other} --json")
+    assert outcome.exit_code == FAILED
+    assert outcome.document["confirmed"] is False
+    assert outcome.document["answeredBy"] == "core-2"
+    assert outcome.document["brokers"][1]["draining"] is True
+
+
+def test_status_of_nobody(keeper: StartKeeper) -> None:
+    broken = keeper(lambda _: Err(Failure(ErrorKind.UNAVAILABLE, "starting")))
+    silent = f"127.0.0.1:{free_port()}"
+    outcome = run("status", f"--keeper {broken} --keeper {silent}")
+    assert outcome.exit_code == UNANSWERED
+    assert outcome.errors.startswith(f"{broken}: starting\n{silent}: ")
+
+
+# storage
+
+
+def write_replica(directory: Path) -> None:
+    open_identity(directory, first_start=True, ip="10.0.0.1")
+    storage = ReplicaStorage(directory)
+    storage.recover()
+    storage.write_promise(Promise(epoch=3, voted_for="first-10.0.0.1", committed=2))
+    storage.append([Entry(1, 3, EntryKind.NOOP), Entry(2, 3, EntryKind.COMMAND, b"one")])
+    storage.save_snapshot(Snapshot(2, 3, b"members", b"state"), [])
+    storage.append([Entry(3, 3, EntryKind.COMMAND, b"two")])
+    storage.append([Entry(4, 3, EntryKind.COMMAND, b"three")])
+    storage.close()
+
+
+def contents(directory: Path) -> dict[str, bytes]:
+    return {path.name: path.read_bytes() for path in directory.iterdir()}
+
+
+def last_segment(directory: Path) -> Path:
+    return max(directory.glob("*.log"))
+
+
+def test_storage_of_a_whole_replica(tmp_path: Path) -> None:
+    directory = tmp_path / "keeper"
+    write_replica(directory)
+    before = contents(directory)
+    document = run("storage inspect", f"{directory} --json").document
+    segments = document.pop("segments")
+    assert document.pop("snapshotBytes") > 0
+    assert document == {
+        "memberId": "first-10.0.0.1",
+        "epoch": 3,
+        "votedFor": "first-10.0.0.1",
+        "committed": 2,
+        "snapshotIndex": 2,
+        "entries": 2,
+        "lastIndex": 4,
+        "tornBytes": 0,
+    }
+    assert [segment["file"] for segment in segments] == [last_segment(directory).name]
+    assert run("storage verify", str(directory)).exit_code == DONE
+    assert contents(directory) == before
+
+
+def test_storage_with_an_unfinished_write_is_whole(tmp_path: Path) -> None:
+    directory = tmp_path / "keeper"
+    write_replica(directory)
+    path = last_segment(directory)
+    path.write_bytes(path.read_bytes() + b"CvF1\x00\x00")
+    before = contents(directory)
+    outcome = run("storage verify", f"{directory} --json")
+    assert outcome.document == {"directory": str(directory), "whole": True, "tornBytes": 6}
+    assert contents(directory) == before
+
+
+def test_damaged_storage_is_told_with_its_place(tmp_path: Path) -> None:
+    directory = tmp_path / "keeper"
+    write_replica(directory)
+    path = last_segment(directory)
+    data = bytearray(path.read_bytes())
+    data[14] ^= 0xFF
+    path.write_bytes(data)
+    before = contents(directory)
+    outcome = run("storage verify", str(directory))
+    assert outcome.exit_code == FAILED
+    assert "invalid frame at byte 0" in outcome.errors
+    assert contents(directory) == before
+
+
+def test_a_folder_without_a_replica(tmp_path: Path) -> None:
+    assert run("storage inspect", str(tmp_path)).exit_code == INVALID
+
+
+# Usage
+
+
+@pytest.mark.parametrize(
+    ("arguments", "exit_code"),
+    (
+        ("list", DONE),
+        ("check settings", INVALID),
+        ("check settings a b", INVALID),
+        ("status --unknown", INVALID),
+        ("launch", INVALID),
+    ),
+)
+def test_exit_codes_of_wrong_usage(arguments: str, exit_code: int) -> None:
+    assert ApplicationTester(application()).execute(arguments) == exit_code
+
+
+def test_importing_the_package_imports_no_library() -> None:
+    """Daemons may import it without paying for a command line."""
+    code = "import sys, cherrycove.tier.cli; print('cleo' in sys.modules, 'aiohttp' in sys.modules)"
+    ended = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    assert ended.stdout == "False False\n"
