--- a/cherrycove/tier/replication/elections.py
+++ b/cherrycove/tier/replication/elections.py
@@ -74,6 +74,8 @@
         core = self._core
         if core.role is Role.PRIMARY or now < self._deadline or not core.is_member or core.disk_failing:
             return
+        if self._campaign is not None and not self._campaign.asked:
+            return  # its own promise is not synced yet: a slow disk is no reason to begin anew
         self._deadline = now + core.timing.retry_s + self._spread()
         core.become(Role.BACKUP, None)
         self._campaign = Campaign(True, core.epoch + 1)
@@ -94,6 +96,7 @@
         """The disk made progress."""
         campaign = self._campaign
         if campaign is not None and not campaign.asked and self._core.promise_durable:
+            self._deadline = now + self._timeout()
             self._ask()
             self._count(now)
 
--- a/cherrycove/tier/replication/interface.py
+++ b/cherrycove/tier/replication/interface.py
@@ -1,4 +1,4 @@
-"""What a replicated group offers to the plane that uses it, and what it asks of that plane's state machine."""
+"""What a replicated group offers to the plane that uses it, and what it asks of its state machine."""
 
 from __future__ import annotations
 
--- a/cherrycove/tier/replication/machine.py
+++ b/cherrycove/tier/replication/machine.py
@@ -40,7 +40,7 @@
         wishes: Wishes | None = None,
         kept_entries: int = KEPT_ENTRIES,
     ) -> None:
-        """``wishes`` may be changed by its owner at any time. ``kept_entries`` stay in memory before a snapshot."""
+        """``wishes`` may change at any time. ``kept_entries`` before a snapshot stay in memory."""
         timing = timing or Timing()
         empty = recovered.snapshot is None and not recovered.entries and recovered.promise.epoch == 0
         self._core = ReplicaCore(identity, faults, recovered, timing, random, kept_entries)
--- a/cherrycove/tier/replication/proposals.py
+++ b/cherrycove/tier/replication/proposals.py
@@ -54,6 +54,12 @@
         else:
             waiting.future.set_result(_uncertain("another entry was committed in its place"))
 
+    def failed(self, index: int) -> None:
+        """The entry at ``index`` was committed, but applying it raised."""
+        waiting = self._waiting.pop(index, None)
+        if waiting is not None and not waiting.future.done():
+            waiting.future.set_result(_uncertain("committed, but it could not be applied"))
+
     async def settled(self, timeout_s: float) -> None:
         """Wait until nothing waits any more, but not longer than ``timeout_s``."""
         futures = [waiting.future for waiting in self._waiting.values()]
--- /dev/null
+++ b/tests/tier/test_replication_machine.py
@@ -0,0 +1,350 @@
+"""Exchanges between pure machines, on a simulated network without disturbance and with a simulated clock."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+
+import pytest
+
+from cherrycove.tier.protocol.replication_pb2 import Append, Message, VoteRequest
+from cherrycove.tier.replication.core import Role
+from cherrycove.tier.replication.effects import Effects, WritePromise
+from cherrycove.tier.replication.interface import MemberIdentity
+from cherrycove.tier.replication.machine import ReplicaMachine
+from cherrycove.tier.simulation.disk import SimulatedDisk
+from cherrycove.tier.simulation.replica import Replica
+from cherrycove.tier.simulation.world import NetworkConditions, World
+from cherrycove.tier.storage.entries import EntryKind
+
+STEP_S = 0.01
+
+
+def quiet_world(members: int = 3, standbys: int = 0, seed: int = 1, faults: int = 1) -> World:
+    """A world in which no message is lost, with every replica started."""
+    world = World(Random(seed), faults, members, standbys)
+    world.network = NetworkConditions(slow_share=0.0, loss=0.0, doubled=0.0)
+    for replica in world.replicas:
+        world.start(replica)
+    return world
+
+
+def wait(world: World, condition: Callable[[], bool], limit_s: float) -> float:
+    """Run until ``condition``; the simulated seconds that it took."""
+    started = world.now
+    while not condition():
+        assert world.now - started < limit_s, f"not within {limit_s} s"
+        world.run_until(world.now + STEP_S)
+    return world.now - started
+
+
+def primary_of(world: World) -> Replica:
+    wait(world, lambda: world.confirmed() is not None, 3.0)
+    primary = world.confirmed()
+    assert primary is not None
+    return primary
+
+
+def commit(world: World, limit_s: float) -> float:
+    """Seconds until a further proposal is committed, proposing again at whoever leads."""
+    before = world.acknowledged
+
+    def committed() -> bool:
+        primary = world.confirmed()
+        if world.acknowledged == before and primary is not None:
+            world.propose(primary, b"command")
+        return world.acknowledged > before
+
+    return wait(world, committed, limit_s)
+
+
+def machine_of(replica: Replica) -> ReplicaMachine:
+    assert replica.machine is not None
+    return replica.machine
+
+
+def member_ids(replica: Replica) -> set[str]:
+    return {member.member_id for member in machine_of(replica).members}
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_a_new_group_leads_soon_and_commits_in_two_syncs(seed: int) -> None:
+    world = quiet_world(seed=seed)
+    assert wait(world, lambda: world.confirmed() is not None, 2.5) < 2.5
+    assert commit(world, 0.1) < 0.05
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_a_lost_primary_is_followed_within_two_seconds(seed: int) -> None:
+    world = quiet_world(seed=seed)
+    commit(world, 3.0)
+    primary_of(world).end(Random(seed))
+    assert commit(world, 2.0) < 1.6
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_a_primary_that_hands_over_is_followed_at_once(seed: int) -> None:
+    world = quiet_world(seed=seed)
+    commit(world, 3.0)
+    before = primary_of(world)
+    world.hand_over(before)
+    assert not machine_of(before).confirmed(world.now)
+    assert commit(world, 0.3) < 0.2
+    assert world.confirmed() is not before
+
+
+def test_a_frozen_primary_is_not_confirmed_when_it_wakes() -> None:
+    world = quiet_world()
+    commit(world, 3.0)
+    frozen = primary_of(world)
+    frozen.frozen = True
+    commit(world, 2.0)
+    machine = machine_of(frozen)
+    assert machine.role is Role.PRIMARY
+    assert not machine.confirmed(world.now)
+    assert machine.propose(b"late", world.now) is None
+    world.thaw(frozen)
+    wait(world, lambda: machine.role is Role.BACKUP, 0.3)
+
+
+def test_a_backup_that_was_cut_off_does_not_disturb() -> None:
+    world = quiet_world()
+    commit(world, 3.0)
+    primary = primary_of(world)
+    epoch = machine_of(primary).epoch
+    backup = next(replica for replica in world.replicas if replica is not primary)
+    for other in world.replicas:
+        world.cuts |= {(other.address, backup.address), (backup.address, other.address)}
+    world.run_until(world.now + 5.0)
+    world.cuts.clear()
+    world.run_until(world.now + 3.0)
+    assert world.confirmed() is primary
+    assert machine_of(primary).epoch == epoch
+
+
+def test_a_primary_that_hears_nobody_steps_down() -> None:
+    world = quiet_world()
+    commit(world, 3.0)
+    primary = primary_of(world)
+    for other in world.replicas:
+        world.cuts.add((other.address, primary.address))
+        world.cuts.add((primary.address, other.address))
+    wait(world, lambda: not machine_of(primary).confirmed(world.now), 0.75)
+    wait(world, lambda: machine_of(primary).role is Role.BACKUP, 1.6)
+
+
+def test_a_primary_with_a_stalled_disk_hands_over() -> None:
+    world = quiet_world()
+    commit(world, 3.0)
+    stalled = primary_of(world)
+    stalled.stalled_until = world.now + 60.0
+    commit(world, 0.1)
+    wait(world, lambda: world.confirmed() not in (None, stalled), 1.5)
+    assert commit(world, 0.1) < 0.1
+
+
+def test_a_backup_with_a_stalled_disk_holds_nobody_up() -> None:
+    world = quiet_world()
+    primary = primary_of(world)
+    backup = next(replica for replica in world.replicas if replica is not primary)
+    backup.stalled_until = world.now + 60.0
+    assert commit(world, 0.1) < 0.1
+
+
+def test_an_emptied_member_is_replaced_once_caught_up() -> None:
+    world = quiet_world()
+    for _ in range(30):
+        commit(world, 3.0)
+    primary = primary_of(world)
+    lost = next(replica for replica in world.replicas if replica is not primary)
+    old_id = lost.disk.member_id
+    world.wipe(lost)
+    world.start(lost)
+    assert machine_of(lost).members == ()
+    world.offer()
+    wait(world, lambda: lost.disk.member_id in member_ids(primary), 1.0)
+    wait(world, lambda: lost.disk.member_id in member_ids(lost), 1.0)
+    assert old_id not in member_ids(primary)
+    assert len(member_ids(primary)) == 3
+    commit(world, 0.1)
+    wait(world, lambda: lost.state == primary.state, 0.2)
+
+
+def test_a_silent_member_is_replaced_by_a_standby_and_is_one_when_it_returns() -> None:
+    world = quiet_world(standbys=1)
+    commit(world, 3.0)
+    primary = primary_of(world)
+    silent = next(replica for replica in world.replicas[:3] if replica is not primary)
+    silent.end(Random(1))
+    world.offer()
+    wait(world, lambda: "new-n3" in member_ids(primary), 3.0)
+    assert silent.disk.member_id not in member_ids(primary)
+    world.start(silent)
+    world.run_until(world.now + 3.0)
+    assert silent.disk.member_id not in member_ids(primary)
+    assert world.confirmed() is primary
+
+
+def test_a_retiring_primary_hands_over_and_is_replaced() -> None:
+    world = quiet_world(standbys=1)
+    commit(world, 3.0)
+    retiring = primary_of(world)
+    world.retiring = frozenset({retiring.address})
+    world.offer()
+
+    def left() -> bool:
+        primary = world.confirmed()
+        return primary is not None and retiring.disk.member_id not in member_ids(primary)
+
+    wait(world, left, 4.0)
+    assert commit(world, 0.2) < 0.2
+    assert len(member_ids(primary_of(world))) == 3
+
+
+def test_a_standby_receives_the_snapshot_and_what_follows() -> None:
+    world = quiet_world()
+    for _ in range(40):
+        commit(world, 3.0)
+    primary = primary_of(world)
+    assert machine_of(primary).base_index > 20
+    lost = next(replica for replica in world.replicas if replica is not primary)
+    world.wipe(lost)
+    world.start(lost)
+    world.offer()
+    wait(world, lambda: lost.disk.member_id in member_ids(lost), 1.0)
+    assert lost.disk.snapshot is not None
+    wait(world, lambda: lost.state == primary.state, 0.5)
+
+
+# Single machines
+
+
+def identity(number: int) -> MemberIdentity:
+    return MemberIdentity(f"m{number}", f"n{number}", f"n{number}:1")
+
+
+GROUP = tuple(identity(number) for number in range(3))
+
+
+def single(number: int = 0) -> tuple[ReplicaMachine, SimulatedDisk]:
+    disk = SimulatedDisk(f"m{number}")
+    machine = ReplicaMachine(identity(number), 1, disk.recovered(), disk, Random(1), 0.0)
+    machine.bootstrap(GROUP, 0.0)
+    sync(machine, disk, 0.0)
+    machine.take_effects()
+    return machine, disk
+
+
+def sync(machine: ReplicaMachine, disk: SimulatedDisk, now: float) -> None:
+    """Make all writes that are asked for durable; other effects of the machine are dropped."""
+    disk.submit(machine.take_effects().writes)
+    disk.begin()
+    machine.written(disk.finish(), now)
+
+
+def bodies(effects: Effects) -> list[str | None]:
+    return [outgoing.message.WhichOneof("body") for outgoing in effects.messages]
+
+
+def vote_request(epoch: int, last_index: int = 1, last_epoch: int = 0, handed_over: bool = False) -> Message:
+    request = VoteRequest(epoch=epoch, last_index=last_index, last_epoch=last_epoch, handed_over=handed_over)
+    return Message(epoch=epoch, vote_request=request)
+
+
+def test_a_vote_is_sent_only_after_the_promise_is_synced() -> None:
+    machine, _ = single()
+    machine.receive(identity(1), vote_request(4), 5.0)
+    effects = machine.take_effects()
+    assert effects.messages == []
+    (write,) = effects.writes
+    assert isinstance(write, WritePromise)
+    assert (write.promise.epoch, write.promise.voted_for) == (4, "m1")
+    machine.written(write.ticket, 5.01)
+    (outgoing,) = machine.take_effects().messages
+    assert outgoing.receiver == identity(1)
+    assert outgoing.message.vote_reply.granted
+
+
+def test_one_vote_an_epoch() -> None:
+    machine, _ = single()
+    machine.receive(identity(1), vote_request(4), 5.0)
+    machine.written(machine.take_effects().writes[-1].ticket, 5.0)
+    machine.take_effects()
+    machine.receive(identity(2), vote_request(4), 5.0)
+    (outgoing,) = machine.take_effects().messages
+    assert not outgoing.message.vote_reply.granted
+
+
+def heard(machine: ReplicaMachine, epoch: int, now: float) -> None:
+    """``machine`` follows member 1 as primary of ``epoch``."""
+    machine.receive(identity(1), Message(epoch=epoch, append=Append(sent_us=1)), now)
+    writes = machine.take_effects().writes
+    if writes:
+        machine.written(writes[-1].ticket, now)
+        machine.take_effects()
+
+
+def test_no_vote_within_the_election_time_out_unless_the_primary_handed_over() -> None:
+    machine, _ = single()
+    heard(machine, 4, 5.0)
+    machine.receive(identity(2), vote_request(5), 5.8)
+    (outgoing,) = machine.take_effects().messages
+    assert not outgoing.message.vote_reply.granted
+    assert machine.epoch == 4
+    machine.receive(identity(2), vote_request(6, handed_over=True), 5.8)
+    assert not machine.take_effects().messages[0].message.vote_reply.granted
+    machine.receive(identity(2), vote_request(5, handed_over=True), 5.8)
+    assert machine.epoch == 5
+
+
+def test_a_restarted_replica_waits_before_it_votes() -> None:
+    machine, disk = single()
+    machine.receive(identity(1), vote_request(4), 5.0)
+    sync(machine, disk, 5.0)
+    again = ReplicaMachine(identity(0), 1, disk.recovered(), disk, Random(1), 100.0)
+    again.receive(identity(2), vote_request(7), 100.5)
+    assert not again.take_effects().messages[0].message.vote_reply.granted
+    again.receive(identity(2), vote_request(7), 100.95)
+    assert again.epoch == 7
+
+
+def test_an_older_log_gets_no_vote() -> None:
+    machine, _ = single()
+    machine.receive(identity(1), vote_request(4, last_index=0), 5.0)
+    effects = machine.take_effects()
+    assert machine.epoch == 4
+    assert [outgoing.message.vote_reply.granted for outgoing in effects.messages] == [False]
+
+
+def test_entries_are_acknowledged_only_when_synced() -> None:
+    machine, _ = single()
+    heard(machine, 1, 5.0)
+    append = Append(sent_us=2, previous_index=1, previous_epoch=0)
+    append.entries.add(index=2, epoch=1, kind=EntryKind.NOOP)
+    machine.receive(identity(1), Message(epoch=1, append=append), 5.1)
+    effects = machine.take_effects()
+    assert effects.messages[0].message.append_reply.match_index == 1
+    machine.written(effects.writes[-1].ticket, 5.11)
+    (outgoing,) = machine.take_effects().messages
+    assert outgoing.message.append_reply.match_index == 2
+
+
+def test_a_slow_disk_does_not_make_a_candidate_begin_anew() -> None:
+    machine, _ = single()
+    for tick in range(20):
+        machine.tick(tick * 0.05)
+    effects = machine.take_effects()
+    assert "vote_request" in bodies(effects)
+    for peer in (1, 2):
+        reply = Message(epoch=0)
+        reply.vote_reply.preliminary = True
+        reply.vote_reply.epoch = 1
+        reply.vote_reply.granted = True
+        machine.receive(identity(peer), reply, 1.0)
+    (write,) = machine.take_effects().writes
+    for tick in range(20, 80):
+        machine.tick(tick * 0.05)
+    assert machine.take_effects().messages == []
+    machine.written(write.ticket, 4.0)
+    assert bodies(machine.take_effects()) == ["vote_request", "vote_request"]
+    assert machine.epoch == 1
--- /dev/null
+++ b/tests/tier/test_replication_policy.py
@@ -0,0 +1,119 @@
+"""Quorum sizes, and which change of members a primary wants next."""
+
+from __future__ import annotations
+
+from itertools import combinations
+
+import pytest
+
+from cherrycove.tier.replication.interface import MemberIdentity
+from cherrycove.tier.replication.membership_policy import Change, GroupView, HandOverPrimary, Step, next_step
+from cherrycove.tier.replication.quorums import Electorate, election_quorum, write_quorum
+
+
+def member(name: str, disk: str = "", zone: str = "") -> MemberIdentity:
+    return MemberIdentity(disk or f"id-{name}", name, f"{name}:1", zone)
+
+
+A, B, C, D = (member(name) for name in "abcd")
+
+
+def step(
+    members: tuple[MemberIdentity, ...] = (A, B, C),
+    standbys: tuple[MemberIdentity, ...] = (),
+    unreachable: tuple[MemberIdentity, ...] = (),
+    retiring: str = "",
+) -> Step | None:
+    silent = frozenset(one.member_id for one in unreachable)
+    return next_step(GroupView(A, members, standbys, silent, frozenset(retiring), 3))
+
+
+def test_nothing_to_do() -> None:
+    assert step() is None
+    assert step(standbys=(D,)) is None
+    assert step(standbys=(B, C)) is None
+    assert step(unreachable=(B,)) is None
+
+
+def test_an_emptied_disk_takes_the_place_of_the_one_before() -> None:
+    emptied = member("b", "new")
+    assert step(standbys=(D, emptied), unreachable=(C,)) == Change(add=emptied, remove=B)
+
+
+def test_an_emptied_disk_is_known_by_its_address_where_names_are_unknown() -> None:
+    unnamed = MemberIdentity("first-b", "", "b:1")
+    emptied = member("b", "new")
+    assert step(members=(A, unnamed, C), standbys=(emptied,)) == Change(add=emptied, remove=unnamed)
+    assert step(members=(A, unnamed, C), standbys=(MemberIdentity("x", "", "x:1"),)) is None
+
+
+def test_a_retiring_member_is_replaced_or_removed_where_enough_are_left() -> None:
+    assert step(retiring="b") is None
+    assert step(retiring="b", standbys=(D,)) == Change(add=D, remove=B)
+    assert step(members=(A, B, C, D), retiring="b") == Change(remove=B)
+    assert step(retiring="bd", standbys=(D,)) is None
+
+
+def test_a_retiring_primary_hands_over_last() -> None:
+    assert step(retiring="a") is None
+    assert step(retiring="a", standbys=(D,)) == HandOverPrimary()
+    assert step(retiring="ab", standbys=(D,)) == Change(add=D, remove=B)
+    assert step(members=(A,), retiring="a", standbys=(D,)) == Change(add=D)
+
+
+def test_a_small_group_grows_and_prefers_a_new_zone() -> None:
+    near = member("e", zone="one")
+    far = member("f", zone="two")
+    assert step(members=(member("a", zone="one"), B), standbys=(near, far)) == Change(add=far)
+
+
+def test_a_silent_member_is_replaced() -> None:
+    assert step(unreachable=(C,), standbys=(D,)) == Change(add=D, remove=C)
+
+
+def test_changes_give_whole_lists() -> None:
+    assert Change(add=D, remove=B).apply((A, B, C)) == (A, C, D)
+    assert Change(remove=B).apply((A, B, C)) == (A, C)
+    assert Change(add=D).apply((A, B, C)) == (A, B, C, D)
+
+
+@pytest.mark.parametrize("faults", range(4))
+@pytest.mark.parametrize("size", range(1, 10))
+def test_quorums_meet(size: int, faults: int) -> None:
+    write = write_quorum(size, faults)
+    elect = election_quorum(size, faults)
+    assert write == min(faults + 1, size)
+    assert write + elect > size
+    assert 2 * elect > size
+    if size >= 2 * faults + 1:
+        assert elect <= size - min(faults, write - 1)
+
+
+def names(size: int) -> tuple[MemberIdentity, ...]:
+    return tuple(member(chr(ord("a") + number)) for number in range(size))
+
+
+@pytest.mark.parametrize("faults", range(3))
+@pytest.mark.parametrize("size", range(1, 6))
+def test_quorums_of_changed_lists_meet(size: int, faults: int) -> None:
+    """Whoever may be elected without the members entry misses one copy of it; whoever has it, one commit."""
+    old = names(size)
+    changes = [(*old, member("z")), (*old[1:], member("z"))]
+    if size > 1:
+        changes.append(old[1:])
+    for new in changes:
+        open_change = Electorate(faults, new, old, 7)
+        everyone = {one.member_id for one in (*old, *new)}
+        for count in range(len(everyone) + 1):
+            for copies in combinations(sorted(everyone), count):
+                synced = dict.fromkeys(copies, 7)
+                if open_change.committable(synced) < 7:
+                    continue
+                rest = everyone - set(copies)
+                assert not Electorate(faults, old).elects(rest)
+                assert not Electorate(faults, new).elects(rest)
+                assert not open_change.elects(rest)
+            for voters in combinations(sorted(everyone), count):
+                rest = everyone - set(voters)
+                assert not (open_change.elects(voters) and Electorate(faults, old).elects(rest))
+                assert not (open_change.elects(voters) and Electorate(faults, new).elects(rest))
