Membership: one name for each event in the log

The event was put together from the state, so that a member first heard of as suspected gave a name that nobody would look for. Four names remain: member_joined, member_left, member_dead, member_restarted. Ruled out: a line for each suspicion, since most are refuted within a period.

--- a/cherrycove/tier/membership/swim.py
+++ b/cherrycove/tier/membership/swim.py
@@ -15,7 +15,7 @@
 from cherrycove.tier.errors import ErrorKind, Failure
 from cherrycove.tier.membership.effects import Effect, MemberChanged, SendDatagram, StartExchange
 from cherrycove.tier.membership.machine import SwimMachine
-from cherrycove.tier.membership.model import Member, MemberStatus, Parameters
+from cherrycove.tier.membership.model import Member, MemberState, MemberStatus, Parameters
 from cherrycove.tier.protocol.membership_pb2 import (
     CompareReply,
     CompareRequest,
@@ -33,7 +33,7 @@
 
 Reply = TypeVar("Reply")
 
-log = logging.getLogger(__name__)
+_log = logging.getLogger(__name__)
 
 
 class Swim(asyncio.DatagramProtocol):
@@ -119,7 +119,7 @@
             datagram = Datagram.FromString(data)
             effects = self._machine.receive(now, f"{addr[0]}:{addr[1]}", datagram)
         except (DecodeError, ValueError):
-            log.debug("datagram_invalid", extra={"source": addr[0], "bytes": len(data)})
+            _log.debug("datagram_invalid", extra={"source": addr[0], "bytes": len(data)})
             return
         self._perform(effects)
 
@@ -166,11 +166,13 @@
 
     def _log_change(self, change: MemberChanged) -> None:
         member = change.current.member
-        replaced = change.former is not None and change.former.state.running and change.current.state.running
-        log.info(
-            "member_replaced" if replaced else f"member_{change.current.state.name.lower()}",
-            extra={"member": member.node_name, "member_program": member.program, "ip": member.ip},
-        )
+        details = {
+            "member": member.node_name,
+            "member_program": member.program,
+            "ip": member.ip,
+            "incarnation": member.process_id,
+        }
+        _log.info(_event_of(change), extra=details)
 
     # Full exchange
 
@@ -192,7 +194,7 @@
         try:
             merge = machine.exchange.merge_reply(outcome.ok_value, now())
         except ValueError:
-            log.debug("exchange_invalid", extra={"source": address})
+            _log.debug("exchange_invalid", extra={"source": address})
             return
         self._perform(machine.exchanged(now()))
         if merge is not None:
@@ -217,3 +219,14 @@
 
     def _address_of(self, member: Member) -> str:
         return self._settings.peer_address(member.ip, member.program)
+
+
+def _event_of(change: MemberChanged) -> str:
+    """The name of a visible change in the log."""
+    if change.began:
+        return "member_joined"
+    if change.current.state is MemberState.LEFT:
+        return "member_left"
+    if change.current.state is MemberState.DEAD:
+        return "member_dead"
+    return "member_restarted"
