--- a/cherrycove/tier/dataplane/admission/roster.py
+++ b/cherrycove/tier/dataplane/admission/roster.py
@@ -4,6 +4,7 @@
 
 from cherrycove.tier.configuration import Route
 from cherrycove.tier.dataplane.admission.broker_state import BrokerState, new_broker
+from cherrycove.tier.dataplane.admission.hope import Outlook
 from cherrycove.tier.dataplane.admission.interface import Knowledge, Ticket
 from cherrycove.tier.dataplane.admission.kinds import Kind, new_kind
 from cherrycove.tier.dataplane.admission.pace import Pace
@@ -67,7 +68,16 @@
     def pace(self, service: str) -> Pace:
         return self.paces.setdefault(service, Pace())
 
-    def sends_per_s(self, ticket: Ticket) -> float:
-        """This proxy's even part of what the brokers can take, while all their places are in use."""
-        slots = sum(state.load.slots for state in self.serving(ticket) if not state.health.failures)
-        return slots / max(self.pace(ticket.service).hold_s, 0.001) / self.proxies
+    def outlook(self, ticket: Ticket, ahead: int) -> Outlook:
+        """What is foretold for a live request with ``ahead`` others before it: that this proxy gets its even
+        part of what the brokers can take while all their places are in use."""
+        serving, pace = self.serving(ticket), self.pace(ticket.service)
+        answering = [state for state in serving if not state.health.failures]
+        slots = sum(state.load.slots for state in answering)
+        per_s = slots / max(pace.hold_s, 0.001) / self.proxies
+        return Outlook(
+            wait_s=(ahead + 1) / per_s if per_s else 0.0,
+            answer_s=pace.usual_s,
+            reachable=bool(answering),
+            returned=self.kinds[ticket.route].returned(ticket),
+        )
--- a/cherrycove/tier/dataplane/admission/scheduler.py
+++ b/cherrycove/tier/dataplane/admission/scheduler.py
@@ -7,12 +7,12 @@
 from __future__ import annotations
 
 import random
-from bisect import insort
 from math import inf
 
 from cherrycove.tier.dataplane.admission import limits, silence
 from cherrycove.tier.dataplane.admission.broker_state import BrokerState
-from cherrycove.tier.dataplane.admission.hope import Outlook, refusal
+from cherrycove.tier.dataplane.admission.held import HeldRequests
+from cherrycove.tier.dataplane.admission.hope import refusal
 from cherrycove.tier.dataplane.admission.interface import (
     Abandon,
     Action,
@@ -49,7 +49,7 @@
     def __init__(self, rng: random.Random, now: float) -> None:
         self.roster = Roster()
         self._placement = Placement(rng)
-        self._held: list[Ticket] = []  # live requests that wait, in their order
+        self._held = HeldRequests()
         self._items = ItemsQueue()
         self._where: dict[Ticket, BrokerState] = {}  # sends that have not ended
         self._lobby = NodeQueue(None, LOBBY_L, Recent(PERIOD), Recent(PERIOD))  # where requests await credit
@@ -86,11 +86,11 @@
             return [Refuse(ticket, 0.0)]
         self._serial += 1
         kind.enter(ticket, self._serial, self._lobby)
-        insort(self._held, ticket, key=lambda each: each.order)
+        self._held.add(ticket)
         self._look(now)
         if ticket in self._held:
             self._spend_credit(ticket, now)
-            self._refuse_if_hopeless(ticket, self._in_order(now).index(ticket), now)
+            self._refuse_if_hopeless(ticket, self._held.in_order(now).index(ticket), now)
         return self._taken()
 
     def withdraw(self, ticket: Ticket) -> None:
@@ -98,7 +98,7 @@
         if ticket.batch:
             self._items.remove(ticket)
         elif ticket in self._held:
-            self._unhold(ticket)
+            self._held.remove(ticket)
 
     def answered(self, now: float, ticket: Ticket, load: InstanceLoad | None) -> None:
         """The head of an answer has come, perhaps with what the broker tells of its load."""
@@ -143,7 +143,7 @@
         self._notice_stall(now)
         self._actions += [Abandon(ticket) for ticket in silence.gone_silent(self.roster, now)]
         self._look(now)
-        for ahead, ticket in enumerate(self._in_order(now)):
+        for ahead, ticket in enumerate(self._held.in_order(now)):
             self._refuse_if_hopeless(ticket, ahead, now)
         return self._taken()
 
@@ -207,7 +207,7 @@
         classes = [kind.cls for kind in self.roster.kinds.values()]
         for state in self.roster.states.values():
             limits.close_window(state, classes, now)
-        for ticket in list(self._held):
+        for ticket in self._held.in_order(now):
             self._spend_credit(ticket, now)
 
     # Live requests
@@ -219,7 +219,7 @@
         spare = {each for each in self.roster.states.values() if each.takes_overdue(now, proxies)}
         if not roomy and not spare:
             return
-        for ticket in self._in_order(now):
+        for ticket in self._held.in_order(now):
             places = roomy | spare if now >= ticket.due else roomy
             among = [each for each in places if each.takes(ticket, now)]
             if not among:
@@ -228,7 +228,7 @@
             state = self._choose(ticket, trusted or among, now)
             if ticket.record is None or ticket.record.node is not state.node:
                 limits.note_arrival(state, ticket.due, self._window_end)
-            self._unhold(ticket)
+            self._held.remove(ticket)
             limits.note_wait(state, ticket.route, now - ticket.held_since)
             self._send(ticket, state, now)
             if not state.has_room(now, proxies):
@@ -238,12 +238,6 @@
             if not roomy and not spare:
                 return
 
-    def _in_order(self, now: float) -> list[Ticket]:
-        """The earliest due first, but behind those that can still be in time the ones that cannot: else, in
-        an overload, one late request makes the next late."""
-        in_time = [ticket for ticket in self._held if now < ticket.due]
-        return in_time + [ticket for ticket in self._held if now >= ticket.due]
-
     def _spend_credit(self, ticket: Ticket, now: float) -> None:
         """Move the first ticket of a kind with credit from its kind's queue to that of a broker."""
         record, kind = ticket.record, self.roster.kinds[ticket.route]
@@ -271,24 +265,11 @@
         return self._placement.choose(ticket, among, agreed, pace, now, self.roster.proxies)
 
     def _refuse_if_hopeless(self, ticket: Ticket, ahead: int, now: float) -> None:
-        serving = self.roster.serving(ticket)
-        per_s = self.roster.sends_per_s(ticket)
-        outlook = Outlook(
-            wait_s=(ahead + 1) / per_s if per_s else 0.0,
-            answer_s=self.roster.pace(ticket.service).usual_s,
-            reachable=any(not each.health.failures for each in serving),
-            returned=self.roster.kinds[ticket.route].returned(ticket),
-        )
-        advice = refusal(ticket, now, outlook)
+        advice = refusal(ticket, now, self.roster.outlook(ticket, ahead))
         if advice is not None:
-            self._unhold(ticket)
+            self._held.remove(ticket)
             self._actions.append(Refuse(ticket, advice))
 
-    def _unhold(self, ticket: Ticket) -> None:
-        self._held.remove(ticket)
-        if ticket.record is not None:
-            ticket.record.leave()
-
     def _empty(self, state: BrokerState) -> None:
         """What waits at a broker that takes nothing any more waits for credit again."""
         for record in state.node.held():
