A member being removed may lead until its removal is committed; replies go back with their calls

Cause: simulation, four members, one retiring: its removal had reached only the primary and itself, the primary's disk was lost, and nobody was left that could be elected, though one loss is to be borne. Ruled out: delaying the removal until all members are reached, since one of them may be gone for good. Change: a replica named in a list that still has a say may stand; once its removal is committed it hands over. Besides: replies that wait for the disk go back with the call that they answer (half the calls a commit), commits are told at the next tick unless the members changed, a removed member that does not know it is told and asks seldom.

--- a/cherrycove/tier/replication/core.py
+++ b/cherrycove/tier/replication/core.py
@@ -107,8 +107,19 @@
 
     @property
     def is_member(self) -> bool:
+        """Whether the newest list names this replica."""
         return any(member.member_id == self.identity.member_id for member in self.members)
 
+    @property
+    def may_lead(self) -> bool:
+        """Whether a list that still has a say names this replica.
+
+        One that is being removed may hold the only log that is new enough, so it must be able to lead until
+        the change is committed."""
+        electorate = self.electorate()
+        lists = (*electorate.current, *(electorate.previous or ()))
+        return any(member.member_id == self.identity.member_id for member in lists)
+
     def change_open(self) -> bool:
         """Whether the newest member list is not known to be committed."""
         newest = self.log.newest_members
--- a/cherrycove/tier/replication/elections.py
+++ b/cherrycove/tier/replication/elections.py
@@ -72,7 +72,7 @@
 
     def tick(self, now: float) -> None:
         core = self._core
-        if core.role is Role.PRIMARY or now < self._deadline or not core.is_member or core.disk_failing:
+        if core.role is Role.PRIMARY or now < self._deadline or not core.may_lead or core.disk_failing:
             return
         if self._campaign is not None and not self._campaign.asked:
             return  # its own promise is not synced yet: a slow disk is no reason to begin anew
@@ -134,6 +134,9 @@
             self._campaign = None
         elif campaign is None or (campaign.preliminary, campaign.epoch) != (reply.preliminary, reply.epoch):
             return
+        elif reply.removed:
+            self.postpone(now)
+            self._deadline += self._core.timing.removed_pause_s
         elif reply.granted:
             campaign.votes.add(sender.member_id)
             self._count(now)
@@ -146,7 +149,8 @@
         """``confirmed``: this replica itself leads under a valid lease."""
         if request.preliminary:
             granted = request.epoch > self._core.epoch and not self._refuses(request, confirmed, now)
-            self._reply(sender, request, granted)
+            removed = not granted and self._removed(sender, confirmed, now)
+            self._reply(sender, request, granted, removed)
             return
         if request.epoch < self._core.epoch or self._bound_to_primary(request, confirmed, now):
             self._reply(sender, request, False)
@@ -158,6 +162,12 @@
     def _refuses(self, request: VoteRequest, confirmed: bool, now: float) -> bool:
         return self._bound_to_primary(request, confirmed, now) or not self._new_enough(request)
 
+    def _removed(self, sender: MemberIdentity, confirmed: bool, now: float) -> bool:
+        """Whether there is a primary whose group has dropped ``sender``, which does not know it yet."""
+        if not (confirmed or self._heard_lately(now)) or self._core.change_open():
+            return False
+        return all(member.member_id != sender.member_id for member in self._core.members)
+
     def _bound_to_primary(self, request: VoteRequest, confirmed: bool, now: float) -> bool:
         """Whether a primary may still hold a lease that counts on this replica."""
         if confirmed:
@@ -190,6 +200,10 @@
         if self._core.promise.epoch == request.epoch and self._core.promise.voted_for == sender.member_id:
             self._reply(sender, request, True)
 
-    def _reply(self, sender: MemberIdentity, request: VoteRequest, granted: bool) -> None:
-        reply = VoteReply(preliminary=request.preliminary, epoch=request.epoch, granted=granted)
+    def _reply(
+        self, sender: MemberIdentity, request: VoteRequest, granted: bool, removed: bool = False
+    ) -> None:
+        reply = VoteReply(
+            preliminary=request.preliminary, epoch=request.epoch, granted=granted, removed=removed
+        )
         self._core.send(sender, Message(vote_reply=reply))
--- a/cherrycove/tier/replication/group.py
+++ b/cherrycove/tier/replication/group.py
@@ -15,7 +15,9 @@
 from cherrycove.tier.errors import ErrorKind, Failure
 from cherrycove.tier.protocol.replication_pb2 import Batch, Message
 from cherrycove.tier.protocol.rpc import RpcClient, RpcServer
+from cherrycove.tier.replication.change_log import ChangeLog
 from cherrycove.tier.replication.core import Role
+from cherrycove.tier.replication.inbox import Inbox
 from cherrycove.tier.replication.interface import MemberIdentity, StateMachine
 from cherrycove.tier.replication.machine import ReplicaMachine
 from cherrycove.tier.replication.proposals import Proposals
@@ -38,16 +40,6 @@
 logger = logging.getLogger(__name__)
 
 
-@attrs.frozen
-class _Shown:
-    """What was logged last."""
-
-    role: Role
-    epoch: int
-    primary: str
-    members: tuple[str, ...]
-
-
 class ReplicatedGroup:
     """Implements ``replication.interface.Group``."""
 
@@ -75,7 +67,7 @@
         self._random = random or Random()
         self._timing = timing or Timing()
         self._snapshot_log_bytes = snapshot_log_bytes
-        self._transport = Transport(client, CALL_PREFIX + name, self._receive_replies)
+        self._transport = Transport(client, CALL_PREFIX + name, self._deliver)
         self._proposals = Proposals()
         self._wishes = Wishes()
         self._listeners: list[Callable[[], None]] = []
@@ -89,8 +81,8 @@
         self._snapshot_bytes = 0
         self._snapshot_ticket = 0  # of the snapshot that is being written; 0: none
         self._stopping = False
-        self._shown: _Shown | None = None
-        self._reply: tuple[str, list[Message]] | None = None  # messages that go back with the present call
+        self._change_log = ChangeLog(name)
+        self._inbox = Inbox(self._deliver, self._writing)
         server.register(CALL_PREFIX + name, Batch, self._receive)
 
     # Group
@@ -226,6 +218,8 @@
             self._snapshot_ticket = 0
         self._machine.written(ticket, time.monotonic())
         self._run_effects()
+        if not self._machine.writing:
+            self._inbox.written()
 
     def _write_failed(self, error: OSError) -> None:
         logger.error("disk_write_failed", extra={"group": self._name, "reason": str(error)})
@@ -239,29 +233,23 @@
             self._machine.snapshot_skipped(ticket)
 
     async def _receive(self, batch: Batch) -> Result[Batch, Failure]:
-        machine = self._machine
-        if machine is None:
+        if self._machine is None:
             return Err(Failure(ErrorKind.UNAVAILABLE, f"{self._name}: not started"))
         if batch.receiver_id != self._identity.member_id:
             return Err(Failure(ErrorKind.NOT_FOUND, f"{self._name}: no member {batch.receiver_id} here"))
-        sender = MemberIdentity(batch.sender_id, "", batch.sender_address)
-        replies: list[Message] = []
-        self._reply = (batch.sender_id, replies)
-        try:
-            self._deliver(machine, sender, batch)
-        finally:
-            self._reply = None
-        return Ok(Batch(messages=replies))
+        return Ok(await self._inbox.receive(batch))
 
-    def _receive_replies(self, peer: MemberIdentity, batch: Batch) -> None:
-        if self._machine is not None:
-            self._deliver(self._machine, peer, batch)
-
-    def _deliver(self, machine: ReplicaMachine, sender: MemberIdentity, batch: Batch) -> None:
+    def _deliver(self, sender: MemberIdentity, batch: Batch) -> None:
+        machine = self._machine
+        if machine is None:
+            return
         for message in batch.messages:
             machine.receive(sender, message, time.monotonic())
             self._run_effects()
 
+    def _writing(self) -> bool:
+        return self._machine is not None and self._machine.writing
+
     # Effects
 
     def _run_effects(self) -> None:
@@ -283,9 +271,7 @@
             self._changed(machine)
 
     def _send(self, receiver: MemberIdentity, message: Message) -> None:
-        if self._reply is not None and self._reply[0] == receiver.member_id:
-            self._reply[1].append(message)
-        else:
+        if not self._inbox.collect(receiver, message):
             self._transport.send(self._identity, receiver, message)
 
     def _restore(self, index: int, state: bytes) -> None:
@@ -317,18 +303,6 @@
         self._run_effects()
 
     def _changed(self, machine: ReplicaMachine) -> None:
-        primary = machine.primary
-        members = tuple(member.member_id for member in machine.members)
-        shown = _Shown(machine.role, machine.epoch, primary.member_id if primary else "", members)
-        if shown != self._shown:
-            self._shown = shown
-            details = {
-                "group": self._name,
-                "role": shown.role.value,
-                "epoch": shown.epoch,
-                "primary": shown.primary,
-                "members": list(members),
-            }
-            logger.info("replica_changed", extra=details)
+        self._change_log.report(machine)
         for callback in self._listeners:
             callback()
--- a/cherrycove/tier/replication/machine.py
+++ b/cherrycove/tier/replication/machine.py
@@ -77,6 +77,11 @@
     def last_index(self) -> int:
         return self._core.log.last_index
 
+    @property
+    def writing(self) -> bool:
+        """Whether any write is unfinished."""
+        return bool(self._core.pending)
+
     def epoch_at(self, index: int) -> int | None:
         """Epoch of the log entry at ``index``; None where it is not in memory."""
         return self._core.log.epoch_at(index)
@@ -216,7 +221,7 @@
     def _receive_hand_over(self, sender: MemberIdentity, message: Message, now: float) -> None:
         core = self._core
         from_primary = core.primary is not None and core.primary.member_id == sender.member_id
-        if message.epoch == core.epoch and from_primary and core.is_member and not core.disk_failing:
+        if message.epoch == core.epoch and from_primary and core.may_lead and not core.disk_failing:
             self._elections.stand(now, handed_over=True)
 
     def _settle(self, now: float) -> None:
--- a/cherrycove/tier/replication/peers.py
+++ b/cherrycove/tier/replication/peers.py
@@ -62,6 +62,7 @@
         self._transfer: Transfer | None = None
         self._resent_us = -1  # rejections of messages sent before this are known
         self._sent_at = NEVER
+        self._told_commit = 0
         self._probing = True  # where its log joins this one is not known: one message at a time
 
     def responsive(self, now: float) -> bool:
@@ -93,13 +94,14 @@
             self._outstanding.append(entries[-1].index)
 
     def tick(self, now: float) -> None:
-        """A heartbeat where nothing was sent for a while; another try of what was lost."""
-        if now - self._sent_at >= self._core.timing.heartbeat_s:
+        """A heartbeat where nothing was sent for a while; news of commits; another try of what was lost."""
+        news = self._told_commit < self._core.commit_index and self.responsive(now)
+        if news or now - self._sent_at >= self._core.timing.heartbeat_s:
             self._send_append(now, [])
         self.replicate(now)
 
     def notify(self, now: float) -> None:
-        """Tell the commit index."""
+        """Tell the commit index at once."""
         if self.responsive(now):
             self._send_append(now, [])
 
@@ -116,6 +118,7 @@
             entries=entries,
         )
         self._sent_at = now
+        self._told_commit = self._core.commit_index
         self._core.send(self.member, Message(append=append))
 
     def _send_chunk(self, now: float) -> None:
--- a/cherrycove/tier/replication/primary.py
+++ b/cherrycove/tier/replication/primary.py
@@ -40,17 +40,18 @@
         return entry.index
 
     def advance(self, now: float) -> None:
-        """Commit what has enough synced copies."""
+        """Commit what has enough synced copies. Backups hear of it with the next message, due at a tick.
+
+        Of a committed change of members they hear at once, also those that it removed."""
         core = self._core
-        advanced = False
+        change_was_open = core.change_open()
         while True:
             synced = {member_id: peer.match_index for member_id, peer in self._peers.items()}
             synced[core.identity.member_id] = core.synced_index
             index = min(core.electorate().committable(synced), core.log.last_index)
             if index < self._noop_index or not core.advance_commit(index):
                 break
-            advanced = True
-        if advanced:
+        if change_was_open and not core.change_open():
             for peer in self._all_peers():
                 peer.notify(now)
             self._update_peers(now)
@@ -110,7 +111,7 @@
             peer.tick(now)
         if now - max(self._confirmed_since(now), self._started) > self._core.timing.step_down_s:
             self._core.become(Role.BACKUP, None)
-        elif self._stalled(now):
+        elif self._stalled(now) or self._removed():
             self.hand_over(now)
         elif self._core.commit_index >= self._noop_index and not self._core.change_open():
             self._change_members(now)
@@ -121,6 +122,10 @@
         slow = now - core.stalled_since() > core.timing.disk_stall_s
         return slow and core.commit_index > core.synced_index
 
+    def _removed(self) -> bool:
+        """Whether this replica led only to commit its own removal."""
+        return not self._core.change_open() and not self._core.is_member
+
     def _change_members(self, now: float) -> None:
         limit = self._core.timing.unreachable_s
         silent = frozenset(key for key, peer in self._peers.items() if now - peer.heard_at > limit)
--- a/cherrycove/tier/replication/quorums.py
+++ b/cherrycove/tier/replication/quorums.py
@@ -29,6 +29,9 @@
 with M need E' of C', which meets the W' copies. Every entry committed under C stands on W' members of C'
 once M is committed, because logs have no gaps; so f disks may be lost again from then on.
 
+A replica that M removes may hold the only log with M that is left, so it may lead until M is committed; its
+own copy and vote count in C alone. Then it hands over.
+
 A voter needs no list of its own: it is asked under its member id by a candidate that holds a list with that
 id, and the argument counts voters by the candidate's list. An emptied disk has a new id, is asked by
 nobody, and so neither promises nor votes before a members entry names it.
--- a/cherrycove/tier/replication/timing.py
+++ b/cherrycove/tier/replication/timing.py
@@ -16,6 +16,7 @@
     jitter_s: float = 0.06  # random, added to every election time-out
     first_election_s: float = 0.1  # time-out in place of election_timeout_s when the whole group is new
     retry_s: float = 0.2  # a candidate that was not elected stands again after this time and more
+    removed_pause_s: float = 5.0  # a replica told that it was removed stands again only after this time more
     step_down_s: float = 1.5  # a primary that could not renew its lease for so long stops leading
     disk_stall_s: float = 1.0  # a primary whose own sync takes longer, while others sync, hands over
     unreachable_s: float = 2.0  # a member that is silent for so long may be replaced
--- a/cherrycove/tier/replication/writer.py
+++ b/cherrycove/tier/replication/writer.py
@@ -36,11 +36,13 @@
         on_written: Callable[[int], None],
         on_failed: Callable[[OSError], None],
         on_skipped: Callable[[int, OSError], None],
+        retry_s: float = RETRY_S,
     ) -> None:
         self._storage = storage
         self._on_written = on_written
         self._on_failed = on_failed
         self._on_skipped = on_skipped
+        self._retry_s = retry_s
         self._queue: queue.SimpleQueue[list[Write] | None] = queue.SimpleQueue()
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name="replica-writer", daemon=True)
@@ -99,7 +101,7 @@
                 if not failed:
                     self._report(self._on_failed, error)
                 failed = True
-            if self._stopping.wait(RETRY_S):
+            if self._stopping.wait(self._retry_s):
                 return False
 
     def _write(self, write: Write) -> None:
--- a/tests/tier/test_replication_loopback.py
+++ b/tests/tier/test_replication_loopback.py
@@ -153,6 +153,31 @@
     run(scenario)
 
 
+def test_a_damaged_disk_gets_a_new_identity(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        nodes = make_nodes(tmp_path, 3)
+        await asyncio.gather(*(node.start(initial_members(nodes)) for node in nodes))
+        for command in (b"one", b"two", b"three"):
+            await propose(nodes, command)
+        primary = await primary_of(nodes)
+        damaged = next(node for node in nodes if node is not primary)
+        await applied(damaged, [b"one", b"two", b"three"])
+        await damaged.stop()
+        segment = next(damaged.directory.glob("*.log"))
+        data = bytearray(segment.read_bytes())
+        data[20] ^= 1
+        segment.write_bytes(data)
+        await damaged.start([])
+        assert damaged.group.identity.member_id != first_member_id(damaged.name)
+        assert damaged.journal.commands == []
+        for node in nodes:
+            node.group.offer_standbys([damaged.group.identity])
+        await applied(damaged, [b"one", b"two", b"three"])
+        await asyncio.gather(*(node.stop() for node in nodes))
+
+    run(scenario)
+
+
 def test_an_emptied_disk_is_a_standby_until_it_is_taken_in(tmp_path: Path) -> None:
     async def scenario() -> None:
         nodes = make_nodes(tmp_path, 3)
--- a/tests/tier/test_replication_machine.py
+++ b/tests/tier/test_replication_machine.py
@@ -185,6 +185,44 @@
     assert world.confirmed() is primary
 
 
+def test_a_removed_member_that_does_not_know_it_asks_seldom() -> None:
+    world = quiet_world(standbys=1)
+    commit(world, 3.0)
+    primary = primary_of(world)
+    cut_off = next(replica for replica in world.replicas[:3] if replica is not primary)
+    pairs = {(other.address, cut_off.address) for other in world.replicas}
+    world.cuts |= pairs | {(one, other) for other, one in pairs}
+    world.offer()
+    wait(world, lambda: "new-n3" in member_ids(primary), 3.0)
+    world.run_until(world.now + 1.0)
+    world.cuts.clear()
+    requests: list[float] = []
+
+    def count(replica: Replica, effects: Effects) -> None:
+        requests.extend(world.now for body in bodies(effects) if body == "vote_request")
+
+    world.on_effects = count
+    world.run_until(world.now + 10.0)
+    assert 0 < len(requests) <= 6
+    assert world.confirmed() is primary
+
+
+def test_a_primary_that_cannot_write_hands_over_and_stands_no_more() -> None:
+    world = quiet_world()
+    commit(world, 3.0)
+    full = primary_of(world)
+    full.stalled_until = world.now + 5.0
+    world.on_replica(full, full.life, lambda machine: machine.write_failed(world.now))
+    assert commit(world, 0.3) < 0.3
+    second = primary_of(world)
+    world.run_until(world.now + 1.0)
+    second.end(Random(1))
+    world.run_until(world.now + 2.0)
+    assert machine_of(full).role is Role.BACKUP
+    world.start(second)
+    commit(world, 2.0)
+
+
 def test_a_retiring_primary_hands_over_and_is_replaced() -> None:
     world = quiet_world(standbys=1)
     commit(world, 3.0)
@@ -201,6 +239,30 @@
     assert len(member_ids(primary_of(world))) == 3
 
 
+def test_a_member_that_alone_knows_of_its_removal_leads_until_that_is_committed() -> None:
+    world = quiet_world(members=4)
+    commit(world, 3.0)
+    primary = primary_of(world)
+    leaving = next(replica for replica in world.replicas if replica is not primary)
+    unaware = [replica for replica in world.replicas if replica not in (primary, leaving)]
+
+    def cut_off_at_change(replica: Replica, effects: Effects) -> None:
+        if leaving.disk.member_id not in member_ids(primary):
+            world.cuts |= {(primary.address, other.address) for other in unaware}
+
+    world.on_effects = cut_off_at_change
+    world.retiring = frozenset({leaving.address})
+    world.offer()
+    wait(world, lambda: leaving.disk.member_id not in member_ids(leaving), 1.0)
+    wait(world, lambda: not machine_of(leaving).writing, 0.1)
+    world.on_effects = lambda replica, effects: None
+    primary.end(Random(1))
+    assert all(leaving.disk.member_id in member_ids(replica) for replica in unaware)
+    commit(world, 4.0)
+    wait(world, lambda: world.confirmed() in unaware, 2.0)
+    assert leaving.disk.member_id not in member_ids(primary_of(world))
+
+
 def test_a_standby_receives_the_snapshot_and_what_follows() -> None:
     world = quiet_world()
     for _ in range(40):
