Batch jobs: tests; an idle worker stops, a job belongs to the term that took it

Cause: with the loop at rest, stop() woke it and cancelled it at once; asyncio.wait_for then returned normally and the loop ran on for ever. And a job that came before the first lease request of a term was held back as though it were of an earlier one. Ruled out: a flag checked by the loop, since any other lost cancellation would still hang. Change: asyncio.timeout in the pause; the leases of a term begin before its first job. Replies moved to a module of their own. The worker takes its clock as an argument.

--- a/cherrycove/tier/batch/leases.py
+++ b/cherrycove/tier/batch/leases.py
@@ -1,8 +1,8 @@
 """Which unfinished item is leased to which proxy: soft state of the primary of the store group.
 
 A pure machine: time comes in as an argument (monotonic seconds) and decisions go out. It is built anew at
-each change of primary from the replicated jobs; what ran before is announced again by the proxies that run it.
-Until they had the time to do so, items of older terms are not leased.
+each change of primary from the replicated jobs; what ran before is announced again by the proxies that run
+it. Until they had the time to do so, items of older terms are not leased.
 """
 
 from __future__ import annotations
--- /dev/null
+++ b/cherrycove/tier/batch/replies.py
@@ -0,0 +1,52 @@
+"""Writes what the stores answer from the state of the jobs and the decisions about leases."""
+
+from __future__ import annotations
+
+from cherrycove.tier.batch.jobs import ItemKey, Job, JobsState
+from cherrycove.tier.batch.leases import Grant, LeaseDecision
+from cherrycove.tier.protocol import batch_pb2 as pb
+from cherrycove.tier.protocol.batch_log_pb2 import ItemResult
+
+READ_BYTES = 768 * 1024  # of texts in one read; the rest follows at the next cursor
+MAX_RETAINED_S = 1e6  # stands in for "for ever" in messages
+
+
+def read_reply(job: Job, cursor: int) -> pb.ReadReply:
+    """Results from ``cursor`` on, as many as fit one read, and at least one if there is one."""
+    reply = pb.ReadReply(total=job.total)
+    size = 0
+    for result in job.results[cursor:]:
+        size += len(result.text)
+        if reply.results and size > READ_BYTES:
+            break
+        reply.results.add(item_id=result.item_id, completed=result.completed, text=result.text)
+    return reply
+
+
+def lease_reply(
+    decision: LeaseDecision, state: JobsState, epoch: int, lease_s: float, now: float
+) -> pb.LeaseReply:
+    """The answer to a lease request, with the items themselves."""
+    reply = pb.LeaseReply(epoch=epoch, lease_ms=int(lease_s * 1000), waiting=decision.waiting)
+    for key in decision.revoked:
+        reply.revoked.add(job_id=key.job_id, item_id=key.item_id)
+    for grant in decision.granted:
+        _write_grant(reply.items.add(), state.jobs[grant.key.job_id], grant, now)
+    return reply
+
+
+def item_result(key: ItemKey, completed: bool, text: bytes) -> ItemResult:
+    """One result as it is replicated; ``text`` of a dead-lettered item is the reason."""
+    reference = pb.ItemReference(job_id=key.job_id, item_id=key.item_id)
+    return ItemResult(reference=reference, completed=completed, text=text)
+
+
+def _write_grant(leased: pb.LeasedItem, job: Job, grant: Grant, now: float) -> None:
+    leased.job_id = job.job_id
+    leased.item.MergeFromString(job.items[grant.key.item_id].encoded)
+    leased.route = job.terms.route
+    leased.host = job.terms.host
+    leased.due_in_ms = int((grant.due - now) * 1000)
+    leased.retained_ms = int(min(grant.retained_until - now, MAX_RETAINED_S) * 1000)
+    leased.failed_attempts = grant.failed_attempts
+    leased.max_attempts = job.terms.max_attempts
--- a/cherrycove/tier/batch/store.py
+++ b/cherrycove/tier/batch/store.py
@@ -24,11 +24,11 @@
     forget_command,
 )
 from cherrycove.tier.batch.jobs import EndOutcome, ItemKey, Job, JobsState
-from cherrycove.tier.batch.leases import Grant, JobTerms, LeaseCall, LeaseDecision, LeaseTable, LeaseTimes
+from cherrycove.tier.batch.leases import JobTerms, LeaseCall, LeaseTable, LeaseTimes
+from cherrycove.tier.batch.replies import item_result, lease_reply, read_reply
 from cherrycove.tier.batch.signals import ResultSignals
 from cherrycove.tier.errors import ErrorKind, Failure
 from cherrycove.tier.protocol import batch_pb2 as pb
-from cherrycove.tier.protocol.batch_log_pb2 import ItemResult
 from cherrycove.tier.protocol.rpc import RpcServer
 from cherrycove.tier.replication.interface import Group
 from cherrycove.tier.settings import Settings
@@ -36,14 +36,12 @@
 log = logging.getLogger(__name__)
 
 MAX_READ_WAIT_S = 2.0
-READ_BYTES = 768 * 1024  # of texts in one read; the rest follows at the next cursor
 MEMORY_FRACTION = 0.3  # of the process, for jobs; a snapshot holds them a second time
 DISK_FRACTION = 0.25  # of the disk, for jobs; it holds two snapshots and the log
 MEGABYTE = 1024 * 1024
 MAINTENANCE_INTERVAL_S = 0.5
 FORGET_MARGIN_S = 30.0  # past statusS
 EXPIRED = "expired"
-MAX_RETAINED_S = 1e6  # stands in for "for ever" in messages
 GIVEN_UP_AT_ONCE = 64  # items past their retention in one round of maintenance
 
 Reply = Result[Message, Failure]
@@ -127,7 +125,7 @@
     # Calls
 
     async def _submit(self, request: pb.SubmitRequest) -> Reply:
-        if not self._group.confirmed():
+        if self._current_table() is None:  # the leases of this term begin before the job comes
             return self._not_primary()
         if request.job_id in self._state.jobs:
             return Ok(pb.SubmitReply())
@@ -149,7 +147,7 @@
                 return _unknown_job()
             remaining = deadline - self._clock()
             if request.cursor < len(job.results) or job.done or remaining <= 0:
-                return Ok(_read_reply(job, request.cursor))
+                return Ok(read_reply(job, request.cursor))
             await self._signals.wait(request.job_id, remaining)
 
     async def _body(self, request: pb.BodyRequest) -> Reply:
@@ -187,7 +185,8 @@
             request.capacity,
             frozenset(request.routes),
         )
-        return Ok(self._lease_reply(table.exchange(call, now), now))
+        decision = table.exchange(call, now)
+        return Ok(lease_reply(decision, self._state, table.epoch, self._times.lease_s, now))
 
     async def _report(self, request: pb.ReportRequest) -> Reply:
         table = self._current_table()
@@ -208,7 +207,7 @@
             return Err(Failure(ErrorKind.INVALID, "a report without an outcome"))
         completed = outcome == "completed_text"
         text = request.completed_text if completed else request.dead_letter_reason.encode()
-        recorded = await self._recorder.record(_item_result(key, completed, text))
+        recorded = await self._recorder.record(item_result(key, completed, text))
         return Err(recorded.err_value) if isinstance(recorded, Err) else Ok(pb.ReportReply())
 
     # Parts of the calls
@@ -238,27 +237,6 @@
             log.info("batch.leases.begun", extra={"epoch": self._table.epoch, "jobs": len(self._state.jobs)})
         return self._table
 
-    def _lease_reply(self, decision: LeaseDecision, now: float) -> pb.LeaseReply:
-        reply = pb.LeaseReply(
-            epoch=self._group.epoch, lease_ms=int(self._times.lease_s * 1000), waiting=decision.waiting
-        )
-        for key in decision.revoked:
-            reply.revoked.add(job_id=key.job_id, item_id=key.item_id)
-        for grant in decision.granted:
-            self._write_grant(reply.items.add(), grant, now)
-        return reply
-
-    def _write_grant(self, leased: pb.LeasedItem, grant: Grant, now: float) -> None:
-        job = self._state.jobs[grant.key.job_id]
-        leased.job_id = job.job_id
-        leased.item.MergeFromString(job.items[grant.key.item_id].encoded)
-        leased.route = job.terms.route
-        leased.host = job.terms.host
-        leased.due_in_ms = int((grant.due - now) * 1000)
-        leased.retained_ms = int(min(grant.retained_until - now, MAX_RETAINED_S) * 1000)
-        leased.failed_attempts = grant.failed_attempts
-        leased.max_attempts = job.terms.max_attempts
-
     # Periodic work
 
     async def _maintain(self) -> None:
@@ -278,7 +256,7 @@
         table.expire(now)
         expired = table.past_retention(now)[:GIVEN_UP_AT_ONCE]
         await asyncio.gather(
-            *(self._recorder.record(_item_result(key, False, EXPIRED.encode())) for key in expired)
+            *(self._recorder.record(item_result(key, False, EXPIRED.encode())) for key in expired)
         )
         await self._forget_old(now)
 
@@ -291,19 +269,3 @@
 
 def _unknown_job() -> Err[Failure]:
     return Err(Failure(ErrorKind.NOT_FOUND, "no such batch job"))
-
-
-def _item_result(key: ItemKey, completed: bool, text: bytes) -> ItemResult:
-    reference = pb.ItemReference(job_id=key.job_id, item_id=key.item_id)
-    return ItemResult(reference=reference, completed=completed, text=text)
-
-
-def _read_reply(job: Job, cursor: int) -> pb.ReadReply:
-    reply = pb.ReadReply(total=job.total)
-    size = 0
-    for result in job.results[cursor:]:
-        size += len(result.text)
-        if reply.results and size > READ_BYTES:
-            break
-        reply.results.add(item_id=result.item_id, completed=result.completed, text=result.text)
-    return reply
--- a/cherrycove/tier/batch/worker.py
+++ b/cherrycove/tier/batch/worker.py
@@ -9,6 +9,7 @@
 import asyncio
 import logging
 import time
+from collections.abc import Callable
 
 import attrs
 from result import Err, Ok
@@ -64,12 +65,15 @@
         executor: ItemExecutor,
         views: Views,
         incarnation: str,
+        *,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._proxy = settings.node_name
         self._client = client
         self._executor = executor
         self._views = views
         self._incarnation = incarnation
+        self._clock = clock
         self._send_bound_s = settings.bounds.cancel_ms * SEND_SHARE_OF_CANCEL / 1000.0
         self._stop_time_s = settings.bounds.grace_period_s * STOP_SHARE_OF_GRACE
         self._runs: dict[ItemKey, _Run] = {}
@@ -126,7 +130,8 @@
     async def _pause(self) -> None:
         interval_s = RENEWAL_INTERVAL_S if self._runs or self._waiting else IDLE_INTERVAL_S
         try:
-            await asyncio.wait_for(self._wake.wait(), interval_s)
+            async with asyncio.timeout(interval_s):  # wait_for can lose a cancellation
+                await self._wake.wait()
         except TimeoutError:
             return
         finally:
@@ -134,7 +139,7 @@
 
     async def _exchange(self) -> None:
         self._sequence += 1
-        sent_at = time.monotonic()
+        sent_at = self._clock()
         answer = await self._client.lease(self._request(), EXCHANGE_BUDGET_S)
         if isinstance(answer, Err):
             return
@@ -196,7 +201,7 @@
     def _may_send(self, run: _Run) -> bool:
         """Whether the item may still go to a broker: under a fresh lease, on a route in force."""
         bound_s = min(self._send_bound_s, self._lease_s)
-        fresh = time.monotonic() - self._renewed_at < bound_s
+        fresh = self._clock() - self._renewed_at < bound_s
         return fresh and not run.revoked and self._route_in_force(run)
 
     def _route_in_force(self, run: _Run) -> bool:
--- /dev/null
+++ b/tests/tier/batch_support.py
@@ -0,0 +1,338 @@
+"""Stores on loopback over a pretended group, an executor that tests drive, and clients of both."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+from collections.abc import Callable, Sequence
+
+import aiohttp
+import attrs
+from aiohttp import web
+from result import Err, Ok, Result
+
+from cherrycove.tier.batch.client import BatchClient
+from cherrycove.tier.batch.http_api import BatchApi
+from cherrycove.tier.batch.interface import ItemOutcome
+from cherrycove.tier.batch.jobs import ItemKey, JobsState
+from cherrycove.tier.batch.leases import LeaseTimes
+from cherrycove.tier.batch.store import BatchStore
+from cherrycove.tier.batch.worker import BatchWorker
+from cherrycove.tier.configuration import Configuration, Route, Service
+from cherrycove.tier.distribution.views import Views
+from cherrycove.tier.errors import ErrorKind, Failure
+from cherrycove.tier.protocol import batch_pb2 as pb
+from cherrycove.tier.protocol.control_pb2 import Announcement
+from cherrycove.tier.protocol.rpc import RpcClient, RpcServer
+from cherrycove.tier.replication.interface import MemberIdentity
+from cherrycove.tier.settings import Bounds, ProcessLimits, Settings
+
+HOST = "batch.example"
+ROUTE = Route(
+    name="r-batch",
+    hostname=HOST,
+    path_prefix="/jobs/",
+    route_kind="batch",
+    service="models",
+    target_latency_ms=400,
+    completion_target_ms=8000,
+    retention_s=40,
+    max_attempts=2,
+)
+SHORT_TIMES = LeaseTimes(lease_s=1.5, grace_s=0.3)
+PATIENCE_S = 20.0
+
+
+def configuration(*routes: Route) -> Configuration:
+    return Configuration(version=1, routes=list(routes), services=[Service(name="models")])
+
+
+def item(item_id: str, body: bytes = b"prompt") -> pb.Item:
+    return pb.Item(item_id=item_id, path=f"/jobs/{item_id}", headers={"Model": "m"}, body=body, tokens=10)
+
+
+def job(job_id: str, *item_ids: str, route: Route = ROUTE) -> pb.SubmitRequest:
+    return pb.SubmitRequest(
+        job_id=job_id,
+        route=route.name,
+        host=route.hostname,
+        completion_target_ms=int(route.completion_target_ms),
+        retention_ms=int(route.retention_s * 1000),
+        max_attempts=route.max_attempts,
+        items=[item(item_id) for item_id in item_ids],
+    )
+
+
+class Clock:
+    """Time that only the test moves."""
+
+    def __init__(self, now: float = 1000.0) -> None:
+        self.now = now
+
+    def __call__(self) -> float:
+        return self.now
+
+
+class PretendedGroup:
+    """One replica: commits in one step to all replicas of its cluster, while it leads."""
+
+    def __init__(self, cluster: Cluster, identity: MemberIdentity, state: JobsState) -> None:
+        self.cluster = cluster
+        self.identity = identity
+        self.state = state
+        self.believes_to_lead = False
+        self.callbacks: list[Callable[[], None]] = []
+        self.gate: asyncio.Event | None = None  # proposals wait for it
+        self.answer_lost = 0  # so many proposals are committed, but their outcome is unknown
+        self.refusal: Failure | None = None
+        self.proposals: list[bytes] = []
+        self.arrived: asyncio.Queue[bytes] = asyncio.Queue()
+
+    @property
+    def epoch(self) -> int:
+        return self.cluster.epoch
+
+    @property
+    def primary(self) -> MemberIdentity | None:
+        return self.cluster.primary
+
+    @property
+    def members(self) -> tuple[MemberIdentity, ...]:
+        return tuple(group.identity for group in self.cluster.groups)
+
+    def confirmed(self) -> bool:
+        return self.cluster.primary is self.identity
+
+    async def propose(self, command: bytes, timeout_s: float) -> Result[object, Failure]:
+        self.proposals.append(command)
+        self.arrived.put_nowait(command)
+        if self.gate is not None:
+            await self.gate.wait()
+        if not self.confirmed():
+            return Err(Failure(ErrorKind.NOT_PRIMARY))
+        if self.refusal is not None:
+            return Err(self.refusal)
+        outcome = self.cluster.commit(self, command)
+        if self.answer_lost:
+            self.answer_lost -= 1
+            return Err(Failure(ErrorKind.UNCERTAIN, "the answer was lost"))
+        return Ok(outcome)
+
+    def offer_standbys(self, standbys: Sequence[MemberIdentity]) -> None:
+        pass
+
+    def retire(self, node_names: frozenset[str]) -> None:
+        pass
+
+    def on_change(self, callback: Callable[[], None]) -> None:
+        self.callbacks.append(callback)
+
+
+class Cluster:
+    """All replicas of one pretended group."""
+
+    def __init__(self) -> None:
+        self.groups: list[PretendedGroup] = []
+        self.epoch = 1
+        self.primary: MemberIdentity | None = None
+        self.index = 0
+
+    def add(self, identity: MemberIdentity, state: JobsState) -> PretendedGroup:
+        group = PretendedGroup(self, identity, state)
+        self.groups.append(group)
+        return group
+
+    def commit(self, proposer: PretendedGroup, command: bytes) -> object:
+        self.index += 1
+        outcomes = {id(group): group.state.apply(self.index, command) for group in self.groups}
+        return outcomes[id(proposer)]
+
+    def lead(self, identity: MemberIdentity | None) -> None:
+        self.epoch += 1
+        self.primary = identity
+        for group in self.groups:
+            for callback in group.callbacks:
+                callback()
+
+
+@attrs.define
+class StoreNode:
+    """One store that serves on loopback."""
+
+    ip: str
+    group: PretendedGroup
+    state: JobsState
+    store: BatchStore
+    server: RpcServer
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+def settings(port: int, ip: str, memory_mb: float = 300.0) -> Settings:
+    return Settings(
+        node_name=f"node-{ip}",
+        machine_class="storage",
+        ip_address=ip,
+        zone="a",
+        region="r",
+        internal_port_range=[port - 1, port + 10],
+        limits=ProcessLimits(memory_mb=memory_mb),
+        bounds=Bounds(grace_period_s=0.4),
+    )
+
+
+class Tier:
+    """Stores, one RPC client with views, and a batch client over them."""
+
+    def __init__(self, stores: int = 1, *, memory_mb: float = 300.0, clock: Clock | None = None) -> None:
+        self.port = free_port()
+        self.cluster = Cluster()
+        self.nodes: list[StoreNode] = []
+        for number in range(stores):
+            self._add_store(f"127.0.0.{number + 1}", memory_mb, clock)
+        self.views = Views(configuration=configuration(ROUTE))
+        self.rpc = RpcClient()
+        self.settings = settings(self.port, "127.0.0.1")
+        self.client = BatchClient(self.rpc, self.views, self.settings)
+        self.workers: list[BatchWorker] = []
+        self.cluster.lead(self.nodes[0].group.identity)
+        self.publish()
+
+    def _add_store(self, ip: str, memory_mb: float, clock: Clock | None) -> None:
+        own = settings(self.port, ip, memory_mb)
+        state, server = JobsState(), RpcServer()
+        identity = MemberIdentity(f"m-{ip}", own.node_name, own.internal_address("store"))
+        group = self.cluster.add(identity, state)
+        clocks = {"clock": clock, "wall_clock": clock} if clock is not None else {}
+        store = BatchStore(own, group, state, server, times=SHORT_TIMES, **clocks)
+        self.nodes.append(StoreNode(ip, group, state, store, server))
+
+    def publish(self) -> None:
+        """Announce the stores; which of them leads is told truly."""
+        self.views.members = tuple(
+            Announcement(
+                program="store",
+                ip=node.ip,
+                group_primary=node.group.confirmed(),
+                group_epoch=node.group.epoch,
+            )
+            for node in self.nodes
+        )
+
+    def lead(self, number: int, *, publish: bool = False) -> None:
+        self.cluster.lead(self.nodes[number].group.identity)
+        if publish:
+            self.publish()
+
+    def worker(
+        self, executor: ScriptedExecutor, name: str = "proxy-1", clock: Clock | None = None
+    ) -> BatchWorker:
+        own = attrs.evolve(self.settings, node_name=name)
+        clocks = {"clock": clock} if clock is not None else {}
+        worker = BatchWorker(own, self.client, executor, self.views, f"life of {name}", **clocks)
+        self.workers.append(worker)
+        return worker
+
+    async def __aenter__(self) -> Tier:
+        await self.rpc.start()
+        for node in self.nodes:
+            await node.server.start(f"{node.ip}:{self.port}")
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        for worker in self.workers:
+            await worker.stop()
+        for node in self.nodes:
+            await node.store.stop()
+            await node.server.stop()
+        await self.rpc.stop()
+
+
+class ScriptedExecutor:
+    """Runs nothing: tests see what was started, and say how it ended."""
+
+    def __init__(self, places: int = 8) -> None:
+        self.places = places
+        self.items: dict[ItemKey, asyncio.Future[ItemOutcome]] = {}
+        self.leases: dict[ItemKey, pb.LeasedItem] = {}
+        self.may_send: dict[ItemKey, Callable[[], bool]] = {}
+        self.started: asyncio.Queue[ItemKey] = asyncio.Queue()
+        self.cancelled: asyncio.Queue[ItemKey] = asyncio.Queue()
+
+    def free_places(self) -> int:
+        return self.places - len(self.items)
+
+    async def run_item(self, item: pb.LeasedItem, may_send: Callable[[], bool]) -> ItemOutcome:
+        key = ItemKey(item.job_id, item.item.item_id)
+        future: asyncio.Future[ItemOutcome] = asyncio.get_running_loop().create_future()
+        self.items[key], self.leases[key], self.may_send[key] = future, item, may_send
+        self.started.put_nowait(key)
+        try:
+            return await future
+        except asyncio.CancelledError:
+            self.cancelled.put_nowait(key)
+            raise
+        finally:
+            del self.items[key]
+
+    async def next_started(self) -> ItemKey:
+        return await asyncio.wait_for(self.started.get(), PATIENCE_S)
+
+    async def next_cancelled(self) -> ItemKey:
+        return await asyncio.wait_for(self.cancelled.get(), PATIENCE_S)
+
+    def finish(self, key: ItemKey, outcome: ItemOutcome) -> None:
+        self.items[key].set_result(outcome)
+
+
+class Frontend:
+    """The batch interface of one proxy over HTTP on loopback; ``exchange`` gives a transcript."""
+
+    def __init__(self, tier: Tier) -> None:
+        self.api = BatchApi(tier.client, tier.views)
+        self.views = tier.views
+        self.port = free_port()
+        self.runner: web.ServerRunner | None = None
+        self.session: aiohttp.ClientSession | None = None
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        body = await request.read()
+        assert self.views.configuration is not None
+        route = self.views.configuration.match(request.headers["Host"], request.path)
+        return await self.api.handle(request, body, route)
+
+    async def __aenter__(self) -> Frontend:
+        self.runner = web.ServerRunner(web.Server(self._handle, access_log=None))
+        await self.runner.setup()
+        await web.TCPSite(self.runner, "127.0.0.1", self.port).start()
+        self.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(force_close=True))
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        assert self.session is not None and self.runner is not None
+        await self.session.close()
+        await self.runner.cleanup()
+
+    async def call(
+        self, method: str, path: str, body: object = None, **headers: str
+    ) -> tuple[int, bytes, dict[str, str]]:
+        assert self.session is not None
+        sent = {"Host": HOST} | {name.replace("_", "-"): value for name, value in headers.items()}
+        data = body if isinstance(body, bytes) else (json.dumps(body).encode() if body is not None else None)
+        async with self.session.request(
+            method, f"http://127.0.0.1:{self.port}{path}", data=data, headers=sent
+        ) as response:
+            return response.status, await response.read(), dict(response.headers)
+
+    async def exchange(self, method: str, path: str, body: object = None, **headers: str) -> str:
+        """One line: the call, the status, the advised pause if any, and the body of a success."""
+        status, answer, answered = await self.call(method, path, body, **headers)
+        pause = f" Retry-After {answered['Retry-After']}" if "Retry-After" in answered else ""
+        shown = f" {answer.decode()}" if status < 300 else ""
+        return f"{method} {path} -> {status}{pause}{shown}"
--- /dev/null
+++ b/tests/tier/test_batch_http.py
@@ -0,0 +1,287 @@
+"""Transcripts of the batch interface over loopback: client, proxy, store."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from collections.abc import Awaitable, Callable
+
+import pytest
+from batch_support import PATIENCE_S, Frontend, Tier, job
+
+from cherrycove.tier.batch.commands import accept_command, results_command
+from cherrycove.tier.batch.http_api import MAX_PAGE_BYTES, render_page
+from cherrycove.tier.batch.jobs import ItemKey
+from cherrycove.tier.batch.replies import item_result
+from cherrycove.tier.errors import ErrorKind, Failure
+from cherrycove.tier.protocol import batch_pb2 as pb
+
+BODY = bytes(range(256))
+
+
+def submission(*item_ids: str) -> dict[str, object]:
+    requests = [
+        {
+            "instanceId": item_id,
+            "path": f"/jobs/{item_id}",
+            "headers": {"Model": "m"},
+            "body": base64.b64encode(BODY).decode(),
+            "tokens": 10,
+        }
+        for item_id in item_ids
+    ]
+    return {"requests": requests}
+
+
+def play(scene: Callable[[Tier, Frontend], Awaitable[None]], **options: object) -> None:
+    async def run() -> None:
+        async with asyncio.timeout(PATIENCE_S):
+            async with Tier(**options) as tier, Frontend(tier) as frontend:  # type: ignore[arg-type]
+                await scene(tier, frontend)
+
+    asyncio.run(run())
+
+
+def record(tier: Tier, job_id: str, item_id: str, text: bytes, completed: bool = True) -> None:
+    command = results_command([item_result(ItemKey(job_id, item_id), completed, text)])
+    tier.cluster.commit(tier.nodes[0].group, command)
+
+
+def test_life_of_a_job() -> None:
+    async def scene(tier: Tier, frontend: Frontend) -> None:
+        transcript = [
+            await frontend.exchange("POST", "/jobs/1", submission("a", "b", "c"), Request_Id="j1"),
+            await frontend.exchange("POST", "/jobs/1", submission("a", "b", "c"), Request_Id="j1"),
+            await frontend.exchange("GET", "/api/lots/j1?pageCursor=0"),
+        ]
+        record(tier, "j1", "b", "one\ntwo ü".encode())
+        record(tier, "j1", "a", b"unprocessable", completed=False)
+        transcript += [
+            await frontend.exchange("GET", "/api/lots/j1?pageCursor=0"),
+            await frontend.exchange("GET", "/api/lots/j1?pageCursor=1", Wait_Ms="1000"),
+            await frontend.exchange("GET", "/api/lots/j1?pageCursor=2"),
+            await frontend.exchange("DELETE", "/api/lots/j1"),
+            await frontend.exchange("DELETE", "/api/lots/j1"),
+            await frontend.exchange("GET", "/api/lots/j1", Wait_Ms="1000"),
+            await frontend.exchange("GET", "/api/lots/other?pageCursor=0"),
+            await frontend.exchange("DELETE", "/api/lots/other"),
+        ]
+        one = '{"instanceId":"b","state":"completed","message":"one\\ntwo ü"}'
+        two = '{"instanceId":"a","state":"dead_lettered","message":"unprocessable"}'
+        assert transcript == [
+            "POST /jobs/1 -> 202 {}",
+            "POST /jobs/1 -> 202 {}",
+            'GET /api/lots/j1?pageCursor=0 -> 200 {"total":3,"nextPageToken":0,"results":[]}',
+            f'GET /api/lots/j1?pageCursor=0 -> 200 {{"total":3,"nextPageToken":2,"results":[{one},{two}]}}',
+            f'GET /api/lots/j1?pageCursor=1 -> 200 {{"total":3,"nextPageToken":2,"results":[{two}]}}',
+            'GET /api/lots/j1?pageCursor=2 -> 200 {"total":3,"nextPageToken":2,"results":[]}',
+            "DELETE /api/lots/j1 -> 200 {}",
+            "DELETE /api/lots/j1 -> 200 {}",
+            f'GET /api/lots/j1 -> 200 {{"total":3,"nextPageToken":2,"results":[{one},{two}]}}',
+            "GET /api/lots/other?pageCursor=0 -> 404",
+            "DELETE /api/lots/other -> 404",
+        ]
+
+    play(scene)
+
+
+def test_bodies_come_back_as_they_were_sent() -> None:
+    async def scene(tier: Tier, frontend: Frontend) -> None:
+        await frontend.exchange("POST", "/jobs/1", submission("a", "b"), Request_Id="j1")
+        record(tier, "j1", "b", b"text")
+        status, body, _ = await frontend.call("GET", "/api/items/j1?instanceId=a")
+        assert (status, body) == (200, BODY)
+        status, _, _ = await frontend.call("GET", "/api/items/j1?instanceId=c")
+        assert status == 404
+        await frontend.exchange("DELETE", "/api/lots/j1")
+        status, body, _ = await frontend.call("GET", "/api/items/j1?instanceId=a")
+        assert (status, body) == (200, BODY)
+
+    play(scene)
+
+
+def test_held_read_answers_as_soon_as_a_result_exists() -> None:
+    async def scene(tier: Tier, frontend: Frontend) -> None:
+        await frontend.exchange("POST", "/jobs/1", submission("a"), Request_Id="j1")
+        signals = tier.nodes[0].store._signals
+        waiting = asyncio.Event()
+        original = signals.wait
+
+        async def announced(job_id: str, timeout_s: float) -> None:
+            waiting.set()
+            await original(job_id, timeout_s)
+
+        signals.wait = announced  # type: ignore[method-assign]
+        read = asyncio.create_task(frontend.exchange("GET", "/api/lots/j1", Wait_Ms="1000"))
+        await waiting.wait()
+        record(tier, "j1", "a", b"text")
+        assert '"message":"text"' in await read
+
+    play(scene)
+
+
+def test_held_read_is_not_answered_by_a_store_that_lost_its_lead() -> None:
+    async def scene(tier: Tier, frontend: Frontend) -> None:
+        await frontend.exchange("POST", "/jobs/1", submission("a"), Request_Id="j1")
+        signals = tier.nodes[0].store._signals
+        original = signals.wait
+
+        async def deposed(job_id: str, timeout_s: float) -> None:
+            waiting = asyncio.create_task(original(job_id, timeout_s))
+            await asyncio.wait((waiting,), timeout=0)
+            tier.cluster.lead(None)
+            await waiting
+
+        signals.wait = deposed  # type: ignore[method-assign]
+        assert await frontend.exchange("GET", "/api/lots/j1", Wait_Ms="400") == (
+            "GET /api/lots/j1 -> 503 Retry-After 0.2"
+        )
+
+    play(scene)
+
+
+def test_unknown_job_without_a_primary_is_no_404() -> None:
+    async def scene(tier: Tier, frontend: Frontend) -> None:
+        tier.cluster.lead(None)
+        assert [
+            await frontend.exchange("GET", "/api/lots/j1"),
+            await frontend.exchange("GET", "/api/items/j1?instanceId=a"),
+            await frontend.exchange("DELETE", "/api/lots/j1", Deadline_Ms="300"),
+            await frontend.exchange("POST", "/jobs/1", submission("a"), Request_Id="j1", Deadline_Ms="300"),
+        ] == [
+            "GET /api/lots/j1 -> 503 Retry-After 0.2",
+            "GET /api/items/j1?instanceId=a -> 503 Retry-After 0.2",
+            "DELETE /api/lots/j1 -> 503 Retry-After 0.2",
+            "POST /jobs/1 -> 503 Retry-After 0.2",
+        ]
+        assert tier.nodes[0].state.jobs == {}
+
+    play(scene)
+
+
+def test_submit_of_unknown_outcome_makes_no_promise() -> None:
+    async def scene(tier: Tier, frontend: Frontend) -> None:
+        group = tier.nodes[0].group
+        group.refusal = Failure(ErrorKind.UNCERTAIN, "no word from the backups")
+        hurried = {"Request_Id": "j1", "Deadline_Ms": "300"}
+        answer = await frontend.exchange("POST", "/jobs/1", submission("a"), **hurried)
+        assert answer == "POST /jobs/1 -> 504"
+        group.refusal = None
+        assert await frontend.exchange("POST", "/jobs/1", submission("a"), Request_Id="j1") == (
+            "POST /jobs/1 -> 202 {}"
+        )
+
+    play(scene)
+
+
+def test_submit_and_end_whose_answer_was_lost_are_asked_again() -> None:
+    async def scene(tier: Tier, frontend: Frontend) -> None:
+        group = tier.nodes[0].group
+        group.answer_lost = 1
+        assert await frontend.exchange("POST", "/jobs/1", submission("a"), Request_Id="j1") == (
+            "POST /jobs/1 -> 202 {}"
+        )
+        group.answer_lost = 1
+        assert await frontend.exchange("DELETE", "/api/lots/j1") == "DELETE /api/lots/j1 -> 200 {}"
+        assert len(group.proposals) == 2
+
+    play(scene)
+
+
+def test_end_of_unknown_outcome_makes_no_promise() -> None:
+    async def scene(tier: Tier, frontend: Frontend) -> None:
+        tier.cluster.commit(tier.nodes[0].group, accept_command(job("j1", "a"), 0))
+        tier.nodes[0].group.refusal = Failure(ErrorKind.UNCERTAIN)
+        assert await frontend.exchange("DELETE", "/api/lots/j1", Deadline_Ms="300") == (
+            "DELETE /api/lots/j1 -> 504"
+        )
+
+    play(scene)
+
+
+def test_two_submits_of_one_job_at_once_are_taken_once() -> None:
+    async def scene(tier: Tier, frontend: Frontend) -> None:
+        group = tier.nodes[0].group
+        group.gate = asyncio.Event()
+        calls = [
+            asyncio.create_task(frontend.exchange("POST", "/jobs/1", submission("a"), Request_Id="j1"))
+            for _ in range(2)
+        ]
+        await group.arrived.get()
+        await group.arrived.get()
+        group.gate.set()
+        assert await asyncio.gather(*calls) == ["POST /jobs/1 -> 202 {}"] * 2
+        assert tier.nodes[0].state.jobs["j1"].total == 1
+
+    play(scene)
+
+
+def test_jobs_beyond_the_room_are_refused_and_known_ones_acknowledged() -> None:
+    async def scene(tier: Tier, frontend: Frontend) -> None:
+        known = submission("a")
+        await frontend.exchange("POST", "/jobs/1", known, Request_Id="j1")
+        large = submission("a")
+        large["requests"][0]["body"] = base64.b64encode(bytes(400_000)).decode()  # type: ignore[index]
+        assert [
+            await frontend.exchange("POST", "/jobs/1", large, Request_Id="j2"),
+            await frontend.exchange("POST", "/jobs/1", known, Request_Id="j1"),
+        ] == ["POST /jobs/1 -> 503 Retry-After 0.2", "POST /jobs/1 -> 202 {}"]
+
+    play(scene, memory_mb=1.0)
+
+
+def test_requests_that_are_not_proper() -> None:
+    async def scene(tier: Tier, frontend: Frontend) -> None:
+        assert [
+            await frontend.exchange("POST", "/jobs/1", b"{", Request_Id="j1"),
+            await frontend.exchange("POST", "/jobs/1", submission("a", "a"), Request_Id="j1"),
+            await frontend.exchange("POST", "/jobs/1", submission("a")),
+            await frontend.exchange("GET", "/jobs/1"),
+            await frontend.exchange("GET", "/api/lots/j1?pageCursor=-1"),
+            await frontend.exchange("GET", "/api/lots/j1?pageCursor=x"),
+            await frontend.exchange("GET", "/api/lots/"),
+            await frontend.exchange("POST", "/none/1", submission("a"), Request_Id="j1"),
+        ] == [
+            "POST /jobs/1 -> 400",
+            "POST /jobs/1 -> 400",
+            "POST /jobs/1 -> 400",
+            "GET /jobs/1 -> 400",
+            "GET /api/lots/j1?pageCursor=-1 -> 400",
+            "GET /api/lots/j1?pageCursor=x -> 400",
+            "GET /api/lots/ -> 400",
+            "POST /none/1 -> 404",
+        ]
+
+    play(scene)
+
+
+@pytest.mark.parametrize("text", ["x", "\n", "ü", '"'])
+def test_pages_stay_below_a_megabyte_and_lose_nothing(text: str) -> None:
+    async def scene(tier: Tier, frontend: Frontend) -> None:
+        sizes = (400_000, 300_000, 2_000_000, 10, 500_000)
+        ids = [str(number) for number in range(len(sizes))]
+        tier.cluster.commit(tier.nodes[0].group, accept_command(job("j1", *ids), 0))
+        for item_id, size in zip(ids, sizes, strict=True):
+            record(tier, "j1", item_id, (text * size).encode())
+        seen: list[tuple[str, int]] = []
+        while len(seen) < len(ids):
+            _, body, _ = await frontend.call("GET", f"/api/lots/j1?pageCursor={len(seen)}")
+            page = json.loads(body)
+            assert len(body) <= MAX_PAGE_BYTES or len(page["results"]) == 1
+            assert page["nextPageToken"] == len(seen) + len(page["results"])
+            seen += [(result["instanceId"], len(result["message"])) for result in page["results"]]
+            assert page["results"]
+        assert seen == list(zip(ids, sizes, strict=True))
+
+    play(scene)
+
+
+def test_page_is_json_whatever_the_text_holds() -> None:
+    texts = ['"\\\x00\x1f\u2028', "a\nb", "😀", ""]
+    reply = pb.ReadReply(total=9)
+    for number, text in enumerate(texts):
+        reply.results.add(item_id=str(number), completed=True, text=text.encode())
+    page = json.loads(render_page(reply, 3))
+    assert page["nextPageToken"] == 7
+    assert [result["message"] for result in page["results"]] == texts
--- /dev/null
+++ b/tests/tier/test_batch_jobs.py
@@ -0,0 +1,132 @@
+"""The replicated state of batch jobs, driven by commands."""
+
+from __future__ import annotations
+
+from batch_support import item, job
+from pytest import MonkeyPatch
+
+from cherrycove.tier.batch import jobs as jobs_module
+from cherrycove.tier.batch.commands import accept_command, end_command, forget_command, results_command
+from cherrycove.tier.batch.jobs import AcceptOutcome, EndOutcome, ItemKey, JobsState
+from cherrycove.tier.batch.replies import item_result
+
+
+def record(state: JobsState, job_id: str, item_id: str, text: bytes, completed: bool = True) -> None:
+    state.apply(0, results_command([item_result(ItemKey(job_id, item_id), completed, text)]))
+
+
+def listed(state: JobsState, job_id: str) -> list[tuple[str, bool, bytes]]:
+    return [(result.item_id, result.completed, result.text) for result in state.jobs[job_id].results]
+
+
+def test_job_accepted_twice_is_taken_once() -> None:
+    state = JobsState()
+    assert state.apply(1, accept_command(job("j", "a", "b"), 5)) is AcceptOutcome.TAKEN
+    record(state, "j", "a", b"text")
+    assert state.apply(3, accept_command(job("j", "a", "b"), 9)) is AcceptOutcome.REPEATED
+    assert listed(state, "j") == [("a", True, b"text")]
+    assert state.jobs["j"].received_unix_ms == 5
+
+
+def test_first_result_of_an_item_keeps_its_position() -> None:
+    state = JobsState()
+    state.apply(1, accept_command(job("j", "a", "b", "c"), 0))
+    record(state, "j", "b", b"first")
+    record(state, "j", "a", b"422", completed=False)
+    record(state, "j", "b", b"second")
+    record(state, "j", "a", b"late")
+    record(state, "j", "unknown", b"x")
+    record(state, "other", "a", b"x")
+    assert listed(state, "j") == [("b", True, b"first"), ("a", False, b"422")]
+    assert state.jobs["j"].unlisted() == ["c"]
+    assert not state.jobs["j"].done
+    record(state, "j", "c", b"")
+    assert state.jobs["j"].done
+
+
+def test_results_after_the_end_are_ignored() -> None:
+    state = JobsState()
+    state.apply(1, accept_command(job("j", "a", "b"), 0))
+    record(state, "j", "a", b"text")
+    assert state.apply(2, end_command("j")) is EndOutcome.ENDED
+    assert state.apply(3, end_command("j")) is EndOutcome.ENDED
+    assert state.apply(4, end_command("other")) is EndOutcome.UNKNOWN
+    record(state, "j", "b", b"late")
+    assert listed(state, "j") == [("a", True, b"text")]
+
+
+def test_only_jobs_that_are_done_can_be_forgotten() -> None:
+    state = JobsState()
+    for job_id in ("open", "ended", "complete"):
+        state.apply(1, accept_command(job(job_id, "a"), 0))
+    state.apply(2, end_command("ended"))
+    record(state, "complete", "a", b"text")
+    state.apply(3, forget_command(["open", "ended", "complete", "unknown"]))
+    assert list(state.jobs) == ["open"]
+
+
+def test_stored_bytes_come_back_to_nothing() -> None:
+    state = JobsState()
+    state.apply(1, accept_command(job("j", "a", "b"), 0))
+    record(state, "j", "a", b"text")
+    assert state.stored_bytes > 0
+    state.apply(2, end_command("j"))
+    state.apply(3, forget_command(["j"]))
+    assert state.stored_bytes == 0
+
+
+def test_body_of_an_item_without_result_is_kept_and_the_oldest_of_listed_ones_dropped(
+    monkeypatch: MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(jobs_module, "RECENT_BODIES_COUNT", 2)
+    state = JobsState()
+    state.apply(1, accept_command(job("j", "a", "b", "c", "d"), 0))
+    for item_id in ("a", "b", "c"):
+        record(state, "j", item_id, b"text")
+    assert [state.body(ItemKey("j", name)) for name in "abcd"] == [None, b"prompt", b"prompt", b"prompt"]
+    assert state.body(ItemKey("j", "unknown")) is None
+    assert state.body(ItemKey("unknown", "a")) is None
+
+
+def test_snapshot_restores_the_same_state(monkeypatch: MonkeyPatch) -> None:
+    monkeypatch.setattr(jobs_module, "RECENT_BODIES_COUNT", 2)
+    state = JobsState()
+    state.apply(1, accept_command(job("j", "a", "b", "c", "d"), 77))
+    state.apply(2, accept_command(job("k", "a"), 78))
+    for item_id in ("d", "a", "c"):
+        record(state, "j", item_id, f"text of {item_id}".encode())
+    state.apply(3, end_command("k"))
+    copy = JobsState()
+    copy.apply(1, accept_command(job("stale", "a"), 0))
+    copy.restore(state.snapshot())
+    assert copy.jobs == state.jobs
+    assert copy.stored_bytes == state.stored_bytes
+    assert copy.snapshot() == state.snapshot()
+    for replica in (state, copy):
+        record(replica, "j", "b", b"last")
+    assert copy.jobs == state.jobs
+    assert copy.body(ItemKey("j", "a")) is None
+
+
+def test_replicas_that_apply_the_same_commands_are_alike() -> None:
+    twice = [item_result(ItemKey("j", "b"), True, text) for text in (b"1", b"2")]
+    commands = [
+        accept_command(job("j", "a", "b"), 1),
+        results_command(twice),
+        accept_command(job("j", "a", "b"), 2),
+        end_command("j"),
+        results_command([item_result(ItemKey("j", "a"), True, b"3")]),
+    ]
+    replicas = [JobsState(), JobsState()]
+    for index, command in enumerate(commands):
+        for replica in replicas:
+            replica.apply(index, command)
+    assert replicas[0].snapshot() == replicas[1].snapshot()
+    assert listed(replicas[0], "j") == [("b", True, b"1")]
+
+
+def test_item_comes_back_as_it_was_sent() -> None:
+    state = JobsState()
+    state.apply(1, accept_command(job("j", "a"), 0))
+    copy = type(item("a")).FromString(state.jobs["j"].items["a"].encoded)
+    assert copy == item("a")
--- /dev/null
+++ b/tests/tier/test_batch_worker.py
@@ -0,0 +1,352 @@
+"""Items from lease to result over loopback, with an executor that the test drives."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from batch_support import PATIENCE_S, ROUTE, Clock, ScriptedExecutor, Tier, configuration, job
+from result import Ok
+
+from cherrycove.tier.batch.interface import ItemOutcome, ItemState
+from cherrycove.tier.batch.jobs import ItemKey
+from cherrycove.tier.batch.worker import BatchWorker
+from cherrycove.tier.errors import ErrorKind, Failure
+from cherrycove.tier.protocol import batch_pb2 as pb
+
+BUDGET_S = 5.0
+A, B, C = (ItemKey("j1", name) for name in "abc")
+
+
+def completed(text: bytes) -> ItemOutcome:
+    return ItemOutcome(ItemState.COMPLETED, text)
+
+
+def play(scene: Callable[[Tier], Awaitable[None]], **options: object) -> None:
+    async def run() -> None:
+        async with asyncio.timeout(PATIENCE_S), Tier(**options) as tier:  # type: ignore[arg-type]
+            await scene(tier)
+
+    asyncio.run(run())
+
+
+async def submit(tier: Tier, *item_ids: str, job_id: str = "j1") -> None:
+    assert isinstance(await tier.client.submit(job(job_id, *item_ids), BUDGET_S), Ok)
+
+
+async def results(tier: Tier, count: int, job_id: str = "j1") -> list[tuple[str, bool, bytes]]:
+    """The first ``count`` results, once there are so many."""
+    while True:
+        request = pb.ReadRequest(job_id=job_id, cursor=count - 1, wait_ms=1000)
+        answer = await tier.client.read(request, BUDGET_S)
+        if isinstance(answer, Ok) and answer.ok_value.results:
+            break
+    answer = await tier.client.read(pb.ReadRequest(job_id=job_id), BUDGET_S)
+    return [(entry.item_id, entry.completed, entry.text) for entry in answer.unwrap().results][:count]
+
+
+async def start(
+    tier: Tier, executor: ScriptedExecutor, name: str = "p1", clock: Clock | None = None
+) -> BatchWorker:
+    worker = tier.worker(executor, name, clock)
+    await worker.start()
+    return worker
+
+
+def test_items_are_run_and_their_results_listed_in_order_of_their_end() -> None:
+    async def scene(tier: Tier) -> None:
+        executor = ScriptedExecutor(places=2)
+        await start(tier, executor)
+        await submit(tier, "a", "b", "c")
+        assert [await executor.next_started(), await executor.next_started()] == [A, B]
+        lease = executor.leases[A]
+        assert (lease.item.body, lease.item.path, dict(lease.item.headers)) == (
+            b"prompt",
+            "/jobs/a",
+            {"Model": "m"},
+        )
+        assert (lease.route, lease.host, lease.max_attempts) == (ROUTE.name, ROUTE.hostname, 2)
+        assert 0 < lease.due_in_ms <= 8000
+        executor.finish(B, completed(b"text of b"))
+        assert await executor.next_started() == C
+        executor.finish(C, ItemOutcome(ItemState.DEAD_LETTERED, reason="unprocessable"))
+        assert await results(tier, 2) == [("b", True, b"text of b"), ("c", False, b"unprocessable")]
+        executor.finish(A, completed(b""))
+        assert (await results(tier, 3))[2] == ("a", True, b"")
+
+    play(scene)
+
+
+def test_ended_job_is_cancelled_and_sends_nothing_more() -> None:
+    async def scene(tier: Tier) -> None:
+        executor = ScriptedExecutor()
+        await start(tier, executor)
+        await submit(tier, "a")
+        await executor.next_started()
+        may_send = executor.may_send[A]
+        assert may_send()
+        assert isinstance(await tier.client.end(pb.EndRequest(job_id="j1"), BUDGET_S), Ok)
+        assert await executor.next_cancelled() == A
+        assert not may_send()
+
+    play(scene)
+
+
+def test_nothing_is_sent_on_a_lease_that_was_not_renewed() -> None:
+    async def scene(tier: Tier) -> None:
+        clock = Clock()
+        executor = ScriptedExecutor()
+        await start(tier, executor, clock=clock)
+        await submit(tier, "a")
+        await executor.next_started()
+        tier.cluster.lead(None)
+        clock.now += 1.4
+        assert executor.may_send[A]()
+        clock.now += 0.2  # cancelMs is 3000; half of it has passed since the last renewal
+        assert not executor.may_send[A]()
+
+    play(scene)
+
+
+def test_item_whose_route_left_the_configuration_is_dead_lettered() -> None:
+    async def scene(tier: Tier) -> None:
+        executor = ScriptedExecutor()
+        await start(tier, executor)
+        await submit(tier, "a")
+        await executor.next_started()
+        tier.views.configuration = configuration()
+        assert not executor.may_send[A]()
+        executor.finish(A, ItemOutcome(ItemState.RETURNED))
+        assert await results(tier, 1) == [("a", False, b"route_removed")]
+
+    play(scene)
+
+
+def test_returned_item_is_run_again_with_its_count_of_failures() -> None:
+    async def scene(tier: Tier) -> None:
+        executor = ScriptedExecutor()
+        await start(tier, executor)
+        await submit(tier, "a")
+        await executor.next_started()
+        executor.finish(A, ItemOutcome(ItemState.RETURNED, failed_attempts=1))
+        assert await executor.next_started() == A
+        assert executor.leases[A].failed_attempts == 1
+
+    play(scene)
+
+
+def test_fault_of_the_executor_gives_the_item_back() -> None:
+    async def scene(tier: Tier) -> None:
+        executor = ScriptedExecutor()
+        await start(tier, executor)
+        await submit(tier, "a")
+        await executor.next_started()
+        executor.items[A].set_exception(ValueError("a fault of the program"))
+        assert await executor.next_started() == A
+
+    play(scene)
+
+
+def test_stopped_worker_gives_back_what_it_could_not_finish() -> None:
+    async def scene(tier: Tier) -> None:
+        first, second = ScriptedExecutor(), ScriptedExecutor()
+        worker = await start(tier, first, "p1")
+        await submit(tier, "a", "b")
+        await first.next_started()
+        await first.next_started()
+        first.finish(A, completed(b"text"))
+        await worker.stop()
+        assert worker.running == 0
+        await start(tier, second, "p2")
+        assert await second.next_started() == B
+        second.finish(B, completed(b"text"))
+        assert {name for name, _, _ in await results(tier, 2)} == {"a", "b"}
+
+    play(scene)
+
+
+def test_items_of_a_dead_proxy_are_run_by_another() -> None:
+    clock = Clock()
+
+    async def scene(tier: Tier) -> None:
+        dead, alive = ScriptedExecutor(), ScriptedExecutor()
+        worker = await start(tier, dead, "p1")
+        await submit(tier, "a")
+        await dead.next_started()
+        assert worker._loop_task is not None
+        worker._loop_task.cancel()
+        clock.now += 1.6
+        await start(tier, alive, "p2")
+        assert await alive.next_started() == A
+        dead.finish(A, completed(b"of the dead"))
+        assert await results(tier, 1) == [("a", True, b"of the dead")]
+        assert await alive.next_cancelled() == A
+
+    play(scene, clock=clock)
+
+
+def test_report_whose_answer_was_lost_is_taken_once() -> None:
+    async def scene(tier: Tier) -> None:
+        executor = ScriptedExecutor()
+        await start(tier, executor)
+        await submit(tier, "a", "b")
+        await executor.next_started()
+        await executor.next_started()
+        tier.nodes[0].group.answer_lost = 1
+        executor.finish(A, completed(b"text"))
+        executor.finish(B, completed(b"text"))
+        assert len(await results(tier, 2)) == 2
+        assert tier.nodes[0].state.jobs["j1"].done
+
+    play(scene)
+
+
+def test_reports_that_come_close_together_share_one_command() -> None:
+    async def scene(tier: Tier) -> None:
+        executor = ScriptedExecutor(places=20)
+        await start(tier, executor)
+        names = [f"i{number}" for number in range(20)]
+        await submit(tier, *names)
+        keys = [await executor.next_started() for _ in names]
+        group = tier.nodes[0].group
+        group.gate = asyncio.Event()
+        recorder = tier.nodes[0].store._recorder
+        all_came = asyncio.Event()
+        record = recorder.record
+        came: list[object] = []
+
+        async def counted(result: object) -> object:
+            came.append(result)
+            if len(came) == len(names):
+                all_came.set()
+            return await record(result)  # type: ignore[arg-type]
+
+        recorder.record = counted  # type: ignore[method-assign, assignment]
+        for key in keys:
+            executor.finish(key, completed(b"text"))
+        await all_came.wait()
+        group.gate.set()
+        assert len(await results(tier, 20)) == 20
+        assert len(group.proposals) == 3  # the job, the first result, all others
+
+    play(scene)
+
+
+def test_completed_text_survives_a_change_of_primary() -> None:
+    async def scene(tier: Tier) -> None:
+        executor = ScriptedExecutor()
+        await start(tier, executor)
+        await submit(tier, "a", "b", "c")
+        for key in (A, B, C):
+            assert await executor.next_started() == key
+        executor.finish(A, completed(b"before"))
+        assert await results(tier, 1) == [("a", True, b"before")]
+        tier.cluster.lead(None)
+        executor.finish(B, completed(b"between"))
+        tier.lead(1)
+        assert await results(tier, 2) == [("a", True, b"before"), ("b", True, b"between")]
+        executor.finish(C, completed(b"after"))
+        assert (await results(tier, 3))[2] == ("c", True, b"after")
+        assert executor.started.empty()
+        assert tier.nodes[0].state.snapshot() == tier.nodes[1].state.snapshot()
+
+    play(scene, stores=2)
+
+
+def test_new_primary_leases_what_nobody_announces() -> None:
+    async def scene(tier: Tier) -> None:
+        dead, alive = ScriptedExecutor(places=1), ScriptedExecutor(places=1)
+        worker = await start(tier, dead, "p1")
+        await submit(tier, "a")
+        await dead.next_started()
+        assert worker._loop_task is not None
+        worker._loop_task.cancel()
+        tier.lead(1)
+        await start(tier, alive, "p2")
+        assert await alive.next_started() == A
+        alive.finish(A, completed(b"text"))
+        assert await results(tier, 1) == [("a", True, b"text")]
+
+    play(scene, stores=2)
+
+
+def test_report_to_a_primary_that_is_deposed_meanwhile_reaches_the_next_one() -> None:
+    async def scene(tier: Tier) -> None:
+        executor = ScriptedExecutor()
+        await start(tier, executor)
+        await submit(tier, "a")
+        await executor.next_started()
+        first = tier.nodes[0].group
+        first.gate = asyncio.Event()
+        await first.arrived.get()
+        executor.finish(A, completed(b"text"))
+        await first.arrived.get()  # the report waits in the group
+        tier.lead(1)
+        first.gate.set()
+        assert await results(tier, 1) == [("a", True, b"text")]
+
+    play(scene, stores=2)
+
+
+def test_items_past_retention_are_given_up_by_the_primary() -> None:
+    clock = Clock()
+
+    async def scene(tier: Tier) -> None:
+        executor = ScriptedExecutor(places=1)
+        await start(tier, executor)
+        await submit(tier, "a", "b")
+        await executor.next_started()
+        clock.now += 40.0
+        await tier.nodes[0].store.maintain_once()
+        assert tier.nodes[0].state.jobs["j1"].results == []
+        clock.now += 1.0
+        await tier.nodes[0].store.maintain_once()
+        assert {(name, done, text) for name, done, text in await results(tier, 2)} == {
+            ("a", False, b"expired"),
+            ("b", False, b"expired"),
+        }
+        assert await executor.next_cancelled() == A
+
+    play(scene, clock=clock)
+
+
+def test_old_jobs_are_forgotten_only_when_done_and_old() -> None:
+    clock = Clock()
+
+    async def scene(tier: Tier) -> None:
+        node = tier.nodes[0]
+        await submit(tier, "a", job_id="ended")
+        await submit(tier, "a", job_id="open")
+        await tier.client.end(pb.EndRequest(job_id="ended"), BUDGET_S)
+        node.group.refusal = Failure(ErrorKind.UNCERTAIN)  # keeps items from being given up
+        clock.now += 149.0
+        await node.store.maintain_once()
+        assert set(node.state.jobs) == {"ended", "open"}
+        node.group.refusal = None
+        clock.now += 2.0
+        await node.store._forget_old(clock.now)
+        assert set(node.state.jobs) == {"open"}
+
+    play(scene, clock=clock)
+
+
+def test_worker_at_rest_stops_at_once() -> None:
+    async def scene(tier: Tier) -> None:
+        for _ in range(5):
+            worker = tier.worker(ScriptedExecutor())
+            await worker.start()
+            resting = asyncio.Event()
+            pause = worker._pause
+
+            async def observed(
+                pause: Callable[[], Awaitable[None]] = pause, resting: asyncio.Event = resting
+            ) -> None:
+                asyncio.get_running_loop().call_soon(resting.set)
+                await pause()
+
+            worker._pause = observed  # type: ignore[method-assign]
+            await resting.wait()
+            await worker.stop()
+            assert worker._loop_task is not None and worker._loop_task.cancelled()
+
+    play(scene)
