Data plane: targets pass byte for byte; events before a gap are not lost; faults of clients stay out of the log

Cause: a target with an empty query was answered 400; where a resumed answer brought an event and then a gap in one read, the event counted as passed on and was not; each unreadable request wrote a trace to the log.

Change: the whole target is the library's path; what came before a gap is written first, and the last id moves with the write; the connection's logger drops such records. Overdue batch items wait behind those in time.

--- a/cherrycove/tier/dataplane/admission/items_queue.py
+++ b/cherrycove/tier/dataplane/admission/items_queue.py
@@ -25,8 +25,9 @@
         """It waits no more; its entry is dropped once it comes to the front."""
         self._waiting.pop(ticket, None)
 
-    def in_order(self) -> list[Ticket]:
-        """All that wait, the earliest due first."""
+    def in_order(self, now: float) -> list[Ticket]:
+        """All that wait, the earliest due first, those that are overdue behind the others."""
         while self._heap and self._heap[0][2] not in self._waiting:
             heappop(self._heap)
-        return [entry[2] for entry in sorted(self._heap) if entry[2] in self._waiting]
+        waiting = [entry[2] for entry in sorted(self._heap) if entry[2] in self._waiting]
+        return sorted(waiting, key=lambda ticket: ticket.due <= now)
--- a/cherrycove/tier/dataplane/admission/scheduler.py
+++ b/cherrycove/tier/dataplane/admission/scheduler.py
@@ -283,7 +283,7 @@
         proxies = self.roster.proxies
         if not any(each.batch_places(now, proxies, True) >= 1 for each in self.roster.states.values()):
             return
-        for ticket in self._items.in_order():
+        for ticket in self._items.in_order(now):
             urgent = ticket.due - now < URGENT_S
             if self._held and not urgent:
                 return
--- a/cherrycove/tier/dataplane/ingress.py
+++ b/cherrycove/tier/dataplane/ingress.py
@@ -7,14 +7,15 @@
 from __future__ import annotations
 
 import asyncio
+import logging
+import socket
 from typing import Any, Protocol
 
 import aiohttp
 from aiohttp import web
 from aiohttp.abc import AbstractStreamWriter
-from aiohttp.http import RawRequestMessage
+from aiohttp.http import HttpProcessingError, RawRequestMessage
 from aiohttp.streams import StreamReader
-from yarl import URL
 
 from cherrycove.tier.configuration import ClientLimits, Configuration, Route
 from cherrycove.tier.dataplane.arrivals import Arrivals
@@ -29,6 +30,7 @@
 BACKLOG = 1024  # connections to be accepted
 PARSER_LINE_BYTES = 256 * 1024  # the configuration's own bound is below it
 READ_BYTES = 32 * 1024
+UNACKNOWLEDGED_MS = 20_000  # after which a client that takes nothing of what it is sent is cut off
 UNCONFIGURED_RETRY_S = 0.5
 SHUTDOWN_TIMEOUT_S = 0.3
 
@@ -41,6 +43,15 @@
     ) -> web.StreamResponse: ...
 
 
+log = logging.getLogger(__name__)
+log.addFilter(lambda record: not _fault_of_client(record))
+
+
+def _fault_of_client(record: logging.LogRecord) -> bool:
+    """Whether the library tells of a request that it could not read; any client could fill the log so."""
+    return bool(record.exc_info and isinstance(record.exc_info[1], HttpProcessingError | ConnectionError))
+
+
 class ClientConnection(web.RequestHandler):
     """The library's connection to a client, closed if the rest of a head does not come in time."""
 
@@ -50,6 +61,12 @@
         self._head_timer: asyncio.TimerHandle | None = None
         self.busy = False  # a request is open
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        client = transport.get_extra_info("socket")
+        if client is not None:
+            client.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+
     def data_received(self, data: bytes) -> None:
         if not self.busy and self._head_timer is None:
             self._head_timer = self._loop.call_later(self._head_timeout_s, self.force_close)
@@ -77,7 +94,7 @@
     def __call__(self) -> web.RequestHandler:
         limits = self._ingress.limits
         return ClientConnection(
-            self, head_timeout_s=limits.header_timeout_ms / 1000, loop=asyncio.get_running_loop(),
+            self, logger=log, head_timeout_s=limits.header_timeout_ms / 1000, loop=asyncio.get_running_loop(),
             access_log=None, keepalive_timeout=limits.idle_timeout_ms / 1000, auto_decompress=False,
             max_line_size=PARSER_LINE_BYTES, max_field_size=PARSER_LINE_BYTES, lingering_time=0.0,
             read_bufsize=READ_BYTES,
@@ -166,15 +183,12 @@
         configuration = self._views.configuration
         if configuration is None:
             return self._own(request, 503, "no configuration yet", retry_after_s=UNCONFIGURED_RETRY_S)
-        target = request.raw_path
-        path = target.partition("?")[0]
+        path = request.raw_path.partition("?")[0]
         route = configuration.match(request.headers.get("Host", ""), path)
         if self.batch_api is not None and _is_batch_call(request, path, route):
             return await self.batch_api.handle(request, body, route or _batch_route(configuration, request))
         if route is None or route.route_kind == BATCH_KIND:
             return self._own(request, 404, "no route")
-        if URL(f"http://h{target}", encoded=True).raw_path_qs != target:
-            return self._own(request, 400, "the target cannot be passed on unchanged")
         self.arrivals.add(route.name, arrived)
         return await self._dispatcher.handle(request, body, route, arrived, self.closing)
 
--- a/cherrycove/tier/dataplane/relay.py
+++ b/cherrycove/tier/dataplane/relay.py
@@ -68,25 +68,21 @@
             raise AnswerBrokenError(BreakReason.GARBLED, "the stream ends within an event")
 
     async def _pass_on(self, answer: BrokerAnswer, events: list[Event]) -> None:
-        new = b""
+        """Write the events that the client lacks; ``AnswerBrokenError`` where one before them is missing."""
+        new, last_id, gap = b"", self.last_id, None
         for event in events:
-            if self._is_next(event):
+            if last_id is not None and event.id is not None and event.id > last_id + 1:
+                gap = AnswerBrokenError(BreakReason.GARBLED, f"event {event.id} after {last_id}")
+                break
+            if _is_new(event, last_id):
                 new += event.raw
+                last_id = last_id if event.id is None else event.id
         if new:
             response = await self._begin(answer)
+            self.last_id = last_id  # from here to the transport nothing can interrupt the write
             await response.write(new)
-
-    def _is_next(self, event: Event) -> bool:
-        """Whether the client lacks the event; ``AnswerBrokenError`` where one before it is missing."""
-        if event.id is None:
-            return event.data is None or self.last_id is None
-        if self.last_id is not None:
-            if event.id <= self.last_id:
-                return False
-            if event.id != self.last_id + 1:
-                raise AnswerBrokenError(BreakReason.GARBLED, f"event {event.id} after {self.last_id}")
-        self.last_id = event.id
-        return True
+        if gap is not None:
+            raise gap
 
     async def _begin(self, answer: BrokerAnswer) -> web.StreamResponse:
         if self._response is None:
@@ -98,6 +94,14 @@
         return self._response
 
 
+def _is_new(event: Event, last_id: int | None) -> bool:
+    """Whether a client that has all events up to ``last_id`` lacks this one. One without an id but with data
+    is passed on only where nothing came before it, since nobody could tell whether the client has it."""
+    if event.id is None:
+        return event.data is None or last_id is None
+    return last_id is None or event.id > last_id
+
+
 def whole_answer(answer: BrokerAnswer, body: bytes, closing: bool) -> web.Response:
     """An answer that was read to its end."""
     response = web.Response(status=answer.status, headers=end_to_end(answer.headers), body=body)
--- a/cherrycove/tier/dataplane/upstream.py
+++ b/cherrycove/tier/dataplane/upstream.py
@@ -194,7 +194,9 @@
         self, broker: Broker, outgoing: Outgoing, headers: CIMultiDict[str], sent: SimpleNamespace
     ) -> aiohttp.ClientResponse:
         assert self._session is not None
-        url = URL(f"http://{broker.address}{outgoing.target}", encoded=True)
+        host, _, port = broker.address.rpartition(":")
+        # All of the target as path, since the library would drop an empty query or a fragment.
+        url = URL.build(scheme="http", host=host, port=int(port), path=outgoing.target, encoded=True)
         return await self._session.request(
             outgoing.method, url, headers=headers, data=outgoing.body or None,
             allow_redirects=False, trace_request_ctx=sent,
--- a/tests/tier/test_dataplane_exchanges.py
+++ b/tests/tier/test_dataplane_exchanges.py
@@ -61,6 +61,17 @@
     asyncio.run(story())
 
 
+def test_targets_that_a_library_would_tidy_up_pass_unchanged() -> None:
+    async def story() -> None:
+        async with World([ToyBroker()]) as world:
+            targets = ["/once/x?", "/once/x?a=1#b", "/once/../once/x", "/once//x/./y", "/once/%7Ex?%zz"]
+            for target in targets:
+                assert (await world.ask(target)).status == 200
+            assert [received.target for received in world.brokers[0].received] == targets
+
+    asyncio.run(story())
+
+
 def test_unknown_routes_and_hosts_get_404() -> None:
     async def story() -> None:
         async with World([ToyBroker()]) as world:
@@ -159,7 +170,14 @@
         await wire.end_stream()
 
     async def story() -> None:
-        for second, last, complete in ((from_start, 4, True), (with_gap, 2, False)):
+        async def gap_behind_events(wire: Wire, request: Received) -> None:
+            await wire.stream_head(request)
+            text = events(3, 3) + events(5, 5)
+            await wire.write(b"%x\r\n%s\r\n" % (len(text), text))
+            await wire.end_stream()
+
+        second_answers = ((from_start, 4, True), (with_gap, 2, False), (gap_behind_events, 3, False))
+        for second, last, complete in second_answers:
             brokers = [ToyBroker("i-1", scripts=[stream(4, breaks_after=2)], script=second)]
             brokers.append(ToyBroker("i-2", scripts=[stream(4, breaks_after=2)], script=second))
             async with World(brokers) as world:
