Admission: an item refused by a broker is not sent twice; a model of several proxies as a test

Cause: an item that arrived again had two entries in the queue, and both were sent. Found by a model of proxies and brokers in simulated time.

--- /dev/null
+++ b/tests/tier/admission_model.py
@@ -0,0 +1,263 @@
+"""A model of several proxies and model brokers in simulated time, driving the scheduler of each proxy."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from heapq import heappop, heappush
+from typing import Any
+
+import attrs
+from dataplane_world import configuration_bytes, route
+
+from cherrycove.tier.configuration import parse_configuration
+from cherrycove.tier.dataplane.admission.interface import (
+    Action,
+    Ending,
+    Knowledge,
+    Refuse,
+    Send,
+    Ticket,
+)
+from cherrycove.tier.dataplane.admission.scheduler import Scheduler
+from cherrycove.tier.dataplane.arrivals import Arrivals
+from cherrycove.tier.dataplane.headers import InstanceLoad
+from cherrycove.tier.dataplane.prompt import Part, Prompt
+from cherrycove.tier.distribution.views import Broker
+
+WAY_S = 0.001  # between proxy and broker
+SLOTS = 24
+QUEUE = 4  # requests that a broker holds beyond its slots
+EVENT_S = 0.045  # between events of a stream
+READ_TOKENS_PER_S = 128_000
+AIM_S = 0.2
+PATIENCE_S = 6.0
+ITEM_DUE_S = 8.0
+EVENTS = {"chat": 15, "report": 8, "lots": 30}
+
+
+@attrs.define(eq=False)
+class Work:
+    """One request of a client, or one batch item, over all its tries."""
+
+    kind: str
+    began: float
+    prompt: Prompt
+    tries: int = 0
+    try_began: float = 0.0
+    first_s: float | None = None  # from the last try to the first event
+    done: float | None = None
+    refused: bool = False
+    broken: bool = False
+
+
+@attrs.define(eq=False)
+class Engine:
+    """One model broker."""
+
+    broker: Broker
+    running: dict[Ticket, int] = attrs.field(factory=dict)
+    waiting: list[tuple[Ticket, int]] = attrs.field(factory=list)
+    kept: set[str] = attrs.field(factory=set)
+    reads_until: float = 0.0
+    read_tokens: int = 0
+    dead: bool = False
+
+
+@attrs.define(eq=False)
+class Fleet:
+    proxies: int = 3
+    brokers: int = 3
+    seed: int = 1
+    now: float = 0.0
+    works: list[Work] = attrs.field(factory=list)
+    backlog: list[Work] = attrs.field(factory=list)  # items that no proxy has
+    engines: dict[str, Engine] = attrs.field(init=False)
+    schedulers: list[Scheduler] = attrs.field(init=False)
+    _rng: random.Random = attrs.field(init=False)
+    _agenda: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = attrs.field(factory=list)
+    _serial: int = 0
+    _open: dict[Ticket, Work] = attrs.field(factory=dict)
+    _wakes: dict[int, float] = attrs.field(factory=dict)
+    _arrivals: list[Arrivals] = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._rng = random.Random(self.seed)
+        names = [f"i-{number}" for number in range(self.brokers)]
+        self.engines = {name: Engine(_listed(name)) for name in names}
+        seeds = range(self.seed, self.seed + 7 * self.proxies, 7)
+        self.schedulers = [Scheduler(random.Random(seed), 0.0) for seed in seeds]
+        self._arrivals = [Arrivals() for _ in range(self.proxies)]
+        self._know()
+
+    # Traffic
+
+    def requests(self, kind: str, per_s: float, start: float, end: float, shared: int, own: int) -> None:
+        """Requests at random times; those of ``report`` belong to one of six subjects."""
+        when = start + self._rng.expovariate(per_s)
+        while when < end:
+            subject = f"{kind}-{self._rng.randrange(6) if kind == 'report' else 0}"
+            self._serial += 1
+            prompt = Prompt(
+                (Part(subject, shared), Part(f"own-{self._serial}", own)), shared + own, EVENTS[kind] * 20
+            )
+            self._at(when, self._begin, Work(kind, when, prompt))
+            when += self._rng.expovariate(per_s)
+
+    def crash(self, name: str, when: float, unlisted_after: float) -> None:
+        self._at(when, self._die, self.engines[name])
+        self._at(when + unlisted_after, self._unlist, name)
+
+    def run(self, until: float) -> None:
+        while self._agenda and self._agenda[0][0] <= until:
+            self.now, _, task, subject = heappop(self._agenda)
+            task(*subject)
+
+    def of(self, kind: str) -> list[Work]:
+        return [work for work in self.works if work.kind == kind]
+
+    def _at(self, when: float, task: Callable[..., None], *subject: Any) -> None:
+        self._serial += 1
+        heappush(self._agenda, (when, self._serial, task, subject))
+
+    def _begin(self, work: Work) -> None:
+        self.works.append(work)
+        if work.kind == "lots":
+            self.backlog.append(work)
+            self._lease()
+        else:
+            self._try(work)
+
+    def _try(self, work: Work) -> None:
+        proxy = self._rng.randrange(self.proxies)
+        work.tries, work.try_began = work.tries + 1, self.now
+        left = PATIENCE_S - (self.now - work.began)
+        self._arrivals[proxy].add(work.kind, self.now)
+        self._arrive(proxy, work, Ticket(
+            route=work.kind, service="lm", arrived=self.now, aim_s=AIM_S, end=self.now + left,
+            patience_s=left, prompt=work.prompt,
+        ))  # fmt: skip
+
+    def _lease(self) -> None:
+        """Items to the proxies that have places; asked again while some are left."""
+        for proxy, scheduler in enumerate(self.schedulers):
+            for _ in range(min(scheduler.free_places(self.now), len(self.backlog))):
+                work = self.backlog.pop(0)
+                self._arrive(proxy, work, Ticket(
+                    route="lots", service="lm", arrived=self.now, aim_s=ITEM_DUE_S, end=float("inf"),
+                    patience_s=float("inf"), prompt=work.prompt, batch=True, due=work.began + ITEM_DUE_S,
+                ))  # fmt: skip
+
+    # Proxies
+
+    def _know(self) -> None:
+        rates: dict[str, float] = {}
+        for arrivals in self._arrivals:
+            for name, rate in arrivals.rates(self.now).items():
+                rates[name] = rates.get(name, 0.0) + rate
+        knowledge = Knowledge(
+            configuration=CONFIGURATION, brokers=tuple(each.broker for each in self.engines.values()),
+            proxies=self.proxies, rates=rates,
+        )  # fmt: skip
+        for proxy, scheduler in enumerate(self.schedulers):
+            self._carry_out(proxy, scheduler.know(self.now, knowledge))
+        if self.backlog:
+            self._lease()
+        self._at(self.now + 0.25, self._know)
+
+    def _arrive(self, proxy: int, work: Work, ticket: Ticket) -> None:
+        self._open[ticket] = work
+        self._carry_out(proxy, self.schedulers[proxy].arrive(self.now, ticket))
+
+    def _carry_out(self, proxy: int, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case Send(ticket, name):
+                    self._at(self.now + WAY_S, self._receive, proxy, ticket, self.engines[name])
+                case Refuse(ticket, advice):
+                    self._refused(self._open.pop(ticket), advice)
+        wake = self.schedulers[proxy].next_wake()
+        if wake < self._wakes.get(proxy, float("inf")):
+            self._wakes[proxy] = wake
+            self._at(max(wake, self.now), self._wake, proxy, wake)
+
+    def _wake(self, proxy: int, wake: float) -> None:
+        if self._wakes.get(proxy) == wake:
+            del self._wakes[proxy]
+            self._carry_out(proxy, self.schedulers[proxy].wake(self.now))
+
+    def _refused(self, work: Work, advice: float) -> None:
+        left = PATIENCE_S - (self.now - work.began)
+        if work.tries < 2:
+            self._at(self.now + min(advice, left / 3), self._try, work)
+        else:
+            work.refused = True
+
+    # Brokers
+
+    def _receive(self, proxy: int, ticket: Ticket, engine: Engine) -> None:
+        if engine.dead:
+            return self._end(proxy, ticket, Ending.UNREACHABLE)
+        if len(engine.running) < SLOTS:
+            return self._start(proxy, ticket, engine)
+        if len(engine.waiting) < QUEUE:
+            engine.waiting.append((ticket, proxy))
+        else:
+            self._end(proxy, ticket, Ending.REFUSED)
+
+    def _start(self, proxy: int, ticket: Ticket, engine: Engine) -> None:
+        tokens = sum(part.tokens for part in ticket.prompt.parts if part.id not in engine.kept)
+        engine.kept.update(part.id for part in ticket.prompt.shared)
+        engine.running[ticket] = proxy
+        engine.read_tokens += tokens
+        engine.reads_until = max(engine.reads_until, self.now) + tokens / READ_TOKENS_PER_S
+        self._at(engine.reads_until + EVENT_S, self._event, proxy, ticket, engine, 1)
+
+    def _event(self, proxy: int, ticket: Ticket, engine: Engine, number: int) -> None:
+        if engine.dead:
+            return
+        work, scheduler = self._open[ticket], self.schedulers[proxy]
+        if number == 1:
+            load = InstanceLoad(len(engine.running), len(engine.waiting), SLOTS)
+            scheduler.answered(self.now, ticket, load)
+            work.first_s = self.now - work.try_began
+        scheduler.heard(self.now, ticket)
+        if number < EVENTS[work.kind]:
+            return self._at(self.now + EVENT_S, self._event, proxy, ticket, engine, number + 1)
+        work.done = self.now
+        del engine.running[ticket]
+        self._end(proxy, ticket, Ending.SERVED)
+        if engine.waiting:
+            waiting, its_proxy = engine.waiting.pop(0)
+            self._start(its_proxy, waiting, engine)
+
+    def _end(self, proxy: int, ticket: Ticket, ending: Ending) -> None:
+        self._carry_out(proxy, self.schedulers[proxy].ended(self.now, ticket, ending))
+        work = self._open.pop(ticket)
+        if ending in (Ending.REFUSED, Ending.UNREACHABLE):
+            self._arrive(proxy, work, ticket)
+        elif ending is Ending.BROKEN:
+            work.broken = True
+            if ticket.batch:
+                self.backlog.append(work)
+
+    def _die(self, engine: Engine) -> None:
+        engine.dead = True
+        for ticket, proxy in [*engine.running.items(), *engine.waiting]:
+            self._end(proxy, ticket, Ending.BROKEN)
+
+    def _unlist(self, name: str) -> None:
+        del self.engines[name]
+
+
+def _listed(name: str) -> Broker:
+    return Broker(
+        instance_id=name, service="lm", address="10.0.0.1:80", zone="z", capacity_slots=SLOTS, draining=False
+    )
+
+
+CONFIGURATION = parse_configuration(configuration_bytes([
+    route("chat", "/chat/", "streaming", targetLatencyMs=AIM_S * 1000, timeoutMs=PATIENCE_S * 1000),
+    route("report", "/report/", "streaming", targetLatencyMs=AIM_S * 1000, timeoutMs=PATIENCE_S * 1000),
+    route("lots", "/lots/", "batch", timeoutMs=60000, completionTargetMs=8000, retentionS=60),
+])).unwrap()  # fmt: skip
--- a/tests/tier/test_admission.py
+++ b/tests/tier/test_admission.py
@@ -330,6 +330,16 @@
     assert proxy.scheduler.free_places(proxy.now) == 0
 
 
+def test_an_item_that_was_refused_by_a_broker_is_sent_once_more_not_twice() -> None:
+    proxy = Proxy([broker("a"), broker("b")])
+    item = proxy.item()
+    proxy.end(item, Ending.REFUSED)
+    proxy.again(item)
+    assert item.sends == 2
+    proxy.wait(1.0, streaming=True)
+    assert item.sends == 2
+
+
 def test_items_near_their_time_may_use_more_and_live_requests_go_first() -> None:
     proxy = Proxy([broker("a", slots=10)])
     items = [proxy.item(due_in=4.0) for _ in range(9)]
