Batch jobs: a silent store is asked last; a submit under way is proposed once

Cause: after the loss of the primary, every round of tries began with the dead store, since announcements and the hints of its backups still named it, and spent its whole budget there; a repeated submit of a large job wrote it to the log again while the first was still being synced. Ruled out: shorter time-outs alone, which would give up on a slow primary. Change: stores that did not answer come last for 2 s and hints to them are not followed; proposals are shared by job.

--- a/cherrycove/tier/batch/client.py
+++ b/cherrycove/tier/batch/client.py
@@ -16,14 +16,17 @@
 from cherrycove.tier.settings import Settings
 
 TRY_TIMEOUT_S = 0.8  # of one call; a dead store says nothing
+LEASE_TRY_TIMEOUT_S = 0.4
 READ_SLACK_S = 0.5  # of one held read, beyond the time it may be held
 FIRST_PAUSE_S = 0.03  # after all stores were tried once
 LONGEST_PAUSE_S = 0.24
 MAX_HINTS_IN_A_ROW = 2  # then the other stores are asked
+SILENCE_KEPT_S = 2.0  # a store that did not answer is asked last for so long
 
 Reply = TypeVar("Reply", bound=Message)
 
 FINAL_KINDS = frozenset((ErrorKind.NOT_FOUND, ErrorKind.INVALID, ErrorKind.OVERLOADED, ErrorKind.TOO_LARGE))
+SILENT_KINDS = frozenset((ErrorKind.UNREACHABLE, ErrorKind.UNCERTAIN))
 
 
 class PrimaryFinder:
@@ -33,24 +36,36 @@
         self._views = views
         self._settings = settings
         self._confirmed = ""  # address that answered as primary last
+        self._silent: dict[str, float] = {}  # monotonic s at which a store last failed to answer
 
     def confirm(self, address: str) -> None:
         """``address`` answered as the primary."""
         self._confirmed = address
+        self._silent.pop(address, None)
 
     def doubt(self, address: str) -> None:
-        """``address`` did not answer as the primary."""
+        """``address`` answered that it is not the primary."""
         if self._confirmed == address:
             self._confirmed = ""
+        self._silent.pop(address, None)
 
-    def candidates(self) -> list[str]:
-        """Addresses to try, in order, each once."""
+    def missed(self, address: str, now: float) -> None:
+        """``address`` did not answer, whatever others say of it."""
+        self.doubt(address)
+        self._silent[address] = now
+
+    def silent(self, address: str, now: float) -> bool:
+        """Whether ``address`` failed to answer a short while ago."""
+        return now - self._silent.get(address, float("-inf")) < SILENCE_KEPT_S
+
+    def candidates(self, now: float) -> list[str]:
+        """Addresses to try, in order, each once; those that were silent come last."""
         stores = sorted(
             self._views.stores(), key=lambda store: (store.group_primary, store.group_epoch), reverse=True
         )
         known = [self._confirmed] if self._confirmed else []
         listed = [self._settings.peer_address(store.ip, "store") for store in stores]
-        return list(dict.fromkeys([*known, *listed]))
+        return sorted(dict.fromkeys([*known, *listed]), key=lambda address: self.silent(address, now))
 
 
 class BatchClient:
@@ -79,7 +94,7 @@
 
     async def lease(self, request: pb.LeaseRequest, budget_s: float) -> Result[pb.LeaseReply, Failure]:
         """Renew leases, and ask for more."""
-        return await self._call("batch/lease", request, pb.LeaseReply, budget_s, budget_s)
+        return await self._call("batch/lease", request, pb.LeaseReply, budget_s, LEASE_TRY_TIMEOUT_S)
 
     async def report(self, request: pb.ReportRequest, budget_s: float) -> Result[pb.ReportReply, Failure]:
         """Report how an item ended."""
@@ -126,7 +141,7 @@
 
     async def _round(self, reply_type: type[Reply], deadline: float) -> Result[Reply, Failure] | None:
         """Try every store once, those that are named as primary first; None if no try was final."""
-        addresses = self._finder.candidates()
+        addresses = self._finder.candidates(time.monotonic())
         hints = 0
         tried: set[str] = set()
         while addresses:
@@ -147,16 +162,22 @@
                 self._finder.confirm(address)
                 return self._final(failure)
             self._note(address, failure)
-            if failure.primary and hints < MAX_HINTS_IN_A_ROW:
+            if self._worth_asking(failure.primary) and hints < MAX_HINTS_IN_A_ROW:
                 hints += 1
                 addresses.insert(0, failure.primary)
         return None
 
     def _note(self, address: str, failure: Failure) -> None:
-        self._finder.doubt(address)
+        if failure.kind in SILENT_KINDS:
+            self._finder.missed(address, time.monotonic())
+        else:
+            self._finder.doubt(address)
         self._certain = self._certain and failure.certain
         self._last = failure
 
+    def _worth_asking(self, hint: str) -> bool:
+        return bool(hint) and not self._finder.silent(hint, time.monotonic())
+
     def _final(self, failure: Failure) -> Err[Failure]:
         """What the primary refused; want of room proves nothing about an earlier try of unknown outcome."""
         if failure.kind is ErrorKind.OVERLOADED and not self._certain:
--- a/cherrycove/tier/batch/commands.py
+++ b/cherrycove/tier/batch/commands.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import attrs
 from result import Err, Ok, Result
@@ -47,6 +47,23 @@
     return command.SerializeToString()
 
 
+class SharedProposals:
+    """Proposes a command once while callers ask for it again, as after an answer that came too late."""
+
+    def __init__(self, group: Group) -> None:
+        self._group = group
+        self._tasks: dict[str, asyncio.Task[Result[object, Failure]]] = {}
+
+    async def propose(self, key: str, command: Callable[[], bytes]) -> Result[object, Failure]:
+        """The outcome of the proposal under way for ``key``, or of a new one."""
+        task = self._tasks.get(key)
+        if task is None:
+            task = asyncio.create_task(self._group.propose(command(), PROPOSE_TIMEOUT_S))
+            self._tasks[key] = task
+            task.add_done_callback(lambda _: self._tasks.pop(key, None))
+        return await asyncio.shield(task)
+
+
 @attrs.frozen(eq=False)
 class _Pending:
     result: ItemResult
--- a/cherrycove/tier/batch/http_api.py
+++ b/cherrycove/tier/batch/http_api.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import json
-from urllib.parse import unquote
 
 from aiohttp import web
 from result import Err
@@ -45,11 +44,11 @@
         """Answer one request whose body is read. ``route`` is the batch route that it matches, if any."""
         method, path = request.method, request.path
         if path.startswith(LOTS_PREFIX) and method == "GET":
-            return await self._read(request, unquote(path.removeprefix(LOTS_PREFIX)))
+            return await self._read(request, path.removeprefix(LOTS_PREFIX))
         if path.startswith(LOTS_PREFIX) and method == "DELETE":
-            return await self._end(request, unquote(path.removeprefix(LOTS_PREFIX)))
+            return await self._end(request, path.removeprefix(LOTS_PREFIX))
         if path.startswith(ITEMS_PREFIX) and method == "GET":
-            return await self._body(request, unquote(path.removeprefix(ITEMS_PREFIX)))
+            return await self._body(request, path.removeprefix(ITEMS_PREFIX))
         if route is None:
             return _failure(Failure(ErrorKind.NO_ROUTE, "no batch route matches"))
         if method != "POST":
--- a/cherrycove/tier/batch/store.py
+++ b/cherrycove/tier/batch/store.py
@@ -19,6 +19,7 @@
 from cherrycove.tier.batch.commands import (
     PROPOSE_TIMEOUT_S,
     ResultRecorder,
+    SharedProposals,
     accept_command,
     end_command,
     forget_command,
@@ -71,6 +72,7 @@
         self._ages = JobAges()
         self._signals = ResultSignals()
         self._recorder = ResultRecorder(group)
+        self._submits = SharedProposals(group)
         self._maintenance: asyncio.Task[None] | None = None
         self.state_restored()
         state.observe(self)
@@ -133,8 +135,10 @@
             return Err(Failure(ErrorKind.INVALID, "two items have the same id"))
         if self._state.stored_bytes + request.ByteSize() > self._room_bytes():
             return Err(Failure(ErrorKind.OVERLOADED, "no room for further jobs"))
-        command = accept_command(request, int(self._wall_clock() * 1000))
-        outcome = await self._group.propose(command, PROPOSE_TIMEOUT_S)
+        received_unix_ms = int(self._wall_clock() * 1000)
+        outcome = await self._submits.propose(
+            request.job_id, lambda: accept_command(request, received_unix_ms)
+        )
         return Err(outcome.err_value) if isinstance(outcome, Err) else Ok(pb.SubmitReply())
 
     async def _read(self, request: pb.ReadRequest) -> Reply:
--- a/cherrycove/tier/batch/worker.py
+++ b/cherrycove/tier/batch/worker.py
@@ -27,7 +27,7 @@
 
 IDLE_INTERVAL_S = 2 * RENEWAL_INTERVAL_S
 SHORTEST_INTERVAL_S = 0.1  # between two lease requests, however much finishes
-EXCHANGE_BUDGET_S = 0.6
+EXCHANGE_BUDGET_S = 0.9
 REPORT_BUDGET_S = 1.5
 FIRST_REPORT_PAUSE_S = 0.05
 LONGEST_REPORT_PAUSE_S = 0.5
--- a/tests/tier/test_batch_http.py
+++ b/tests/tier/test_batch_http.py
@@ -209,7 +209,6 @@
             for _ in range(2)
         ]
         await group.arrived.get()
-        await group.arrived.get()
         group.gate.set()
         assert await asyncio.gather(*calls) == ["POST /jobs/1 -> 202 {}"] * 2
         assert tier.nodes[0].state.jobs["j1"].total == 1
@@ -217,6 +216,30 @@
     play(scene)
 
 
+def test_submit_that_is_still_under_way_is_not_proposed_again() -> None:
+    async def scene(tier: Tier, frontend: Frontend) -> None:
+        group = tier.nodes[0].group
+        group.gate = asyncio.Event()
+        submit = asyncio.create_task(
+            frontend.exchange("POST", "/jobs/1", submission("a"), Request_Id="j1")
+        )
+        store, asked_again = tier.nodes[0].store, asyncio.Event()
+        propose = store._submits.propose
+
+        async def observed(key: str, command: Callable[[], bytes]) -> object:
+            if group.proposals:
+                asked_again.set()
+            return await propose(key, command)
+
+        store._submits.propose = observed  # type: ignore[method-assign, assignment]
+        await asked_again.wait()  # the first try took too long for the proxy
+        group.gate.set()
+        assert await submit == "POST /jobs/1 -> 202 {}"
+        assert len(group.proposals) == 1
+
+    play(scene)
+
+
 def test_jobs_beyond_the_room_are_refused_and_known_ones_acknowledged() -> None:
     async def scene(tier: Tier, frontend: Frontend) -> None:
         known = submission("a")
