--- a/cherrycove/tier/dataplane/relay.py
+++ b/cherrycove/tier/dataplane/relay.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Callable
 
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 from multidict import CIMultiDict
 
 from cherrycove.tier.dataplane.events import Event, EventSplitter, EventTooLongError
@@ -87,8 +87,9 @@
     async def _begin(self, answer: BrokerAnswer) -> web.StreamResponse:
         if self._response is None:
             self._response = web.StreamResponse(status=answer.status, headers=end_to_end(answer.headers))
-            self._response.enable_chunked_encoding()
-            if self._closing:
+            if self._request.version >= HttpVersion11:
+                self._response.enable_chunked_encoding()
+            if self._closing or self._request.version < HttpVersion11:
                 self._response.force_close()
             await self._response.prepare(self._request)
         return self._response
--- a/tests/tier/test_dataplane_exchanges.py
+++ b/tests/tier/test_dataplane_exchanges.py
@@ -132,6 +132,32 @@
     asyncio.run(story())
 
 
+def test_a_client_of_http_1_0_gets_a_stream_that_its_connection_ends() -> None:
+    async def story() -> None:
+        async with World([ToyBroker(script=stream(2))]) as world, asyncio.timeout(TIMEOUT_S):
+            client = await world.client()
+            client.writer.write(
+                b"POST /stream/x HTTP/1.0\r\nHost: nony24.example\r\nRequest-Id: r1\r\n"
+                b"Content-Length: 0\r\n\r\n"
+            )
+            status, headers = await client.head()
+            assert status == 200 and "transfer-encoding" not in headers
+            assert await client.reader.read() == events(1, 2)
+
+    asyncio.run(story())
+
+
+def test_without_a_place_a_request_is_told_when_to_come_back() -> None:
+    async def story() -> None:
+        async with World([ToyBroker(slots=0)]) as world:
+            reply = await world.ask("/once/x", headers={"Deadline-Ms": "600"})
+            assert reply.status == 503 and 0 < float(reply.headers["retry-after"]) <= 0.2
+            assert reply.headers["request-id"] == "r1"
+            assert not world.brokers[0].received and world.brokers[0].rejected > 0
+
+    asyncio.run(story())
+
+
 def test_a_stream_that_breaks_off_does_not_look_complete() -> None:
     async def story() -> None:
         async with World([ToyBroker(script=stream(3, breaks_after=2)), ToyBroker("i-2")]) as world:
