--- a/cherrycove/tier/batch/jobs.py
+++ b/cherrycove/tier/batch/jobs.py
@@ -9,6 +9,7 @@
 from collections import deque
 from collections.abc import Iterable
 from enum import Enum
+from io import BytesIO
 from typing import Protocol
 
 import attrs
@@ -148,13 +149,18 @@
         return None
 
     def snapshot(self) -> bytes:
-        """All jobs, serialized."""
-        message = BatchSnapshot()
+        """All jobs, serialized: one job at a time, since serialized messages joined are one message with all
+        their repeated fields, and a whole message would hold everything once more in memory."""
+        written = BytesIO()
         for job in self.jobs.values():
+            message = BatchSnapshot()
             _write_job(message.jobs.add(), job)
+            written.write(message.SerializeToString())
+        recent = BatchSnapshot()
         for key in self._recent:
-            message.recently_listed.add(job_id=key.job_id, item_id=key.item_id)
-        return message.SerializeToString()
+            recent.recently_listed.add(job_id=key.job_id, item_id=key.item_id)
+        written.write(recent.SerializeToString())
+        return written.getvalue()
 
     def restore(self, data: bytes) -> None:
         """Replace all jobs by those of a snapshot."""
--- a/cherrycove/tier/batch/store.py
+++ b/cherrycove/tier/batch/store.py
@@ -37,11 +37,12 @@
 log = logging.getLogger(__name__)
 
 MAX_READ_WAIT_S = 2.0
-MEMORY_FRACTION = 0.3  # of the process, for jobs; a snapshot holds them a second time
+MEMORY_FRACTION = 0.2  # of the process, for jobs; a snapshot that is read holds them twice more
 DISK_FRACTION = 0.25  # of the disk, for jobs; it holds two snapshots and the log
 MEGABYTE = 1024 * 1024
 MAINTENANCE_INTERVAL_S = 0.5
 FORGET_MARGIN_S = 30.0  # past statusS
+CROWDED_FRACTION = 0.25  # of the room for jobs, above which complete jobs that nobody ended are forgotten too
 EXPIRED = "expired"
 GIVEN_UP_AT_ONCE = 64  # items past their retention in one round of maintenance
 
@@ -266,9 +267,11 @@
 
     async def _forget_old(self, now: float) -> None:
         old = self._ages.older_than(self._settings.bounds.status_s + FORGET_MARGIN_S, now)
-        done = [job_id for job_id in old if job_id in self._state.jobs and self._state.jobs[job_id].done]
-        if done and self._group.confirmed():
-            await self._group.propose(forget_command(done), PROPOSE_TIMEOUT_S)
+        crowded = self._state.stored_bytes > self._room_bytes() * CROWDED_FRACTION
+        jobs = [self._state.jobs[job_id] for job_id in old if job_id in self._state.jobs]
+        forgotten = [job.job_id for job in jobs if job.ended or (crowded and job.done)]
+        if forgotten and self._group.confirmed():
+            await self._group.propose(forget_command(forgotten), PROPOSE_TIMEOUT_S)
 
 
 def _unknown_job() -> Err[Failure]:
--- a/tests/tier/batch_support.py
+++ b/tests/tier/batch_support.py
@@ -6,6 +6,7 @@
 import json
 import socket
 from collections.abc import Callable, Sequence
+from contextlib import ExitStack
 
 import aiohttp
 import attrs
@@ -167,11 +168,19 @@
     server: RpcServer
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
+def free_port(hosts: int = 3) -> int:
+    """A port that is free at so many addresses of loopback."""
+    while True:
+        with ExitStack() as held:
+            first = held.enter_context(socket.socket())
+            first.bind(("127.0.0.1", 0))
+            port: int = first.getsockname()[1]
+            try:
+                for number in range(2, hosts + 1):
+                    held.enter_context(socket.socket()).bind((f"127.0.0.{number}", port))
+            except OSError:
+                continue
+            return port
 
 
 def settings(port: int, ip: str, memory_mb: float = 300.0) -> Settings:
--- /dev/null
+++ b/tests/tier/test_batch_replicated.py
@@ -0,0 +1,174 @@
+"""Batch jobs over stores with real replication and real disks: what was acknowledged outlives crashes."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+from batch_support import (
+    PATIENCE_S,
+    ROUTE,
+    ScriptedExecutor,
+    configuration,
+    free_port,
+    job,
+    settings,
+)
+from result import Ok
+
+from cherrycove.tier.batch.client import BatchClient
+from cherrycove.tier.batch.interface import ItemOutcome, ItemState
+from cherrycove.tier.batch.jobs import ItemKey, JobsState
+from cherrycove.tier.batch.store import BatchStore
+from cherrycove.tier.batch.worker import BatchWorker
+from cherrycove.tier.distribution.views import Views
+from cherrycove.tier.errors import ErrorKind
+from cherrycove.tier.protocol import batch_pb2 as pb
+from cherrycove.tier.protocol.control_pb2 import Announcement
+from cherrycove.tier.protocol.rpc import RpcClient, RpcServer
+from cherrycove.tier.replication.group import ReplicatedGroup
+from cherrycove.tier.replication.interface import MemberIdentity
+
+HOSTS = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
+BUDGET_S = 10.0
+
+
+class Node:
+    """One store on one disk."""
+
+    def __init__(self, host: str, port: int, folder: Path) -> None:
+        own = settings(port, host)
+        self.host = host
+        self.address = own.internal_address("store")
+        self.identity = MemberIdentity(f"disk-{host}", own.node_name, self.address)
+        self.server, self.client, self.state = RpcServer(), RpcClient(), JobsState()
+        disk = folder / host
+        disk.mkdir(exist_ok=True)
+        self.group = ReplicatedGroup("store", self.identity, disk, 1, self.state, self.server, self.client)
+        self.store = BatchStore(own, self.group, self.state, self.server)
+
+    async def start(self, members: list[MemberIdentity]) -> None:
+        await self.client.start()
+        await self.group.start(members)
+        await self.store.start()
+        await self.server.start(self.address)
+
+    async def stop(self) -> None:
+        await self.server.stop()
+        await self.store.stop()
+        await self.group.stop()
+        await self.client.stop()
+
+    async def crash(self) -> None:
+        """End without a word to the others."""
+        await self.server.stop()
+        await self.client.stop()
+        await self.store.stop()
+        await self.group.stop()
+
+
+class Stores:
+    """Three stores, a batch client and one worker."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.port = free_port()
+        self.nodes: list[Node] = []
+        stores = tuple(Announcement(program="store", ip=host) for host in HOSTS)
+        self.views = Views(configuration=configuration(ROUTE), members=stores)
+        self.rpc = RpcClient()
+        self.settings = settings(self.port, HOSTS[0])
+        self.client = BatchClient(self.rpc, self.views, self.settings)
+        self.executor = ScriptedExecutor()
+        self.worker = BatchWorker(self.settings, self.client, self.executor, self.views, "life")
+
+    async def start(self, *, first: bool) -> None:
+        self.nodes = [Node(host, self.port, self.folder) for host in HOSTS]
+        members = [node.identity for node in self.nodes] if first else []
+        await asyncio.gather(*(node.start(members) for node in self.nodes))
+
+    async def crash_all(self) -> None:
+        await asyncio.gather(*(node.crash() for node in self.nodes))
+        self.nodes = []
+
+    async def crash_primary(self) -> None:
+        primary = next(node for node in self.nodes if node.group.confirmed())
+        self.nodes.remove(primary)
+        await primary.crash()
+
+    async def __aenter__(self) -> Stores:
+        await self.rpc.start()
+        await self.start(first=True)
+        await self.worker.start()
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        await self.worker.stop()
+        await asyncio.gather(*(node.stop() for node in self.nodes))
+        await self.rpc.stop()
+
+    async def submit(self, job_id: str, *item_ids: str) -> None:
+        while True:
+            answer = await self.client.submit(job(job_id, *item_ids), BUDGET_S)
+            if isinstance(answer, Ok):
+                return
+            assert answer.err_value.kind in (ErrorKind.UNCERTAIN, ErrorKind.UNAVAILABLE)
+
+    async def results(self, job_id: str, count: int) -> list[str]:
+        """Texts of the first ``count`` results, once there are so many."""
+        while True:
+            request = pb.ReadRequest(job_id=job_id, cursor=count - 1, wait_ms=1000)
+            answer = await self.client.read(request, BUDGET_S)
+            if isinstance(answer, Ok) and answer.ok_value.results:
+                break
+        whole = (await self.client.read(pb.ReadRequest(job_id=job_id), BUDGET_S)).unwrap()
+        return [entry.text.decode() for entry in whole.results][:count]
+
+    def finish(self, key: ItemKey, text: str) -> None:
+        self.executor.finish(key, ItemOutcome(ItemState.COMPLETED, text.encode()))
+
+
+def play(folder: Path, scene: Callable[[Stores], Awaitable[None]]) -> None:
+    async def run() -> None:
+        async with asyncio.timeout(3 * PATIENCE_S), Stores(folder) as stores:
+            await scene(stores)
+
+    asyncio.run(run())
+
+
+def test_running_items_and_positions_outlive_the_primary(tmp_path: Path) -> None:
+    async def scene(stores: Stores) -> None:
+        await stores.submit("j1", "a", "b", "c")
+        keys = [await stores.executor.next_started() for _ in range(3)]
+        stores.finish(keys[1], "first")
+        assert await stores.results("j1", 1) == ["first"]
+        await stores.crash_primary()
+        stores.finish(keys[2], "second")
+        assert await stores.results("j1", 2) == ["first", "second"]
+        stores.finish(keys[0], "third")
+        assert await stores.results("j1", 3) == ["first", "second", "third"]
+        assert stores.executor.started.empty()  # nothing was run twice
+
+    play(tmp_path, scene)
+
+
+def test_jobs_results_and_ends_outlive_a_crash_of_all_stores(tmp_path: Path) -> None:
+    async def scene(stores: Stores) -> None:
+        await stores.submit("j1", "a", "b")
+        await stores.submit("ended", "x")
+        keys = {key.item_id: key for key in [await stores.executor.next_started() for _ in range(3)]}
+        stores.finish(keys["b"], "first")
+        assert await stores.results("j1", 1) == ["first"]
+        assert isinstance(await stores.client.end(pb.EndRequest(job_id="ended"), BUDGET_S), Ok)
+        await stores.crash_all()
+        await stores.start(first=False)
+        stores.finish(keys["a"], "second")
+        assert await stores.results("j1", 2) == ["first", "second"]
+        body = await stores.client.body(pb.BodyRequest(job_id="ended", item_id="x"), BUDGET_S)
+        assert body.unwrap().body == b"prompt"
+        unknown = await stores.client.read(pb.ReadRequest(job_id="unknown"), BUDGET_S)
+        assert unknown.unwrap_err().kind is ErrorKind.NOT_FOUND
+        assert all(node.state.jobs["ended"].ended for node in stores.nodes if node.group.confirmed())
+
+    play(tmp_path, scene)
--- a/tests/tier/test_batch_worker.py
+++ b/tests/tier/test_batch_worker.py
@@ -5,13 +5,23 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from batch_support import PATIENCE_S, ROUTE, Clock, ScriptedExecutor, Tier, configuration, job
+from batch_support import (
+    PATIENCE_S,
+    ROUTE,
+    Clock,
+    ScriptedExecutor,
+    Tier,
+    configuration,
+    job,
+    settings,
+)
 from result import Ok
 
+from cherrycove.tier.batch.commands import results_command
 from cherrycove.tier.batch.interface import ItemOutcome, ItemState
 from cherrycove.tier.batch.jobs import ItemKey
+from cherrycove.tier.batch.replies import item_result
 from cherrycove.tier.batch.worker import BatchWorker
-from cherrycove.tier.errors import ErrorKind, Failure
 from cherrycove.tier.protocol import batch_pb2 as pb
 
 BUDGET_S = 5.0
@@ -310,21 +320,24 @@
     play(scene, clock=clock)
 
 
-def test_old_jobs_are_forgotten_only_when_done_and_old() -> None:
+def test_old_jobs_are_forgotten_only_when_ended_or_in_the_way() -> None:
     clock = Clock()
 
     async def scene(tier: Tier) -> None:
         node = tier.nodes[0]
-        await submit(tier, "a", job_id="ended")
-        await submit(tier, "a", job_id="open")
+        for job_id in ("ended", "complete", "open"):
+            await submit(tier, "a", job_id=job_id)
         await tier.client.end(pb.EndRequest(job_id="ended"), BUDGET_S)
-        node.group.refusal = Failure(ErrorKind.UNCERTAIN)  # keeps items from being given up
+        large = item_result(ItemKey("complete", "a"), True, bytes(100_000))
+        tier.cluster.commit(node.group, results_command([large]))
         clock.now += 149.0
-        await node.store.maintain_once()
-        assert set(node.state.jobs) == {"ended", "open"}
-        node.group.refusal = None
+        await node.store._forget_old(clock.now)
+        assert set(node.state.jobs) == {"ended", "complete", "open"}
         clock.now += 2.0
         await node.store._forget_old(clock.now)
+        assert set(node.state.jobs) == {"complete", "open"}
+        node.store._settings = settings(tier.port, node.ip, memory_mb=1.0)
+        await node.store._forget_old(clock.now)
         assert set(node.state.jobs) == {"open"}
 
     play(scene, clock=clock)
