Keepers may share the storage machines: a machine is emptied only when the keepers' group has left it too

Ruled out: the store group itself, which had moved its place before. Change: the keepers' group is told which machines are to leave, by name or by disk (first members have no name); an order is completed only when no member of the keepers' group is on that machine and no change is open. Tests of policy, order and exchange.

--- a/cherrycove/tier/controlplane/keeper.py
+++ b/cherrycove/tier/controlplane/keeper.py
@@ -130,8 +130,27 @@
             remembered=self._register.remembered("store"),
             initial=self._state.initial_stores,
             orders=self._state.retire_orders,
+            keeping=self._machines_of_members(),
         )
 
+    def _machines_of_members(self) -> frozenset[str]:
+        """Machines to be emptied whose keeper still counts in this group, also while a change is open."""
+        machines = frozenset(self._state.retire_orders)
+        members = self._group.members
+        if self._group.listed() != {member.member_id for member in members}:
+            return machines
+        names = self._keeper_names()
+        known = {names[member.member_id] for member in members if member.member_id in names}
+        unknown = {_host(member.address) for member in members if member.member_id not in names}
+        stores = (entry.announcement for entry in self._register.remembered("store"))
+        return machines & (known | {store.node_name for store in stores if store.ip in unknown})
+
+    def _keeper_names(self) -> dict[str, str]:
+        """Node names of keepers by their member id; first members are not named in the group itself."""
+        keepers = (entry.announcement for entry in self._register.remembered("keeper"))
+        names = {keeper.member_id: keeper.node_name for keeper in keepers if keeper.member_id}
+        return {**names, self._group.identity.member_id: self._settings.node_name}
+
     def _on_pull(self, request: PullRequest) -> None:
         self._term.update()
         revision = VersionVector(request.versions).get(STORE_GROUP).sequence
@@ -190,6 +209,12 @@
             if keeper.member_id and keeper.member_id not in members and not keeper.leaving
         ]
         self._group.offer_standbys(standbys)
+        self._group.retire(self._retiring_keepers())
+
+    def _retiring_keepers(self) -> frozenset[str]:
+        """Machines to be emptied, by name and by the disks of their keepers; first members have no name."""
+        machines = frozenset(self._state.retire_orders)
+        return machines | {disk for disk, name in self._keeper_names().items() if name in machines}
 
     async def _maintain_store_group(self) -> None:
         if self._term.holds():
@@ -245,6 +270,10 @@
             await asyncio.sleep(ERROR_PAUSE_S)
 
 
+def _host(address: str) -> str:
+    return address.rpartition(":")[0]
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
 
--- a/cherrycove/tier/controlplane/store_group.py
+++ b/cherrycove/tier/controlplane/store_group.py
@@ -94,6 +94,7 @@
     remembered: Sequence[Registration]  # also those lately gone
     initial: Sequence[Replica]
     orders: Mapping[str, RetireOrder]
+    keeping: frozenset[str] = frozenset()  # machines whose disk the keepers' own group still counts on
 
     def knows(self, node_name: str) -> bool:
         known = {entry.announcement.node_name for entry in self.remembered}
@@ -123,7 +124,8 @@
 
     - An open order without a disk, or whose machine lost its disk meanwhile, takes on the present disk.
     - An open order is completed when the store group's primary, having seen the order, announced a group of
-      ``group_size`` members, or of all that can be, without the disk of that machine.
+      ``group_size`` members, or of all that can be, without the disk of that machine; where a keeper runs
+      there too, the keepers' group must have left that disk as well.
     - A completed order is forgotten when a store of that name announces another disk: that is a new machine.
       The emptied machine keeps its disk until it is removed, so it cannot be taken for a new one.
     """
@@ -136,7 +138,7 @@
                 commands.append(Command(forget_retired=forget))
         elif disk and disk != order.member_id:
             commands.append(Command(retire=Retire(node_name=order.node_name, member_id=disk)))
-        elif _emptied(order, fleet, group_size):
+        elif order.node_name not in fleet.keeping and _emptied(order, fleet, group_size):
             retired = Retired(node_name=order.node_name, member_id=order.member_id)
             commands.append(Command(retired=retired))
     return commands
--- a/cherrycove/tier/replication/group.py
+++ b/cherrycove/tier/replication/group.py
@@ -136,8 +136,8 @@
     def offer_standbys(self, standbys: Sequence[MemberIdentity]) -> None:
         self._wishes.standbys = tuple(standbys)
 
-    def retire(self, node_names: frozenset[str]) -> None:
-        self._wishes.retiring = node_names
+    def retire(self, names: frozenset[str]) -> None:
+        self._wishes.retiring = names
 
     def on_change(self, callback: Callable[[], None]) -> None:
         self._listeners.append(callback)
--- a/cherrycove/tier/replication/interface.py
+++ b/cherrycove/tier/replication/interface.py
@@ -64,8 +64,12 @@
     def offer_standbys(self, standbys: Sequence[MemberIdentity]) -> None:
         """Replicas alive outside the group; the primary takes them in where members are missing or gone."""
 
-    def retire(self, node_names: frozenset[str]) -> None:
-        """Machines that must leave the group; the primary moves their place to standbys, or shrinks."""
+    def listed(self) -> frozenset[str]:
+        """Ids of all members whose votes count, also those of the former list while a change is open."""
+
+    def retire(self, names: frozenset[str]) -> None:
+        """Machines that must leave the group, by node name or member id; the primary moves their place to
+        standbys, or shrinks."""
 
     def on_change(self, callback: Callable[[], None]) -> None:
         """Call back after each change of role, epoch, primary or members."""
--- a/cherrycove/tier/replication/membership_policy.py
+++ b/cherrycove/tier/replication/membership_policy.py
@@ -17,10 +17,15 @@
     members: tuple[MemberIdentity, ...]
     standbys: tuple[MemberIdentity, ...]  # alive outside the group
     unreachable: frozenset[str]  # member ids that have been silent for too long
-    retiring: frozenset[str]  # node names
+    retiring: frozenset[str]  # node names or member ids
     target_size: int
 
 
+def is_retiring(member: MemberIdentity, retiring: frozenset[str]) -> bool:
+    """Whether ``member`` is named to leave, by its node name or its member id."""
+    return member.node_name in retiring or member.member_id in retiring
+
+
 @attrs.frozen
 class Change:
     """Take ``add`` in, drop ``remove``, or both in one step."""
@@ -53,7 +58,7 @@
     usable = [
         standby
         for standby in view.standbys
-        if standby.member_id not in ids and standby.node_name not in view.retiring
+        if standby.member_id not in ids and not is_retiring(standby, view.retiring)
     ]
     return sorted(usable, key=lambda standby: (standby.zone in zones, standby.node_name, standby.member_id))
 
@@ -67,7 +72,7 @@
 
 
 def _retiring(view: GroupView, standbys: list[MemberIdentity]) -> Step | None:
-    leaving = [member for member in view.members if member.node_name in view.retiring]
+    leaving = [member for member in view.members if is_retiring(member, view.retiring)]
     if not leaving or not (standbys or len(view.members) > view.target_size):
         return None
     others = [member for member in leaving if member.member_id != view.primary.member_id]
--- a/cherrycove/tier/replication/primary.py
+++ b/cherrycove/tier/replication/primary.py
@@ -6,7 +6,7 @@
 from cherrycove.tier.replication.core import ReplicaCore, Role
 from cherrycove.tier.replication.interface import MemberIdentity
 from cherrycove.tier.replication.log import encode_members
-from cherrycove.tier.replication.membership_policy import Change
+from cherrycove.tier.replication.membership_policy import Change, is_retiring
 from cherrycove.tier.replication.peers import Peer, SnapshotSource
 from cherrycove.tier.replication.recruiting import Recruiting, Wishes
 from cherrycove.tier.storage.entries import Entry, EntryKind
@@ -146,7 +146,7 @@
         ready = [peer for peer in self._peers.values() if peer.responsive(now)]
         if not ready:
             return False
-        best = max(ready, key=lambda peer: (peer.member.node_name not in retiring, peer.match_index))
+        best = max(ready, key=lambda peer: (not is_retiring(peer.member, retiring), peer.match_index))
         best.replicate(now)
         self._core.become(Role.BACKUP, None)
         self._core.send(best.member, Message(hand_over=HandOver()))
--- a/cherrycove/why/spans.py
+++ b/cherrycove/why/spans.py
@@ -17,7 +17,7 @@
 from pathlib import Path
 from typing import Any
 
-from google.protobuf.json_format import MessageToDict  # type: ignore[import-untyped]
+from google.protobuf.json_format import MessageToDict
 from opentelemetry.exporter.otlp.proto.common.trace_encoder import encode_spans
 from opentelemetry.sdk.resources import Resource
 from opentelemetry.sdk.trace import ReadableSpan, TracerProvider
--- a/tests/tier/batch_support.py
+++ b/tests/tier/batch_support.py
@@ -102,6 +102,9 @@
     def members(self) -> tuple[MemberIdentity, ...]:
         return tuple(group.identity for group in self.cluster.groups)
 
+    def listed(self) -> frozenset[str]:
+        return frozenset(member.member_id for member in self.members)
+
     def confirmed(self) -> bool:
         return self.cluster.primary is self.identity
 
--- a/tests/tier/control_support.py
+++ b/tests/tier/control_support.py
@@ -76,6 +76,7 @@
         self.state = state
         self.standbys: tuple[MemberIdentity, ...] = ()
         self.standbys_offered = asyncio.Event()
+        self.retiring: frozenset[str] = frozenset()
         self.callbacks: list[Callable[[], None]] = []
 
     @property
@@ -91,6 +92,9 @@
     def members(self) -> tuple[MemberIdentity, ...]:
         return tuple(group.identity for group in self._replicas.groups)
 
+    def listed(self) -> frozenset[str]:
+        return frozenset(member.member_id for member in self.members)
+
     def confirmed(self) -> bool:
         return self._replicas.leader is self and self._replicas.lease
 
@@ -102,8 +106,8 @@
         if standbys:
             self.standbys_offered.set()
 
-    def retire(self, node_names: frozenset[str]) -> None:
-        raise AssertionError("keepers are not retired")
+    def retire(self, names: frozenset[str]) -> None:
+        self.retiring = names
 
     def on_change(self, callback: Callable[[], None]) -> None:
         self.callbacks.append(callback)
--- a/tests/tier/test_control_operator.py
+++ b/tests/tier/test_control_operator.py
@@ -201,6 +201,7 @@
             await stores["s2"].until(lambda views: order["s3"].completed)
             _, body = await world.operator(0, "GET", "/api/retire/s3")
             assert json.loads(body) == {"state": "completed"}
+            assert world.keepers[0].group.retiring == {"s3"}
             await world.operator(0, "GET", "/api/retire/s1")
             approved(
                 world,
--- a/tests/tier/test_control_store_group.py
+++ b/tests/tier/test_control_store_group.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 
+import attrs
 from control_support import replica, store
 
 from cherrycove.tier.controlplane.register import Registration
@@ -127,6 +128,13 @@
     assert kinds(fleet(told_of, order, others)) == []
 
 
+def test_an_order_waits_while_the_keepers_count_on_the_disk_of_that_machine() -> None:
+    order = RetireOrder(node_name="s3", member_id="disk-s3", revision=5)
+    free = fleet(heard(leader("s1", "s2", "s4"), revision=5), order, ("s2", "s3", "s4"))
+    assert kinds(attrs.evolve(free, keeping=frozenset({"s3"}))) == []
+    assert kinds(attrs.evolve(free, keeping=frozenset({"s1"}))) == ["retired"]
+
+
 def test_the_primary_of_the_newest_epoch_counts() -> None:
     order = RetireOrder(node_name="s3", member_id="disk-s3", revision=5)
     stale = heard(leader("s1", "s2", "s4", epoch=2), revision=5)
--- a/tests/tier/test_replication_policy.py
+++ b/tests/tier/test_replication_policy.py
@@ -54,6 +54,14 @@
     assert step(retiring="bd", standbys=(D,)) is None
 
 
+def test_a_retiring_member_is_known_by_its_disk_where_names_are_unknown() -> None:
+    unnamed = MemberIdentity("first-b", "", "b:1")
+    view = GroupView(A, (A, unnamed, C), (D,), frozenset(), frozenset({"b", "first-b"}), 3)
+    assert next_step(view) == Change(add=D, remove=unnamed)
+    blocked = GroupView(A, (A, unnamed, C), (D,), frozenset(), frozenset({"first-b", D.member_id}), 3)
+    assert next_step(blocked) is None
+
+
 def test_a_retiring_primary_hands_over_last() -> None:
     assert step(retiring="a") is None
     assert step(retiring="a", standbys=(D,)) == HandOverPrimary()
