A proxy that ends drains while its batch items finish; an unknown call is unavailable, not absent

Cause: stop() awaited the batch worker (up to half of the grace period) before the proxy turned unready, so requests could be open at the kill; a call that a process does not serve was told as NOT_FOUND, which a proxy reads as 'no such job'. Ruled out: the drain itself. Change: both ends run side by side; UNAVAILABLE. The test of the unknown call now asks for the safer kind.

--- a/cherrycove/tier/programs/proxy.py
+++ b/cherrycove/tier/programs/proxy.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 
 from cherrycove.tier.batch.client import BatchClient
@@ -44,8 +45,7 @@
     async def stop(self) -> None:
         self._leaving = True
         self._puller.announce_now()
-        await self._worker.stop()
-        await self._data_plane.drain()
+        await asyncio.gather(self._worker.stop(), self._data_plane.drain())
         await self._data_plane.stop()
         await self._puller.stop()
         await self._client.stop()
--- a/cherrycove/tier/protocol/rpc.py
+++ b/cherrycove/tier/protocol/rpc.py
@@ -55,7 +55,7 @@
         name = request.path.removeprefix("/rpc/")
         call = self._calls.get(name)
         if call is None:
-            return _error(Failure(ErrorKind.NOT_FOUND, f"no call {name!r}"))
+            return _error(Failure(ErrorKind.UNAVAILABLE, f"no call {name!r}"))
         request_type, handler = call
         try:
             message = request_type.FromString(await request.read())
--- a/tests/tier/test_rpc.py
+++ b/tests/tier/test_rpc.py
@@ -54,8 +54,8 @@
     assert failure == Failure(ErrorKind.NOT_PRIMARY, "ask the other", "10.0.0.1:7720")
 
 
-def test_an_unknown_call_is_not_found() -> None:
-    assert exchange(BodyRequest(), "nothing").unwrap_err().kind is ErrorKind.NOT_FOUND
+def test_an_unknown_call_says_nothing_of_what_it_asks_for() -> None:
+    assert exchange(BodyRequest(), "nothing").unwrap_err().kind is ErrorKind.UNAVAILABLE
 
 
 def test_nobody_there_is_unreachable() -> None:
