Replicas that all restarted elect at once: when every one answers that it follows nobody, no lease can be in force

Ruled out: the start of the processes (0.35 s) and the reading of the log. Change: a preliminary question soon after the start; a replica that leads nobody's lease and heard no primary in this life says so with a name for its life; when all say so within 0.15 s (or their disk is gone) the candidate stands, and voters whose life is the one named wait no longer. A primary that is cut off still blocks it.

--- a/cherrycove/tier/replication/elections.py
+++ b/cherrycove/tier/replication/elections.py
@@ -10,6 +10,8 @@
 from cherrycove.tier.storage.promises import Promise
 
 NEVER = float("-inf")
+NO_LIFE = 0  # of a replica that does not run any more
+LIFE_BITS = 62
 
 
 @attrs.define
@@ -18,9 +20,11 @@
 
     preliminary: bool
     epoch: int
+    began: float
     handed_over: bool = False
     asked: bool = False
     votes: set[str] = attrs.field(factory=set)
+    lives: dict[str, int] = attrs.field(factory=dict)  # of replicas that follow nobody, by member id
 
 
 class Elections:
@@ -30,9 +34,12 @@
         """``fresh``: the disk was empty, so no primary was ever heard of."""
         self._core = core
         self._heard_at = NEVER if fresh else now  # what was heard before the start is forgotten
+        self._heard_here = NEVER  # a primary, in this life of the process
+        self._started = now
+        self._life = core.random.getrandbits(LIFE_BITS) + 1
         self._heard_epoch = core.epoch
         self._campaign: Campaign | None = None
-        self._deadline = now + self._timeout()
+        self._deadline = now + core.timing.settled_s + self._spread()
         self._owed: tuple[MemberIdentity, VoteRequest] | None = None  # a vote to be sent when it is synced
         self.won = False
 
@@ -51,7 +58,7 @@
 
     def heard_primary(self, now: float) -> None:
         """The primary of the newest epoch has sent something."""
-        self._heard_at = now
+        self._heard_at = self._heard_here = now
         self._heard_epoch = self._core.epoch
         self._campaign = None
         self._deadline = now + self._timeout()
@@ -78,18 +85,19 @@
             return  # its own promise is not synced yet: a slow disk is no reason to begin anew
         self._deadline = now + core.timing.retry_s + self._spread()
         core.become(Role.BACKUP, None)
-        self._campaign = Campaign(True, core.epoch + 1)
+        self._campaign = Campaign(True, core.epoch + 1, now)
         self._ask()
         self._count(now)
 
-    def stand(self, now: float, handed_over: bool = False) -> None:
-        """Promise a new epoch to itself; votes are asked for when that is synced."""
+    def stand(self, now: float, handed_over: bool = False, lives: dict[str, int] | None = None) -> None:
+        """Promise a new epoch to itself; votes are asked for when that is synced. ``lives``: of all other
+        replicas, when none of them follows a primary."""
         core = self._core
         epoch = core.epoch + 1
         core.write_promise(Promise(epoch, core.identity.member_id, core.promise.committed))
         core.become(Role.CANDIDATE, None)
         core.effects.changed = True
-        self._campaign = Campaign(False, epoch, handed_over)
+        self._campaign = Campaign(False, epoch, now, handed_over, lives=lives or {})
         self._deadline = now + self._timeout()
 
     def written(self, now: float) -> None:
@@ -114,11 +122,15 @@
                 last_index=core.log.last_index,
                 last_epoch=core.log.last_epoch,
                 handed_over=campaign.handed_over,
+                life=0 if campaign.preliminary else campaign.lives.get(peer.member_id, 0),
             )
             core.send(peer, Message(vote_request=request))
 
     def _count(self, now: float) -> None:
         campaign = self._campaign
+        if campaign is not None and campaign.preliminary and self._nobody_leads(campaign, now):
+            self.stand(now, lives=campaign.lives)
+            return
         if campaign is None or not self._core.electorate().elects(campaign.votes):
             return
         if campaign.preliminary:
@@ -127,6 +139,28 @@
             self._campaign = None
             self.won = True
 
+    def _nobody_leads(self, campaign: Campaign, now: float) -> bool:
+        """Whether every replica, this one included, follows no primary: then no lease can be in force, and
+        those that have just started need not wait for one to end."""
+        core = self._core
+        if now - self._heard_here < core.timing.election_timeout_s:
+            return False
+        if any(peer.member_id not in campaign.lives for peer in core.peers()):
+            return False
+        able = {member_id for member_id, life in campaign.lives.items() if life != NO_LIFE}
+        return core.electorate().elects({*able, core.identity.member_id})
+
+    def disk_replaced(self, member_id: str, now: float) -> None:
+        """The process at a member's address has another disk: the replica of that id does not run."""
+        campaign = self._campaign
+        if campaign is not None and campaign.preliminary:
+            self._follows_nobody(campaign, member_id, NO_LIFE, now)
+
+    def _follows_nobody(self, campaign: Campaign, member_id: str, life: int, now: float) -> None:
+        if now - campaign.began <= self._core.timing.settled_s:
+            campaign.lives[member_id] = life
+            self._count(now)
+
     def receive_reply(self, sender: MemberIdentity, epoch: int, reply: VoteReply, now: float) -> None:
         campaign = self._campaign
         if epoch > self._core.epoch:
@@ -140,6 +174,8 @@
         elif reply.granted:
             campaign.votes.add(sender.member_id)
             self._count(now)
+        if reply.unbound and self._campaign is campaign and campaign is not None and campaign.preliminary:
+            self._follows_nobody(campaign, sender.member_id, reply.life, now)
 
     # Voting
 
@@ -150,7 +186,7 @@
         if request.preliminary:
             granted = request.epoch > self._core.epoch and not self._refuses(request, confirmed, now)
             removed = not granted and self._removed(sender, confirmed, now)
-            self._reply(sender, request, granted, removed)
+            self._reply(sender, request, granted, removed, self._is_unbound(request, now))
             return
         if request.epoch < self._core.epoch or self._bound_to_primary(request, confirmed, now):
             self._reply(sender, request, False)
@@ -162,6 +198,18 @@
     def _refuses(self, request: VoteRequest, confirmed: bool, now: float) -> bool:
         return self._bound_to_primary(request, confirmed, now) or not self._new_enough(request)
 
+    def _is_unbound(self, request: VoteRequest, now: float) -> bool:
+        """Whether only what it may have promised a primary in an earlier life could keep this replica from
+        voting."""
+        core = self._core
+        return (
+            core.role is not Role.PRIMARY
+            and now - self._started >= core.timing.settled_s
+            and now - self._heard_here >= core.timing.election_timeout_s
+            and request.epoch > core.epoch
+            and self._new_enough(request)
+        )
+
     def _removed(self, sender: MemberIdentity, confirmed: bool, now: float) -> bool:
         """Whether there is a primary whose group has dropped ``sender``, which does not know it yet."""
         if not (confirmed or self._heard_lately(now)) or self._core.change_open():
@@ -173,7 +221,10 @@
         if confirmed:
             return True
         lease_given_up = request.handed_over and request.epoch == self._heard_epoch + 1
-        return self._heard_lately(now) and not lease_given_up
+        if lease_given_up:
+            return False
+        heard_at = self._heard_here if request.life == self._life else self._heard_at
+        return now - heard_at < self._core.timing.election_timeout_s
 
     def _new_enough(self, request: VoteRequest) -> bool:
         log = self._core.log
@@ -201,9 +252,19 @@
             self._reply(sender, request, True)
 
     def _reply(
-        self, sender: MemberIdentity, request: VoteRequest, granted: bool, removed: bool = False
+        self,
+        sender: MemberIdentity,
+        request: VoteRequest,
+        granted: bool,
+        removed: bool = False,
+        unbound: bool = False,
     ) -> None:
         reply = VoteReply(
-            preliminary=request.preliminary, epoch=request.epoch, granted=granted, removed=removed
+            preliminary=request.preliminary,
+            epoch=request.epoch,
+            granted=granted,
+            removed=removed,
+            unbound=unbound,
+            life=self._life if unbound else NO_LIFE,
         )
         self._core.send(sender, Message(vote_reply=reply))
--- a/cherrycove/tier/replication/group.py
+++ b/cherrycove/tier/replication/group.py
@@ -236,13 +236,16 @@
         if self._machine is None:
             return Err(Failure(ErrorKind.UNAVAILABLE, f"{self._name}: not started"))
         if batch.receiver_id != self._identity.member_id:
-            return Err(Failure(ErrorKind.NOT_FOUND, f"{self._name}: no member {batch.receiver_id} here"))
+            return Ok(Batch(stranger=True))
         return Ok(await self._inbox.receive(batch))
 
     def _deliver(self, sender: MemberIdentity, batch: Batch) -> None:
         machine = self._machine
         if machine is None:
             return
+        if batch.stranger:
+            machine.disk_replaced(sender.member_id, time.monotonic())
+            self._run_effects()
         for message in batch.messages:
             machine.receive(sender, message, time.monotonic())
             self._run_effects()
--- a/cherrycove/tier/replication/machine.py
+++ b/cherrycove/tier/replication/machine.py
@@ -194,6 +194,11 @@
             self._receive_hand_over(sender, message, now)
         self._settle(now)
 
+    def disk_replaced(self, member_id: str, now: float) -> None:
+        """The process at the address of ``member_id`` answered that it has another disk."""
+        self._elections.disk_replaced(member_id, now)
+        self._settle(now)
+
     def _receive_from_primary(self, sender: MemberIdentity, message: Message, now: float) -> None:
         if message.epoch < self._core.epoch:
             self._backup.refuse(sender)
--- a/cherrycove/tier/replication/timing.py
+++ b/cherrycove/tier/replication/timing.py
@@ -15,6 +15,8 @@
     stagger_s: float = 0.1  # added per rank of the member id, so that one backup stands first
     jitter_s: float = 0.06  # random, added to every election time-out
     first_election_s: float = 0.1  # time-out in place of election_timeout_s when the whole group is new
+    settled_s: float = 0.15  # age of a process from which it may say that it follows nobody; answers to one
+    # question count together for no longer, so that nobody can have answered in two lives
     retry_s: float = 0.2  # a candidate that was not elected stands again after this time and more
     removed_pause_s: float = 5.0  # a replica told that it was removed stands again only after this time more
     step_down_s: float = 1.5  # a primary that could not renew its lease for so long stops leading
--- a/cherrycove/tier/simulation/mutations.py
+++ b/cherrycove/tier/simulation/mutations.py
@@ -74,6 +74,14 @@
     yield mock.patch.object(ReplicaCore, "electorate", electorate)
 
 
+def _restarted_quorum_needs_no_lease_to_end() -> Patches:
+    def nobody_leads(elections: Any, campaign: Any, now: float) -> bool:
+        core = elections._core
+        return bool(core.electorate().elects({*campaign.lives, core.identity.member_id}))
+
+    yield mock.patch.object(Elections, "_nobody_leads", nobody_leads)
+
+
 MUTATIONS: dict[str, Callable[[], Patches]] = {
     "acknowledge-before-sync": _acknowledge_before_sync,
     "commit-before-own-sync": _commit_before_own_sync,
@@ -83,6 +91,7 @@
     "vote-within-lease": _vote_within_lease,
     "count-copies-of-older-epochs": _count_copies_of_older_epochs,
     "new-list-alone": _new_list_alone,
+    "restarted-quorum-needs-no-lease-to-end": _restarted_quorum_needs_no_lease_to_end,
 }
 EMPTIED_KEEPS_IDENTITY = "emptied-keeps-identity"  # a mutation of the world, not of the protocol
 NAMES = (*MUTATIONS, EMPTIED_KEEPS_IDENTITY)
--- a/tests/tier/test_replication_machine.py
+++ b/tests/tier/test_replication_machine.py
@@ -13,6 +13,7 @@
 from cherrycove.tier.replication.interface import MemberIdentity
 from cherrycove.tier.replication.machine import ReplicaMachine
 from cherrycove.tier.simulation.disk import SimulatedDisk
+from cherrycove.tier.simulation.faults import Faults
 from cherrycove.tier.simulation.replica import Replica
 from cherrycove.tier.simulation.world import NetworkConditions, World
 from cherrycove.tier.storage.entries import EntryKind
@@ -410,3 +411,55 @@
     machine.written(write.ticket, 4.0)
     assert bodies(machine.take_effects()) == ["vote_request", "vote_request"]
     assert machine.epoch == 1
+
+
+def restart(world: World, replicas: list[Replica], after_s: float) -> None:
+    faults = Faults(world, Random(1), emptied_keeps_identity=False)
+    for replica in replicas:
+        faults.kill(replica, after_s)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_replicas_that_all_restart_wait_for_no_lease(seed: int) -> None:
+    world = quiet_world(seed=seed)
+    commit(world, 3.0)
+    restart(world, world.replicas, 0.5)
+    assert wait(world, lambda: world.confirmed() is not None, 2.0) < 0.5 + 0.7
+    assert commit(world, 0.1) < 0.05
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_restarted_replicas_wait_while_a_cut_off_primary_may_hold_a_lease(seed: int) -> None:
+    world = quiet_world(seed=seed)
+    primary = primary_of(world)
+    commit(world, 1.0)
+    others = [replica for replica in world.replicas if replica is not primary]
+    for other in others:
+        world.cuts |= {(primary.address, other.address), (other.address, primary.address)}
+    restart(world, others, 0.1)
+    wait(world, lambda: not machine_of(primary).confirmed(world.now), 1.0)
+    assert world.confirmed() is None
+    assert wait(world, lambda: world.confirmed() is not None, 2.0) > 0.0
+
+
+def test_a_replaced_disk_answers_for_the_replica_before_it() -> None:
+    world = quiet_world()
+    commit(world, 3.0)
+    first, second, third = world.replicas
+    gone = third.disk.member_id
+    restart(world, [first, second], 0.2)
+    third.end(Random(1))
+    wait(world, lambda: first.machine is not None and second.machine is not None, 1.0)
+    heard: dict[str, float] = {}
+
+    def tell() -> None:
+        for replica in (first, second):
+            machine_of(replica).disk_replaced(gone, world.now)
+        if world.confirmed() is not None:
+            heard.setdefault("led", world.now)
+
+    begun = world.now
+    while "led" not in heard:
+        assert world.now - begun < 0.7
+        world.run_until(world.now + STEP_S)
+        tell()
