Voters tell what they know to be committed

Ruled out: letting the replaced member lead, since its list has no say any more. Change: a vote's reply names the newest entry that the voter knows to be committed; a candidate that has the same entry takes it, and all before, as committed. The simulation loses disks only while every list that has a say is of full size, as it always meant to: two members bear no loss.

--- a/cherrycove/tier/replication/elections.py
+++ b/cherrycove/tier/replication/elections.py
@@ -128,6 +128,7 @@
             self.won = True
 
     def receive_reply(self, sender: MemberIdentity, epoch: int, reply: VoteReply, now: float) -> None:
+        self._learn_commit(reply)
         campaign = self._campaign
         if epoch > self._core.epoch:
             self._core.adopt_epoch(epoch)
@@ -141,6 +142,11 @@
             campaign.votes.add(sender.member_id)
             self._count(now)
 
+    def _learn_commit(self, reply: VoteReply) -> None:
+        """What a voter knows to be committed may close a change of members: the old list has no say then."""
+        if self._core.log.epoch_at(reply.commit_index) == reply.commit_epoch:
+            self._core.advance_commit(reply.commit_index)
+
     # Voting
 
     def receive_request(
@@ -203,7 +209,13 @@
     def _reply(
         self, sender: MemberIdentity, request: VoteRequest, granted: bool, removed: bool = False
     ) -> None:
+        commit_index = self._core.commit_index
         reply = VoteReply(
-            preliminary=request.preliminary, epoch=request.epoch, granted=granted, removed=removed
+            preliminary=request.preliminary,
+            epoch=request.epoch,
+            granted=granted,
+            removed=removed,
+            commit_index=commit_index,
+            commit_epoch=self._core.log.epoch_at(commit_index) or 0,
         )
         self._core.send(sender, Message(vote_reply=reply))
--- a/cherrycove/tier/replication/machine.py
+++ b/cherrycove/tier/replication/machine.py
@@ -104,6 +104,12 @@
     def _leading(self) -> Primary | None:
         return self._primary if self._core.role is Role.PRIMARY else None
 
+    def smallest_list(self) -> int:
+        """Size of the smallest member list that has a say here."""
+        electorate = self._core.electorate()
+        sizes = [len(electorate.current), len(electorate.previous or electorate.current)]
+        return min(sizes)
+
     def take_effects(self) -> Effects:
         """What is to be done since effects were taken last."""
         effects, self._core.effects = self._core.effects, Effects()
--- a/cherrycove/tier/replication/quorums.py
+++ b/cherrycove/tier/replication/quorums.py
@@ -29,6 +29,9 @@
 with M need E' of C', which meets the W' copies. Every entry committed under C stands on W' members of C'
 once M is committed, because logs have no gaps; so f disks may be lost again from then on.
 
+A voter tells what it knows to be committed. A candidate whose log has the same entry there, that is, an entry
+of the same epoch at the same index, has the same log up to it, and so may know that M is committed.
+
 A replica that M removes may hold the only log with M that is left, so it may lead until M is committed; its
 own copy and vote count in C alone. Then it hands over.
 
--- a/cherrycove/tier/simulation/faults.py
+++ b/cherrycove/tier/simulation/faults.py
@@ -88,7 +88,7 @@
                 if other.disk.promise.epoch or other.disk.entries or other.disk.snapshot:
                     return False  # what the stopped ones know cannot be asked
                 continue
-            if 0 < len(other.machine.members) < 2 * world.faults + 1:
+            if 0 < other.machine.smallest_list() < 2 * world.faults + 1:
                 return False
             named |= other.machine.listed()
         return bool(named) and len(named & gone) <= world.faults
--- a/tests/tier/test_replication_machine.py
+++ b/tests/tier/test_replication_machine.py
@@ -7,10 +7,11 @@
 
 import pytest
 
-from cherrycove.tier.protocol.replication_pb2 import Append, Message, VoteRequest
+from cherrycove.tier.protocol.replication_pb2 import Append, Message, VoteReply, VoteRequest
 from cherrycove.tier.replication.core import Role
 from cherrycove.tier.replication.effects import Effects, WritePromise
 from cherrycove.tier.replication.interface import MemberIdentity
+from cherrycove.tier.replication.log import encode_members
 from cherrycove.tier.replication.machine import ReplicaMachine
 from cherrycove.tier.simulation.disk import SimulatedDisk
 from cherrycove.tier.simulation.replica import Replica
@@ -410,3 +411,33 @@
     machine.written(write.ticket, 4.0)
     assert bodies(machine.take_effects()) == ["vote_request", "vote_request"]
     assert machine.epoch == 1
+
+
+def preliminary_vote(granted: bool, commit_index: int = 1, commit_epoch: int = 0) -> Message:
+    reply = VoteReply(preliminary=True, epoch=2, granted=granted)
+    reply.commit_index = commit_index
+    reply.commit_epoch = commit_epoch
+    return Message(epoch=1, vote_reply=reply)
+
+
+def test_a_candidate_learns_from_a_voter_that_its_list_is_committed() -> None:
+    machine, _ = single()
+    heard(machine, 1, 5.0)
+    append = Append(sent_us=2, previous_index=1, previous_epoch=0, commit_index=2)
+    append.entries.add(index=2, epoch=1, kind=EntryKind.NOOP)
+    new_list = encode_members([identity(0), identity(1), identity(3)])
+    append.entries.add(index=3, epoch=1, kind=EntryKind.MEMBERS, payload=new_list)
+    machine.receive(identity(1), Message(epoch=1, append=append), 5.0)
+    machine.written(machine.take_effects().writes[-1].ticket, 5.0)
+    for tick in range(100, 130):
+        machine.tick(tick * 0.05)
+    assert machine.listed() == {"m0", "m1", "m2", "m3"}
+    machine.take_effects()
+    machine.receive(identity(3), preliminary_vote(granted=True), 6.5)
+    assert machine.role is Role.BACKUP
+    machine.receive(identity(2), preliminary_vote(False, commit_index=3, commit_epoch=2), 6.5)
+    assert machine.commit_index == 2
+    machine.receive(identity(2), preliminary_vote(False, commit_index=3, commit_epoch=1), 6.5)
+    assert machine.listed() == {"m0", "m1", "m3"}
+    machine.receive(identity(3), preliminary_vote(granted=True), 6.5)
+    assert machine.role is Role.CANDIDATE
