--- a/cherrycove/tier/batch/store.py
+++ b/cherrycove/tier/batch/store.py
@@ -34,7 +34,7 @@
 from cherrycove.tier.replication.interface import Group
 from cherrycove.tier.settings import Settings
 
-log = logging.getLogger(__name__)
+_log = logging.getLogger(__name__)
 
 MAX_READ_WAIT_S = 2.0
 MEMORY_FRACTION = 0.2  # of the process, for jobs; a snapshot that is read holds them twice more
@@ -239,7 +239,7 @@
             for job in self._state.jobs.values():
                 if not job.done:
                     self._table.add_job(self._terms(job), earlier_term=True)
-            log.info("batch.leases.begun", extra={"epoch": self._table.epoch, "jobs": len(self._state.jobs)})
+            _log.info("batch_leases_begun", extra={"epoch": self._table.epoch, "jobs": len(self._state.jobs)})
         return self._table
 
     # Periodic work
@@ -250,7 +250,7 @@
             try:
                 await self.maintain_once()
             except Exception:  # a fault here must not end the periodic work
-                log.exception("batch.maintenance.failed")
+                _log.exception("batch_maintenance_failed")
 
     async def maintain_once(self) -> None:
         """Free leases that ran out, give up items past their retention, forget old jobs."""
--- a/cherrycove/tier/batch/worker.py
+++ b/cherrycove/tier/batch/worker.py
@@ -23,7 +23,7 @@
 from cherrycove.tier.protocol import batch_pb2 as pb
 from cherrycove.tier.settings import Settings
 
-log = logging.getLogger(__name__)
+_log = logging.getLogger(__name__)
 
 IDLE_INTERVAL_S = 2 * RENEWAL_INTERVAL_S
 SHORTEST_INTERVAL_S = 0.1  # between two lease requests, however much finishes
@@ -123,7 +123,7 @@
             try:
                 await self._exchange()
             except Exception:  # a fault in one exchange must not end the work
-                log.exception("batch.exchange.failed")
+                _log.exception("batch_exchange_failed")
             await asyncio.sleep(SHORTEST_INTERVAL_S)
             await self._pause()
 
@@ -228,7 +228,7 @@
             return returned
         error = run.execution.exception()
         if error is not None:
-            log.error("batch.item.failed", exc_info=error, extra={"item": run.key.item_id})
+            _log.error("batch_item_failed", exc_info=error, extra={"item": run.key.item_id})
             return returned
         return run.execution.result()
 
--- a/cherrycove/tier/dataplane/ingress.py
+++ b/cherrycove/tier/dataplane/ingress.py
@@ -43,8 +43,8 @@
     ) -> web.StreamResponse: ...
 
 
-log = logging.getLogger(__name__)
-log.addFilter(lambda record: not _fault_of_client(record))
+_log = logging.getLogger(__name__)
+_log.addFilter(lambda record: not _fault_of_client(record))
 
 
 def _fault_of_client(record: logging.LogRecord) -> bool:
@@ -94,8 +94,9 @@
     def __call__(self) -> web.RequestHandler:
         limits = self._ingress.limits
         return ClientConnection(
-            self, logger=log, head_timeout_s=limits.header_timeout_ms / 1000, loop=asyncio.get_running_loop(),
-            access_log=None, keepalive_timeout=limits.idle_timeout_ms / 1000, auto_decompress=False,
+            self, logger=_log, head_timeout_s=limits.header_timeout_ms / 1000,
+            loop=asyncio.get_running_loop(), access_log=None,
+            keepalive_timeout=limits.idle_timeout_ms / 1000, auto_decompress=False,
             max_line_size=PARSER_LINE_BYTES, max_field_size=PARSER_LINE_BYTES, lingering_time=0.0,
             read_bufsize=READ_BYTES,
         )  # fmt: skip
--- a/cherrycove/tier/dataplane/plane.py
+++ b/cherrycove/tier/dataplane/plane.py
@@ -16,7 +16,7 @@
 from cherrycove.tier.distribution.views import Views
 from cherrycove.tier.settings import Settings
 
-log = logging.getLogger(__name__)
+_log = logging.getLogger(__name__)
 
 SPARE_DESCRIPTORS = 400  # kept from the limit for files, internal calls and listeners
 CLIENT_PART = 0.5  # of the other descriptors, for clients
@@ -56,7 +56,7 @@
         self._views_changed()
         await self._ingress.start()
         await self._readiness.start()
-        log.info("dataplane.listening", extra={"address": self._settings.listen_addresses.frontend})
+        _log.info("dataplane_listening", extra={"address": self._settings.listen_addresses.frontend})
 
     async def stop(self) -> None:
         await self._readiness.stop()
@@ -71,12 +71,12 @@
         grace = self._settings.bounds.grace_period_s if grace_s is None else grace_s
         latest = began + max(grace - END_RESERVE_S, 0.0)
         self._draining = True
-        log.info("dataplane.draining", extra={"open_requests": self._ingress.open_requests})
+        _log.info("dataplane_draining", extra={"open_requests": self._ingress.open_requests})
         self._ingress.close_connections()
         noticed = min(began + NOTICE_S, latest)
         while loop.time() < latest and not self._quiet(loop.time(), noticed):
             await asyncio.sleep(POLL_S)
-        log.info("dataplane.drained", extra={"open_requests": self._ingress.open_requests})
+        _log.info("dataplane_drained", extra={"open_requests": self._ingress.open_requests})
 
     def _quiet(self, now: float, noticed: float) -> bool:
         ingress = self._ingress
--- a/cherrycove/tier/programs/process.py
+++ b/cherrycove/tier/programs/process.py
@@ -18,7 +18,7 @@
 INCARNATION_BYTES = 6
 YOUNGEST_COLLECTION = 20_000  # objects made before the collector looks; requests free theirs by count
 
-_LOG = logging.getLogger(__name__)
+_log = logging.getLogger(__name__)
 
 
 class Program(Protocol):
@@ -72,7 +72,7 @@
     gc.collect()
     gc.freeze()
     await ended.wait()
-    _LOG.info("process_stopping")
+    _log.info("process_stopping")
     await program.stop()
 
 
@@ -80,7 +80,7 @@
     try:
         settings = load_settings()
     except SettingsError as error:
-        _LOG.warning("settings_unusable", extra={"reason": str(error)})
+        _log.warning("settings_unusable", extra={"reason": str(error)})
         return
     program.reload(settings)
-    _LOG.info("settings_reloaded")
+    _log.info("settings_reloaded")
--- a/cherrycove/tier/replication/change_log.py
+++ b/cherrycove/tier/replication/change_log.py
@@ -7,7 +7,7 @@
 
 from cherrycove.tier.replication.machine import ReplicaMachine
 
-logger = logging.getLogger(__name__)
+_log = logging.getLogger(__name__)
 
 
 class ChangeLog:
@@ -28,4 +28,4 @@
         }
         if details != self._logged:
             self._logged = details
-            logger.info("replica_changed", extra=details)
+            _log.info("replica_changed", extra=details)
--- a/cherrycove/tier/replication/group.py
+++ b/cherrycove/tier/replication/group.py
@@ -37,7 +37,7 @@
 USABLE_DISK_SHARE = 0.9  # of the disk's limit; the rest is for entries of replication itself
 SNAPSHOT_LOG_BYTES = 1024 * 1024  # a snapshot is taken when the log behind the last one is larger
 
-logger = logging.getLogger(__name__)
+_log = logging.getLogger(__name__)
 
 
 class ReplicatedGroup:
@@ -163,7 +163,7 @@
         except DamagedStorageError as error:
             storage.close()
             details = {"group": self._name, "member": self._identity.member_id, "reason": str(error)}
-            logger.error("disk_damaged", extra=details)
+            _log.error("disk_damaged", extra=details)
         self._identity = attrs.evolve(self._identity, member_id=new_identity(self._directory))
         storage = ReplicaStorage(self._directory, self._disk_limit)
         return storage.recover(), storage
@@ -222,13 +222,13 @@
             self._inbox.written()
 
     def _write_failed(self, error: OSError) -> None:
-        logger.error("disk_write_failed", extra={"group": self._name, "reason": str(error)})
+        _log.error("disk_write_failed", extra={"group": self._name, "reason": str(error)})
         if self._machine is not None:
             self._machine.write_failed(time.monotonic())
             self._run_effects()
 
     def _snapshot_skipped(self, ticket: int, error: OSError) -> None:
-        logger.warning("snapshot_skipped", extra={"group": self._name, "reason": str(error)})
+        _log.warning("snapshot_skipped", extra={"group": self._name, "reason": str(error)})
         if self._machine is not None:
             self._machine.snapshot_skipped(ticket)
 
@@ -288,7 +288,7 @@
             try:
                 outcome = self._state.apply(entry.index, entry.payload)
             except Exception:  # a command must not stop those behind it; all replicas fare alike
-                logger.exception("apply_failed", extra={"group": self._name, "index": entry.index})
+                _log.exception("apply_failed", extra={"group": self._name, "index": entry.index})
                 self._proposals.failed(entry.index)
         self._proposals.committed(entry.index, entry.epoch, outcome)
 
--- a/tests/tier/test_real_processes.py
+++ b/tests/tier/test_real_processes.py
@@ -128,7 +128,7 @@
                 rest = await answer.rest()
             assert [event.data for event in [first, *rest] if event] == TEXT.split("\n")
             assert await ending == 0
-            assert log_events(proxy)[-1:] == ["dataplane.drained"]
+            assert log_events(proxy)[-1:] == ["dataplane_drained"]
 
     asyncio.run(story())
 
