--- a/cherrycove/tier/replication/elections.py
+++ b/cherrycove/tier/replication/elections.py
@@ -162,6 +162,7 @@
             self._count(now)
 
     def receive_reply(self, sender: MemberIdentity, epoch: int, reply: VoteReply, now: float) -> None:
+        self._learn_commit(reply)
         campaign = self._campaign
         if epoch > self._core.epoch:
             self._core.adopt_epoch(epoch)
@@ -177,6 +178,11 @@
         if reply.unbound and self._campaign is campaign and campaign is not None and campaign.preliminary:
             self._follows_nobody(campaign, sender.member_id, reply.life, now)
 
+    def _learn_commit(self, reply: VoteReply) -> None:
+        """What a voter knows to be committed may close a change of members: the old list has no say then."""
+        if self._core.log.epoch_at(reply.commit_index) == reply.commit_epoch:
+            self._core.advance_commit(reply.commit_index)
+
     # Voting
 
     def receive_request(
@@ -259,6 +265,7 @@
         removed: bool = False,
         unbound: bool = False,
     ) -> None:
+        commit_index = self._core.commit_index
         reply = VoteReply(
             preliminary=request.preliminary,
             epoch=request.epoch,
@@ -266,5 +273,7 @@
             removed=removed,
             unbound=unbound,
             life=self._life if unbound else NO_LIFE,
+            commit_index=commit_index,
+            commit_epoch=self._core.log.epoch_at(commit_index) or 0,
         )
         self._core.send(sender, Message(vote_reply=reply))
