The small tier leaves no daemon behind when it is told to end

Cause: SIGTERM ended the command at once, without its clean-up, and its daemons went on. Ruled out: sessions or process groups killed from outside, which a shell does not do either. SIGTERM is treated as an interruption.

--- a/examples/tier.py
+++ b/examples/tier.py
@@ -24,6 +24,7 @@
 EVENTS = 8  # of one stream, and of one item
 ITEMS = 6
 LONGEST_RUN_S = 60.0
+EXIT_INTERRUPTED = 130
 EXPECTED = [tier_client.StreamEvent(number, f"word {number}") for number in range(1, EVENTS + 1)]
 EXPECTED_TEXT = "\n".join(event.data for event in EXPECTED)
 
@@ -114,8 +115,12 @@
     parser.add_argument("--stay", action="store_true", help="keep it running until interrupted")
     arguments = parser.parse_args()
     sys.stdout.reconfigure(line_buffering=True)  # type: ignore[union-attr]
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # no daemon is left behind
     with tempfile.TemporaryDirectory(prefix="cherrycove-tier-") as directory:
-        return asyncio.run(run(Path(directory), arguments.stay))
+        try:
+            return asyncio.run(run(Path(directory), arguments.stay))
+        except KeyboardInterrupt:
+            return EXIT_INTERRUPTED
 
 
 if __name__ == "__main__":
