--- a/cherrycove/tier/replication/machine.py
+++ b/cherrycove/tier/replication/machine.py
@@ -104,6 +104,12 @@
     def _leading(self) -> Primary | None:
         return self._primary if self._core.role is Role.PRIMARY else None
 
+    def smallest_list(self) -> int:
+        """Size of the smallest member list that has a say here."""
+        electorate = self._core.electorate()
+        sizes = [len(electorate.current), len(electorate.previous or electorate.current)]
+        return min(sizes)
+
     def take_effects(self) -> Effects:
         """What is to be done since effects were taken last."""
         effects, self._core.effects = self._core.effects, Effects()
@@ -194,6 +200,11 @@
             self._receive_hand_over(sender, message, now)
         self._settle(now)
 
+    def disk_replaced(self, member_id: str, now: float) -> None:
+        """The process at the address of ``member_id`` answered that it has another disk."""
+        self._elections.disk_replaced(member_id, now)
+        self._settle(now)
+
     def _receive_from_primary(self, sender: MemberIdentity, message: Message, now: float) -> None:
         if message.epoch < self._core.epoch:
             self._backup.refuse(sender)
--- a/tests/tier/test_replication_machine.py
+++ b/tests/tier/test_replication_machine.py
@@ -7,12 +7,14 @@
 
 import pytest
 
-from cherrycove.tier.protocol.replication_pb2 import Append, Message, VoteRequest
+from cherrycove.tier.protocol.replication_pb2 import Append, Message, VoteReply, VoteRequest
 from cherrycove.tier.replication.core import Role
 from cherrycove.tier.replication.effects import Effects, WritePromise
 from cherrycove.tier.replication.interface import MemberIdentity
+from cherrycove.tier.replication.log import encode_members
 from cherrycove.tier.replication.machine import ReplicaMachine
 from cherrycove.tier.simulation.disk import SimulatedDisk
+from cherrycove.tier.simulation.faults import Faults
 from cherrycove.tier.simulation.replica import Replica
 from cherrycove.tier.simulation.world import NetworkConditions, World
 from cherrycove.tier.storage.entries import EntryKind
@@ -410,3 +412,85 @@
     machine.written(write.ticket, 4.0)
     assert bodies(machine.take_effects()) == ["vote_request", "vote_request"]
     assert machine.epoch == 1
+
+
+def restart(world: World, replicas: list[Replica], after_s: float) -> None:
+    faults = Faults(world, Random(1), emptied_keeps_identity=False)
+    for replica in replicas:
+        faults.kill(replica, after_s)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_replicas_that_all_restart_wait_for_no_lease(seed: int) -> None:
+    world = quiet_world(seed=seed)
+    commit(world, 3.0)
+    restart(world, world.replicas, 0.5)
+    assert wait(world, lambda: world.confirmed() is not None, 2.0) < 0.5 + 0.7
+    assert commit(world, 0.1) < 0.05
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_restarted_replicas_wait_while_a_cut_off_primary_may_hold_a_lease(seed: int) -> None:
+    world = quiet_world(seed=seed)
+    primary = primary_of(world)
+    commit(world, 1.0)
+    others = [replica for replica in world.replicas if replica is not primary]
+    for other in others:
+        world.cuts |= {(primary.address, other.address), (other.address, primary.address)}
+    restart(world, others, 0.1)
+    wait(world, lambda: not machine_of(primary).confirmed(world.now), 1.0)
+    assert world.confirmed() is None
+    assert wait(world, lambda: world.confirmed() is not None, 2.0) > 0.0
+
+
+def test_a_replaced_disk_answers_for_the_replica_before_it() -> None:
+    world = quiet_world()
+    commit(world, 3.0)
+    first, second, third = world.replicas
+    gone = third.disk.member_id
+    restart(world, [first, second], 0.2)
+    third.end(Random(1))
+    wait(world, lambda: first.machine is not None and second.machine is not None, 1.0)
+    heard: dict[str, float] = {}
+
+    def tell() -> None:
+        for replica in (first, second):
+            machine_of(replica).disk_replaced(gone, world.now)
+        if world.confirmed() is not None:
+            heard.setdefault("led", world.now)
+
+    begun = world.now
+    while "led" not in heard:
+        assert world.now - begun < 0.7
+        world.run_until(world.now + STEP_S)
+        tell()
+
+
+def preliminary_vote(granted: bool, commit_index: int = 1, commit_epoch: int = 0) -> Message:
+    reply = VoteReply(preliminary=True, epoch=2, granted=granted)
+    reply.commit_index = commit_index
+    reply.commit_epoch = commit_epoch
+    return Message(epoch=1, vote_reply=reply)
+
+
+def test_a_candidate_learns_from_a_voter_that_its_list_is_committed() -> None:
+    machine, _ = single()
+    heard(machine, 1, 5.0)
+    append = Append(sent_us=2, previous_index=1, previous_epoch=0, commit_index=2)
+    append.entries.add(index=2, epoch=1, kind=EntryKind.NOOP)
+    new_list = encode_members([identity(0), identity(1), identity(3)])
+    append.entries.add(index=3, epoch=1, kind=EntryKind.MEMBERS, payload=new_list)
+    machine.receive(identity(1), Message(epoch=1, append=append), 5.0)
+    machine.written(machine.take_effects().writes[-1].ticket, 5.0)
+    for tick in range(100, 130):
+        machine.tick(tick * 0.05)
+    assert machine.listed() == {"m0", "m1", "m2", "m3"}
+    machine.take_effects()
+    machine.receive(identity(3), preliminary_vote(granted=True), 6.5)
+    assert machine.role is Role.BACKUP
+    machine.receive(identity(2), preliminary_vote(False, commit_index=3, commit_epoch=2), 6.5)
+    assert machine.commit_index == 2
+    machine.receive(identity(2), preliminary_vote(False, commit_index=3, commit_epoch=1), 6.5)
+    assert machine.listed() == {"m0", "m1", "m3"}
+    machine.receive(identity(3), preliminary_vote(granted=True), 6.5)
+    assert machine.role is Role.CANDIDATE
