--- /dev/null
+++ b/examples/tier_processes.py
@@ -0,0 +1,182 @@
+"""The daemons of a small tier as real processes: settings files, start, signals, orderly end.
+
+Every process has an address of its own in 127.0.0.0/8, so that all use the same ports, as on machines.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import secrets
+import signal
+import sys
+from pathlib import Path
+from typing import Any
+
+import attrs
+import yaml
+
+ROOT = Path(__file__).resolve().parent.parent
+CONTROL_PORT = 8166
+FRONTEND_PORT = 8161
+READINESS_PORT = 8167
+INTERNAL_PORTS = [7720, 7735]
+CLASSES = {"keeper": "core", "store": "storage", "proxy": "frontend"}
+SERVES = {"keeper": "control_plane", "store": "storage", "proxy": "frontend"}
+GRACE_PERIOD_S = 2.0
+END_MARGIN_S = 5.0  # beyond the grace period, after which a process that has not ended is killed
+MOST_SEEDS = 3
+LOG_TAIL_BYTES = 4000
+
+
+def draw_network() -> str:
+    """The first three numbers of addresses that no other tier on this machine is likely to use."""
+    return f"127.{secrets.randbelow(254) + 1}.{secrets.randbelow(256)}"
+
+
+@attrs.define(eq=False, kw_only=True)
+class Daemon:
+    """One process of the tier, on an address of its own."""
+
+    program: str
+    number: int  # from 1, among those of its program
+    ip: str
+    directory: Path
+    process: asyncio.subprocess.Process | None = None
+
+    @property
+    def name(self) -> str:
+        return f"{self.program}-{self.number}"
+
+    @property
+    def settings_path(self) -> Path:
+        return self.directory / f"{self.name}.yaml"
+
+    @property
+    def log_path(self) -> Path:
+        return self.directory / f"{self.name}.log"
+
+    @property
+    def frontend(self) -> str:
+        return f"{self.ip}:{FRONTEND_PORT}"
+
+    @property
+    def readiness(self) -> str:
+        return f"{self.ip}:{READINESS_PORT}"
+
+    @property
+    def control_plane(self) -> str:
+        return f"{self.ip}:{CONTROL_PORT}"
+
+    @property
+    def internal(self) -> str:
+        return f"{self.ip}:{INTERNAL_PORTS[0]}"
+
+    @property
+    def running(self) -> bool:
+        return self.process is not None and self.process.returncode is None
+
+    async def start(self) -> None:
+        """Start the process; it says in its log, and by what it serves, when it is up."""
+        environment = {**os.environ, "CHERRYCOVE_CONFIG": str(self.settings_path)}
+        with self.log_path.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "cherrycove.tier", self.program,
+                cwd=ROOT, env=environment, stdout=log, stderr=log, process_group=0,
+            )  # fmt: skip
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to this process, unless it has ended."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def ended(self) -> int:
+        """The exit code; killed if it does not end in time."""
+        if self.process is None:
+            return 0
+        try:
+            async with asyncio.timeout(GRACE_PERIOD_S + END_MARGIN_S):
+                return await self.process.wait()
+        except TimeoutError:
+            self.send(signal.SIGKILL)
+            return await self.process.wait()
+
+    async def terminate(self) -> int:
+        """Ask it to end, and wait until it has; the exit code."""
+        self.send(signal.SIGTERM)
+        return await self.ended()
+
+    async def kill(self) -> None:
+        """End it at once, as a crash does."""
+        self.send(signal.SIGKILL)
+        await self.ended()
+
+    def log_tail(self) -> str:
+        """The last lines that it logged."""
+        text = self.log_path.read_bytes() if self.log_path.exists() else b""
+        return text[-LOG_TAIL_BYTES:].decode("utf-8", "replace")
+
+
+@attrs.frozen(kw_only=True)
+class Sizes:
+    """How many processes of each program there are, and how many machines may be lost at once."""
+
+    keepers: int = 3
+    stores: int = 3
+    proxies: int = 2
+    machine_failures: int = 1
+
+
+def lay_out(directory: Path, sizes: Sizes, platform: str, network: str) -> list[Daemon]:
+    """The daemons of a tier, keepers first, with their settings files written."""
+    daemons: list[Daemon] = []
+    for program, count in (("keeper", sizes.keepers), ("store", sizes.stores), ("proxy", sizes.proxies)):
+        for number in range(1, count + 1):
+            ip = f"{network}.{len(daemons) + 1}"
+            daemons.append(Daemon(program=program, number=number, ip=ip, directory=directory))
+    seeds = [daemon.control_plane for daemon in daemons if daemon.program == "keeper"][:MOST_SEEDS]
+    for daemon in daemons:
+        settings = settings_of(daemon, seeds, platform, sizes)
+        daemon.settings_path.write_text(yaml.safe_dump(settings, sort_keys=False))
+    return daemons
+
+
+def settings_of(daemon: Daemon, seeds: list[str], platform: str, sizes: Sizes) -> dict[str, Any]:
+    """The settings file of one process, as a platform would write it."""
+    zone = f"zone-{daemon.number}"
+    return {
+        "nodeName": daemon.name,
+        "role": daemon.program,
+        "machineClass": CLASSES[daemon.program],
+        "serves": [SERVES[daemon.program]],
+        "ipAddress": daemon.ip,
+        "zone": zone,
+        "region": "region-1",
+        "zones": {zone: "region-1"},
+        "listenAddresses": _listen_addresses(daemon),
+        "internalPortRange": INTERNAL_PORTS,
+        "seedNodes": seeds,
+        "firstStart": True,
+        "countsForQuorum": daemon.program != "proxy",
+        "dataDirectory": None if daemon.program == "proxy" else _data_directory(daemon),
+        "limits": {
+            "memoryMb": 300,
+            "fileDescriptors": 1024,
+            "diskMb": 0 if daemon.program == "proxy" else 64,
+        },
+        "faultTolerance": {"machineFailures": sizes.machine_failures},
+        "bounds": {"gracePeriodS": GRACE_PERIOD_S},
+        "cloudApi": {"address": platform, "ratePerS": 20.0, "maxLagMs": 200},
+    }
+
+
+def _listen_addresses(daemon: Daemon) -> dict[str, str]:
+    if daemon.program == "proxy":
+        return {"frontend": daemon.frontend, "readiness": daemon.readiness}
+    return {"controlPlane": daemon.control_plane} if daemon.program == "keeper" else {}
+
+
+def _data_directory(daemon: Daemon) -> str:
+    path = daemon.directory / f"{daemon.name}.data"
+    path.mkdir()
+    return str(path)
--- a/tests/tier/dataplane_world.py
+++ b/tests/tier/dataplane_world.py
@@ -11,12 +11,12 @@
 from typing import Any
 
 import attrs
-from toy_broker import ToyBroker
 
 from cherrycove.tier.configuration import parse_configuration
 from cherrycove.tier.dataplane import DataPlane
 from cherrycove.tier.distribution.views import Broker, Views
 from cherrycove.tier.settings import FaultTolerance, ListenAddresses, ProcessLimits, Settings
+from examples.toy_broker import ToyBroker
 
 HOST = "nony24.example"
 TIMEOUT_S = 10.0  # of a test's waits; nothing takes that long unless it fails
--- a/tests/tier/test_dataplane_exchanges.py
+++ b/tests/tier/test_dataplane_exchanges.py
@@ -5,7 +5,8 @@
 import asyncio
 
 from dataplane_world import TIMEOUT_S, World, configuration_bytes, route
-from toy_broker import SIGNATURE, Received, ToyBroker, Wire, stream
+
+from examples.toy_broker import SIGNATURE, Received, ToyBroker, Wire, stream
 
 
 def events(first: int, last: int) -> bytes:
--- a/tests/tier/test_dataplane_items.py
+++ b/tests/tier/test_dataplane_items.py
@@ -7,11 +7,11 @@
 import attrs
 from aiohttp import web
 from dataplane_world import HOST, TIMEOUT_S, World, configuration_bytes, route
-from toy_broker import Received, Script, ToyBroker, Wire, echo, stream
 
 from cherrycove.tier.batch.interface import ItemOutcome, ItemState
 from cherrycove.tier.configuration import Route
 from cherrycove.tier.protocol.batch_pb2 import Item, LeasedItem
+from examples.toy_broker import Received, Script, ToyBroker, Wire, echo, stream
 
 
 def leased(**fields: int) -> LeasedItem:
--- /dev/null
+++ b/tests/tier/test_real_processes.py
@@ -0,0 +1,138 @@
+"""The whole tier as real processes on loopback: the command of ``make tier``, and processes that end.
+
+Order comes from facts that are awaited: requests that a broker received, answers of the tier. What may take
+time is bounded by ``examples.small_tier.LONGEST_WAIT_S``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+from examples import tier_client
+from examples.small_tier import CONFIGURATION_PATH, SmallTier, until
+from examples.tier_processes import ROOT, Daemon, Sizes
+from examples.toy_broker import Received, Script, ToyBroker, Wire, stream
+
+EVENTS = 5
+TEXT = "\n".join(f"word {number}" for number in range(1, EVENTS + 1))
+COMMAND_TIMEOUT_S = 90  # of a busy machine; it takes a few seconds
+
+
+def held_stream(gate: asyncio.Event) -> Script:
+    """A stream whose first event comes at once, and the others once ``gate`` is set."""
+
+    async def script(wire: Wire, request: Received) -> None:
+        await wire.stream_head(request)
+        first = int(request.headers.get("last-event-id", "0")) + 1
+        for number in range(first, EVENTS + 1):
+            await wire.event(number, f"word {number}")
+            if number == first:
+                await gate.wait()
+        await wire.end_stream()
+
+    return script
+
+
+def write_next_configuration(directory: Path) -> Path:
+    """A configuration on top of the examples', with one route more."""
+    document = json.loads(CONFIGURATION_PATH.read_text())
+    document["version"] = 7
+    document["routes"].append({**document["routes"][0], "name": "added", "pathPrefix": "/added/"})
+    path = directory / "next-configuration.json"
+    path.write_text(json.dumps(document))
+    return path
+
+
+async def status_of_stream(proxy: Daemon, path: str) -> int:
+    async with tier_client.open_stream(proxy.frontend, path) as answer:
+        return answer.status
+
+
+def test_one_command_runs_a_tier_and_serves_a_stream_and_a_batch_job() -> None:
+    ended = subprocess.run(
+        ["make", "tier", f"PYTHON={sys.executable}"],
+        cwd=ROOT, capture_output=True, text=True, timeout=COMMAND_TIMEOUT_S, check=False,
+    )  # fmt: skip
+    assert ended.returncode == 0, ended.stdout + ended.stderr
+    assert "version 1 is in force" in ended.stdout
+    assert "stream through proxy-1: 200, 8 events: word 1, word 2" in ended.stdout
+    assert "6 of 6 items completed" in ended.stdout
+    assert "ended: proxy-1, proxy-2, store-1, store-2, store-3, keeper-1, keeper-2, keeper-3" in ended.stdout
+
+
+def test_a_configuration_is_taken_after_the_primary_keeper_was_killed(tmp_path: Path) -> None:
+    async def story() -> None:
+        broker = ToyBroker(script=stream(EVENTS))
+        async with SmallTier(tmp_path, [broker], Sizes(keepers=3, stores=0, proxies=1)) as tier:
+            await tier.put_configuration()
+            await tier.ready()
+            (proxy,) = tier.proxies
+            assert await status_of_stream(proxy, "/added/1") == 404
+            lost = await tier.primary("keeper")
+            await lost.kill()
+            said = await tier.put_configuration(write_next_configuration(tmp_path))
+            assert said == "version 7 is in force, on top of version 1"
+
+            async def serves() -> bool:
+                return await status_of_stream(proxy, "/added/2") == 200
+
+            await until("the proxy serves the new route", serves)
+            assert (await tier.primary("keeper")).name != lost.name
+
+    asyncio.run(story())
+
+
+def test_a_job_completes_though_the_primary_store_is_killed_in_its_midst(tmp_path: Path) -> None:
+    async def story() -> None:
+        gate = asyncio.Event()
+        brokers = [ToyBroker(instance_id=f"i-{number}", script=held_stream(gate)) for number in (1, 2)]
+        async with SmallTier(tmp_path, brokers, Sizes(keepers=1, stores=3, proxies=2)) as tier:
+            await tier.put_configuration()
+            await tier.ready()
+            job_id, item_ids = tier_client.new_id(), [tier_client.new_id() for _ in range(8)]
+            first, second = tier.proxies
+            await tier_client.submit(first.frontend, job_id, item_ids)
+            begun = [asyncio.create_task(broker.wait_received()) for broker in brokers]
+            await asyncio.wait(begun, return_when=asyncio.FIRST_COMPLETED)
+            lost = await tier.primary("store")
+            await lost.kill()
+            gate.set()
+            results = await tier_client.results(second.frontend, job_id)
+            for task in begun:
+                task.cancel()
+        assert sorted(result["instanceId"] for result in results) == sorted(item_ids)
+        assert {result["state"] for result in results} == {"completed"}
+        assert {result["message"] for result in results} == {TEXT}
+
+    asyncio.run(story())
+
+
+def test_a_stream_ends_whole_though_its_proxy_is_told_to_end(tmp_path: Path) -> None:
+    async def story() -> None:
+        gate = asyncio.Event()
+        sizes = Sizes(keepers=1, stores=0, proxies=1, machine_failures=0)
+        async with SmallTier(tmp_path, [ToyBroker(script=held_stream(gate))], sizes) as tier:
+            await tier.put_configuration()
+            await tier.ready()
+            (proxy,) = tier.proxies
+            async with tier_client.open_stream(proxy.frontend) as answer:
+                first = await answer.next()
+                ending = asyncio.create_task(proxy.terminate())
+                await tier.answers_readiness(proxy, 503)
+                gate.set()
+                rest = await answer.rest()
+            assert [event.data for event in [first, *rest] if event] == TEXT.split("\n")
+            assert await ending == 0
+            assert log_events(proxy)[-1:] == ["dataplane.drained"]
+
+    asyncio.run(story())
+
+
+def log_events(daemon: Daemon) -> list[str]:
+    lines: list[dict[str, Any]] = [json.loads(line) for line in daemon.log_path.read_text().splitlines()]
+    return [line["event"] for line in lines]
