Excluded disks are committed with the member list

A retiring disk was kept out of the group only by the wish of the plane above, which a new primary may not have yet: a retired standby could be taken in after its order was answered. Group.committed_members gives the list in force with its excluded ids, None while a change is open or without a lease. The newest 512 ids are kept.

A hand-over while a change of members was open could go to the member that the change removes, as the first of equals: members that stay are preferred now.

--- a/cherrycove/tier/replication/backup.py
+++ b/cherrycove/tier/replication/backup.py
@@ -136,5 +136,5 @@
         if core.log.epoch_at(chunk.index) == chunk.entry_epoch:
             core.advance_commit(chunk.index)
             return
-        members = encode_members([from_message(member) for member in chunk.members])
+        members = encode_members([from_message(member) for member in chunk.members], chunk.excluded)
         core.install_snapshot(Snapshot(chunk.index, chunk.entry_epoch, members, state), now)
--- a/cherrycove/tier/replication/core.py
+++ b/cherrycove/tier/replication/core.py
@@ -12,7 +12,7 @@
 from cherrycove.tier.protocol.replication_pb2 import Message
 from cherrycove.tier.replication.effects import Effects, Outgoing, WriteEntries, WritePromise, WriteSnapshot
 from cherrycove.tier.replication.interface import MemberIdentity
-from cherrycove.tier.replication.log import ReplicatedLog, decode_members
+from cherrycove.tier.replication.log import Membership, ReplicatedLog, decode_members
 from cherrycove.tier.replication.quorums import Electorate
 from cherrycove.tier.replication.timing import Timing
 from cherrycove.tier.storage.entries import Entry
@@ -105,6 +105,11 @@
     def members(self) -> tuple[MemberIdentity, ...]:
         return self.log.newest_members.members
 
+    @property
+    def membership(self) -> Membership:
+        """Members and excluded ids of the newest list."""
+        return self.log.newest_members.membership
+
     @property
     def is_member(self) -> bool:
         """Whether the newest list names this replica."""
@@ -263,8 +268,7 @@
     def install_snapshot(self, snapshot: Snapshot, now: float) -> None:
         """Replace the log by ``snapshot``, which is of committed entries not all held here."""
         self._forget_synced(1)
-        members = decode_members(snapshot.members)
-        self.log = ReplicatedLog(snapshot.index, snapshot.epoch, members)
+        self.log = ReplicatedLog(snapshot.index, snapshot.epoch, decode_members(snapshot.members))
         self.commit_index = snapshot.index
         self.effects.committed.clear()
         self.effects.restore = snapshot
--- a/cherrycove/tier/replication/group.py
+++ b/cherrycove/tier/replication/group.py
@@ -18,7 +18,7 @@
 from cherrycove.tier.replication.change_log import ChangeLog
 from cherrycove.tier.replication.core import Role
 from cherrycove.tier.replication.inbox import Inbox
-from cherrycove.tier.replication.interface import MemberIdentity, StateMachine
+from cherrycove.tier.replication.interface import CommittedMembers, MemberIdentity, StateMachine
 from cherrycove.tier.replication.machine import ReplicaMachine
 from cherrycove.tier.replication.proposals import Proposals
 from cherrycove.tier.replication.recruiting import Wishes
@@ -107,6 +107,10 @@
         """Ids of all members whose votes count, also those of the former list while a change is open."""
         return self._machine.listed() if self._machine is not None else frozenset()
 
+    def committed_members(self) -> CommittedMembers | None:
+        machine = self._machine
+        return machine.committed_members(time.monotonic()) if machine is not None else None
+
     def confirmed(self) -> bool:
         return self._machine is not None and self._machine.confirmed(time.monotonic())
 
--- a/cherrycove/tier/replication/interface.py
+++ b/cherrycove/tier/replication/interface.py
@@ -21,6 +21,15 @@
     zone: str = ""
 
 
+@attrs.frozen
+class CommittedMembers:
+    """A member list that is committed and in force, as its primary knows it under a valid lease."""
+
+    index: int  # the list is in force from here on at the latest; a later list never has a lower one
+    members: tuple[MemberIdentity, ...]
+    excluded: frozenset[str]  # ids of disks that are never taken in again
+
+
 class StateMachine(Protocol):
     """State that is a function of the commands applied so far. Runs in the event loop; must not block."""
 
@@ -67,9 +76,13 @@
     def listed(self) -> frozenset[str]:
         """Ids of all members whose votes count, also those of the former list while a change is open."""
 
+    def committed_members(self) -> CommittedMembers | None:
+        """The member list in force. None while a change of members is open, or this replica does not lead
+        under a valid lease."""
+
     def retire(self, names: frozenset[str]) -> None:
         """Machines that must leave the group, by node name or member id; the primary moves their place to
-        standbys, or shrinks."""
+        standbys, or shrinks. Their ids are excluded: committed as never to be taken in again."""
 
     def on_change(self, callback: Callable[[], None]) -> None:
         """Call back after each change of role, epoch, primary or members."""
--- a/cherrycove/tier/replication/log.py
+++ b/cherrycove/tier/replication/log.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 import attrs
 
@@ -12,10 +12,28 @@
 
 KEPT_ENTRIES = 256  # kept in memory before a snapshot, for backups that lag a little
 KEPT_BYTES = 1024 * 1024
+EXCLUDED_LIMIT = 512  # ids kept in a list, the newest; see ``Membership.excluding``
 
 Members = tuple[MemberIdentity, ...]
 
 
+@attrs.frozen
+class Membership:
+    """What a members entry says: who is in the group, and which disks must never be taken in again."""
+
+    members: Members = ()
+    excluded: tuple[str, ...] = ()  # member ids, in the order of their exclusion
+
+    def excluding(self, member_ids: Iterable[str]) -> tuple[str, ...]:
+        """``excluded`` with ``member_ids`` behind, but for the oldest beyond EXCLUDED_LIMIT.
+
+        An id matters only as long as its process may still be offered as a standby, that is until the
+        retired machine is switched off. The limit is far above the number of machines that can be between
+        their order to retire and that moment, and it keeps a list below some twenty kilobytes."""
+        fresh = [member_id for member_id in member_ids if member_id not in self.excluded]
+        return (*self.excluded, *dict.fromkeys(fresh))[-EXCLUDED_LIMIT:]
+
+
 def to_message(member: MemberIdentity) -> Member:
     return Member(
         member_id=member.member_id, node_name=member.node_name, address=member.address, zone=member.zone
@@ -26,32 +44,39 @@
     return MemberIdentity(member.member_id, member.node_name, member.address, member.zone)
 
 
-def encode_members(members: Sequence[MemberIdentity]) -> bytes:
+def encode_members(members: Sequence[MemberIdentity], excluded: Sequence[str] = ()) -> bytes:
     ordered = sorted(members, key=lambda member: member.member_id)
-    message = MemberList(members=[to_message(member) for member in ordered])
+    message = MemberList(members=[to_message(member) for member in ordered], excluded=excluded)
     return message.SerializeToString(deterministic=True)
 
 
-def decode_members(data: bytes) -> Members:
-    return tuple(from_message(member) for member in MemberList.FromString(data).members)
+def decode_members(data: bytes) -> Membership:
+    message = MemberList.FromString(data)
+    return Membership(tuple(from_message(member) for member in message.members), tuple(message.excluded))
 
 
 @attrs.frozen
 class MembersAt:
-    """A member list and the index from which it is in force."""
+    """A member list and an index from which it is in force."""
 
     index: int
-    members: Members
+    membership: Membership
+
+    @property
+    def members(self) -> Members:
+        return self.membership.members
 
 
 class ReplicatedLog:
     """Entries ``base_index + 1`` to ``last_index``."""
 
-    def __init__(self, base_index: int = 0, base_epoch: int = 0, members: Members = ()) -> None:
+    def __init__(
+        self, base_index: int = 0, base_epoch: int = 0, membership: Membership | None = None
+    ) -> None:
         self.base_index = base_index
         self.base_epoch = base_epoch
         self._entries: list[Entry] = []
-        self._lists = [MembersAt(base_index, members)]
+        self._lists = [MembersAt(base_index, membership or Membership())]
 
     @property
     def last_index(self) -> int:
@@ -112,7 +137,7 @@
             base -= 1
         if base <= self.base_index:
             return
-        kept = MembersAt(base, self.members_at(base).members)
+        kept = MembersAt(base, self.members_at(base).membership)
         self._lists = [kept] + [at for at in self._lists if at.index > base]
         self.base_epoch = self.epoch_at(base) or 0
         del self._entries[: base - self.base_index]
--- a/cherrycove/tier/replication/machine.py
+++ b/cherrycove/tier/replication/machine.py
@@ -14,7 +14,7 @@
 from cherrycove.tier.replication.core import INITIAL_EPOCH, ReplicaCore, Role
 from cherrycove.tier.replication.effects import Effects
 from cherrycove.tier.replication.elections import Elections
-from cherrycove.tier.replication.interface import MemberIdentity
+from cherrycove.tier.replication.interface import CommittedMembers, MemberIdentity
 from cherrycove.tier.replication.log import KEPT_ENTRIES, encode_members
 from cherrycove.tier.replication.peers import SnapshotSource
 from cherrycove.tier.replication.primary import Primary
@@ -96,6 +96,14 @@
         electorate = self._core.electorate()
         return frozenset(member.member_id for member in (*electorate.current, *(electorate.previous or ())))
 
+    def committed_members(self, now: float) -> CommittedMembers | None:
+        """The member list in force; None while a change is open or this replica is not confirmed."""
+        core = self._core
+        if core.change_open() or not self.confirmed(now):
+            return None
+        newest = core.log.newest_members
+        return CommittedMembers(newest.index, newest.members, frozenset(newest.membership.excluded))
+
     def confirmed(self, now: float) -> bool:
         """Whether this replica leads under a valid lease and has committed an entry of its epoch."""
         primary = self._leading()
@@ -180,7 +188,8 @@
         """Store ``state``, that of the state machine after all committed entries; the ticket of the write."""
         core = self._core
         index = core.commit_index
-        members = encode_members(core.log.members_at(index).members)
+        membership = core.log.members_at(index).membership
+        members = encode_members(membership.members, membership.excluded)
         snapshot = Snapshot(index, core.log.epoch_at(index) or 0, members, state)
         return core.write_snapshot(snapshot, now)
 
--- a/cherrycove/tier/replication/membership_policy.py
+++ b/cherrycove/tier/replication/membership_policy.py
@@ -7,6 +7,7 @@
 import attrs
 
 from cherrycove.tier.replication.interface import MemberIdentity
+from cherrycove.tier.replication.log import EXCLUDED_LIMIT
 
 
 @attrs.frozen
@@ -19,6 +20,7 @@
     unreachable: frozenset[str]  # member ids that have been silent for too long
     retiring: frozenset[str]  # node names or member ids
     target_size: int
+    excluded: frozenset[str] = frozenset()  # member ids that must not be taken in
 
 
 def is_retiring(member: MemberIdentity, retiring: frozenset[str]) -> bool:
@@ -28,10 +30,11 @@
 
 @attrs.frozen
 class Change:
-    """Take ``add`` in, drop ``remove``, or both in one step."""
+    """Take ``add`` in, drop ``remove``, or both in one step; never take the ids of ``exclude`` in again."""
 
     add: MemberIdentity | None = None
     remove: MemberIdentity | None = None
+    exclude: tuple[str, ...] = ()
 
     def apply(self, members: Iterable[MemberIdentity]) -> tuple[MemberIdentity, ...]:
         removed = self.remove.member_id if self.remove is not None else ""
@@ -58,16 +61,24 @@
     usable = [
         standby
         for standby in view.standbys
-        if standby.member_id not in ids and not is_retiring(standby, view.retiring)
+        if standby.member_id not in ids
+        and standby.member_id not in view.excluded
+        and not is_retiring(standby, view.retiring)
     ]
     return sorted(usable, key=lambda standby: (standby.zone in zones, standby.node_name, standby.member_id))
 
 
+def _replace(view: GroupView, member: MemberIdentity, standby: MemberIdentity | None) -> Change:
+    """Have ``standby`` take the place of ``member``, which is excluded if it is to leave for good."""
+    exclude = (member.member_id,) if is_retiring(member, view.retiring) else ()
+    return Change(add=standby, remove=member, exclude=exclude)
+
+
 def _emptied(view: GroupView, standbys: list[MemberIdentity]) -> Change | None:
     for standby in standbys:
         for member in view.members:
             if member.member_id != view.primary.member_id and _same_machine(standby, member):
-                return Change(add=standby, remove=member)
+                return _replace(view, member, standby)
     return None
 
 
@@ -77,13 +88,25 @@
         return None
     others = [member for member in leaving if member.member_id != view.primary.member_id]
     if others:
-        return Change(add=standbys[0] if standbys else None, remove=others[0])
+        return _replace(view, others[0], standbys[0] if standbys else None)
     return HandOverPrimary() if len(view.members) > 1 else Change(add=standbys[0]) if standbys else None
 
 
+def _retiring_standbys(view: GroupView) -> Change | None:
+    """Exclude standbys that are to leave, so that no later primary takes them in."""
+    ids = {member.member_id for member in view.members}
+    leaving = sorted(
+        standby.member_id
+        for standby in view.standbys
+        if standby.member_id not in ids and is_retiring(standby, view.retiring)
+    )
+    fresh = [member_id for member_id in leaving[:EXCLUDED_LIMIT] if member_id not in view.excluded]
+    return Change(exclude=tuple(fresh)) if fresh else None
+
+
 def _unreachable(view: GroupView, standbys: list[MemberIdentity]) -> Change | None:
     gone = [member for member in view.members if member.member_id in view.unreachable]
-    return Change(add=standbys[0], remove=gone[0]) if gone and standbys else None
+    return _replace(view, gone[0], standbys[0]) if gone and standbys else None
 
 
 def next_step(view: GroupView) -> Step | None:
@@ -95,6 +118,9 @@
     retiring = _retiring(view, standbys)
     if retiring is not None:
         return retiring
+    excluding = _retiring_standbys(view)
+    if excluding is not None:
+        return excluding
     if len(view.members) < view.target_size and standbys:
         return Change(add=standbys[0])
     return _unreachable(view, standbys)
--- a/cherrycove/tier/replication/peers.py
+++ b/cherrycove/tier/replication/peers.py
@@ -134,11 +134,13 @@
         if not data and header.state_bytes > transfer.offset:
             return
         transfer.sent_at = now
+        membership = decode_members(header.members)
         chunk = SnapshotChunk(
             sent_us=microseconds(now),
             index=header.index,
             entry_epoch=header.epoch,
-            members=[to_message(member) for member in decode_members(header.members)],
+            members=[to_message(member) for member in membership.members],
+            excluded=membership.excluded,
             size=header.state_bytes,
             offset=transfer.offset,
             data=data,
--- a/cherrycove/tier/replication/primary.py
+++ b/cherrycove/tier/replication/primary.py
@@ -135,7 +135,8 @@
         if not isinstance(step, Change):
             self.hand_over(now)
             return
-        members = encode_members(step.apply(self._core.members))
+        membership = self._core.membership
+        members = encode_members(step.apply(membership.members), membership.excluding(step.exclude))
         self._append(EntryKind.MEMBERS, members, now)
         self._update_peers(now)
         self.advance(now)
@@ -146,7 +147,8 @@
         ready = [peer for peer in self._peers.values() if peer.responsive(now)]
         if not ready:
             return False
-        best = max(ready, key=lambda peer: (not is_retiring(peer.member, retiring), peer.match_index))
+        staying = {member.member_id for member in self._core.members if not is_retiring(member, retiring)}
+        best = max(ready, key=lambda peer: (peer.member.member_id in staying, peer.match_index))
         best.replicate(now)
         self._core.become(Role.BACKUP, None)
         self._core.send(best.member, Message(hand_over=HandOver()))
--- a/cherrycove/tier/replication/recruiting.py
+++ b/cherrycove/tier/replication/recruiting.py
@@ -61,4 +61,5 @@
             unreachable=unreachable,
             retiring=self._wishes.retiring,
             target_size=2 * self._core.faults + 1,
+            excluded=frozenset(self._core.membership.excluded),
         )
--- a/cherrycove/tier/simulation/ambush.py
+++ b/cherrycove/tier/simulation/ambush.py
@@ -112,7 +112,7 @@
             machine = replica.machine
             if write.entries[0].epoch == 0 or machine is None or machine.role is not Role.PRIMARY:
                 continue
-            newest = decode_members(write.entries[0].payload)[-1].address
+            newest = decode_members(write.entries[0].payload).members[-1].address
             side = {replica.address, newest, *self._newcomers(replica)}
             rest = {other.address for other in self._world.replicas} - side
             pairs = {(one, other) for one in side for other in rest}
--- a/tests/tier/batch_support.py
+++ b/tests/tier/batch_support.py
@@ -26,7 +26,7 @@
 from cherrycove.tier.protocol import batch_pb2 as pb
 from cherrycove.tier.protocol.control_pb2 import Announcement
 from cherrycove.tier.protocol.rpc import RpcClient, RpcServer
-from cherrycove.tier.replication.interface import MemberIdentity
+from cherrycove.tier.replication.interface import CommittedMembers, MemberIdentity
 from cherrycove.tier.settings import Bounds, ProcessLimits, Settings
 
 HOST = "batch.example"
@@ -105,6 +105,9 @@
     def listed(self) -> frozenset[str]:
         return frozenset(member.member_id for member in self.members)
 
+    def committed_members(self) -> CommittedMembers | None:
+        return CommittedMembers(1, self.members, frozenset()) if self.confirmed() else None
+
     def confirmed(self) -> bool:
         return self.cluster.primary is self.identity
 
--- a/tests/tier/control_support.py
+++ b/tests/tier/control_support.py
@@ -24,7 +24,7 @@
 from cherrycove.tier.errors import ErrorKind, Failure
 from cherrycove.tier.protocol.control_pb2 import Announcement, Replica
 from cherrycove.tier.protocol.rpc import RpcClient, RpcServer
-from cherrycove.tier.replication.interface import MemberIdentity
+from cherrycove.tier.replication.interface import CommittedMembers, MemberIdentity
 from cherrycove.tier.settings import (
     Bounds,
     CloudApi,
@@ -77,6 +77,7 @@
         self.standbys: tuple[MemberIdentity, ...] = ()
         self.standbys_offered = asyncio.Event()
         self.retiring: frozenset[str] = frozenset()
+        self.excluded: set[str] = set()
         self.callbacks: list[Callable[[], None]] = []
 
     @property
@@ -95,6 +96,9 @@
     def listed(self) -> frozenset[str]:
         return frozenset(member.member_id for member in self.members)
 
+    def committed_members(self) -> CommittedMembers | None:
+        return CommittedMembers(1, self.members, frozenset(self.excluded)) if self.confirmed() else None
+
     def confirmed(self) -> bool:
         return self._replicas.leader is self and self._replicas.lease
 
--- a/tests/tier/test_replication_machine.py
+++ b/tests/tier/test_replication_machine.py
@@ -239,6 +239,63 @@
     wait(world, left, 4.0)
     assert commit(world, 0.2) < 0.2
     assert len(member_ids(primary_of(world))) == 3
+    committed = machine_of(primary_of(world)).committed_members(world.now)
+    assert committed is not None
+    assert committed.excluded == {retiring.disk.member_id}
+    assert {member.member_id for member in committed.members} == member_ids(primary_of(world))
+
+
+def test_a_retiring_standby_is_excluded_by_a_change_of_its_own_that_snapshots_keep() -> None:
+    world = quiet_world(standbys=1)
+    commit(world, 3.0)
+    primary = primary_of(world)
+    standby = world.replicas[3]
+    before = machine_of(primary).committed_members(world.now)
+    assert before is not None
+    assert before.excluded == frozenset()
+    world.retiring = frozenset({standby.address})
+    world.offer()
+
+    def excluded(replica: Replica) -> bool:
+        known = machine_of(replica).committed_members(world.now)
+        return known is not None and known.excluded == {standby.disk.member_id}
+
+    wait(world, lambda: excluded(primary), 1.0)
+    after = machine_of(primary).committed_members(world.now)
+    assert after is not None
+    assert after.members == before.members
+    assert after.index > before.index
+    for _ in range(30):
+        commit(world, 3.0)
+    lost = next(replica for replica in world.replicas[:3] if replica is not primary)
+    world.wipe(lost)
+    world.start(lost)
+    world.offer()
+    wait(world, lambda: lost.disk.member_id in member_ids(lost), 3.0)
+    assert lost.disk.snapshot is not None
+    world.retiring = frozenset()
+    world.offer()
+    world.hand_over(primary)
+    wait(world, lambda: world.confirmed() is not None and world.confirmed() is not primary, 1.0)
+    lost.end(Random(1))
+    world.run_until(world.now + 4.0)
+    assert excluded(primary_of(world))
+    assert standby.disk.member_id not in member_ids(primary_of(world))
+
+
+def test_committed_members_are_unknown_to_backups_and_while_a_change_is_open() -> None:
+    world = quiet_world(standbys=1)
+    commit(world, 3.0)
+    primary = primary_of(world)
+    backups = [replica for replica in world.replicas[:3] if replica is not primary]
+    assert all(machine_of(replica).committed_members(world.now) is None for replica in backups)
+    for backup in backups:
+        backup.stalled_until = world.now + 60.0
+    world.retiring = frozenset({world.replicas[3].address})
+    world.offer()
+    world.run_until(world.now + 0.3)
+    assert machine_of(primary).confirmed(world.now)
+    assert machine_of(primary).committed_members(world.now) is None
 
 
 def test_a_member_that_alone_knows_of_its_removal_leads_until_that_is_committed() -> None:
--- a/tests/tier/test_replication_policy.py
+++ b/tests/tier/test_replication_policy.py
@@ -23,9 +23,10 @@
     standbys: tuple[MemberIdentity, ...] = (),
     unreachable: tuple[MemberIdentity, ...] = (),
     retiring: str = "",
+    excluded: frozenset[str] = frozenset(),
 ) -> Step | None:
     silent = frozenset(one.member_id for one in unreachable)
-    return next_step(GroupView(A, members, standbys, silent, frozenset(retiring), 3))
+    return next_step(GroupView(A, members, standbys, silent, frozenset(retiring), 3, excluded))
 
 
 def test_nothing_to_do() -> None:
@@ -49,23 +50,40 @@
 
 def test_a_retiring_member_is_replaced_or_removed_where_enough_are_left() -> None:
     assert step(retiring="b") is None
-    assert step(retiring="b", standbys=(D,)) == Change(add=D, remove=B)
-    assert step(members=(A, B, C, D), retiring="b") == Change(remove=B)
-    assert step(retiring="bd", standbys=(D,)) is None
+    assert step(retiring="b", standbys=(D,)) == Change(add=D, remove=B, exclude=(B.member_id,))
+    assert step(members=(A, B, C, D), retiring="b") == Change(remove=B, exclude=(B.member_id,))
+    barred = frozenset({D.member_id})
+    assert step(retiring="bd", standbys=(D,), excluded=barred) is None
+
+
+def test_a_retiring_standby_is_excluded_once() -> None:
+    assert step(retiring="bd", standbys=(D,)) == Change(exclude=(D.member_id,))
+    assert step(retiring="d", standbys=(B, D)) == Change(exclude=(D.member_id,))
+    assert step(retiring="d", standbys=(D,), excluded=frozenset({D.member_id})) is None
+
+
+def test_an_excluded_disk_is_taken_in_no_more_not_even_after_its_order() -> None:
+    barred = frozenset({D.member_id})
+    assert step(members=(A, B), standbys=(D,), excluded=barred) is None
+    assert step(unreachable=(C,), standbys=(D,), excluded=barred) is None
+    assert step(retiring="b", standbys=(D,), excluded=barred) is None
+    emptied = member("d", "new")
+    assert step(members=(A, B), standbys=(D, emptied), excluded=barred) == Change(add=emptied)
 
 
 def test_a_retiring_member_is_known_by_its_disk_where_names_are_unknown() -> None:
     unnamed = MemberIdentity("first-b", "", "b:1")
     view = GroupView(A, (A, unnamed, C), (D,), frozenset(), frozenset({"b", "first-b"}), 3)
-    assert next_step(view) == Change(add=D, remove=unnamed)
-    blocked = GroupView(A, (A, unnamed, C), (D,), frozenset(), frozenset({"first-b", D.member_id}), 3)
+    assert next_step(view) == Change(add=D, remove=unnamed, exclude=("first-b",))
+    leaving = frozenset({"first-b", D.member_id})
+    blocked = GroupView(A, (A, unnamed, C), (D,), frozenset(), leaving, 3, frozenset({D.member_id}))
     assert next_step(blocked) is None
 
 
 def test_a_retiring_primary_hands_over_last() -> None:
     assert step(retiring="a") is None
     assert step(retiring="a", standbys=(D,)) == HandOverPrimary()
-    assert step(retiring="ab", standbys=(D,)) == Change(add=D, remove=B)
+    assert step(retiring="ab", standbys=(D,)) == Change(add=D, remove=B, exclude=(B.member_id,))
     assert step(members=(A,), retiring="a", standbys=(D,)) == Change(add=D)
 
 
