Internal calls: planes depend on protocols, not on the HTTP classes

Caller and CallRegistry in protocol/interface.py are what the planes need of internal calls; RpcClient and RpcServer satisfy them, and a simulated network can stand in. A call may name the receiver it is meant for.

--- a/cherrycove/tier/batch/client.py
+++ b/cherrycove/tier/batch/client.py
@@ -12,7 +12,7 @@
 from cherrycove.tier.distribution.views import Views
 from cherrycove.tier.errors import ErrorKind, Failure
 from cherrycove.tier.protocol import batch_pb2 as pb
-from cherrycove.tier.protocol.rpc import RpcClient
+from cherrycove.tier.protocol.interface import Caller
 from cherrycove.tier.settings import Settings
 
 TRY_TIMEOUT_S = 0.8  # of one call; a dead store says nothing
@@ -71,7 +71,7 @@
 class BatchClient:
     """Typed calls of the batch plane."""
 
-    def __init__(self, client: RpcClient, views: Views, settings: Settings) -> None:
+    def __init__(self, client: Caller, views: Views, settings: Settings) -> None:
         self._client = client
         self._finder = PrimaryFinder(views, settings)
 
@@ -116,7 +116,7 @@
     """All tries of one call."""
 
     def __init__(
-        self, client: RpcClient, finder: PrimaryFinder, name: str, request: Message, try_timeout_s: float
+        self, client: Caller, finder: PrimaryFinder, name: str, request: Message, try_timeout_s: float
     ) -> None:
         self._client = client
         self._finder = finder
--- a/cherrycove/tier/batch/store.py
+++ b/cherrycove/tier/batch/store.py
@@ -30,7 +30,7 @@
 from cherrycove.tier.batch.signals import ResultSignals
 from cherrycove.tier.errors import ErrorKind, Failure
 from cherrycove.tier.protocol import batch_pb2 as pb
-from cherrycove.tier.protocol.rpc import RpcServer
+from cherrycove.tier.protocol.interface import CallRegistry
 from cherrycove.tier.replication.interface import Group
 from cherrycove.tier.settings import Settings
 
@@ -57,7 +57,7 @@
         settings: Settings,
         group: Group,
         state: JobsState,
-        server: RpcServer,
+        server: CallRegistry,
         *,
         clock: Callable[[], float] = time.monotonic,
         wall_clock: Callable[[], float] = time.time,
--- a/cherrycove/tier/cli/status.py
+++ b/cherrycove/tier/cli/status.py
@@ -15,6 +15,7 @@
 from cherrycove.tier.cli.operator_command import TIMEOUT_OPTION
 from cherrycove.tier.errors import ErrorKind, Failure
 from cherrycove.tier.protocol.control_pb2 import Announcement, BrokerEntry, Replica
+from cherrycove.tier.protocol.interface import Caller
 from cherrycove.tier.protocol.keeper_pb2 import StatusReply, StatusRequest
 from cherrycove.tier.protocol.rpc import RpcClient
 
@@ -60,7 +61,7 @@
         await client.stop()
 
 
-async def _ask(client: RpcClient, keepers: Sequence[str]) -> StatusReply:
+async def _ask(client: Caller, keepers: Sequence[str]) -> StatusReply:
     problems = []
     found: StatusReply | None = None
     for keeper in keepers:
@@ -78,7 +79,7 @@
     return found
 
 
-async def _ask_named_primary(client: RpcClient, reply: StatusReply) -> StatusReply:
+async def _ask_named_primary(client: Caller, reply: StatusReply) -> StatusReply:
     """The primary's own status, or else ``reply``."""
     for member in reply.members:
         if reply.primary and member.node_name == reply.primary:
@@ -88,7 +89,7 @@
     return reply
 
 
-async def _ask_one(client: RpcClient, address: str) -> Result[StatusReply, Failure]:
+async def _ask_one(client: Caller, address: str) -> Result[StatusReply, Failure]:
     return await client.call(address, STATUS_CALL, StatusRequest(), StatusReply, CALL_TIMEOUT_S)
 
 
--- a/cherrycove/tier/controlplane/keeper.py
+++ b/cherrycove/tier/controlplane/keeper.py
@@ -25,8 +25,8 @@
 from cherrycove.tier.distribution.views import Views
 from cherrycove.tier.errors import Failure
 from cherrycove.tier.protocol.control_pb2 import BrokerList, PullRequest, Replica
+from cherrycove.tier.protocol.interface import Caller, CallRegistry
 from cherrycove.tier.protocol.keeper_pb2 import Command, FormStoreGroup, StatusReply, StatusRequest
-from cherrycove.tier.protocol.rpc import RpcClient, RpcServer
 from cherrycove.tier.replication.interface import Group, MemberIdentity
 from cherrycove.tier.settings import Settings
 
@@ -50,8 +50,8 @@
         settings: Settings,
         group: Group,
         state: ControlState,
-        server: RpcServer,
-        client: RpcClient,
+        server: CallRegistry,
+        client: Caller,
         views: Views | None = None,
     ) -> None:
         """The caller starts and stops ``server`` and ``client``; ``state`` is the group's state machine.
--- a/cherrycove/tier/distribution/publisher.py
+++ b/cherrycove/tier/distribution/publisher.py
@@ -11,7 +11,7 @@
 from cherrycove.tier.distribution.topics import TopicBoard, VersionVector
 from cherrycove.tier.errors import ErrorKind, Failure
 from cherrycove.tier.protocol.control_pb2 import PullReply, PullRequest
-from cherrycove.tier.protocol.rpc import RpcServer
+from cherrycove.tier.protocol.interface import CallRegistry
 
 PULL_CALL = "pull"
 MAX_WAIT_S = 5.0  # a call is never held longer, whatever it asks for
@@ -39,7 +39,7 @@
         self._news = asyncio.Event()
         self._closed = False
 
-    def serve_on(self, server: RpcServer) -> None:
+    def serve_on(self, server: CallRegistry) -> None:
         server.register(PULL_CALL, PullRequest, self.pull)
 
     def wake(self) -> None:
--- a/cherrycove/tier/distribution/puller.py
+++ b/cherrycove/tier/distribution/puller.py
@@ -23,7 +23,7 @@
     PullRequest,
     TopicUpdate,
 )
-from cherrycove.tier.protocol.rpc import RpcClient
+from cherrycove.tier.protocol.interface import Caller
 from cherrycove.tier.settings import Settings
 
 WAIT_MS = 700  # how long the keeper may hold a pull
@@ -95,7 +95,7 @@
     def __init__(
         self,
         settings: Settings,
-        client: RpcClient,
+        client: Caller,
         views: Views,
         announce: Callable[[], Announcement],
     ) -> None:
--- a/cherrycove/tier/membership/swim.py
+++ b/cherrycove/tier/membership/swim.py
@@ -16,6 +16,7 @@
 from cherrycove.tier.membership.effects import Effect, MemberChanged, SendDatagram, StartExchange
 from cherrycove.tier.membership.machine import SwimMachine
 from cherrycove.tier.membership.model import Member, MemberState, MemberStatus, Parameters
+from cherrycove.tier.protocol.interface import Caller, CallRegistry
 from cherrycove.tier.protocol.membership_pb2 import (
     CompareReply,
     CompareRequest,
@@ -23,7 +24,6 @@
     MergeReply,
     MergeRequest,
 )
-from cherrycove.tier.protocol.rpc import RpcClient, RpcServer
 from cherrycove.tier.settings import Settings
 
 COMPARE_CALL = "membership.compare"
@@ -44,8 +44,8 @@
         settings: Settings,
         program: str,
         incarnation: str,
-        server: RpcServer,
-        client: RpcClient,
+        server: CallRegistry,
+        client: Caller,
         rng: random.Random,
     ) -> None:
         """``incarnation`` is new at each start of the process. Registers its calls at ``server``."""
--- a/cherrycove/tier/programs/replica.py
+++ b/cherrycove/tier/programs/replica.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 
 from cherrycove.tier.protocol.control_pb2 import Announcement, Replica
-from cherrycove.tier.protocol.rpc import RpcClient, RpcServer
+from cherrycove.tier.protocol.interface import Caller, CallRegistry
 from cherrycove.tier.replication.group import ReplicatedGroup
 from cherrycove.tier.replication.interface import MemberIdentity, StateMachine
 from cherrycove.tier.settings import Settings
@@ -19,8 +19,8 @@
     program: str,
     settings: Settings,
     machine: StateMachine,
-    server: RpcServer,
-    client: RpcClient,
+    server: CallRegistry,
+    client: Caller,
 ) -> tuple[ReplicatedGroup, bool]:
     """The group of ``program`` on this machine's disk, and whether the disk was empty."""
     if settings.data_directory is None:
--- a/cherrycove/tier/protocol/rpc.py
+++ b/cherrycove/tier/protocol/rpc.py
@@ -8,8 +8,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
-from typing import Any, TypeVar
+from collections.abc import Callable
+from typing import Any
 
 import aiohttp
 from aiohttp import web
@@ -17,6 +17,7 @@
 from result import Err, Ok, Result
 
 from cherrycove.tier.errors import ErrorKind, Failure
+from cherrycove.tier.protocol.interface import Handler, Reply
 
 KIND_HEADER = "X-Error-Kind"
 PRIMARY_HEADER = "X-Primary"
@@ -24,9 +25,6 @@
 CONNECT_TIMEOUT_S = 0.5
 SHUTDOWN_TIMEOUT_S = 0.2
 
-Reply = TypeVar("Reply", bound=Message)
-Handler = Callable[[Any], Awaitable[Result[Any, Failure]]]
-
 
 class RpcServer:
     """Serves registered calls on one address."""
@@ -102,7 +100,13 @@
             self._session = None
 
     async def call(
-        self, address: str, name: str, message: Message, reply_type: type[Reply], timeout_s: float
+        self,
+        address: str,
+        name: str,
+        message: Message,
+        reply_type: type[Reply],
+        timeout_s: float,
+        receiver: str = "",
     ) -> Result[Reply, Failure]:
         """One call to ``address`` (host:port), answered within ``timeout_s`` seconds or failed."""
         if self._session is None:
--- a/cherrycove/tier/replication/group.py
+++ b/cherrycove/tier/replication/group.py
@@ -13,8 +13,8 @@
 from result import Err, Ok, Result
 
 from cherrycove.tier.errors import ErrorKind, Failure
+from cherrycove.tier.protocol.interface import Caller, CallRegistry
 from cherrycove.tier.protocol.replication_pb2 import Batch, Message
-from cherrycove.tier.protocol.rpc import RpcClient, RpcServer
 from cherrycove.tier.replication.change_log import ChangeLog
 from cherrycove.tier.replication.core import Role
 from cherrycove.tier.replication.inbox import Inbox
@@ -50,8 +50,8 @@
         directory: Path,
         faults: int,
         machine: StateMachine,
-        server: RpcServer,
-        client: RpcClient,
+        server: CallRegistry,
+        client: Caller,
         disk_limit_bytes: int = 0,
         random: Random | None = None,
         timing: Timing | None = None,
--- a/cherrycove/tier/replication/transport.py
+++ b/cherrycove/tier/replication/transport.py
@@ -9,8 +9,8 @@
 
 from result import Ok
 
+from cherrycove.tier.protocol.interface import Caller
 from cherrycove.tier.protocol.replication_pb2 import Batch, Message
-from cherrycove.tier.protocol.rpc import RpcClient
 from cherrycove.tier.replication.interface import MemberIdentity
 
 CALL_TIMEOUT_S = 0.5
@@ -23,7 +23,7 @@
 class PeerSender:
     """Sends what is queued for one peer, one call at a time."""
 
-    def __init__(self, client: RpcClient, call: str, peer: MemberIdentity, on_reply: ReplyHandler) -> None:
+    def __init__(self, client: Caller, call: str, peer: MemberIdentity, on_reply: ReplyHandler) -> None:
         self._client = client
         self._call = call
         self._peer = peer
@@ -76,7 +76,7 @@
 class Transport:
     """Senders to all peers of one group."""
 
-    def __init__(self, client: RpcClient, call: str, on_reply: ReplyHandler) -> None:
+    def __init__(self, client: Caller, call: str, on_reply: ReplyHandler) -> None:
         self._client = client
         self._call = call
         self._on_reply = on_reply
