Internal calls: a reply belongs to its call by name, and no session repeats a request by itself

Cause: a reply was matched to its call only by its place on a connection, so a second or late reply could become the answer to the next call; and the HTTP library repeats requests of some methods by itself when a kept connection turns out closed, which only the sessions to brokers had switched off (the platform's list and the operator's commands had not). Change: calls carry the caller's life, a number and the member they are meant for; replies repeat them; what does not is dropped with its connection and the call is UNCERTAIN. A server that is another member refuses without running the call (MISDIRECTED, certain). An idle connection on which anything came is not used again. Redirects are not followed. protocol/sessions.py makes all client sessions with the repeats off; a test finds any made elsewhere.

--- a/cherrycove/tier/cli/operator_client.py
+++ b/cherrycove/tier/cli/operator_client.py
@@ -11,6 +11,7 @@
 import attrs
 
 from cherrycove.tier.cli.command import CommandError, ExitCode, Problem
+from cherrycove.tier.protocol.sessions import client_session
 
 MAX_REDIRECTS = 2
 ATTEMPT_TIMEOUT_S = 2.0
@@ -48,11 +49,11 @@
         _check_address(address)
     last = Problem("no answer", ", ".join(addresses))
     try:
-        async with asyncio.timeout(timeout_s), aiohttp.ClientSession() as session:
+        async with asyncio.timeout(timeout_s), client_session() as session:
             pause_s = FIRST_PAUSE_S
             while True:
                 for address in addresses:
-                    answer = await _attempt(session, address, request)
+                    answer = await attempt(session, address, request)
                     if isinstance(answer, HttpAnswer):
                         return answer
                     last = answer
@@ -62,7 +63,7 @@
         raise CommandError(ExitCode.UNANSWERED, last) from None
 
 
-async def _attempt(session: aiohttp.ClientSession, address: str, request: HttpCall) -> HttpAnswer | Problem:
+async def attempt(session: aiohttp.ClientSession, address: str, request: HttpCall) -> HttpAnswer | Problem:
     """A clear answer, or why there is none."""
     timeout = aiohttp.ClientTimeout(total=ATTEMPT_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S)
     url = f"http://{address}{request.path}"
--- a/cherrycove/tier/dataplane/upstream.py
+++ b/cherrycove/tier/dataplane/upstream.py
@@ -29,6 +29,7 @@
     instance_load,
 )
 from cherrycove.tier.distribution.views import Broker
+from cherrycove.tier.protocol.sessions import client_session
 
 CONNECT_TIMEOUT_S = 0.25
 PLACE_TIMEOUT_S = 0.5  # for a place among the connections of a broker, and the connection itself
@@ -147,10 +148,9 @@
         trace = aiohttp.TraceConfig()
         trace.on_request_headers_sent.append(_mark_sent)
         self._connector = BrokerConnector(self._most, self._most)
-        self._session = aiohttp.ClientSession(
+        self._session = client_session(
             connector=self._connector,
             request_class=BrokerRequest,
-            cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
             trace_configs=[trace],
             skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
@@ -159,8 +159,6 @@
                 total=None, connect=PLACE_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S
             ),
         )
-        # The library repeats a request by itself when a kept connection turns out to be closed.
-        self._session._retry_connection = False
 
     async def stop(self) -> None:
         if self._session is not None:
--- a/cherrycove/tier/errors.py
+++ b/cherrycove/tier/errors.py
@@ -19,6 +19,7 @@
     CONFLICT = "conflict"  # the order contradicts the present state
     VERSION_MISMATCH = "version_mismatch"  # another configuration version is current
     TOO_LARGE = "too_large"  # over a size limit
+    MISDIRECTED = "misdirected"  # meant for another process at this address; certainly nothing was done
     NOT_PRIMARY = "not_primary"  # this replica does not lead; certainly nothing was done
     UNAVAILABLE = "unavailable"  # cannot serve now; certainly nothing was done
     OVERLOADED = "overloaded"  # no room; certainly nothing was done
@@ -42,6 +43,7 @@
     ErrorKind.CONFLICT: Answer(409),
     ErrorKind.VERSION_MISMATCH: Answer(412),
     ErrorKind.TOO_LARGE: Answer(413),
+    ErrorKind.MISDIRECTED: Answer(503, 0.1),
     ErrorKind.NOT_PRIMARY: Answer(503, 0.1),
     ErrorKind.UNAVAILABLE: Answer(503, 0.2),
     ErrorKind.OVERLOADED: Answer(503, 0.2),
--- a/cherrycove/tier/programs/store.py
+++ b/cherrycove/tier/programs/store.py
@@ -30,6 +30,7 @@
         self._joined = False
         self._joining: asyncio.Task[None] | None = None
         self._group, self._fresh = open_group(PROGRAM, settings, self._state, self._server, self._client)
+        self._server.identify(self._group.identity.member_id)
         self._store = BatchStore(settings, self._group, self._state, self._server)
         self._views = Views()
         self._puller = Puller(settings, self._client, self._views, self._announce)
--- a/cherrycove/tier/protocol/rpc.py
+++ b/cherrycove/tier/protocol/rpc.py
@@ -1,28 +1,48 @@
 """Internal calls: protobuf messages in HTTP bodies, by aiohttp on both sides.
 
 A call is ``POST /rpc/NAME``. A 200 carries the reply message; any other status carries an ``X-Error-Kind`` of
-the closed list, a sentence as body and, for NOT_PRIMARY, the address of the primary in ``X-Primary``. A call
-that gets no answer is UNREACHABLE when no connection came up and UNCERTAIN otherwise.
+the closed list, a sentence as body and, for NOT_PRIMARY, the address of the primary in ``X-Primary``.
+
+A reply belongs to its call by name, not by its place on a connection: a call carries the life of its caller
+and its number in that life (``X-Call``) and, where the caller means one member only, that member's id
+(``X-Receiver``). The reply repeats both. What does not repeat them is no reply to this call: it is dropped
+together with its connection. A server that is not the receiver refuses without running the call.
+
+A call is sent once. One that gets no reply is UNREACHABLE if no connection came up, which proves that nothing
+was sent, and UNCERTAIN in all other cases: it may have run.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+import itertools
+import secrets
+from collections.abc import Callable, Mapping
+from functools import partial
 from typing import Any
 
 import aiohttp
-from aiohttp import web
+from aiohttp import StreamReader, web
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.connector import Connection
+from aiohttp.http import RawResponseMessage
 from google.protobuf.message import DecodeError, Message
 from result import Err, Ok, Result
 
+from cherrycove.sockets import unread
 from cherrycove.tier.errors import ErrorKind, Failure
 from cherrycove.tier.protocol.interface import Handler, Reply
+from cherrycove.tier.protocol.sessions import client_session
 
 KIND_HEADER = "X-Error-Kind"
 PRIMARY_HEADER = "X-Primary"
+CALL_HEADER = "X-Call"
+RECEIVER_HEADER = "X-Receiver"
+IDENTITY_HEADERS = (CALL_HEADER, RECEIVER_HEADER)  # of a call, repeated by its reply
+LIFE_BYTES = 6
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 CONNECT_TIMEOUT_S = 0.5
+KEEP_ALIVE_S = 30.0
 SHUTDOWN_TIMEOUT_S = 0.2
 
 
@@ -31,8 +51,14 @@
 
     def __init__(self) -> None:
         self._calls: dict[str, tuple[type[Message], Handler]] = {}
+        self.identity = ""  # the member that this process is; "": not told
         self._runner: web.ServerRunner | None = None
 
+    def identify(self, member_id: str) -> None:
+        """From now on calls that are meant for another member are refused. A server that has not been told
+        who it is leaves that to its handlers."""
+        self.identity = member_id
+
     def register(self, name: str, request_type: type[Message], handler: Handler) -> None:
         """``handler`` takes a message of ``request_type`` and returns a Result of a reply message."""
         self._calls[name] = (request_type, handler)
@@ -50,10 +76,20 @@
             self._runner = None
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        response = await self._respond(request)
+        for name in IDENTITY_HEADERS:
+            if name in request.headers:
+                response.headers[name] = request.headers[name]
+        return response
+
+    async def _respond(self, request: web.BaseRequest) -> web.Response:
         name = request.path.removeprefix("/rpc/")
         call = self._calls.get(name)
         if call is None:
             return _error(Failure(ErrorKind.UNAVAILABLE, f"no call {name!r}"))
+        receiver = request.headers.get(RECEIVER_HEADER, "")
+        if receiver and self.identity and receiver != self.identity:
+            return _error(Failure(ErrorKind.MISDIRECTED, f"meant for {receiver}, this is {self.identity}"))
         request_type, handler = call
         try:
             message = request_type.FromString(await request.read())
@@ -84,15 +120,72 @@
     return web.Response(status=failure.answer.status, text=failure.detail, headers=headers)
 
 
+class StrayReplyError(aiohttp.ClientConnectionError):
+    """What came on a connection is not the reply to the call that was sent over it."""
+
+
+class CallConnection(ResponseHandler):
+    """The library's connection, which takes the reply to the call that was sent last, and nothing else.
+
+    The library puts whatever comes into one queue, where a second or late reply would be the next call's.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self._expected: dict[str, str | None] = {}
+
+    def expect(self, headers: Mapping[str, str]) -> None:
+        """From now on only the reply to the call with these header fields is taken."""
+        self._expected = {name: headers.get(name) for name in IDENTITY_HEADERS}
+
+    def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
+        """From the library's parser: the head of a reply, and the body to come."""
+        headers = data[0].headers
+        expected, self._expected = self._expected, {}
+        if expected and all(headers.get(name) == value for name, value in expected.items()):
+            return super().feed_data(data, size)
+        self.set_exception(StrayReplyError("the reply to another call"))
+        if self.transport is not None:
+            self.transport.close()
+
+    def is_connected(self) -> bool:
+        """Asked while the connection stands idle: what came since the last reply, read or not, is an end, a
+        fault or a second reply."""
+        if self.transport is None or not super().is_connected():
+            return False
+        return not self.should_close and not unread(self.transport)
+
+
+class CallRequest(aiohttp.ClientRequest):
+    """A call that tells its connection which reply to take."""
+
+    async def send(self, conn: Connection) -> aiohttp.ClientResponse:
+        protocol = conn.protocol
+        assert isinstance(protocol, CallConnection)
+        protocol.expect(self.headers)
+        return await super().send(conn)
+
+
+class CallConnector(aiohttp.TCPConnector):
+    """The library's pool, with connections of ours."""
+
+    def __init__(self) -> None:
+        super().__init__(limit=0, keepalive_timeout=KEEP_ALIVE_S)
+        self._factory = partial(CallConnection, loop=self._loop)  # type: ignore[assignment]
+
+
 class RpcClient:
     """Makes internal calls over pooled connections."""
 
     def __init__(self) -> None:
         self._session: aiohttp.ClientSession | None = None
+        self._life = secrets.token_hex(LIFE_BYTES)
+        self._numbers = itertools.count(1)
 
     async def start(self) -> None:
-        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=30.0)
-        self._session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
+        self._session = client_session(
+            connector=CallConnector(), request_class=CallRequest, auto_decompress=False
+        )
 
     async def stop(self) -> None:
         if self._session is not None:
@@ -108,14 +201,18 @@
         timeout_s: float,
         receiver: str = "",
     ) -> Result[Reply, Failure]:
-        """One call to ``address`` (host:port), answered within ``timeout_s`` seconds or failed."""
+        """One call to ``address`` (host:port), sent once, answered within ``timeout_s`` seconds or failed."""
         if self._session is None:
             return Err(Failure(ErrorKind.UNREACHABLE, "client is not started"))
+        identity = {CALL_HEADER: f"{self._life}.{next(self._numbers)}"}
+        if receiver:
+            identity[RECEIVER_HEADER] = receiver
         timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=min(CONNECT_TIMEOUT_S, timeout_s))
         try:
             async with self._session.post(
-                f"http://{address}/rpc/{name}", data=message.SerializeToString(), timeout=timeout
-            ) as response:
+                f"http://{address}/rpc/{name}", data=message.SerializeToString(), headers=identity,
+                timeout=timeout, allow_redirects=False,
+            ) as response:  # fmt: skip
                 body = await response.read()
                 if response.status == 200:
                     return Ok(reply_type.FromString(body))
--- a/cherrycove/tier/replication/transport.py
+++ b/cherrycove/tier/replication/transport.py
@@ -9,6 +9,7 @@
 
 from result import Ok
 
+from cherrycove.tier.errors import ErrorKind
 from cherrycove.tier.protocol.interface import Caller
 from cherrycove.tier.protocol.replication_pb2 import Batch, Message
 from cherrycove.tier.replication.interface import MemberIdentity
@@ -55,9 +56,13 @@
                 receiver_id=self._peer.member_id,
                 messages=self._take(),
             )
-            outcome = await self._client.call(self._peer.address, self._call, batch, Batch, CALL_TIMEOUT_S)
+            outcome = await self._client.call(
+                self._peer.address, self._call, batch, Batch, CALL_TIMEOUT_S, self._peer.member_id
+            )
             if isinstance(outcome, Ok):
                 self._on_reply(self._peer, outcome.ok_value)
+            elif outcome.err_value.kind is ErrorKind.MISDIRECTED:
+                self._on_reply(self._peer, Batch(stranger=True))
 
     def _take(self) -> list[Message]:
         messages = [self._queue.popleft()]
--- /dev/null
+++ b/tests/tier/test_sessions.py
@@ -0,0 +1,181 @@
+"""Every HTTP session of the tier sends a request exactly once, whatever becomes of the connection."""
+
+from __future__ import annotations
+
+import ast
+import asyncio
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import aiohttp
+import pytest
+from multidict import CIMultiDict
+from wire_support import Arrival, Line, LineServer, Script
+
+import cherrycove.tier
+from cherrycove.tier.cli.operator_client import HttpCall, attempt
+from cherrycove.tier.controlplane.broker_list import BrokerListReader
+from cherrycove.tier.dataplane.upstream import Answered, Outgoing, Upstream
+from cherrycove.tier.distribution.views import Broker
+from cherrycove.tier.protocol.batch_pb2 import BodyReply, BodyRequest
+from cherrycove.tier.protocol.rpc import RpcClient
+from cherrycove.tier.protocol.sessions import client_session
+from cherrycove.tier.settings import CloudApi, Settings
+
+TIMEOUT_S = 10.0  # of a test's waits; nothing takes that long unless it fails
+METHODS = ("GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE", "POST", "PATCH")
+TIER = Path(cherrycove.tier.__file__).parent
+HELPER = TIER / "protocol" / "sessions.py"
+
+
+async def closes(line: Line) -> None:
+    await line.close()
+
+
+async def resets(line: Line) -> None:
+    line.reset()
+
+
+ENDS = (closes, resets)
+End = Callable[[Line], Awaitable[None]]
+
+
+def ends_second(end: End) -> Script:
+    """Answers the first request of a connection, and ends it when the second has come in whole."""
+    seen: set[int] = set()
+
+    async def script(line: Line, arrival: Arrival) -> None:
+        if line.number in seen:
+            return await end(line)
+        seen.add(line.number)
+        echoed = {name: arrival.headers[name] for name in ("request-id", "x-call") if name in arrival.headers}
+        await line.answer(status="200 OK", Response_Signature="s", **echoed)
+
+    return script
+
+
+def check(use: Callable[[str, int], Awaitable[bool]], end: End) -> None:
+    """``use(address, number)`` makes one call and tells whether it got a whole answer."""
+
+    async def story() -> None:
+        async with LineServer(ends_second(end)) as server, asyncio.timeout(TIMEOUT_S):
+            assert await use(server.address, 1)
+            assert not await use(server.address, 2)
+            assert [arrival.connection for arrival in server.arrivals] == [1, 1]
+
+    asyncio.run(story())
+
+
+@pytest.mark.parametrize("end", ENDS)
+@pytest.mark.parametrize("method", METHODS)
+def test_a_request_whose_kept_connection_ends_is_sent_once(method: str, end: End) -> None:
+    async def story() -> None:
+        async with LineServer(ends_second(end)) as server, client_session() as session:
+            async with asyncio.timeout(TIMEOUT_S):
+                async with session.request(method, f"http://{server.address}/x") as response:
+                    await response.read()
+                with pytest.raises((aiohttp.ClientError, OSError)):
+                    await session.request(method, f"http://{server.address}/x")
+            assert [arrival.connection for arrival in server.arrivals] == [1, 1]
+
+    asyncio.run(story())
+
+
+@pytest.mark.parametrize("end", ENDS)
+def test_an_internal_call_is_sent_once(end: End) -> None:
+    client = RpcClient()
+
+    async def use(address: str, number: int) -> bool:
+        if number == 1:
+            await client.start()
+        outcome = await client.call(address, "c", BodyRequest(), BodyReply, TIMEOUT_S)
+        if number == 2:
+            assert not outcome.unwrap_err().certain
+            await client.stop()
+        return outcome.is_ok()
+
+    check(use, end)
+
+
+@pytest.mark.parametrize("end", ENDS)
+@pytest.mark.parametrize("method", ("GET", "PUT", "POST"))
+def test_a_request_to_a_broker_is_sent_once(method: str, end: End) -> None:
+    upstream = Upstream(10)
+
+    async def use(address: str, number: int) -> bool:
+        if number == 1:
+            await upstream.start()
+        broker = Broker("i-1", "lm", address, "z", 8, False)
+        outgoing = Outgoing(f"r{number}", method, "/x", CIMultiDict({"Request-Id": f"r{number}"}), b"")
+        outcome = await upstream.send(broker, outgoing, None)
+        if isinstance(outcome, Answered):
+            await outcome.answer.read()
+            outcome.answer.close()
+        if number == 2:
+            await upstream.stop()
+        return isinstance(outcome, Answered)
+
+    check(use, end)
+
+
+@pytest.mark.parametrize("end", ENDS)
+def test_the_platform_is_asked_once(end: End) -> None:
+    readers: list[BrokerListReader] = []
+
+    async def use(address: str, number: int) -> bool:
+        if number == 1:
+            readers.append(BrokerListReader(platform_at(address)))
+            await readers[0].start()
+        outcome = await readers[0].read()
+        if number == 2:
+            await readers[0].stop()
+        return "not JSON" in outcome.unwrap_err().detail  # the empty answer came whole
+
+    check(use, end)
+
+
+@pytest.mark.parametrize("end", ENDS)
+def test_an_operators_call_is_sent_once_in_one_attempt(end: End) -> None:
+    sessions: list[aiohttp.ClientSession] = []
+
+    async def use(address: str, number: int) -> bool:
+        if number == 1:
+            sessions.append(client_session())
+        answer = await attempt(sessions[0], address, HttpCall("PUT", "/api/configuration", body=b"{}"))
+        if number == 2:
+            await sessions[0].close()
+        return getattr(answer, "status", 0) == 200
+
+    check(use, end)
+
+
+def platform_at(address: str) -> Settings:
+    return Settings(
+        node_name="k-1", machine_class="storage", ip_address="127.0.0.1", zone="z", region="r",
+        internal_port_range=[7000, 7010], cloud_api=CloudApi(address=address),
+    )  # fmt: skip
+
+
+def test_no_module_of_the_tier_makes_a_session_elsewhere() -> None:
+    makers = [path for path in sorted(TIER.rglob("*.py")) if _makes_session(path)]
+    assert makers == [HELPER]
+
+
+def _makes_session(path: Path) -> bool:
+    """Whether a module calls, or makes a class of, the library's session, or its request without one."""
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Call) and _named(node.func) in ("ClientSession", "aiohttp.request"):
+            return True
+        if isinstance(node, ast.ClassDef) and any(_named(base) == "ClientSession" for base in node.bases):
+            return True
+    return False
+
+
+def _named(node: ast.expr) -> str:
+    if isinstance(node, ast.Name):
+        return node.id
+    if not isinstance(node, ast.Attribute):
+        return ""
+    if isinstance(node.value, ast.Name) and node.value.id == "aiohttp" and node.attr == "request":
+        return "aiohttp.request"
+    return node.attr
--- /dev/null
+++ b/tests/tier/wire_support.py
@@ -0,0 +1,108 @@
+"""A server on loopback whose replies a test writes by hand, byte by byte, in an order that the test holds."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+
+import attrs
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+@attrs.frozen
+class Arrival:
+    """One request that came in whole."""
+
+    connection: int  # counted from 1
+    method: str
+    target: str
+    headers: dict[str, str]  # names in lower case
+    body: bytes
+
+
+@attrs.define(eq=False)
+class Line:
+    """The server's end of one connection."""
+
+    number: int  # counted from 1
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+    async def write(self, data: bytes) -> None:
+        self.writer.write(data)
+        await self.writer.drain()
+
+    async def answer(self, body: bytes = b"", status: str = "200 OK", **fields: str) -> None:
+        """A whole answer; names of ``fields`` with underscores for hyphens."""
+        lines = [f"HTTP/1.1 {status}", f"Content-Length: {len(body)}"]
+        lines += [f"{name.replace('_', '-')}: {value}" for name, value in fields.items()]
+        await self.write("\r\n".join([*lines, "", ""]).encode() + body)
+
+    async def close(self) -> None:
+        """An orderly end."""
+        self.writer.close()
+        await self.writer.wait_closed()
+
+    def reset(self) -> None:
+        """End the connection by a reset, whatever is still unsent or unread."""
+        place = self.writer.get_extra_info("socket")
+        place.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self.writer.transport.abort()
+
+
+Script = Callable[[Line, Arrival], Awaitable[None]]
+
+
+@attrs.define(eq=False)
+class LineServer:
+    """Counts what arrives and answers each request by ``script``."""
+
+    script: Script
+    arrivals: list[Arrival] = attrs.field(factory=list)
+    connections: int = 0
+    address: str = ""
+    _arrived: asyncio.Condition = attrs.field(factory=asyncio.Condition)
+    _server: asyncio.Server | None = None
+
+    async def __aenter__(self) -> LineServer:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        assert self._server is not None
+        self._server.close()
+
+    async def wait_arrivals(self, count: int) -> None:
+        async with self._arrived:
+            await self._arrived.wait_for(lambda: len(self.arrivals) >= count)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        line = Line(self.connections, reader, writer)
+        try:
+            while (arrival := await _read(line)) is not None:
+                self.arrivals.append(arrival)
+                async with self._arrived:
+                    self._arrived.notify_all()
+                await self.script(line, arrival)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+
+async def _read(line: Line) -> Arrival | None:
+    try:
+        head = await line.reader.readuntil(b"\r\n\r\n")
+    except asyncio.IncompleteReadError:
+        return None
+    first, *lines = head.decode().split("\r\n")[:-2]
+    method, target, _ = first.split(" ")
+    headers = {name.lower(): value.strip() for name, _, value in (each.partition(":") for each in lines)}
+    body = await line.reader.readexactly(int(headers.get("content-length", "0")))
+    return Arrival(line.number, method, target, headers, body)
