--- a/cherrycove/tier/replication/transport.py
+++ b/cherrycove/tier/replication/transport.py
@@ -9,8 +9,9 @@
 
 from result import Ok
 
+from cherrycove.tier.errors import ErrorKind
+from cherrycove.tier.protocol.interface import Caller
 from cherrycove.tier.protocol.replication_pb2 import Batch, Message
-from cherrycove.tier.protocol.rpc import RpcClient
 from cherrycove.tier.replication.interface import MemberIdentity
 
 CALL_TIMEOUT_S = 0.5
@@ -23,7 +24,7 @@
 class PeerSender:
     """Sends what is queued for one peer, one call at a time."""
 
-    def __init__(self, client: RpcClient, call: str, peer: MemberIdentity, on_reply: ReplyHandler) -> None:
+    def __init__(self, client: Caller, call: str, peer: MemberIdentity, on_reply: ReplyHandler) -> None:
         self._client = client
         self._call = call
         self._peer = peer
@@ -55,9 +56,13 @@
                 receiver_id=self._peer.member_id,
                 messages=self._take(),
             )
-            outcome = await self._client.call(self._peer.address, self._call, batch, Batch, CALL_TIMEOUT_S)
+            outcome = await self._client.call(
+                self._peer.address, self._call, batch, Batch, CALL_TIMEOUT_S, self._peer.member_id
+            )
             if isinstance(outcome, Ok):
                 self._on_reply(self._peer, outcome.ok_value)
+            elif outcome.err_value.kind is ErrorKind.MISDIRECTED:
+                self._on_reply(self._peer, Batch(stranger=True))
 
     def _take(self) -> list[Message]:
         messages = [self._queue.popleft()]
@@ -76,7 +81,7 @@
 class Transport:
     """Senders to all peers of one group."""
 
-    def __init__(self, client: RpcClient, call: str, on_reply: ReplyHandler) -> None:
+    def __init__(self, client: Caller, call: str, on_reply: ReplyHandler) -> None:
         self._client = client
         self._call = call
         self._on_reply = on_reply
