--- /dev/null
+++ b/tests/tier/test_deploy_packages.py
@@ -0,0 +1,130 @@
+"""``deploy/system.toml`` lists every system package that the build and the programs need.
+
+A machine of a deployment holds the packages listed there, with what they depend on, and nothing else.
+"""
+
+from __future__ import annotations
+
+import re
+import shlex
+import tomllib
+from collections.abc import Iterator
+from importlib.metadata import Distribution, distribution
+from pathlib import Path
+from typing import Any
+
+import pytest
+from packaging.requirements import Requirement
+
+ROOT = Path(__file__).parents[2]
+SHELL = "sh"  # receives the build line
+PACKAGE_OF_COMMAND = {  # found with dpkg -S
+    SHELL: "dash",
+    "cmp": "diffutils",
+    "cp": "coreutils",
+    "python3": "python3",
+}
+PACKAGE_OF_MODULE = {"pip": "python3-pip", "compileall": "python3", "cherrycove.tier": ""}  # of python3 -m
+PACKAGE_OF_LIBRARY = {
+    "libc.so.6": "libc6",
+    "libm.so.6": "libc6",
+    "libpthread.so.0": "libc6",
+    "libgcc_s.so.1": "libgcc-s1",
+    "libstdc++.so.6": "libstdc++6",
+}
+PACKAGES_OF_PIP = {"ca-certificates"}  # reads the registry over TLS; no command or library names it
+LIBRARY_NAME = re.compile(rb"\0(lib[\w+-]+\.so(?:\.\d+)*)(?=\0)")  # as a file that loads it spells it
+SHELL_OPERATORS = set("&|()")
+
+
+def deployment() -> dict[str, Any]:
+    return tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+
+
+def build_commands() -> list[list[str]]:
+    """The simple commands of the build line."""
+    commands: list[list[str]] = [[]]
+    words = shlex.shlex(deployment()["build"], posix=True, punctuation_chars=True)
+    words.whitespace_split = True
+    for word in words:
+        if set(word) <= SHELL_OPERATORS:
+            commands.append([])
+        else:
+            commands[-1].append(word)
+    return [command for command in commands if command]
+
+
+def run_commands() -> list[list[str]]:
+    return [role["run"].split(" ") for role in deployment()["roles"].values()]
+
+
+def packages_of(command: list[str]) -> set[str]:
+    packages = {PACKAGE_OF_COMMAND[command[0]]}
+    if command[0] == "python3":
+        assert command[1] == "-m"
+        packages |= {PACKAGE_OF_MODULE[command[2]]} - {""}
+    return packages
+
+
+def requirement_lines(name: str) -> Iterator[str]:
+    for line in (ROOT / name).read_text().splitlines():
+        stated = line.partition("#")[0].strip()
+        if stated.startswith("-r "):
+            yield from requirement_lines(stated.removeprefix("-r "))
+        elif stated:
+            yield stated
+
+
+def pinned() -> dict[str, Requirement]:
+    requirements = [Requirement(line) for line in requirement_lines("requirements-tier.txt")]
+    return {canonical(requirement.name): requirement for requirement in requirements}
+
+
+def canonical(name: str) -> str:
+    return re.sub(r"[-_.]+", "-", name).lower()
+
+
+def installed() -> list[Distribution]:
+    return [distribution(name) for name in pinned()]
+
+
+def libraries_loaded() -> set[str]:
+    """Shared libraries that a compiled module of any pinned wheel names."""
+    names: set[str] = set()
+    for wheel in installed():
+        for file in wheel.files or []:
+            if ".so" in file.suffixes:
+                found = LIBRARY_NAME.findall(Path(str(file.locate())).read_bytes())
+                names |= {name.decode() for name in found}
+    return names
+
+
+def test_packages_are_those_of_the_commands_and_libraries_and_no_others() -> None:
+    needed = PACKAGES_OF_PIP | {PACKAGE_OF_COMMAND[SHELL]}
+    for command in build_commands() + run_commands():
+        needed |= packages_of(command)
+    needed |= {PACKAGE_OF_LIBRARY[library] for library in libraries_loaded()}
+    assert deployment()["packages"] == sorted(needed)
+
+
+def test_the_build_takes_wheels_only_so_that_no_compiler_is_needed() -> None:
+    (install,) = [command for command in build_commands() if command[1:4] == ["-m", "pip", "install"]]
+    assert "--only-binary=:all:" in install
+    assert install[-2:] == ["-r", "requirements-tier.txt"]
+
+
+@pytest.mark.parametrize("name", sorted(pinned()))
+def test_each_requirement_is_pinned_with_all_it_needs(name: str) -> None:
+    pins = pinned()
+    assert re.fullmatch(r"==[\w.]+", str(pins[name].specifier))
+    for line in distribution(name).requires or []:
+        needed = Requirement(line)
+        if needed.marker is None or needed.marker.evaluate({"extra": ""}):
+            assert canonical(needed.name) in pins
+
+
+@pytest.mark.parametrize("name", sorted(pinned()))
+def test_each_requirement_has_a_wheel_for_any_machine_or_any_linux(name: str) -> None:
+    tags = re.findall(r"^Tag: (.+)$", distribution(name).read_text("WHEEL") or "", re.MULTILINE)
+    assert tags
+    assert all(tag.endswith("-none-any") or "-manylinux" in tag for tag in tags)
