A proxy that leaves turns away at once what it may not finish

Ruled out: brokers that broke off, and a process that ended by itself.

Change: `DrainDeadline` holds when this proxy ends (grace period less a reserve). Until the platform had the time to see it unready, it takes what usually ends in time (the longest of that route lately); afterwards only what is answered in time whatever happens: within the client's deadline and the route's timeout. All else gets 503 with `Retry-After` and `Connection: close` at once. What is open as the drain begins, waiting, sent or held for a batch job, is answered by that time (503 where it has not run), and second sends are given no more time than that. `stop` takes nothing new and lets what is open end first: before, requests taken while batch items were still being given back were cut with the listener. The time for last reports of batch items follows the grace period too.

Undone one at a time, the check in `takes`, the rescheduling of open requests and `Gate.end_by` each fail tests.

--- a/cherrycove/tier/batch/interface.py
+++ b/cherrycove/tier/batch/interface.py
@@ -10,6 +10,8 @@
 
 from cherrycove.tier.protocol.batch_pb2 import LeasedItem
 
+LONGEST_CALL_S = 3.0  # that a client's call for a batch job is held
+
 
 class ItemState(Enum):
     COMPLETED = "completed"
--- a/cherrycove/tier/batch/worker.py
+++ b/cherrycove/tier/batch/worker.py
@@ -35,7 +35,7 @@
 MAX_CAPACITY = 256  # items asked for at once
 MAX_UNREPORTED_BYTES = 16 * 1024 * 1024  # texts that wait for the stores; over this no more work is taken
 STOP_SHARE_OF_GRACE = 0.5  # of gracePeriodS: running items may finish so long
-LAST_REPORTS_S = 1.0
+REPORT_SHARE_OF_GRACE = 0.25  # and then what was given back may be reported so long
 ROUTE_REMOVED = "route_removed"
 
 
@@ -76,6 +76,7 @@
         self._clock = clock
         self._send_bound_s = settings.bounds.cancel_ms * SEND_SHARE_OF_CANCEL / 1000.0
         self._stop_time_s = settings.bounds.grace_period_s * STOP_SHARE_OF_GRACE
+        self._last_reports_s = settings.bounds.grace_period_s * REPORT_SHARE_OF_GRACE
         self._runs: dict[ItemKey, _Run] = {}
         self._sequence = 0
         self._epoch = 0
@@ -103,7 +104,7 @@
         for run in self._runs.values():
             if run.execution is not None and run.outcome is None:
                 run.execution.cancel()
-        await self._wait_for_runs(LAST_REPORTS_S)
+        await self._wait_for_runs(self._last_reports_s)
         tasks = [run.task for run in self._runs.values() if run.task is not None]
         if self._loop_task is not None:
             tasks.append(self._loop_task)
--- a/cherrycove/tier/dataplane/dispatch.py
+++ b/cherrycove/tier/dataplane/dispatch.py
@@ -15,6 +15,7 @@
 
 from cherrycove.tier.configuration import Route
 from cherrycove.tier.dataplane.admission.interface import Ending, Refuse, Ticket
+from cherrycove.tier.dataplane.drain import DrainDeadline
 from cherrycove.tier.dataplane.gate import Gate, Grant
 from cherrycove.tier.dataplane.headers import (
     DEADLINE_MS,
@@ -48,13 +49,21 @@
 }
 
 
+def latest_answer(request: web.BaseRequest, route: Route, arrived: float) -> float:
+    """When a request is answered at the latest: within its client's deadline and its route's timeout."""
+    patience_ms = whole_number(request.headers.get(DEADLINE_MS))
+    held_ms = route.timeout_ms if patience_ms is None else min(patience_ms, route.timeout_ms)
+    return arrived + held_ms / 1000 - MARGIN_S
+
+
 class Dispatcher:
     """Serves live requests through admission and the connections to brokers."""
 
-    def __init__(self, gate: Gate, upstream: Upstream, rng: random.Random) -> None:
+    def __init__(self, gate: Gate, upstream: Upstream, rng: random.Random, drain: DrainDeadline) -> None:
         self._gate = gate
         self._upstream = upstream
         self._rng = rng
+        self._drain = drain
 
     async def handle(
         self, request: web.BaseRequest, body: bytes, route: Route, arrived: float, closing: Callable[[], bool]
@@ -66,17 +75,18 @@
         )  # fmt: skip
         exchange = Exchange(
             gate=self._gate, upstream=self._upstream, request=request, outgoing=outgoing, route=route,
-            ticket=self._ticket(request, route, arrived), closing=closing,
+            ticket=self._ticket(request, route, arrived), closing=closing, drain=self._drain,
         )  # fmt: skip
         return await exchange.run()
 
     def _ticket(self, request: web.BaseRequest, route: Route, arrived: float) -> Ticket:
         patience_ms = whole_number(request.headers.get(DEADLINE_MS))
-        held_ms = route.timeout_ms if patience_ms is None else min(patience_ms, route.timeout_ms)
         return Ticket(
             route=route.name, service=self._service(route), arrived=arrived,
-            aim_s=route.target_latency_ms / 1000, end=arrived + held_ms / 1000 - MARGIN_S,
-            patience_s=(patience_ms or held_ms) / 1000, prompt=parse_prompt(request.headers),
+            aim_s=route.target_latency_ms / 1000,
+            end=min(latest_answer(request, route, arrived), self._drain.at),
+            patience_s=(route.timeout_ms if patience_ms is None else patience_ms) / 1000,
+            prompt=parse_prompt(request.headers),
         )  # fmt: skip
 
     def _service(self, route: Route) -> str:
@@ -95,6 +105,7 @@
     route: Route
     ticket: Ticket
     closing: Callable[[], bool]
+    drain: DrainDeadline
     ran: int = 0  # brokers that may have run it
     in_flight: bool = False  # sent, and nothing is known yet
     relay: StreamRelay = attrs.field(init=False)
@@ -105,7 +116,7 @@
 
     async def run(self) -> web.StreamResponse:
         try:
-            async with asyncio.timeout_at(self.ticket.end):
+            async with self.drain.limit(self.ticket.end):
                 return await self._serve()
         except TimeoutError:
             return self._failed(504)
--- a/cherrycove/tier/dataplane/gate.py
+++ b/cherrycove/tier/dataplane/gate.py
@@ -92,6 +92,12 @@
         self._grants.pop(ticket, None)
         self._carry_out(self._admission.ended(self._now(), ticket, ending))
 
+    def end_by(self, at: float) -> None:
+        """Every live request that waits or is out must be answered by then."""
+        for ticket in (*self._waiting, *self._grants):
+            if not ticket.batch:
+                ticket.end = min(ticket.end, at)
+
     def free_places(self) -> int:
         """How many batch items could be started now."""
         return self._admission.free_places(self._now()) if self._scheduler is not None else 0
--- a/cherrycove/tier/dataplane/ingress.py
+++ b/cherrycove/tier/dataplane/ingress.py
@@ -17,9 +17,11 @@
 from aiohttp.http import HttpProcessingError, RawRequestMessage
 from aiohttp.streams import StreamReader
 
+from cherrycove.tier.batch.interface import LONGEST_CALL_S
 from cherrycove.tier.configuration import ClientLimits, Configuration, Route
 from cherrycove.tier.dataplane.arrivals import Arrivals
-from cherrycove.tier.dataplane.dispatch import Dispatcher
+from cherrycove.tier.dataplane.dispatch import Dispatcher, latest_answer
+from cherrycove.tier.dataplane.drain import DrainDeadline, LongestLately
 from cherrycove.tier.dataplane.headers import REQUEST_ID
 from cherrycove.tier.dataplane.relay import own_answer
 from cherrycove.tier.distribution.views import Views
@@ -32,6 +34,7 @@
 READ_BYTES = 32 * 1024
 UNACKNOWLEDGED_MS = 20_000  # after which a client that takes nothing of what it is sent is cut off
 UNCONFIGURED_RETRY_S = 0.5
+LEAVING_RETRY_S = 0.05  # another proxy can take it at once
 SHUTDOWN_TIMEOUT_S = 0.3
 
 
@@ -106,12 +109,14 @@
     """Takes clients' requests on the frontend address."""
 
     def __init__(
-        self, settings: Settings, views: Views, dispatcher: Dispatcher, batch_api: BatchApi | None
+        self, settings: Settings, views: Views, dispatcher: Dispatcher, drain: DrainDeadline
     ) -> None:
         self._settings = settings
         self._views = views
         self._dispatcher = dispatcher
-        self.batch_api = batch_api
+        self._drain = drain
+        self._longest = LongestLately()
+        self.batch_api: BatchApi | None = None
         self.arrivals = Arrivals()
         self.open_requests = 0
         self.last_active = 0.0  # loop time at which a request last began or ended
@@ -187,11 +192,44 @@
         path = request.raw_path.partition("?")[0]
         route = configuration.match(request.headers.get("Host", ""), path)
         if self.batch_api is not None and _is_batch_call(request, path, route):
-            return await self.batch_api.handle(request, body, route or _batch_route(configuration, request))
+            return await self._batch(
+                self.batch_api, request, body, route or _batch_route(configuration, request)
+            )
         if route is None or route.route_kind == BATCH_KIND:
             return self._own(request, 404, "no route")
+        return await self._live(request, body, route, arrived)
+
+    async def _live(
+        self, request: web.BaseRequest, body: bytes, route: Route, arrived: float
+    ) -> web.StreamResponse:
+        loop = asyncio.get_running_loop()
         self.arrivals.add(route.name, arrived)
-        return await self._dispatcher.handle(request, body, route, arrived, self.closing)
+        usual_s = self._longest.of(route.name, arrived)
+        if not self._drain.takes(loop.time(), latest_answer(request, route, arrived), usual_s):
+            return self._leaving(request)
+        try:
+            return await self._dispatcher.handle(request, body, route, arrived, self.closing)
+        finally:
+            now = loop.time()
+            self._longest.add(route.name, now - arrived, now)
+
+    async def _batch(
+        self, api: BatchApi, request: web.BaseRequest, body: bytes, route: Route | None
+    ) -> web.StreamResponse:
+        now = asyncio.get_running_loop().time()
+        if not self._drain.takes(now, now + LONGEST_CALL_S, 0.0):
+            return self._leaving(request)
+        try:
+            async with self._drain.limit():
+                response = await api.handle(request, body, route)
+        except TimeoutError:
+            return self._own(request, 504, "this proxy is leaving")
+        if self._closing:
+            response.force_close()
+        return response
+
+    def _leaving(self, request: web.BaseRequest) -> web.Response:
+        return self._own(request, 503, "this proxy is leaving", retry_after_s=LEAVING_RETRY_S)
 
     def _own(self, request: web.BaseRequest, status: int, text: str, whole: bool = True,
              retry_after_s: float | None = None) -> web.Response:  # fmt: skip
--- a/cherrycove/tier/dataplane/plane.py
+++ b/cherrycove/tier/dataplane/plane.py
@@ -8,6 +8,7 @@
 
 from cherrycove.tier.batch.interface import ItemExecutor
 from cherrycove.tier.dataplane.dispatch import Dispatcher
+from cherrycove.tier.dataplane.drain import NOTICE_S, DrainDeadline
 from cherrycove.tier.dataplane.gate import Gate
 from cherrycove.tier.dataplane.ingress import BatchApi, Ingress
 from cherrycove.tier.dataplane.items import BrokerItemExecutor
@@ -20,8 +21,6 @@
 
 SPARE_DESCRIPTORS = 400  # kept from the limit for files, internal calls and listeners
 CLIENT_PART = 0.5  # of the other descriptors, for clients
-NOTICE_S = 2.5  # after which the platform has seen this proxy unready and sends no new connections
-END_RESERVE_S = 0.7  # of the grace period, for the end of the process itself
 QUIET_S = 0.3  # without an open request after which nothing more is expected
 POLL_S = 0.05
 
@@ -37,7 +36,9 @@
         self._most_connections = int(descriptors * (1 - CLIENT_PART))
         self._upstream = Upstream(self._most_connections)
         self._gate = Gate(views, rng)
-        self._ingress = Ingress(settings, views, Dispatcher(self._gate, self._upstream, rng), None)
+        self._drain = DrainDeadline()
+        dispatcher = Dispatcher(self._gate, self._upstream, rng, self._drain)
+        self._ingress = Ingress(settings, views, dispatcher, self._drain)
         self._readiness = Readiness(settings.listen_addresses.readiness, self._ready)
         self.executor: ItemExecutor = BrokerItemExecutor(views, self._gate, self._upstream, rng)
 
@@ -59,28 +60,34 @@
         _log.info("dataplane_listening", extra={"address": self._settings.listen_addresses.frontend})
 
     async def stop(self) -> None:
+        """End; behind a drain only once what is open has been answered, and with nothing new taken."""
+        loop = asyncio.get_running_loop()
+        self._drain.close()
+        while self._draining and self._ingress.open_requests and loop.time() < self._drain.at:
+            await asyncio.sleep(POLL_S)
         await self._readiness.stop()
         await self._ingress.stop()
         self._gate.stop()
         await self._upstream.stop()
 
-    async def drain(self, grace_s: float | None = None) -> None:
-        """Leave in order: unready at once, serve until the platform knows, then wait for what is open."""
+    async def drain(self, grace_s: float | None = None, notice_s: float = NOTICE_S) -> None:
+        """Leave in order: unready at once, serve until the platform knows, then wait for what is open. What
+        may not be answered by then is told at once to go elsewhere."""
         loop = asyncio.get_running_loop()
-        began = loop.time()
         grace = self._settings.bounds.grace_period_s if grace_s is None else grace_s
-        latest = began + max(grace - END_RESERVE_S, 0.0)
         self._draining = True
         _log.info("dataplane_draining", extra={"open_requests": self._ingress.open_requests})
         self._ingress.close_connections()
-        noticed = min(began + NOTICE_S, latest)
-        while loop.time() < latest and not self._quiet(loop.time(), noticed):
+        self._drain.begin(loop.time(), grace, notice_s)
+        self._gate.end_by(self._drain.at)
+        while loop.time() < self._drain.at and not self._quiet(loop.time()):
             await asyncio.sleep(POLL_S)
         _log.info("dataplane_drained", extra={"open_requests": self._ingress.open_requests})
 
-    def _quiet(self, now: float, noticed: float) -> bool:
+    def _quiet(self, now: float) -> bool:
         ingress = self._ingress
-        return now >= noticed and ingress.open_requests == 0 and now - ingress.last_active >= QUIET_S
+        rested = ingress.open_requests == 0 and now - ingress.last_active >= QUIET_S
+        return rested and self._drain.noticed(now)
 
     def _ready(self) -> bool:
         return not self._draining and self._views.configuration is not None and bool(self._views.brokers)
