--- a/cherrycove/tier/controlplane/configuration_decisions.py
+++ b/cherrycove/tier/controlplane/configuration_decisions.py
@@ -11,9 +11,10 @@
 
 from cherrycove.tier.configuration import parse_configuration
 from cherrycove.tier.controlplane.leadership import Leadership
+from cherrycove.tier.controlplane.settlement import Settlement
 from cherrycove.tier.controlplane.state import AcceptOutcome, ControlState, content_digest
 from cherrycove.tier.errors import ErrorKind, Failure
-from cherrycove.tier.protocol.keeper_pb2 import AcceptConfiguration, Barrier, Command
+from cherrycove.tier.protocol.keeper_pb2 import AcceptConfiguration, Command
 from cherrycove.tier.replication.interface import Group
 
 DECISION_TIMEOUT_S = 2.0  # a change is decided within this time or answered as uncertain
@@ -31,11 +32,10 @@
     """
 
     def __init__(self, group: Group, state: ControlState, leadership: Leadership) -> None:
-        self._group = group
+        self._settlement = Settlement(group)
         self._state = state
         self._leadership = leadership
         self._lock = asyncio.Lock()
-        self._unsettled = False
 
     async def put(self, body: bytes, base_version: int) -> Result[None, Failure]:
         """Take ``body`` as the configuration that builds on ``base_version``."""
@@ -44,7 +44,7 @@
         async with self._turn(DECISION_TIMEOUT_S) as has_turn:
             if not has_turn:
                 return Err(Failure(ErrorKind.UNAVAILABLE, "earlier changes are still being decided"))
-            settled = await self._settle(deadline - loop.time())
+            settled = await self._settlement.settle(deadline - loop.time())
             if isinstance(settled, Err):
                 return settled
             command = self._check(body, base_version)
@@ -57,7 +57,8 @@
     @asynccontextmanager
     async def _turn(self, timeout_s: float) -> AsyncIterator[bool]:
         try:
-            await asyncio.wait_for(self._lock.acquire(), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                await self._lock.acquire()
         except TimeoutError:
             yield False
             return
@@ -66,16 +67,6 @@
         finally:
             self._lock.release()
 
-    async def _settle(self, timeout_s: float) -> Result[None, Failure]:
-        """Ok once the outcome of every earlier change is known here."""
-        if not self._unsettled:
-            return Ok(None)
-        outcome = await self._group.propose(Command(barrier=Barrier()).SerializeToString(), timeout_s)
-        if isinstance(outcome, Err):
-            return Err(Failure(ErrorKind.UNAVAILABLE, "an earlier change is not settled yet"))
-        self._unsettled = False
-        return Ok(None)
-
     def _check(self, body: bytes, base_version: int) -> Result[AcceptConfiguration | None, Failure]:
         """The command to commit, or None when exactly this document was taken already. Does not wait."""
         if not self._leadership.confirmed():
@@ -89,6 +80,8 @@
             return Err(Failure(ErrorKind.INVALID, "version: too large"))
         if self._state.was_accepted(digest, version):
             return Ok(None)
+        if self._state.is_forgotten(version):
+            return Err(_forgotten(version))
         current = self._state.configuration.version
         if base_version != current:
             return Err(_mismatch(base_version, current))
@@ -101,13 +94,9 @@
     async def _commit(self, command: AcceptConfiguration, timeout_s: float) -> Result[None, Failure]:
         if timeout_s <= 0:
             return Err(Failure(ErrorKind.UNAVAILABLE, "no time left to decide"))
-        message = Command(accept_configuration=command).SerializeToString()
-        self._unsettled = True  # stays so when this call is cancelled
-        outcome = await self._group.propose(message, timeout_s)
+        outcome = await self._settlement.propose(Command(accept_configuration=command), timeout_s)
         if isinstance(outcome, Err):
-            self._unsettled = not outcome.err_value.certain
             return Err(self._uncommitted(outcome.err_value))
-        self._unsettled = False
         return self._committed(command, outcome.ok_value)
 
     def _uncommitted(self, failure: Failure) -> Failure:
@@ -123,6 +112,8 @@
             return Err(_mismatch(command.base_version, current))
         if outcome is AcceptOutcome.NOT_NEWER:
             return Err(_not_newer(command.version, current))
+        if outcome is AcceptOutcome.FORGOTTEN:
+            return Err(_forgotten(command.version))
         if outcome is AcceptOutcome.ACCEPTED:
             _log.info("configuration_accepted", extra={"version": command.version})
         return Ok(None)
@@ -134,3 +125,8 @@
 
 def _not_newer(version: int, current: int) -> Failure:
     return Failure(ErrorKind.INVALID, f"version: {version} is not above the current {current}")
+
+
+def _forgotten(version: int) -> Failure:
+    """Neither an acknowledgement nor a refusal: the version may have been taken with just this content."""
+    return Failure(ErrorKind.DEADLINE, f"version: {version} is too old to tell whether it was taken")
--- a/cherrycove/tier/controlplane/leadership.py
+++ b/cherrycove/tier/controlplane/leadership.py
@@ -6,18 +6,25 @@
 
 from result import Err, Ok, Result
 
+from cherrycove.tier.distribution.views import Views
 from cherrycove.tier.errors import ErrorKind, Failure
 from cherrycove.tier.replication.interface import Group
 
 POLL_S = 0.05  # a lease can end or begin to hold without a change that the group reports
 SETTLE_TIMEOUT_S = 0.7  # below the silence after which callers turn to another keeper
+HINT_FRESH_S = 3.0  # a primary of which nothing was heard for so long is not pointed to
 
 
 class Leadership:
     """The group's leadership as the publisher and the operator's interface need it."""
 
-    def __init__(self, group: Group) -> None:
+    def __init__(self, group: Group, views: Views) -> None:
+        """``views`` tells which keeper answered this process as the primary, and when."""
         self._group = group
+        self._views = views
+        self._primary_id = ""
+        self._primary_since = float("-inf")
+        group.on_change(self._note_primary)
 
     @property
     def epoch(self) -> int:
@@ -27,10 +34,28 @@
         return self._group.confirmed()
 
     def primary_address(self) -> str:
-        primary = self._group.primary
-        if primary is None or primary.member_id == self._group.identity.member_id:
+        """RPC address of the keeper that leads, by the newest evidence; empty while that is too old.
+
+        A member learns of its group's primary by heartbeats and forgets it when they stay away. A keeper
+        outside the group hears none: only the primary's answers to its own pulls tell it."""
+        now = asyncio.get_running_loop().time()
+        group, views = self._group, self._views
+        primary = group.primary
+        if primary is None and group.identity.member_id in group.listed():
+            return ""
+        heard_at, address = views.last_contact, views.contact_address
+        if primary is not None and self._primary_since >= heard_at:
+            heard_at, address = self._primary_since, primary.address
+        if now - heard_at >= HINT_FRESH_S or address == group.identity.address:
             return ""
-        return primary.address
+        return address
+
+    def _note_primary(self) -> None:
+        primary = self._group.primary
+        member_id = "" if primary is None else primary.member_id
+        if member_id != self._primary_id:
+            self._primary_id = member_id
+            self._primary_since = asyncio.get_running_loop().time()
 
     def refusal(self) -> Failure:
         """The failure of a call that only the confirmed primary may decide."""
--- a/cherrycove/tier/controlplane/register.py
+++ b/cherrycove/tier/controlplane/register.py
@@ -10,7 +10,7 @@
 
 MEMBER_TIMEOUT_S = 3.0  # without a pull for so long, a process counts as gone
 LEAVING_TIMEOUT_S = 1.5  # the same, of one that announced to leave
-REMEMBERED_S = 10.0  # a store that is gone is known for so long
+REMEMBERED_S = 60.0  # a store that is gone may come back for so long
 MINOR_CHANGE_INTERVAL_S = 1.0  # rates and versions alone are published no more often
 REPLACED_KEPT = 4  # earlier incarnations of one process that are recognised
 
@@ -29,7 +29,6 @@
 
     announcement: Announcement
     heard_at: float  # s
-    store_group_revision: int = 0  # that the process had when it announced itself
     seeded: bool = False  # known from an earlier primary's list only
     replaced: tuple[str, ...] = ()  # earlier incarnations
 
@@ -57,7 +56,7 @@
             entry.heard_at = now
             entry.seeded = True
 
-    def announce(self, announcement: Announcement, now: float, store_group_revision: int = 0) -> None:
+    def announce(self, announcement: Announcement, now: float) -> None:
         """A process announced itself; a newer incarnation replaces an older one."""
         key = ProcessKey(announcement.node_name, announcement.program)
         known = self._entries.get(key)
@@ -68,12 +67,7 @@
             replaced = known.replaced
             if known.announcement.incarnation != announcement.incarnation:
                 replaced = (*replaced, known.announcement.incarnation)[-REPLACED_KEPT:]
-        self._entries[key] = Registration(
-            announcement=announcement,
-            heard_at=now,
-            store_group_revision=store_group_revision,
-            replaced=replaced,
-        )
+        self._entries[key] = Registration(announcement=announcement, heard_at=now, replaced=replaced)
 
     def forget_old(self, now: float) -> None:
         """Drop what was not heard of for so long that nothing depends on it."""
--- a/cherrycove/tier/controlplane/retirement.py
+++ b/cherrycove/tier/controlplane/retirement.py
@@ -9,8 +9,10 @@
 from result import Err, Ok, Result
 
 from cherrycove.tier.controlplane.leadership import Leadership
+from cherrycove.tier.controlplane.machines import same_machine
+from cherrycove.tier.controlplane.settlement import Settlement
 from cherrycove.tier.controlplane.state import ControlState
-from cherrycove.tier.controlplane.store_group import StoreFleet
+from cherrycove.tier.controlplane.store_group import StoreFleet, retire_command
 from cherrycove.tier.errors import ErrorKind, Failure
 from cherrycove.tier.protocol.keeper_pb2 import Command, Retire
 from cherrycove.tier.replication.interface import Group
@@ -36,7 +38,7 @@
         group_size: int,
     ) -> None:
         """``fleet`` is the present view; ``stores_heard`` tells whether all stores had time to announce."""
-        self._group = group
+        self._settlement = Settlement(group)
         self._state = state
         self._leadership = leadership
         self._fleet = fleet
@@ -46,7 +48,8 @@
 
     async def order(self, node_name: str) -> Result[None, Failure]:
         try:
-            await asyncio.wait_for(self._lock.acquire(), RETIRE_TIMEOUT_S)
+            async with asyncio.timeout(RETIRE_TIMEOUT_S):
+                await self._lock.acquire()
         except TimeoutError:
             return Err(Failure(ErrorKind.UNAVAILABLE, "earlier orders are still being decided"))
         try:
@@ -55,13 +58,15 @@
             self._lock.release()
 
     async def _order(self, node_name: str) -> Result[None, Failure]:
+        settled = await self._settlement.settle(RETIRE_TIMEOUT_S)
+        if isinstance(settled, Err):
+            return settled
         checked = self._check(node_name)
         if isinstance(checked, Err):
             return checked
         if checked.ok_value is None:
             return Ok(None)
-        command = Command(retire=checked.ok_value).SerializeToString()
-        outcome = await self._group.propose(command, RETIRE_TIMEOUT_S)
+        outcome = await self._settlement.propose(Command(retire=checked.ok_value), RETIRE_TIMEOUT_S)
         if isinstance(outcome, Ok):
             return Ok(None)
         failure = outcome.err_value
@@ -75,21 +80,21 @@
         if not self._leadership.confirmed():
             return Err(self._leadership.refusal())
         fleet = self._fleet()
-        member_id = fleet.member_id(node_name)
+        machine = fleet.machine(node_name)
         order = self._state.retire_orders.get(node_name)
-        if order is not None and (not order.completed or member_id in ("", order.member_id)):
+        if order is not None and (not order.completed or same_machine(order, machine)):
             return Ok(None)
         enough = fleet.left_without(node_name, fleet.alive) >= self._group_size
         if fleet.knows(node_name) and enough:
-            return Ok(Retire(node_name=node_name, member_id=member_id))
+            return Ok(retire_command(machine))
         return Err(self._refusal(node_name, fleet))
 
     def _refusal(self, node_name: str, fleet: StoreFleet) -> Failure:
-        if not self._stores_heard():
+        if not self._stores_heard() or not fleet.remembered:
             return Failure(ErrorKind.UNAVAILABLE, "the stores have not announced themselves yet")
         if not fleet.knows(node_name):
             return Failure(ErrorKind.NOT_FOUND, f"no storage machine {node_name!r}")
-        if fleet.left_without(node_name, fleet.remembered) >= self._group_size:
+        if fleet.may_be_left_without(node_name) >= self._group_size:
             return Failure(ErrorKind.UNAVAILABLE, "a storage machine is away at the moment")
         return Failure(ErrorKind.CONFLICT, "too few storage machines would remain")
 
--- a/cherrycove/tier/controlplane/state.py
+++ b/cherrycove/tier/controlplane/state.py
@@ -13,6 +13,7 @@
 
 import attrs
 
+from cherrycove.tier.controlplane.machines import StorageMachines
 from cherrycove.tier.protocol.control_pb2 import ConfigurationDocument, Replica, StoreGroup
 from cherrycove.tier.protocol.keeper_pb2 import (
     AcceptConfiguration,
@@ -20,10 +21,12 @@
     Command,
     ForgetRetired,
     FormStoreGroup,
+    RecordMachines,
     Retire,
     Retired,
     RetireOrder,
     Snapshot,
+    StoreMachine,
 )
 
 MAX_ACCEPTED_VERSIONS = 4096  # accepted versions whose digests are kept
@@ -36,6 +39,7 @@
     ALREADY_ACCEPTED = "already_accepted"  # exactly this document was taken earlier
     BASE_MISMATCH = "base_mismatch"  # another version is current
     NOT_NEWER = "not_newer"  # its version is not above the current one
+    FORGOTTEN = "forgotten"  # so old that nobody knows any more whether it was taken
 
 
 @attrs.frozen
@@ -62,8 +66,9 @@
         self._configuration = ConfigurationDocument()
         self._accepted: dict[int, bytes] = {}
         self._store_group_revision = 0
+        self._forgotten_version = 0
         self._initial: tuple[Replica, ...] = ()
-        self._orders: dict[str, RetireOrder] = {}
+        self._machines = StorageMachines()
         self._listeners: list[Callable[[], None]] = []
 
     @property
@@ -84,15 +89,33 @@
     @property
     def retire_orders(self) -> Mapping[str, RetireOrder]:
         """Retire orders by node name, also completed ones."""
-        return self._orders
+        return self._machines.orders
+
+    @property
+    def machines(self) -> Mapping[str, StoreMachine]:
+        """Storage machines that ever announced themselves, by node name."""
+        return self._machines.machines
 
     def store_group(self) -> StoreGroup:
-        return StoreGroup(initial=self._initial, retiring=sorted(self._orders))
+        return StoreGroup(
+            initial=self._initial,
+            retiring=sorted(self.retire_orders),
+            revision=self._store_group_revision,
+            retiring_disks=[
+                Replica(member_id=disk, node_name=name)
+                for name, order in sorted(self.retire_orders.items())
+                for disk in order.store_ids
+            ],
+        )
 
     def was_accepted(self, digest: bytes, version: int) -> bool:
         """Whether exactly the document with ``digest`` was accepted under ``version``."""
         return self._accepted.get(version) == digest
 
+    def is_forgotten(self, version: int) -> bool:
+        """Whether ``version`` is too old to tell if it was accepted, and with what content."""
+        return version <= self._forgotten_version
+
     def on_change(self, callback: Callable[[], None]) -> None:
         """Call back after each command or snapshot that changed the state."""
         self._listeners.append(callback)
@@ -110,6 +133,8 @@
             return self._retired(message.retired)
         if kind == "forget_retired":
             return self._forget(message.forget_retired)
+        if kind == "record_machines":
+            return self._record(message.record_machines)
         return Applied(changed=False)
 
     def snapshot(self) -> bytes:
@@ -118,7 +143,9 @@
             accepted=[AcceptedVersion(version=v, digest=digest) for v, digest in self._accepted.items()],
             store_group_revision=self._store_group_revision,
             initial=self._initial,
-            retire_orders=self._orders.values(),
+            retire_orders=self.retire_orders.values(),
+            machines=self.machines.values(),
+            forgotten_version=self._forgotten_version,
         )
         return snapshot.SerializeToString()
 
@@ -128,12 +155,15 @@
         self._accepted = {entry.version: entry.digest for entry in snapshot.accepted}
         self._store_group_revision = snapshot.store_group_revision
         self._initial = tuple(snapshot.initial)
-        self._orders = {order.node_name: order for order in snapshot.retire_orders}
+        self._machines.restore(snapshot.machines, snapshot.retire_orders)
+        self._forgotten_version = snapshot.forgotten_version
         self._changed()
 
     def _accept(self, command: AcceptConfiguration) -> AcceptOutcome:
         if self.was_accepted(command.digest, command.version):
             return AcceptOutcome.ALREADY_ACCEPTED
+        if self.is_forgotten(command.version):
+            return AcceptOutcome.FORGOTTEN
         if command.base_version != self._configuration.version:
             return AcceptOutcome.BASE_MISMATCH
         if command.version <= self._configuration.version:
@@ -141,7 +171,8 @@
         self._configuration = ConfigurationDocument(version=command.version, document=command.document)
         self._accepted[command.version] = command.digest
         while len(self._accepted) > MAX_ACCEPTED_VERSIONS:
-            del self._accepted[next(iter(self._accepted))]
+            self._forgotten_version = next(iter(self._accepted))
+            del self._accepted[self._forgotten_version]
         self._changed()
         return AcceptOutcome.ACCEPTED
 
@@ -149,38 +180,25 @@
         if self._initial or not command.initial:
             return Applied(changed=False)
         self._initial = tuple(command.initial)
+        self._machines.record_initial(self._initial)
         return self._store_group_changed()
 
+    def _record(self, command: RecordMachines) -> Applied:
+        revision = self._store_group_revision + 1
+        learned = [self._machines.record(machine, revision) for machine in command.machines]
+        return self._store_group_changed() if any(learned) else Applied(changed=False)
+
     def _retire(self, command: Retire) -> Applied:
-        order = self._orders.get(command.node_name)
-        same_disk = order is not None and order.member_id == command.member_id
-        if order is not None and (same_disk or not command.member_id):
-            return Applied(changed=False)
-        self._orders[command.node_name] = RetireOrder(
-            node_name=command.node_name,
-            member_id=command.member_id,
-            revision=self._store_group_revision + 1,
-        )
-        return self._store_group_changed()
+        changed = self._machines.retire(command, self._store_group_revision + 1)
+        return self._store_group_changed() if changed else Applied(changed=False)
 
     def _retired(self, command: Retired) -> Applied:
-        order = self._orders.get(command.node_name)
-        if order is None or order.completed:
-            return Applied(changed=False)
-        self._orders[command.node_name] = RetireOrder(
-            node_name=command.node_name,
-            member_id=command.member_id or order.member_id,
-            completed=True,
-            revision=order.revision,
-        )
-        return self._store_group_changed()
+        changed = self._machines.complete(command)
+        return self._store_group_changed() if changed else Applied(changed=False)
 
     def _forget(self, command: ForgetRetired) -> Applied:
-        order = self._orders.get(command.node_name)
-        if order is None or not order.completed or order.member_id != command.member_id:
-            return Applied(changed=False)
-        del self._orders[command.node_name]
-        return self._store_group_changed()
+        changed = self._machines.forget(command)
+        return self._store_group_changed() if changed else Applied(changed=False)
 
     def _store_group_changed(self) -> Applied:
         self._store_group_revision += 1
--- a/cherrycove/tier/controlplane/store_group.py
+++ b/cherrycove/tier/controlplane/store_group.py
@@ -1,4 +1,4 @@
-"""Decisions on the store group: which stores begin it, and when a store to be emptied is free to go. Pure."""
+"""Decisions on the store group from what the stores announced: which begin it, what orders learn. Pure."""
 
 from __future__ import annotations
 
@@ -6,9 +6,17 @@
 
 import attrs
 
+from cherrycove.tier.controlplane.machines import same_machine
 from cherrycove.tier.controlplane.register import Registration
 from cherrycove.tier.protocol.control_pb2 import Announcement, Replica
-from cherrycove.tier.protocol.keeper_pb2 import Command, ForgetRetired, Retire, Retired, RetireOrder
+from cherrycove.tier.protocol.keeper_pb2 import (
+    Command,
+    ForgetRetired,
+    RecordMachines,
+    Retire,
+    RetireOrder,
+    StoreMachine,
+)
 from cherrycove.tier.settings import Settings
 
 GATHER_S = 1.0  # after the first store was seen, so that all are seen
@@ -94,79 +102,94 @@
     remembered: Sequence[Registration]  # also those lately gone
     initial: Sequence[Replica]
     orders: Mapping[str, RetireOrder]
-    keeping: frozenset[str] = frozenset()  # machines whose disk the keepers' own group still counts on
+    machines: Mapping[str, StoreMachine] = attrs.field(factory=dict)  # recorded in the replicated state
+    keepers: Mapping[str, str] = attrs.field(factory=dict)  # newest disk of the keeper on each machine
+    awaited: frozenset[str] = frozenset()  # recorded machines that had too little time to announce themselves
 
     def knows(self, node_name: str) -> bool:
         known = {entry.announcement.node_name for entry in self.remembered}
         known.update(replica.node_name for replica in self.initial)
-        return node_name in known or node_name in self.orders
-
-    def member_id(self, node_name: str) -> str:
-        """The newest disk known of a machine; empty when none is."""
-        for entry in (*self.alive, *self.remembered):
-            if entry.announcement.node_name == node_name and entry.announcement.member_id:
-                return entry.announcement.member_id
-        return next((one.member_id for one in self.initial if one.node_name == node_name), "")
+        return node_name in known or node_name in self.machines or node_name in self.orders
+
+    def machine(self, node_name: str) -> StoreMachine:
+        """What is known of a machine: what it announced lately, else what is recorded."""
+        known = StoreMachine(node_name=node_name)
+        known.MergeFrom(self.machines.get(node_name, known))
+        for entry in (*reversed(self.remembered), *reversed(self.alive)):
+            if entry.announcement.node_name == node_name:
+                known.MergeFrom(self._announced(entry))
+        return known
+
+    def _announced(self, entry: Registration) -> StoreMachine:
+        announcement = entry.announcement
+        return StoreMachine(
+            node_name=announcement.node_name,
+            ip=announcement.ip,
+            store_id=announcement.member_id,
+            keeper_id=self.keepers.get(announcement.node_name, ""),
+        )
+
+    def heard_machines(self) -> list[StoreMachine]:
+        """Machines whose stores announced themselves to this primary and are alive."""
+        heard = [entry for entry in self.alive if not entry.seeded and entry.announcement.member_id]
+        return [self._announced(entry) for entry in heard]
 
     def left_without(self, node_name: str, entries: Sequence[Registration]) -> int:
         """Machines among ``entries`` that stay when ``node_name`` and all others to be emptied are gone."""
         names = {entry.announcement.node_name for entry in entries if not entry.announcement.leaving}
         return len(names - set(self.orders) - {node_name})
 
-    def primary(self) -> Registration | None:
-        """The store that leads its group in the newest epoch."""
-        leaders = [entry for entry in self.alive if entry.announcement.group_primary and not entry.seeded]
-        return max(leaders, key=lambda entry: entry.announcement.group_epoch, default=None)
+    def may_be_left_without(self, node_name: str) -> int:
+        """The same, with machines that are away at the moment and may come back."""
+        names = {entry.announcement.node_name for entry in self.remembered}
+        return len((names | self.awaited) - set(self.orders) - {node_name})
+
+
+def record_updates(fleet: StoreFleet) -> list[Command]:
+    """The command that records machines that are new, or have another address or disk; an open order learns
+    from it as well."""
+    changed = [
+        machine for machine in fleet.heard_machines() if _adds(machine, fleet.machines.get(machine.node_name))
+    ]
+    return [Command(record_machines=RecordMachines(machines=changed))] if changed else []
+
 
+def _adds(machine: StoreMachine, known: StoreMachine | None) -> bool:
+    """Whether ``machine`` tells anything that is not ``known``."""
+    if known is None:
+        return True
+    merged = StoreMachine()
+    merged.CopyFrom(known)
+    merged.MergeFrom(machine)
+    return merged != known
 
-def order_updates(fleet: StoreFleet, group_size: int) -> list[Command]:
+
+def order_updates(fleet: StoreFleet) -> list[Command]:
     """Commands that bring the retire orders up to date with what the stores announced.
 
     - An open order without a disk, or whose machine lost its disk meanwhile, takes on the present disk.
-    - An open order is completed when the store group's primary, having seen the order, announced a group of
-      ``group_size`` members, or of all that can be, without the disk of that machine; where a keeper runs
-      there too, the keepers' group must have left that disk as well.
-    - A completed order is forgotten when a store of that name announces another disk: that is a new machine.
-      The emptied machine keeps its disk until it is removed, so it cannot be taken for a new one.
+    - A completed order is forgotten when a store of that name announces another disk from another address:
+      that is a new machine. The emptied machine may lose its disk before it is removed; it is at its address
+      then, and stays out of the groups.
     """
     commands = []
-    for order in fleet.orders.values():
-        disk = _announced_disk(fleet, order.node_name)
-        if order.completed:
-            if disk and order.member_id and disk != order.member_id:
-                forget = ForgetRetired(node_name=order.node_name, member_id=order.member_id)
-                commands.append(Command(forget_retired=forget))
-        elif disk and disk != order.member_id:
-            commands.append(Command(retire=Retire(node_name=order.node_name, member_id=disk)))
-        elif order.node_name not in fleet.keeping and _emptied(order, fleet, group_size):
-            retired = Retired(node_name=order.node_name, member_id=order.member_id)
-            commands.append(Command(retired=retired))
+    for machine in fleet.heard_machines():
+        order = fleet.orders.get(machine.node_name)
+        if order is None or machine.store_id == order.member_id:
+            continue
+        if not order.completed:
+            commands.append(Command(retire=retire_command(machine)))
+        elif order.member_id and not same_machine(order, machine):
+            forget = ForgetRetired(node_name=order.node_name, member_id=order.member_id)
+            commands.append(Command(forget_retired=forget))
     return commands
 
 
-def _announced_disk(fleet: StoreFleet, node_name: str) -> str:
-    return next(
-        (
-            entry.announcement.member_id
-            for entry in fleet.alive
-            if entry.announcement.node_name == node_name and not entry.seeded
-        ),
-        "",
+def retire_command(machine: StoreMachine) -> Retire:
+    """The order to empty ``machine``, with what is known of it."""
+    return Retire(
+        node_name=machine.node_name,
+        member_id=machine.store_id,
+        ip=machine.ip,
+        keeper_id=machine.keeper_id,
     )
-
-
-def _emptied(order: RetireOrder, fleet: StoreFleet, group_size: int) -> bool:
-    leader = fleet.primary()
-    if leader is None or leader.store_group_revision < order.revision:
-        return False
-    members = set(leader.announcement.group_members)
-    stayers = {
-        entry.announcement.member_id
-        for entry in fleet.alive
-        if entry.announcement.node_name not in fleet.orders
-    }
-    if len(members) < min(group_size, max(len(stayers), 1)):
-        return False
-    if order.member_id:
-        return order.member_id not in members
-    return members <= stayers
--- /dev/null
+++ b/cherrycove/tier/controlplane/store_members.py
@@ -0,0 +1,74 @@
+"""The store group's committed member list: asked for by the primary keeper, told by the group's primary."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from result import Err, Ok, Result
+
+from cherrycove.tier.distribution.views import Views
+from cherrycove.tier.errors import ErrorKind, Failure
+from cherrycove.tier.protocol.control_pb2 import Replica
+from cherrycove.tier.protocol.interface import Caller, CallRegistry
+from cherrycove.tier.protocol.keeper_pb2 import StoreMembersReply, StoreMembersRequest
+from cherrycove.tier.replication.interface import Group
+
+STORE_MEMBERS_CALL = "store-members"
+CALL_TIMEOUT_S = 0.5
+
+
+class StoreMembersService:
+    """Answers at a store, only while it leads under a valid lease and no change of members is open."""
+
+    def __init__(self, group: Group, views: Views) -> None:
+        self._group = group
+        self._views = views
+
+    def serve_on(self, server: CallRegistry) -> None:
+        server.register(STORE_MEMBERS_CALL, StoreMembersRequest, self.members)
+
+    async def members(self, request: StoreMembersRequest) -> Result[StoreMembersReply, Failure]:
+        committed = self._group.committed_members()
+        if committed is None:
+            primary = self._group.primary
+            address = "" if primary is None else primary.address
+            return Err(Failure(ErrorKind.NOT_PRIMARY, "no member list in force is known here", address))
+        return Ok(
+            StoreMembersReply(
+                epoch=self._group.epoch,
+                index=committed.index,
+                members=[
+                    Replica(
+                        member_id=one.member_id, node_name=one.node_name, address=one.address, zone=one.zone
+                    )
+                    for one in committed.members
+                ],
+                excluded=sorted(committed.excluded),
+                revision=self._views.store_group.revision,
+            )
+        )
+
+
+class StoreMembersReader:
+    """Asks stores in turn until the primary of their group answers. An answer is never kept for later."""
+
+    def __init__(self, client: Caller) -> None:
+        self._client = client
+
+    async def read(self, addresses: Sequence[str]) -> Result[StoreMembersReply, Failure]:
+        """The list in force, from the first of ``addresses``, or those that they point at, that knows it."""
+        failure = Failure(ErrorKind.UNAVAILABLE, "no store is known")
+        waiting = list(dict.fromkeys(addresses))
+        asked: set[str] = set()
+        while waiting:
+            address = waiting.pop(0)
+            asked.add(address)
+            outcome = await self._client.call(
+                address, STORE_MEMBERS_CALL, StoreMembersRequest(), StoreMembersReply, CALL_TIMEOUT_S
+            )
+            if isinstance(outcome, Ok):
+                return outcome
+            failure = outcome.err_value
+            if failure.primary and failure.primary not in asked:
+                waiting = [failure.primary, *(one for one in waiting if one != failure.primary)]
+        return Err(failure)
--- a/cherrycove/tier/controlplane/term.py
+++ b/cherrycove/tier/controlplane/term.py
@@ -5,6 +5,7 @@
 import logging
 from collections.abc import Callable
 
+from cherrycove.tier.controlplane.leadership import Leadership
 from cherrycove.tier.replication.interface import Group
 
 _log = logging.getLogger(__name__)
@@ -41,3 +42,25 @@
     def holds(self) -> bool:
         """Whether this replica still leads in the epoch of the last update."""
         return self._epoch is not None and self._epoch == self._group.epoch and self._group.confirmed()
+
+
+class TermAuthority:
+    """The leadership as the publisher asks for it: each question brings what is published up to date.
+
+    A lease can begin to hold without a change that the group reports. Without the update, a pull that was
+    held meanwhile would be answered with what was published in an earlier term."""
+
+    def __init__(self, term: Term, leadership: Leadership) -> None:
+        self._term = term
+        self._leadership = leadership
+
+    @property
+    def epoch(self) -> int:
+        return self._leadership.epoch
+
+    def confirmed(self) -> bool:
+        self._term.update()
+        return self._term.holds()
+
+    def primary_address(self) -> str:
+        return self._leadership.primary_address()
--- a/cherrycove/tier/distribution/puller.py
+++ b/cherrycove/tier/distribution/puller.py
@@ -18,7 +18,6 @@
 from cherrycove.tier.protocol.control_pb2 import (
     Announcement,
     BrokerEntry,
-    ConfigurationDocument,
     PullReply,
     PullRequest,
     TopicUpdate,
@@ -28,48 +27,67 @@
 
 WAIT_MS = 700  # how long the keeper may hold a pull
 CALL_MARGIN_S = 0.6  # after the wait, an unanswered pull is given up
+UNUSABLE_PAUSE_S = 0.3  # an update that cannot be read would otherwise come back at once
 
 _log = logging.getLogger(__name__)
 
 
 class ViewUpdater:
-    """Applies updates of topics to the views. Within one life no topic goes back."""
+    """Applies updates of topics to the views. Within one life no topic goes back.
+
+    The vector tells what the views hold: it advances with an update that was applied and with no other, so
+    one that could not be read comes again with every pull until it, or a newer one, can be."""
 
     def __init__(self, views: Views) -> None:
         self._views = views
         self.vector = VersionVector()
+        self.unusable = False  # the last updates held one that is newer and could not be read
 
     def apply(self, updates: list[TopicUpdate]) -> bool:
-        """Tell whether anything was newer than what the views held."""
-        newer = [update for update in updates if self.vector.advance(update.version)]
-        for update in newer:
-            self._apply_one(update)
-        if newer:
+        """Take over each update that is newer than what the views hold; tell whether there was one."""
+        newer = [update for update in updates if self.vector.is_newer(update.version)]
+        taken = [update for update in newer if self._apply_one(update)]
+        for update in taken:
+            self.vector.advance(update.version)
+        if taken:
             self._views.changed()
-        return bool(newer)
+        self.unusable = len(taken) < len(newer)
+        return bool(taken)
 
-    def _apply_one(self, update: TopicUpdate) -> None:
+    def _apply_one(self, update: TopicUpdate) -> bool:
+        """Whether the views hold ``update`` now."""
         body = update.WhichOneof("body")
         if body == "configuration":
-            self._apply_configuration(update.configuration)
-        elif body == "brokers":
+            return self._apply_configuration(update)
+        if body == "brokers":
             self._views.brokers = tuple(_broker(entry) for entry in update.brokers.brokers)
         elif body == "members":
             self._views.members = tuple(update.members.members)
         elif body == "store_group":
             self._views.store_group = update.store_group
+        return body is not None
 
-    def _apply_configuration(self, document: ConfigurationDocument) -> None:
-        current = self._views.configuration
-        if current is not None and document.version <= current.version:
-            return
+    def _apply_configuration(self, update: TopicUpdate) -> bool:
+        document = update.configuration
         parsed = parse_configuration(document.document)
         if isinstance(parsed, Err):
             _log.error("configuration_unreadable", extra={"reason": parsed.err_value.detail})
-            return
+            return False
+        current = self._views.configuration
+        version = parsed.ok_value.version
+        if version != update.version.sequence or (current is not None and version < current.version):
+            _log.error("configuration_misnumbered", extra={"version": version})
+            return False
         self._views.configuration = parsed.ok_value
         self._views.document = document.document
-        _log.info("configuration_in_force", extra={"version": document.version})
+        _log.info("configuration_in_force", extra={"version": version})
+        return True
+
+
+def _is_cancelled() -> bool:
+    """Whether the present task itself was cancelled, not only what it waits for."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
 
 
 def _seeds(settings: Settings) -> list[str]:
@@ -138,7 +156,7 @@
             try:
                 await call
             except asyncio.CancelledError:
-                if not self._restart:
+                if not self._restart or _is_cancelled():
                     call.cancel()
                     raise
             except Exception:
@@ -153,22 +171,26 @@
         if not target:
             await asyncio.sleep(MAX_PAUSE_S)
             return
+        wait_ms = WAIT_MS if self._choice.is_primary(target) else 0  # a keeper that hangs costs little time
         request = PullRequest(
-            announcement=self._announce(), versions=self._updater.vector.messages(), wait_ms=WAIT_MS
+            announcement=self._announce(), versions=self._updater.vector.messages(), wait_ms=wait_ms
         )
         outcome = await self._client.call(
-            target, PULL_CALL, request, PullReply, WAIT_MS / 1000.0 + CALL_MARGIN_S
+            target, PULL_CALL, request, PullReply, wait_ms / 1000.0 + CALL_MARGIN_S
         )
         if isinstance(outcome, Ok):
-            self._answered(target, outcome.ok_value)
+            await asyncio.sleep(self._answered(target, outcome.ok_value))
         else:
             await asyncio.sleep(self._after_failure(target, outcome.err_value))
 
-    def _answered(self, target: str, reply: PullReply) -> None:
+    def _answered(self, target: str, reply: PullReply) -> float:
+        """Take ``reply`` over; returns the pause in s."""
         self._choice.answered(target)
         self._views.last_contact = asyncio.get_running_loop().time()
+        self._views.contact_address = target
         if self._updater.apply(list(reply.updates)):
             self._choice.learn(self._keepers())
+        return UNUSABLE_PAUSE_S if self._updater.unusable else 0.0
 
     def _after_failure(self, target: str, failure: Failure) -> float:
         now = asyncio.get_running_loop().time()
--- a/cherrycove/tier/distribution/topics.py
+++ b/cherrycove/tier/distribution/topics.py
@@ -38,12 +38,15 @@
     def get(self, topic: str) -> Version:
         return self._versions.get(topic, NO_VERSION)
 
+    def is_newer(self, version: TopicVersion) -> bool:
+        """Whether ``version`` is newer than the one held."""
+        return Version(version.epoch, version.sequence) > self.get(version.topic)
+
     def advance(self, version: TopicVersion) -> bool:
         """Take ``version`` in if it is newer than the one held; tell whether it was."""
-        offered = Version(version.epoch, version.sequence)
-        if offered <= self.get(version.topic):
+        if not self.is_newer(version):
             return False
-        self._versions[version.topic] = offered
+        self._versions[version.topic] = Version(version.epoch, version.sequence)
         return True
 
     def messages(self) -> list[TopicVersion]:
--- a/cherrycove/tier/programs/store.py
+++ b/cherrycove/tier/programs/store.py
@@ -6,6 +6,7 @@
 
 from cherrycove.tier.batch.jobs import JobsState
 from cherrycove.tier.batch.store import BatchStore
+from cherrycove.tier.controlplane.store_members import StoreMembersService
 from cherrycove.tier.distribution.puller import Puller
 from cherrycove.tier.distribution.views import Views
 from cherrycove.tier.programs.process import new_incarnation
@@ -35,6 +36,7 @@
         self._views = Views()
         self._puller = Puller(settings, self._client, self._views, self._announce)
         self._views.on_change(self._follow_keepers)
+        StoreMembersService(self._group, self._views).serve_on(self._server)
 
     async def start(self) -> None:
         await self._client.start()
@@ -62,10 +64,15 @@
         if not self._joined and self._group.identity.member_id in named:
             self._joined = True
             self._joining = asyncio.ensure_future(self._group.start(initial))
-        self._group.retire(frozenset(self._views.store_group.retiring))
-        self._group.offer_standbys(
-            [standby_of(store, self._settings) for store in self._views.stores() if not store.leaving]
+        leaving = [identity_of(replica) for replica in self._views.store_group.retiring_disks]
+        self._group.retire(
+            frozenset(self._views.store_group.retiring) | {disk.member_id for disk in leaving}
         )
+        present = [standby_of(store, self._settings) for store in self._views.stores() if not store.leaving]
+        # Disks to be emptied are offered too, also of machines that are away: the group takes none of them
+        # in, and commits that it never will.
+        known = {disk.member_id for disk in present}
+        self._group.offer_standbys([*present, *(disk for disk in leaving if disk.member_id not in known)])
 
     def _announce(self) -> Announcement:
         return describe(
--- a/tests/tier/control_support.py
+++ b/tests/tier/control_support.py
@@ -19,10 +19,12 @@
 
 from cherrycove.tier.controlplane.keeper import Keeper
 from cherrycove.tier.controlplane.state import ControlState
+from cherrycove.tier.controlplane.store_members import STORE_MEMBERS_CALL
 from cherrycove.tier.distribution.puller import Puller
 from cherrycove.tier.distribution.views import Views
 from cherrycove.tier.errors import ErrorKind, Failure
 from cherrycove.tier.protocol.control_pb2 import Announcement, Replica
+from cherrycove.tier.protocol.keeper_pb2 import StoreMembersReply, StoreMembersRequest
 from cherrycove.tier.protocol.rpc import RpcClient, RpcServer
 from cherrycove.tier.replication.interface import CommittedMembers, MemberIdentity
 from cherrycove.tier.settings import (
@@ -273,6 +275,13 @@
         await client.start()
         return client
 
+    async def store_group(self, *names: str) -> StoreGroup:
+        """The store group's primary, at the address of all stores of a test."""
+        group = StoreGroup(self.settings("127.0.0.1").peer_address("127.0.0.1", "store"), *names)
+        self._closers.append(group.stop)
+        await group.start()
+        return group
+
     async def operator(
         self, keeper: int, method: str, path: str, body: bytes | None = None, if_match: str | None = None
     ) -> tuple[int, bytes]:
@@ -351,6 +360,34 @@
         await self.client.stop()
 
 
+class StoreGroup:
+    """Stands in for the store group's primary: tells the keepers which member list is in force."""
+
+    def __init__(self, address: str, *names: str) -> None:
+        self._address = address
+        self._server = RpcServer()
+        self._server.register(STORE_MEMBERS_CALL, StoreMembersRequest, self._answer)
+        self.members = [replica(name) for name in names]
+        self.excluded: list[str] = []
+        self.revision = 0
+        self.leads = True
+        self.answers = 0
+
+    async def start(self) -> None:
+        await self._server.start(self._address)
+
+    async def stop(self) -> None:
+        await self._server.stop()
+
+    async def _answer(self, request: StoreMembersRequest) -> Result[StoreMembersReply, Failure]:
+        self.answers += 1
+        if not self.leads:
+            return Err(Failure(ErrorKind.NOT_PRIMARY, "does not lead"))
+        return Ok(
+            StoreMembersReply(members=self.members, excluded=self.excluded, revision=self.revision, epoch=1)
+        )
+
+
 class Client:
     """A process that pulls; ``announcement`` may be changed by the test."""
 
--- /dev/null
+++ b/tests/tier/test_control_emptying.py
@@ -0,0 +1,119 @@
+"""When a machine to be emptied may be taken away: by the committed lists of both groups alone."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+import pytest
+
+from cherrycove.tier.controlplane.emptying import CommittedList, GroupMember, obstacle
+from cherrycove.tier.controlplane.machines import stands_on
+from cherrycove.tier.protocol.control_pb2 import Replica
+from cherrycove.tier.protocol.keeper_pb2 import RetireOrder, StoreMembersReply
+from cherrycove.tier.replication.interface import CommittedMembers, MemberIdentity
+
+GROUP_SIZE = 3
+
+
+def order(**changes: Any) -> RetireOrder:
+    fields: dict[str, Any] = {
+        "node_name": "m3",
+        "member_id": "disk-3",
+        "revision": 5,
+        "ips": ["10.0.0.3"],
+        "store_ids": ["disk-3"],
+        "keeper_ids": ["first-10.0.0.3"],
+        **changes,
+    }
+    return RetireOrder(**fields)
+
+
+def member(number: int, name: str | None = None, disk: str = "") -> GroupMember:
+    node_name = f"m{number}" if name is None else name
+    return GroupMember(disk or f"disk-{number}", node_name, f"10.0.0.{number}:7000")
+
+
+STORES = CommittedList((member(1), member(2), member(4)), frozenset({"disk-3"}), revision=5)
+KEEPERS = CommittedList(
+    (member(1, name=""), member(2, name=""), member(4)), frozenset({"first-10.0.0.3", "disk-9"})
+)
+
+
+def test_a_machine_that_both_groups_left_for_good_is_free_to_go() -> None:
+    assert obstacle(order(), KEEPERS, STORES, GROUP_SIZE) is None
+
+
+@pytest.mark.parametrize(
+    ("changes", "reason"),
+    [
+        ({"members": (member(1), member(2), member(3))}, "the store group counts on disk-3"),
+        ({"members": (member(1), member(2), member(3, disk="new"))}, "the store group counts on new"),
+        ({"members": (member(1), member(2))}, "the store group has 2 members of 3"),
+        ({"excluded": frozenset()}, "the store group has not excluded disk-3"),
+        ({"revision": 4}, "the store group's primary does not know the order yet"),
+    ],
+)
+def test_the_store_group_holds_a_machine_back(changes: dict[str, Any], reason: str) -> None:
+    assert obstacle(order(), KEEPERS, attrs.evolve(STORES, **changes), GROUP_SIZE) == reason
+
+
+@pytest.mark.parametrize(
+    ("changes", "reason"),
+    [
+        (
+            {"members": (member(1), member(2), member(3, name="", disk="first-10.0.0.3"))},
+            "the keeper group counts on first-10.0.0.3",
+        ),
+        (
+            {"members": (member(1), member(2), member(3, name="", disk="unheard"))},
+            "the keeper group counts on unheard",
+        ),
+        (
+            {"members": (member(1), member(2), member(8, name="m3", disk="moved"))},
+            "the keeper group counts on moved",
+        ),
+        ({"members": (member(1), member(2))}, "the keeper group has 2 members of 3"),
+        ({"excluded": frozenset()}, "the keeper group has not excluded first-10.0.0.3"),
+    ],
+)
+def test_the_keeper_group_holds_a_machine_back(changes: dict[str, Any], reason: str) -> None:
+    assert obstacle(order(), attrs.evolve(KEEPERS, **changes), STORES, GROUP_SIZE) == reason
+
+
+def test_a_machine_whose_address_or_disk_is_unknown_stays() -> None:
+    unknown = "the address or the disk of the machine is not known"
+    assert obstacle(order(ips=[]), KEEPERS, STORES, GROUP_SIZE) == unknown
+    assert obstacle(order(store_ids=[]), KEEPERS, STORES, GROUP_SIZE) == unknown
+
+
+def test_every_disk_that_was_ever_known_must_be_excluded() -> None:
+    wiped = order(store_ids=["disk-3", "disk-new"])
+    assert obstacle(wiped, KEEPERS, STORES, GROUP_SIZE) == "the store group has not excluded disk-new"
+    both = attrs.evolve(STORES, excluded=frozenset({"disk-3", "disk-new"}))
+    assert obstacle(wiped, KEEPERS, both, GROUP_SIZE) is None
+
+
+def test_keepers_on_other_machines_are_not_asked_for() -> None:
+    core = CommittedList((member(11, name=""), member(12, name="")), frozenset())
+    assert obstacle(order(keeper_ids=[]), core, STORES, GROUP_SIZE) is None
+
+
+def test_an_address_used_again_by_a_machine_of_another_name_is_another_machine() -> None:
+    assert stands_on(order(), "", "10.0.0.3:7000")
+    assert stands_on(order(), "m3", "10.0.0.9:7000")
+    assert not stands_on(order(), "m7", "10.0.0.3:7000")
+    assert not stands_on(order(), "", "10.0.0.33:7000")
+
+
+def test_lists_are_taken_from_both_groups() -> None:
+    reply = StoreMembersReply(
+        members=[Replica(member_id="a", node_name="m1", address="10.0.0.1:1")], excluded=["x"], revision=7
+    )
+    assert CommittedList.of_stores(reply) == CommittedList(
+        (GroupMember("a", "m1", "10.0.0.1:1"),), frozenset({"x"}), 7
+    )
+    committed = CommittedMembers(4, (MemberIdentity("b", "", "10.0.0.2:1"),), frozenset({"y"}))
+    assert CommittedList.of_keepers(committed) == CommittedList(
+        (GroupMember("b", "", "10.0.0.2:1"),), frozenset({"y"})
+    )
--- a/tests/tier/test_control_operator.py
+++ b/tests/tier/test_control_operator.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 
-from control_support import World, document, store
+from control_support import World, document, replica, store
 
 CONFIGURATION = "/api/configuration"
 
@@ -186,22 +186,20 @@
             await stores["s1"].until(lambda views: len(views.store_group.initial) == 3)
             while (await world.operator(0, "POST", "/api/retire/unknown", b"{}"))[0] == 503:
                 world.transcript.pop()
-            members = ["disk-s1", "disk-s2", "disk-s3"]
-            leader = store("s1", group_primary=True, group_epoch=2, group_members=members)
-            stores["s1"].announcement = leader
+            group = await world.store_group("s1", "s2", "s3")
             await world.operator(0, "POST", "/api/retire/s3", b'{"durationS":10}')
             await world.operator(0, "POST", "/api/retire/s3", b'{"durationS":10}')
             await world.operator(0, "POST", "/api/retire/s2", b'{"durationS":10}')
             await stores["s1"].until(lambda views: list(views.store_group.retiring) == ["s3"])
             await world.operator(0, "GET", "/api/retire/s3")
-            members = ["disk-s1", "disk-s2", "disk-s4"]
-            stores["s1"].announcement = store("s1", group_primary=True, group_epoch=2, group_members=members)
-            stores["s1"].puller.announce_now()
+            group.members = [replica(name) for name in ("s1", "s2", "s4")]
+            group.revision = stores["s1"].views.store_group.revision
+            group.excluded = ["disk-s3"]
             order = world.keepers[0].state.retire_orders
             await stores["s2"].until(lambda views: order["s3"].completed)
             _, body = await world.operator(0, "GET", "/api/retire/s3")
             assert json.loads(body) == {"state": "completed"}
-            assert world.keepers[0].group.retiring == {"s3"}
+            assert world.keepers[0].group.retiring == {"s3", *order["s3"].keeper_ids}
             await world.operator(0, "GET", "/api/retire/s1")
             approved(
                 world,
--- a/tests/tier/test_control_state.py
+++ b/tests/tier/test_control_state.py
@@ -12,8 +12,10 @@
     Command,
     ForgetRetired,
     FormStoreGroup,
+    RecordMachines,
     Retire,
     Retired,
+    StoreMachine,
 )
 
 
@@ -58,13 +60,38 @@
     assert state.configuration.version == 9
 
 
-def test_known_documents_are_bounded(monkeypatch) -> None:  # type: ignore[no-untyped-def]
+def test_beyond_the_known_documents_nothing_is_refused(monkeypatch) -> None:  # type: ignore[no-untyped-def]
     monkeypatch.setattr(state_module, "MAX_ACCEPTED_VERSIONS", 2)
     state = ControlState()
-    for version in (1, 2, 3):
-        accept(state, version, version - 1)
-    assert accept(state, 1, 0) is AcceptOutcome.BASE_MISMATCH
-    assert accept(state, 2, 1) is AcceptOutcome.ALREADY_ACCEPTED
+    for version, base in ((1, 0), (3, 1), (6, 3), (9, 6)):
+        accept(state, version, base)
+    restored = ControlState()
+    restored.restore(state.snapshot())
+    for one in (state, restored):
+        assert accept(one, 1, 0) is AcceptOutcome.FORGOTTEN
+        assert accept(one, 2, 1) is AcceptOutcome.FORGOTTEN
+        assert accept(one, 3, 1, document(3, limits={})) is AcceptOutcome.FORGOTTEN
+        assert accept(one, 4, 3) is AcceptOutcome.BASE_MISMATCH
+        assert accept(one, 6, 3) is AcceptOutcome.ALREADY_ACCEPTED
+        assert accept(one, 9, 6) is AcceptOutcome.ALREADY_ACCEPTED
+        assert accept(one, 9, 6, document(9, limits={})) is AcceptOutcome.BASE_MISMATCH
+        assert one.configuration.version == 9
+
+
+def test_the_known_documents_are_bounded_at_thousands() -> None:
+    state = ControlState()
+    total = state_module.MAX_ACCEPTED_VERSIONS + 3
+    for version in range(1, total + 1):
+        accept(state, version, version - 1, b"%d" % version)
+    restored = ControlState()
+    restored.restore(state.snapshot())
+    outcomes = [accept(restored, version, version - 1, b"%d" % version) for version in (1, 3, 4, total)]
+    assert outcomes == [
+        AcceptOutcome.FORGOTTEN,
+        AcceptOutcome.FORGOTTEN,
+        AcceptOutcome.ALREADY_ACCEPTED,
+        AcceptOutcome.ALREADY_ACCEPTED,
+    ]
 
 
 def test_the_store_group_is_formed_once() -> None:
@@ -98,8 +125,53 @@
     assert state.retire_orders["s1"].revision == 2
 
 
+def machine(name: str, ip: str, disk: str, keeper: str = "") -> StoreMachine:
+    return StoreMachine(node_name=name, ip=ip, store_id=disk, keeper_id=keeper)
+
+
+def test_an_order_knows_address_and_disks_from_the_record() -> None:
+    state = ControlState()
+    order(state, form_store_group=FormStoreGroup(initial=[replica("s1")]))
+    assert state.machines["s1"] == machine("s1", "127.0.0.1", "disk-s1")
+    assert not order(state, record_machines=RecordMachines(machines=[machine("s2", "10.0.0.2", "a", "k")]))
+    assert order(state, retire=Retire(node_name="s2"))
+    taken = state.retire_orders["s2"]
+    assert taken.member_id == "a"
+    assert (taken.ips, taken.store_ids, taken.keeper_ids) == (["10.0.0.2"], ["a"], ["k"])
+
+
+def test_an_order_learns_until_the_machine_is_removed() -> None:
+    state = ControlState()
+    order(state, retire=Retire(node_name="s2", member_id="a", ip="10.0.0.2"))
+    revision = state.retire_orders["s2"].revision
+    assert order(state, record_machines=RecordMachines(machines=[machine("s2", "10.0.0.2", "b", "k")]))
+    assert not order(state, retired=Retired(node_name="s2", member_id="a", revision=revision))
+    learned = state.retire_orders["s2"]
+    assert (learned.store_ids, learned.keeper_ids) == (["a", "b"], ["k"])
+    assert learned.revision > revision
+    assert order(state, retired=Retired(node_name="s2", member_id="b", revision=learned.revision))
+    assert not order(state, retire=Retire(node_name="s2", member_id="b", ip="10.0.0.2"))
+    assert order(state, record_machines=RecordMachines(machines=[machine("s2", "10.0.0.2", "c")]))
+    again = state.retire_orders["s2"]
+    assert again.completed
+    assert again.store_ids == ["a", "b", "c"]
+    assert [disk.member_id for disk in state.store_group().retiring_disks] == ["a", "b", "c"]
+
+
+def test_a_new_machine_of_the_name_gets_an_order_of_its_own() -> None:
+    state = ControlState()
+    order(state, retire=Retire(node_name="s2", member_id="a", ip="10.0.0.2"))
+    order(state, retired=Retired(node_name="s2", member_id="a", revision=1))
+    assert not order(state, record_machines=RecordMachines(machines=[machine("s2", "10.0.0.9", "n")]))
+    assert state.retire_orders["s2"].store_ids == ["a"]
+    assert order(state, retire=Retire(node_name="s2", member_id="n", ip="10.0.0.9"))
+    fresh = state.retire_orders["s2"]
+    assert (fresh.completed, fresh.ips, fresh.store_ids) == (False, ["10.0.0.9"], ["n"])
+
+
 def test_a_snapshot_holds_the_whole_state() -> None:
     state = ControlState()
+    order(state, record_machines=RecordMachines(machines=[machine("s2", "10.0.0.2", "a", "k")]))
     accept(state, 3, 0)
     accept(state, 7, 3)
     order(state, form_store_group=FormStoreGroup(initial=[replica("s1")]))
--- a/tests/tier/test_control_store_group.py
+++ b/tests/tier/test_control_store_group.py
@@ -1,4 +1,4 @@
-"""Forming the store group and emptying stores, with a clock of the test."""
+"""Forming the store group, and what orders learn of announcements, with a clock of the test."""
 
 from __future__ import annotations
 
@@ -15,13 +15,12 @@
     GroupForming,
     StoreFleet,
     order_updates,
+    record_updates,
 )
 from cherrycove.tier.protocol.control_pb2 import Announcement
 from cherrycove.tier.protocol.keeper_pb2 import RetireOrder
 from cherrycove.tier.settings import FaultTolerance, Settings
 
-GROUP_SIZE = 3
-
 
 def forming(machine_failures: int = 1) -> GroupForming:
     settings = Settings(
@@ -36,8 +35,8 @@
     return GroupForming(settings)
 
 
-def heard(*announcements: Announcement, revision: int = 0, seeded: bool = False) -> list[Registration]:
-    return [Registration(one, 0.0, revision, seeded) for one in announcements]
+def heard(*announcements: Announcement, seeded: bool = False) -> list[Registration]:
+    return [Registration(one, 0.0, seeded) for one in announcements]
 
 
 def chosen(group: GroupForming, stores: Iterable[Registration], now: float) -> list[str]:
@@ -93,73 +92,53 @@
     assert chosen(group, stores + heard(store("s4")), LAST_RESORT_S + GATHER_S) == ["s4"]
 
 
-def leader(*members: str, epoch: int = 2, name: str = "s1") -> Announcement:
-    disks = [f"disk-{member}" for member in members]
-    return store(name, group_primary=True, group_epoch=epoch, group_members=disks)
-
-
-def fleet(leaders: list[Registration], order: RetireOrder, others: Iterable[str] = ()) -> StoreFleet:
-    alive = [*leaders, *heard(*(store(name) for name in others))]
+def fleet(order: RetireOrder, *alive: Announcement, seeded: bool = False) -> StoreFleet:
+    entries = heard(*alive, seeded=seeded)
     return StoreFleet(
-        alive=alive,
-        remembered=alive,
+        alive=entries,
+        remembered=entries,
         initial=[replica("s1"), replica("s2"), replica("s3")],
         orders={order.node_name: order},
     )
 
 
 def kinds(now: StoreFleet) -> list[str | None]:
-    return [command.WhichOneof("body") for command in order_updates(now, GROUP_SIZE)]
-
-
-def test_an_order_is_completed_when_a_primary_that_knows_it_has_a_whole_group_without_the_disk() -> None:
-    order = RetireOrder(node_name="s3", member_id="disk-s3", revision=5)
-    others = ("s2", "s3", "s4")
-    with_it = heard(leader("s1", "s2", "s3"), revision=5)
-    without = heard(leader("s1", "s2", "s4"), revision=5)
-    too_early = heard(leader("s1", "s2", "s4"), revision=4)
-    shrunk = heard(leader("s1", "s2"), revision=5)
-    assert kinds(fleet([], order, others)) == []
-    assert kinds(fleet(with_it, order, others)) == []
-    assert kinds(fleet(too_early, order, others)) == []
-    assert kinds(fleet(shrunk, order, others)) == []
-    assert kinds(fleet(without, order, others)) == ["retired"]
-    told_of = [Registration(without[0].announcement, 0.0, 5, seeded=True)]
-    assert kinds(fleet(told_of, order, others)) == []
-
-
-def test_an_order_waits_while_the_keepers_count_on_the_disk_of_that_machine() -> None:
-    order = RetireOrder(node_name="s3", member_id="disk-s3", revision=5)
-    free = fleet(heard(leader("s1", "s2", "s4"), revision=5), order, ("s2", "s3", "s4"))
-    assert kinds(attrs.evolve(free, keeping=frozenset({"s3"}))) == []
-    assert kinds(attrs.evolve(free, keeping=frozenset({"s1"}))) == ["retired"]
-
-
-def test_the_primary_of_the_newest_epoch_counts() -> None:
-    order = RetireOrder(node_name="s3", member_id="disk-s3", revision=5)
-    stale = heard(leader("s1", "s2", "s4", epoch=2), revision=5)
-    newer = heard(leader("s1", "s2", "s3", epoch=3, name="s2"), revision=5)
-    assert kinds(fleet(stale + newer, order, ("s3", "s4"))) == []
+    return [command.WhichOneof("body") for command in order_updates(now)]
 
 
 def test_an_order_for_a_machine_that_lost_its_disk_takes_on_the_new_one() -> None:
     order = RetireOrder(node_name="s3", member_id="disk-s3", revision=5)
-    wiped = heard(store("s3", member_id="disk-new"))
-    without = heard(leader("s1", "s2", "s4"), revision=5)
-    assert kinds(fleet([*without, *wiped], order, ("s2", "s4"))) == ["retire"]
+    assert kinds(fleet(order, store("s2"), store("s3"))) == []
+    wiped = store("s3", member_id="disk-new")
+    assert kinds(fleet(order, store("s2"), wiped)) == ["retire"]
+    assert kinds(fleet(order, wiped, seeded=True)) == []
+    [command] = order_updates(fleet(order, wiped))
+    assert (command.retire.member_id, command.retire.ip) == ("disk-new", "127.0.0.1")
 
 
-def test_an_order_without_a_disk_needs_a_group_of_known_stayers() -> None:
-    order = RetireOrder(node_name="s9", member_id="", revision=5)
-    known = heard(leader("s1", "s2", "s3"), revision=5)
-    assert kinds(fleet(known, order, ("s2", "s3"))) == ["retired"]
-    unknown = heard(leader("s1", "s2", "s7"), revision=5)
-    assert kinds(fleet(unknown, order, ("s2", "s3"))) == []
-
-
-def test_a_completed_order_is_forgotten_when_another_disk_has_the_name() -> None:
-    order = RetireOrder(node_name="s3", member_id="disk-s3", completed=True, revision=5)
-    assert kinds(fleet([], order, ("s3",))) == []
-    assert kinds(fleet([], order, ())) == []
-    newcomer = heard(store("s3", member_id="disk-new"))
-    assert kinds(fleet(newcomer, order)) == ["forget_retired"]
+def test_a_completed_order_is_forgotten_when_another_machine_has_the_name() -> None:
+    order = RetireOrder(
+        node_name="s3", member_id="disk-s3", completed=True, ips=["127.0.0.1"], store_ids=["disk-s3"]
+    )
+    assert kinds(fleet(order, store("s3"))) == []
+    assert kinds(fleet(order)) == []
+    emptied_again = store("s3", member_id="disk-new")
+    assert kinds(fleet(order, emptied_again)) == []
+    newcomer = store("s3", member_id="disk-new", ip="127.0.0.7")
+    assert kinds(fleet(order, newcomer)) == ["forget_retired"]
+
+
+def test_machines_are_recorded_with_address_and_disks() -> None:
+    entries = heard(store("s1"), store("s2"))
+    seen = StoreFleet(alive=entries, remembered=entries, initial=[], orders={}, keepers={"s1": "keeper-s1"})
+    [command] = record_updates(seen)
+    machines = {machine.node_name: machine for machine in command.record_machines.machines}
+    assert machines["s1"].keeper_id == "keeper-s1"
+    assert (machines["s2"].ip, machines["s2"].store_id) == ("127.0.0.1", "disk-s2")
+    known = attrs.evolve(seen, machines=machines, keepers={})
+    assert record_updates(known) == []
+    moved = heard(store("s1", ip="127.0.0.8"), store("s2"))
+    [again] = record_updates(attrs.evolve(known, alive=moved))
+    assert [machine.ip for machine in again.record_machines.machines] == ["127.0.0.8"]
+    told_of = heard(store("s9"), seeded=True)
+    assert record_updates(attrs.evolve(known, alive=told_of)) == []
