--- a/tests/tier/control_support.py
+++ b/tests/tier/control_support.py
@@ -79,6 +79,8 @@
         self.standbys: tuple[MemberIdentity, ...] = ()
         self.standbys_offered = asyncio.Event()
         self.retiring: frozenset[str] = frozenset()
+        self.cut_off = False  # hears of no other replica any more
+        self.listed_here = True  # is a member
         self.excluded: set[str] = set()
         self.callbacks: list[Callable[[], None]] = []
 
@@ -89,11 +91,11 @@
     @property
     def primary(self) -> MemberIdentity | None:
         leader = self._replicas.leader
-        return None if leader is None else leader.identity
+        return None if leader is None or self.cut_off else leader.identity
 
     @property
     def members(self) -> tuple[MemberIdentity, ...]:
-        return tuple(group.identity for group in self._replicas.groups)
+        return tuple(group.identity for group in self._replicas.groups if group.listed_here)
 
     def listed(self) -> frozenset[str]:
         return frozenset(member.member_id for member in self.members)
@@ -102,7 +104,7 @@
         return CommittedMembers(1, self.members, frozenset(self.excluded)) if self.confirmed() else None
 
     def confirmed(self) -> bool:
-        return self._replicas.leader is self and self._replicas.lease
+        return self._replicas.leader is self and self._replicas.lease and not self.cut_off
 
     async def propose(self, command: bytes, timeout_s: float) -> Result[object, Failure]:
         return await self._replicas.propose(self, command)
@@ -347,6 +349,11 @@
             group_epoch=self.group.epoch,
         )
 
+    async def seeds_cut_off(self) -> None:
+        """No pull of this process reaches a keeper any more, and what it learned from them is old."""
+        await self._puller.stop()
+        self.views.last_contact = float("-inf")
+
     async def start(self) -> None:
         await self.client.start()
         await self.keeper.start()
--- /dev/null
+++ b/tests/tier/test_control_cut_off.py
@@ -0,0 +1,270 @@
+"""What each keeper answers while it, or others, are cut off: approved transcripts, one for each row of the
+table in docs/design/control-safety.md."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+from control_support import STEP_TIMEOUT_S, World, document, replica, store
+from result import Err
+
+from cherrycove.tier.controlplane import leadership as leadership_module
+from cherrycove.tier.controlplane.register import REMEMBERED_S
+from cherrycove.tier.protocol.control_pb2 import Announcement, PullReply, PullRequest
+from cherrycove.tier.protocol.keeper_pb2 import Command, FormStoreGroup, RecordMachines, Retire, StoreMachine
+
+CONFIGURATION = "/api/configuration"
+ORDER = "/api/retire/s1"
+
+
+async def ask(world: World, keeper: int) -> str:
+    """One call of each kind to ``keeper``, all at once; the answers in order, with what a pull is told."""
+    first = len(world.transcript)
+    change = world.operator(keeper, "PUT", CONFIGURATION, document(9), "3")
+    wrong = world.operator(keeper, "PUT", CONFIGURATION, b"{", "x")
+    read = world.operator(keeper, "GET", CONFIGURATION)
+    order = world.operator(keeper, "POST", ORDER, b"{}")
+    state = world.operator(keeper, "GET", ORDER)
+    calls = (change, wrong, read, order, state, pull(world, keeper))
+    *_, pulled = await asyncio.gather(*calls)
+    answers = sorted(line.partition(": ")[2] for line in world.transcript[first:])
+    return "\n".join([*answers, str(pulled)])
+
+
+async def pull(world: World, keeper: int) -> str:
+    node = world.keepers[keeper]
+    announcement = Announcement(node_name="f1", program="proxy", incarnation="1")
+    request = PullRequest(announcement=announcement, wait_ms=0)
+    outcome = await node.client.call(node.address, "pull", request, PullReply, STEP_TIMEOUT_S)
+    if isinstance(outcome, Err):
+        hint = outcome.err_value.primary
+        named = next((f"keeper {n}" for n, one in enumerate(world.keepers) if one.address == hint), "nobody")
+        return f"pull -> {outcome.err_value.kind.value}, points to {named}"
+    updates = outcome.ok_value.updates
+    versions = [one.configuration.version for one in updates if one.HasField("configuration")]
+    return f"pull -> configuration {versions}"
+
+
+def approved(answers: str, transcript: str) -> None:
+    assert answers == "\n".join(line.strip() for line in transcript.strip().splitlines())
+
+
+async def prepared(world: World) -> None:
+    """Keeper 0 leads; version 3 is in force; s1 began the store group with two others."""
+    world.lead(0)
+    await world.operator(0, "PUT", CONFIGURATION, document(3), "0")
+    formed = FormStoreGroup(initial=[replica(name) for name in ("s1", "s2", "s3")])
+    await world.keepers[0].group.propose(Command(form_store_group=formed).SerializeToString(), 1.0)
+
+
+UNDECIDED = """
+    GET /api/configuration -> 503
+    GET /api/retire/s1 -> 503
+    POST /api/retire/s1 -> 503
+    PUT /api/configuration unreadable on x -> 503
+    PUT /api/configuration v9 on 3 -> 503
+    pull -> not_primary, points to nobody
+    """
+
+POINTS_TO_KEEPER_0 = """
+    GET /api/configuration -> 307 keeper 0/api/configuration
+    GET /api/retire/s1 -> 307 keeper 0/api/retire/s1
+    POST /api/retire/s1 -> 307 keeper 0/api/retire/s1
+    PUT /api/configuration unreadable on x -> 307 keeper 0/api/configuration
+    PUT /api/configuration v9 on 3 -> 307 keeper 0/api/configuration
+    pull -> not_primary, points to keeper 0
+    """
+
+
+def test_a_primary_whose_lease_ran_out_and_one_that_stepped_down() -> None:
+    async def exchange() -> None:
+        async with World(2) as world:
+            await prepared(world)
+            world.replicas.lease = False
+            approved(await ask(world, 0), UNDECIDED)
+            world.replicas.lease = True
+            world.keepers[0].group.cut_off = True
+            approved(await ask(world, 0), UNDECIDED)
+            assert world.replicas.committed == 2
+
+    asyncio.run(exchange())
+
+
+def test_a_primary_that_reaches_no_majority_while_its_lease_lasts() -> None:
+    async def exchange() -> None:
+        async with World(1) as world:
+            await prepared(world)
+            world.replicas.next_outcomes = ["uncertain_lost"] * 4
+            await world.operator(0, "GET", CONFIGURATION)
+            await world.operator(0, "PUT", CONFIGURATION, document(9), "3")
+            await world.operator(0, "PUT", CONFIGURATION, document(9), "3")
+            await world.operator(0, "PUT", CONFIGURATION, document(8), "1")
+            await world.operator(0, "PUT", CONFIGURATION, b"{", "3")
+            await world.operator(0, "PUT", CONFIGURATION, document(8), "1")
+            approved(
+                "\n".join(world.transcript[1:]),
+                """
+                keeper 0: GET /api/configuration -> 200
+                keeper 0: PUT /api/configuration v9 on 3 -> 504
+                keeper 0: PUT /api/configuration v9 on 3 -> 503
+                keeper 0: PUT /api/configuration v8 on 1 -> 503
+                keeper 0: PUT /api/configuration unreadable on 3 -> 503
+                keeper 0: PUT /api/configuration v8 on 1 -> 412
+                """,
+            )
+
+    asyncio.run(exchange())
+
+
+def test_a_backup_points_to_the_primary_until_it_forgot_it() -> None:
+    async def exchange() -> None:
+        async with World(2) as world:
+            await prepared(world)
+            approved(await ask(world, 1), POINTS_TO_KEEPER_0)
+            world.keepers[1].group.cut_off = True
+            approved(await ask(world, 1), UNDECIDED)
+
+    asyncio.run(exchange())
+
+
+def test_a_backup_does_not_point_to_a_primary_that_has_been_silent(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def exchange() -> None:
+        async with World(2) as world:
+            await prepared(world)
+            monkeypatch.setattr(leadership_module, "HINT_FRESH_S", 0.0)
+            approved(await ask(world, 1), UNDECIDED)
+
+    asyncio.run(exchange())
+
+
+def test_a_keeper_outside_the_group_points_to_whom_answers_its_pulls() -> None:
+    async def exchange() -> None:
+        async with World(2) as world:
+            group = world.keepers[1].group
+            group.listed_here = False
+            group.cut_off = True
+            await prepared(world)
+            client = await world.client(Announcement(node_name="f2", program="proxy", incarnation="1"))
+            await client.until(lambda views: any(one.node_name == "core-2" for one in views.members))
+            approved(await ask(world, 1), POINTS_TO_KEEPER_0)
+
+    asyncio.run(exchange())
+
+
+def test_a_keeper_outside_the_group_whose_seeds_are_cut_off() -> None:
+    async def exchange() -> None:
+        async with World(2) as world:
+            group = world.keepers[1].group
+            group.listed_here = False
+            group.cut_off = True
+            await world.keepers[1].seeds_cut_off()
+            await prepared(world)
+            approved(await ask(world, 1), UNDECIDED)
+
+    asyncio.run(exchange())
+
+
+def test_an_operator_who_reaches_only_the_smaller_side() -> None:
+    async def exchange() -> None:
+        async with World(3) as world:
+            await prepared(world)
+            for cut in (world.keepers[0], world.keepers[1]):
+                await cut.seeds_cut_off()
+            world.lead(2)
+            world.keepers[0].group.cut_off = True
+            world.keepers[1].group.cut_off = True
+            both = await asyncio.gather(ask_quietly(world, 0), ask_quietly(world, 1))
+            assert both == [{503}, {503}]
+            await world.operator(2, "PUT", CONFIGURATION, document(9), "3")
+            await world.operator(2, "PUT", CONFIGURATION, document(9, limits={}), "3")
+            assert [line.rpartition(" ")[2] for line in world.transcript[-2:]] == ["200", "412"]
+
+    asyncio.run(exchange())
+
+
+async def ask_quietly(world: World, keeper: int) -> set[int]:
+    """The statuses of a change, a read and an order."""
+    answers = await asyncio.gather(
+        world.operator(keeper, "PUT", CONFIGURATION, document(9), "0"),
+        world.operator(keeper, "GET", CONFIGURATION),
+        world.operator(keeper, "POST", "/api/retire/unknown", b"{}"),
+    )
+    return {status for status, _ in answers}
+
+
+def test_a_new_primary_that_heard_no_store_refuses_no_order_for_good() -> None:
+    async def exchange() -> None:
+        async with World(2) as world:
+            await prepared(world)
+            order = Retire(node_name="s2")
+            await world.keepers[0].group.propose(Command(retire=order).SerializeToString(), 1.0)
+            world.lead(1)
+            first = len(world.transcript)
+            await world.operator(1, "POST", "/api/retire/s1", b"{}")
+            await world.operator(1, "POST", "/api/retire/unknown", b"{}")
+            await world.operator(1, "POST", "/api/retire/s2", b"{}")
+            await world.operator(1, "GET", "/api/retire/s2")
+            await world.operator(1, "PUT", CONFIGURATION, document(9), "3")
+            world.keepers[1].keeper._term_began -= 10.0  # a term without a single announcement
+            await world.operator(1, "POST", "/api/retire/s1", b"{}")
+            await world.operator(1, "POST", "/api/retire/unknown", b"{}")
+            approved(
+                "\n".join(world.transcript[first:]),
+                """
+                keeper 1: POST /api/retire/s1 -> 503
+                keeper 1: POST /api/retire/unknown -> 503
+                keeper 1: POST /api/retire/s2 -> 200
+                keeper 1: GET /api/retire/s2 -> 200
+                keeper 1: PUT /api/configuration v9 on 3 -> 200
+                keeper 1: POST /api/retire/s1 -> 503
+                keeper 1: POST /api/retire/unknown -> 503
+                """,
+            )
+
+    asyncio.run(exchange())
+
+
+def test_a_machine_that_is_recorded_and_was_not_heard_yet_is_no_reason_for_a_409() -> None:
+    async def exchange() -> None:
+        async with World(1) as world:
+            await prepared(world)
+            stores = [await world.client(store(name)) for name in ("s1", "s2")]
+            await stores[1].until(lambda views: len(views.stores()) == 2)
+            world.keepers[0].keeper._term_began -= 10.0
+            assert (await world.operator(0, "POST", "/api/retire/s1", b"{}"))[0] == 409
+            machine = StoreMachine(node_name="s4", ip="127.0.0.9", store_id="disk-s4")
+            record = Command(record_machines=RecordMachines(machines=[machine]))
+            await world.keepers[0].group.propose(record.SerializeToString(), 1.0)
+            assert (await world.operator(0, "POST", "/api/retire/s1", b"{}"))[0] == 503
+            assert (await world.operator(0, "POST", "/api/retire/s4", b"{}"))[0] == 503
+            assert (await world.operator(0, "POST", "/api/retire/s9", b"{}"))[0] == 404
+            world.keepers[0].keeper._term_began -= REMEMBERED_S  # none of them came back in all that time
+            assert (await world.operator(0, "POST", "/api/retire/s1", b"{}"))[0] == 409
+
+    asyncio.run(exchange())
+
+
+def test_a_lease_that_ends_while_the_body_arrives() -> None:
+    async def exchange() -> None:
+        async with World(1) as world:
+            await prepared(world)
+            assert world.http is not None
+            begun, rest = asyncio.Event(), asyncio.Event()
+
+            async def body() -> AsyncIterator[bytes]:
+                yield b"{"
+                begun.set()
+                await rest.wait()
+                yield b"}"
+
+            url = f"http://{world.hosts[0]}:{world.control_port}{CONFIGURATION}"
+            call = asyncio.create_task(world.http.put(url, data=body(), headers={"If-Match": "1"}))
+            await begun.wait()
+            world.replicas.lease = False
+            rest.set()
+            async with asyncio.timeout(STEP_TIMEOUT_S):
+                assert (await call).status == 503
+
+    asyncio.run(exchange())
