--- a/cherrycove/tier/controlplane/store_maintenance.py
+++ b/cherrycove/tier/controlplane/store_maintenance.py
@@ -59,12 +59,17 @@
 
     async def step(self) -> None:
         """One look at the stores and the pause after it."""
-        if self._term.holds():
-            for command in self._commands():
-                await self._propose(command)
-            await self._complete_orders()
+        await self.work()
         await asyncio.sleep(INTERVAL_S)
 
+    async def work(self) -> None:
+        """What is to be done now, if this keeper leads."""
+        if not self._term.holds():
+            return
+        for command in self._commands():
+            await self._propose(command)
+        await self._complete_orders()
+
     def _commands(self) -> list[Command]:
         fleet = self._fleet()
         if self._state.initial_stores:
--- a/tests/tier/control_support.py
+++ b/tests/tier/control_support.py
@@ -81,6 +81,7 @@
         self.retiring: frozenset[str] = frozenset()
         self.cut_off = False  # hears of no other replica any more
         self.listed_here = True  # is a member
+        self.change_open = False  # a change of members is not committed yet
         self.excluded: set[str] = set()
         self.callbacks: list[Callable[[], None]] = []
 
@@ -101,7 +102,9 @@
         return frozenset(member.member_id for member in self.members)
 
     def committed_members(self) -> CommittedMembers | None:
-        return CommittedMembers(1, self.members, frozenset(self.excluded)) if self.confirmed() else None
+        if not self.confirmed() or self.change_open:
+            return None
+        return CommittedMembers(1, self.members, frozenset(self.excluded))
 
     def confirmed(self) -> bool:
         return self._replicas.leader is self and self._replicas.lease and not self.cut_off
