Test of two processes: nothing in it hangs on how long a process takes to start

The kept connection idled out (2.4 s) when the second process took longer to start, and the held request was answered by its deadline, where a loop that runs some tens of milliseconds late answers 500 in place of 503. Both depended on the machine, neither on what the test asks.

The process in service now keeps an idle connection for 60 s (only in this test). The held request waits at the node until the process in service has said that it drains; its whole answer must come then, which is stricter than a 503 that its deadline brings. The 503 of a request that a node never answers while the process drains is held by test_core.py::test_the_process_serves_drains_on_sigterm_and_exits_0.

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -70,10 +70,22 @@
 
     async def end(self) -> None:
         self.process.send_signal(signal.SIGTERM)
+        await self.ended()
+
+    async def ended(self) -> None:
+        """In order, having been told to."""
         assert self.process.stderr is not None
         assert b"Traceback" not in await self.process.stderr.read() and await self.process.wait() == 0
 
 
+class PatientProcess(Process):
+    """Keeps a connection between two requests for as long as a test may take: how long another process needs
+    to start says nothing about the one in service."""
+
+    program = ("-c", "import runpy; from cherrycove.http1 import front; front.IDLE_TIME = 60.0; "
+                     "runpy.run_module('cherrycove', run_name='__main__')")
+
+
 def free_port() -> int:
     """Below those that the system gives to connections: one of these is taken again at once."""
     for port in random.SystemRandom().sample(range(15_000, 32_000), 100):
@@ -92,15 +104,15 @@
 def test_a_second_process_takes_the_place_of_the_first_and_nobody_is_turned_away(tmp_path: Path) -> None:
     """It ended with the address in use; a socket of its own would drop the first one's queue."""
     async def story() -> None:
-        node = await Node("ok", "hang").start()
+        node = await Node("ok", "held ok").start()
         whole = settings(node)
         place = ("127.0.0.1", int(str(whole["listen"]).rpartition(":")[2]))
-        async with Process(whole, tmp_path) as first:
+        async with PatientProcess(whole, tmp_path) as first:
             kept, writer = await asyncio.open_connection(*place)
             writer.write(message(id="kept"))
             assert "connection" not in (await answer(kept))[1]
             held, holder = await asyncio.open_connection(*place)
-            holder.write(message(id="held", ms=2500))
+            holder.write(message(id="held"))
             await node.until(2)
             async with Process(whole, tmp_path) as second:
                 assert (await second.call("status")).startswith("YES")
@@ -109,9 +121,12 @@
                 status, headers, body = await answer(kept)
                 assert (status, headers["connection"], body) == (200, "close", b"data of last")
                 assert not await kept.read()
-                ending = asyncio.create_task(first.end())
-                assert (await answer(held))[0] == 503  # taken before, answered before the end
-                await ending
+                first.process.send_signal(signal.SIGTERM)
+                await first.line("broker.draining")
+                node.release.set()
+                status, _, body = await answer(held)  # taken before, answered before the end
+                assert (status, body) == (200, b"data of held")
+                await first.ended()
                 await second.line("handover.other_ended")
                 reader, asker = await asyncio.open_connection(*place)
                 asker.write(message(id="new"))
