--- a/tests/tier/batch_support.py
+++ b/tests/tier/batch_support.py
@@ -4,13 +4,12 @@
 
 import asyncio
 import json
-import socket
 from collections.abc import Callable, Sequence
-from contextlib import ExitStack
 
 import aiohttp
 import attrs
 from aiohttp import web
+from loopback_ports import free_port
 from result import Err, Ok, Result
 
 from cherrycove.tier.batch.client import BatchClient
@@ -30,6 +29,7 @@
 from cherrycove.tier.settings import Bounds, ProcessLimits, Settings
 
 HOST = "batch.example"
+STORE_HOSTS = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
 ROUTE = Route(
     name="r-batch",
     hostname=HOST,
@@ -174,21 +174,6 @@
     server: RpcServer
 
 
-def free_port(hosts: int = 3) -> int:
-    """A port that is free at so many addresses of loopback."""
-    while True:
-        with ExitStack() as held:
-            first = held.enter_context(socket.socket())
-            first.bind(("127.0.0.1", 0))
-            port: int = first.getsockname()[1]
-            try:
-                for number in range(2, hosts + 1):
-                    held.enter_context(socket.socket()).bind((f"127.0.0.{number}", port))
-            except OSError:
-                continue
-            return port
-
-
 def settings(port: int, ip: str, memory_mb: float = 300.0) -> Settings:
     return Settings(
         node_name=f"node-{ip}",
@@ -206,7 +191,7 @@
     """Stores, one RPC client with views, and a batch client over them."""
 
     def __init__(self, stores: int = 1, *, memory_mb: float = 300.0, clock: Clock | None = None) -> None:
-        self.port = free_port()
+        self.port = free_port(STORE_HOSTS)
         self.cluster = Cluster()
         self.nodes: list[StoreNode] = []
         for number in range(stores):
@@ -312,7 +297,7 @@
     def __init__(self, tier: Tier) -> None:
         self.api = BatchApi(tier.client, tier.views)
         self.views = tier.views
-        self.port = free_port()
+        self.port = free_port(STORE_HOSTS)
         self.runner: web.ServerRunner | None = None
         self.session: aiohttp.ClientSession | None = None
 
--- a/tests/tier/control_support.py
+++ b/tests/tier/control_support.py
@@ -8,13 +8,12 @@
 
 import asyncio
 import json
-import socket
 from collections.abc import Awaitable, Callable, Sequence
-from contextlib import ExitStack
 from typing import Any
 
 import aiohttp
 from aiohttp import web
+from loopback_ports import free_ports
 from result import Err, Ok, Result
 
 from cherrycove.tier.controlplane.keeper import Keeper
@@ -38,23 +37,6 @@
 STEP_TIMEOUT_S = 10.0  # a test that waits longer has failed
 
 
-def free_ports(count: int, hosts: Sequence[str] = ("127.0.0.1",)) -> list[int]:
-    """Ports that are free at every one of ``hosts``."""
-    found: list[int] = []
-    with ExitStack() as held:
-        while len(found) < count:
-            first = held.enter_context(socket.socket())
-            first.bind((hosts[0], 0))
-            port = first.getsockname()[1]
-            try:
-                for host in hosts[1:]:
-                    held.enter_context(socket.socket()).bind((host, port))
-            except OSError:
-                continue
-            found.append(port)
-    return found
-
-
 def document(version: int, **changes: Any) -> bytes:
     """A small valid configuration."""
     route = {
--- a/tests/tier/dataplane_world.py
+++ b/tests/tier/dataplane_world.py
@@ -5,12 +5,12 @@
 import asyncio
 import json
 import random
-import socket
 from collections.abc import Mapping
 from types import TracebackType
 from typing import Any
 
 import attrs
+from loopback_ports import free_address
 
 from cherrycove.tier.configuration import parse_configuration
 from cherrycove.tier.dataplane import DataPlane
@@ -22,12 +22,6 @@
 TIMEOUT_S = 10.0  # of a test's waits; nothing takes that long unless it fails
 
 
-def free_address() -> str:
-    with socket.socket() as place:
-        place.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{place.getsockname()[1]}"
-
-
 def route(name: str, prefix: str, kind: str, **fields: Any) -> dict[str, Any]:
     return {
         "name": name, "hostname": HOST, "pathPrefix": prefix, "routeKind": kind, "timeoutMs": 3000,
--- a/tests/tier/test_batch_replicated.py
+++ b/tests/tier/test_batch_replicated.py
@@ -9,12 +9,13 @@
 from batch_support import (
     PATIENCE_S,
     ROUTE,
+    STORE_HOSTS,
     ScriptedExecutor,
     configuration,
-    free_port,
     job,
     settings,
 )
+from loopback_ports import free_port
 from result import Ok
 
 from cherrycove.tier.batch.client import BatchClient
@@ -73,7 +74,7 @@
 
     def __init__(self, folder: Path) -> None:
         self.folder = folder
-        self.port = free_port()
+        self.port = free_port(STORE_HOSTS)
         self.nodes: list[Node] = []
         stores = tuple(Announcement(program="store", ip=host) for host in HOSTS)
         self.views = Views(configuration=configuration(ROUTE), members=stores)
--- a/tests/tier/test_control_brokers.py
+++ b/tests/tier/test_control_brokers.py
@@ -5,7 +5,8 @@
 import asyncio
 import json
 
-from control_support import PlatformList, World, free_ports, instance
+from control_support import PlatformList, World, instance
+from loopback_ports import free_address
 from result import Err, Ok
 
 from cherrycove.tier.controlplane.broker_changes import AbsenceCheck, same_brokers
@@ -93,7 +94,7 @@
 
 def test_all_pages_make_one_list() -> None:
     async def exchange() -> None:
-        platform = PlatformList(f"127.0.0.1:{free_ports(1)[0]}")
+        platform = PlatformList(free_address())
         await platform.start()
         reader = BrokerListReader(settings(platform._address))
         await reader.start()
--- a/tests/tier/test_control_replicated.py
+++ b/tests/tier/test_control_replicated.py
@@ -6,7 +6,8 @@
 from pathlib import Path
 
 import aiohttp
-from control_support import STEP_TIMEOUT_S, document, free_ports
+from control_support import STEP_TIMEOUT_S, document
+from loopback_ports import free_ports
 
 from cherrycove.tier.controlplane.keeper import Keeper
 from cherrycove.tier.controlplane.state import ControlState
--- a/tests/tier/test_membership_loopback.py
+++ b/tests/tier/test_membership_loopback.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 import attrs
+from loopback_ports import free_port
 
 from cherrycove.tier.membership.swim import Swim
 from cherrycove.tier.protocol.rpc import RpcClient, RpcServer
@@ -45,14 +46,6 @@
         await self.server.stop()
 
 
-def free_port() -> int:
-    """A port that is free for calls and for datagrams."""
-    with socket.socket() as stream, socket.socket(type=socket.SOCK_DGRAM) as datagram:
-        stream.bind(("", 0))
-        datagram.bind(("", stream.getsockname()[1]))
-        return int(stream.getsockname()[1])
-
-
 async def started(name: str, ip: str, port: int, incarnation: str) -> Running:
     settings = Settings(
         node_name=name,
@@ -77,7 +70,7 @@
 
 def test_processes_join_leave_die_and_return() -> None:
     async def exchange() -> None:
-        port = free_port()
+        port = free_port(("0.0.0.0",))
         first = await started("a", SEED_IP, port, "a1")
         second = await started("b", "127.0.0.2", port, "b1")
         third = await started("c", "127.0.0.3", port, "c1")
@@ -104,7 +97,7 @@
 
 def test_garbled_datagrams_are_ignored() -> None:
     async def exchange() -> None:
-        port = free_port()
+        port = free_port(("0.0.0.0",))
         first = await started("a", SEED_IP, port, "a1")
         with socket.socket(type=socket.SOCK_DGRAM) as stranger:
             for garbled in (b"", b"\xff" * 50, b"\x0a\x03abc", random.Random(1).randbytes(1100)):
--- a/tests/tier/test_replication_loopback.py
+++ b/tests/tier/test_replication_loopback.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from random import Random
 
 import attrs
+from loopback_ports import free_address
 from result import Err, Ok
 
 from cherrycove.tier.errors import ErrorKind
@@ -37,12 +37,6 @@
         self.commands = data.split(b"\n") if data else []
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 @attrs.define
 class Node:
     """One replica with its server and client."""
@@ -84,7 +78,7 @@
 
 
 def make_nodes(path: Path, count: int) -> list[Node]:
-    return [Node(f"n{number}", f"127.0.0.1:{free_port()}", path / f"n{number}") for number in range(count)]
+    return [Node(f"n{number}", free_address(), path / f"n{number}") for number in range(count)]
 
 
 def initial_members(nodes: list[Node]) -> list[MemberIdentity]:
--- a/tests/tier/test_rpc.py
+++ b/tests/tier/test_rpc.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from collections.abc import Callable
 from pathlib import Path
 
 import pytest
+from loopback_ports import free_address
 from result import Err, Ok, Result
 from wire_support import Arrival, Line, LineServer, Script
 
@@ -22,12 +22,6 @@
 TIMEOUT_S = 10.0  # of a test's waits; nothing takes that long unless it fails
 
 
-def free_address() -> str:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 async def echo(request: BodyRequest) -> Result[BodyReply, Failure]:
     if request.item_id == "elsewhere":
         return Err(Failure(ErrorKind.NOT_PRIMARY, "ask the other", "10.0.0.1:7720"))
--- a/tests/tier/test_tier_cli.py
+++ b/tests/tier/test_tier_cli.py
@@ -16,6 +16,7 @@
 from aiohttp import web
 from cleo.testers.application_tester import ApplicationTester
 from cleo.testers.command_tester import CommandTester
+from loopback_ports import free_address
 from result import Err, Ok, Result
 
 from cherrycove.tier.cli import application
@@ -171,7 +172,7 @@
 
     def start(reply: Callable[[str], Result[StatusReply, Failure]]) -> str:
         server = RpcServer()
-        address = f"127.0.0.1:{free_port()}"
+        address = free_address()
 
         async def status(_: StatusRequest) -> Result[StatusReply, Failure]:
             return reply(address)
@@ -186,14 +187,6 @@
         loop.run(server.stop())
 
 
-def free_port() -> int:
-    import socket
-
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 @pytest.fixture
 def configuration_file(tmp_path: Path) -> Path:
     path = tmp_path / "new.json"
@@ -311,7 +304,7 @@
 
 def test_put_goes_to_the_next_keeper(stand_in: StartStandIn, configuration_file: Path) -> None:
     server = stand_in(Scripted(200))
-    silent = f"127.0.0.1:{free_port()}"
+    silent = free_address()
     arguments = f"{configuration_file} --keeper {silent} --keeper {server.address} --if-match 6"
     assert run("config put", arguments).exit_code == DONE
 
@@ -331,7 +324,7 @@
 
 
 def test_no_keeper_answers(configuration_file: Path) -> None:
-    silent = f"127.0.0.1:{free_port()}"
+    silent = free_address()
     outcome = run("config put", f"{configuration_file} --keeper {silent} --if-match 6 --timeout 1")
     assert outcome.exit_code == UNANSWERED
     assert outcome.errors.startswith(f"{silent}: ")
@@ -478,7 +471,7 @@
 
 
 def test_status_without_a_primary(keeper: StartKeeper) -> None:
-    other = keeper(lambda address: Ok(status_of(address, False, f"127.0.0.1:{free_port()}")))
+    other = keeper(lambda address: Ok(status_of(address, False, free_address())))
     outcome = run("status", f"--keeper {other} --json")
     assert outcome.exit_code == FAILED
     assert outcome.document["confirmed"] is False
@@ -488,7 +481,7 @@
 
 def test_status_of_nobody(keeper: StartKeeper) -> None:
     broken = keeper(lambda _: Err(Failure(ErrorKind.UNAVAILABLE, "starting")))
-    silent = f"127.0.0.1:{free_port()}"
+    silent = free_address()
     outcome = run("status", f"--keeper {broken} --keeper {silent}")
     assert outcome.exit_code == UNANSWERED
     assert outcome.errors.startswith(f"{broken}: starting\n{silent}: ")
