Exhaustive exploration of the group; a restarted voter no longer elects itself within a lease

cherrycove/tier/exploration drives the pure ReplicaMachine through every order of messages, losses, duplicates, crashes between write and sync, passing time, changes of members and a lost disk, within small budgets, breadth first, with states told apart by a hash. Invariants are judged by f and by the disks: one primary for an epoch, one entry at an index, f + 1 synced copies, nobody confirmed without the newest commit, nobody confirmed beside another, no excluded disk in a later list.

Found at once (1,506 states): a replica that starts counts its own preliminary vote, though in its life before it may have renewed the primary's lease. With a third member that lost the primary 0.9 s ago, it was elected 0.25 s after its start, while the old primary's lease (0.7 s) still held, and committed past it: a read there was stale. Other voters were guarded (_bound_to_primary); the candidate itself was not. replication/elections.py: the own preliminary vote counts only once the election time-out has passed since the start, as for every voter. The short way in which all replicas answer that they follow nobody is as it was. Ruled out: the distance of two clocks (the model has one clock) and the short way (not taken in the trace).

--- /dev/null
+++ b/cherrycove/tier/exploration/scenarios.py
@@ -0,0 +1,23 @@
+"""All situations that are explored, by name."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any, Protocol
+
+from cherrycove.tier.exploration import group_scenarios
+from cherrycove.tier.exploration.search import Model
+
+
+class Scenario(Protocol):
+    """A situation with its bounds."""
+
+    @property
+    def budget(self) -> Any:
+        """An attrs class of counts."""
+
+    def prepare(self) -> tuple[Model[Any], Any]:
+        """The model and the state to begin with."""
+
+
+SCENARIOS: Mapping[str, Any] = {**group_scenarios.SCENARIOS}
--- a/cherrycove/tier/replication/elections.py
+++ b/cherrycove/tier/replication/elections.py
@@ -86,7 +86,7 @@
         self._deadline = now + core.timing.retry_s + self._spread()
         core.become(Role.BACKUP, None)
         self._campaign = Campaign(True, core.epoch + 1, now)
-        self._ask()
+        self._ask(now)
         self._count(now)
 
     def stand(self, now: float, handed_over: bool = False, lives: dict[str, int] | None = None) -> None:
@@ -105,16 +105,18 @@
         campaign = self._campaign
         if campaign is not None and not campaign.asked and self._core.promise_durable:
             self._deadline = now + self._timeout()
-            self._ask()
+            self._ask(now)
             self._count(now)
 
-    def _ask(self) -> None:
+    def _ask(self, now: float) -> None:
         campaign = self._campaign
         if campaign is None:
             return
         core = self._core
         campaign.asked = True
-        campaign.votes.add(core.identity.member_id)
+        if not campaign.preliminary or not self._heard_lately(now):
+            # One that has just started may have renewed a lease in the life before, as any other voter.
+            campaign.votes.add(core.identity.member_id)
         for peer in core.peers():
             request = VoteRequest(
                 preliminary=campaign.preliminary,
