Answers without a length, strays of any size, early answers and the time left

Cause: an answer without a length was refused whole (502), also where its connection ended in order. A late answer to another request with more than 32 KiB of body spoilt the next request's own answer (502). An answer without an id left its connection in the pool. Deadline-Ms was written before the wait for a connection, which can take half a second. A connection could be used again while bytes of a request still stood in its buffer. Change: an answer without a length is passed on, in chunks if it is a stream; an orderly end completes it, a reset breaks it, and so does an end within an event; a client of HTTP/1.0 gets a reset then. The body of a stray answer is read and thrown away, whatever its size; the connection ends behind the next answer. Deadline-Ms is lessened by the wait. Ruled out: the early answer before a long body is in, whose connection the library already ends while its writer runs; the rest of the bytes, which no writer waits for, is what the new guard looks at.

--- a/cherrycove/tier/dataplane/connections.py
+++ b/cherrycove/tier/dataplane/connections.py
@@ -1,12 +1,15 @@
 """Connections to model brokers: the pool of the present broker, told apart by request id.
 
 It owns when a connection may be used again. It must never hand out one on which bytes of an earlier answer
-may still come, or one that the broker is about to close.
+may still come, one on which bytes of an earlier request are still to go, or one that the broker is about to
+close.
 """
 
 from __future__ import annotations
 
+import math
 from functools import partial
+from math import inf
 from time import monotonic
 from typing import Any
 
@@ -17,7 +20,7 @@
 from aiohttp.http import RawResponseMessage
 
 from cherrycove.http1.back import Connector, NodeConnection
-from cherrycove.tier.dataplane.headers import REQUEST_ID, keep_alive_s
+from cherrycove.tier.dataplane.headers import DEADLINE_MS, REQUEST_ID, keep_alive_s, whole_number
 
 REST_S = 0.008  # behind an answer before its connection is used again; a second answer comes a few ms late
 IDLE_S = 4.0  # that a connection is kept where the broker tells nothing
@@ -31,26 +34,42 @@
         super().__init__(loop)
         self._expected_id = ""
         self._idle_s = IDLE_S
-        self._answered_at = float("inf")
+        self._answered_at = inf
+        self._stray: StreamReader | None = None  # the body of an answer that is passed over
 
     def expect(self, request_id: str) -> None:
         """From now on only the answer to this request is taken."""
         self._expected_id = request_id
-        self._answered_at = float("inf")
+        self._answered_at = inf
+
+    @property
+    def should_close(self) -> bool:
+        """Also where an answer came before its request went out whole: the broker may read on later, and
+        then nothing but the rest of that request may come."""
+        return super().should_close or self._unsent()
+
+    def _unsent(self) -> bool:
+        return self.transport is not None and self.transport.get_write_buffer_size() > 0
 
     def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
-        message = data[0]
+        message, body = data
         identity = message.headers.get(REQUEST_ID)
-        if self._answer is None and identity is not None and identity != self._expected_id:
-            self._should_close = True  # the late second answer to another request
-            return
+        if self._answer is None and identity != self._expected_id:
+            self._should_close = True
+            if identity is not None:  # the late second answer to another request
+                self._stray = body
+                return
         kept = keep_alive_s(message.headers)
         if kept is not None:
             self._idle_s = kept * KEPT_PART
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
+        if self._stray is not None and not self._stray.is_eof():
+            self._heads = 0  # these are no bytes of a head, whatever their number
         super().data_received(data)
+        if self._stray is not None and self._stray.exception() is None:
+            self._stray.read_nowait()  # else the library stops reading once much has come that nobody takes
         if self._answer is not None and self._answer.is_eof():
             self._answered_at = min(self._answered_at, monotonic())
 
@@ -59,14 +78,27 @@
 
 
 class BrokerRequest(aiohttp.ClientRequest):
-    """A request that tells its connection which answer to take."""
+    """A request that tells its connection which answer to take, and its broker what time is left."""
+
+    def __init__(self, *arguments: Any, **settings: Any) -> None:
+        super().__init__(*arguments, **settings)
+        self._made_at = monotonic()
 
     async def send(self, conn: Connection) -> aiohttp.ClientResponse:
+        self.tell_time_left()
         protocol = conn.protocol
         if isinstance(protocol, BrokerConnection):
             protocol.expect(self.headers.get(REQUEST_ID, ""))
         return await super().send(conn)
 
+    def tell_time_left(self) -> None:
+        """The time that was left when the request was made, less what the wait for a connection took."""
+        left_ms = whole_number(self.headers.get(DEADLINE_MS))
+        if left_ms is not None:
+            waited_ms = math.ceil((monotonic() - self._made_at) * 1000)
+            self._made_at = monotonic()
+            self.headers[DEADLINE_MS] = str(max(left_ms - waited_ms, 1))
+
 
 class BrokerConnector(Connector):
     """The pool; ``set_limit`` bounds the connections to each broker."""
--- a/cherrycove/tier/dataplane/events.py
+++ b/cherrycove/tier/dataplane/events.py
@@ -8,6 +8,7 @@
 
 _END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _LINE = re.compile(rb"\r\n|\n|\r")
+LONGEST_EVENT_END = 4  # bytes
 MOST_EVENT_BYTES = 4 * 1024 * 1024
 
 
@@ -47,6 +48,11 @@
         return events
 
 
+def ends_an_event(tail: bytes) -> bool:
+    """Whether a stream with these last bytes ends behind a whole event."""
+    return tail.endswith((b"\n\n", b"\r\r", b"\r\n\r\n"))
+
+
 def _event(raw: bytes) -> Event:
     identity: int | None = None
     data: list[bytes] = []
--- a/cherrycove/tier/dataplane/relay.py
+++ b/cherrycove/tier/dataplane/relay.py
@@ -6,16 +6,25 @@
 
 from __future__ import annotations
 
+import socket
+import struct
 from collections.abc import Callable
 
 from aiohttp import HttpVersion11, web
 from multidict import CIMultiDict
 
-from cherrycove.tier.dataplane.events import Event, EventSplitter, EventTooLongError
+from cherrycove.tier.dataplane.events import (
+    LONGEST_EVENT_END,
+    Event,
+    EventSplitter,
+    EventTooLongError,
+    ends_an_event,
+)
 from cherrycove.tier.dataplane.headers import end_to_end
 from cherrycove.tier.dataplane.upstream import AnswerBrokenError, BreakReason, BrokerAnswer
 
 Heard = Callable[[], None]
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # of SO_LINGER: on, for no time
 
 
 class StreamRelay:
@@ -46,14 +55,20 @@
     def abort(self) -> web.StreamResponse:
         """Close the client's connection within the answer, so that it does not look complete."""
         assert self._response is not None
+        if self._request.version < HttpVersion11:  # there the end of the connection would end the answer
+            _reset(self._request)
         self._request.protocol.force_close()
         return self._response
 
     async def _feed_bytes(self, answer: BrokerAnswer, heard: Heard) -> None:
+        tail = b""
         while piece := await answer.chunk():
             heard()
             response = await self._begin(answer)
             await response.write(piece)
+            tail = (tail + piece)[-LONGEST_EVENT_END:]
+        if tail and not answer.framed and not ends_an_event(tail):
+            raise AnswerBrokenError(BreakReason.CLOSED, "the stream ends within an event")
 
     async def _feed_events(self, answer: BrokerAnswer, heard: Heard) -> None:
         splitter = EventSplitter()
@@ -95,6 +110,16 @@
         return self._response
 
 
+def _reset(request: web.BaseRequest) -> None:
+    """End the client's connection by a reset."""
+    if request.transport is None:
+        return
+    client = request.transport.get_extra_info("socket")
+    if client is not None:
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    request.transport.abort()
+
+
 def _is_new(event: Event, last_id: int | None) -> bool:
     """Whether a client that has all events up to ``last_id`` lacks this one. One without an id but with data
     is passed on only where nothing came before it, since nobody could tell whether the client has it."""
--- a/cherrycove/tier/dataplane/upstream.py
+++ b/cherrycove/tier/dataplane/upstream.py
@@ -94,12 +94,18 @@
         self.headers: CIMultiDictProxy[str] = response.headers
         self.load = instance_load(response.headers)
 
+    @property
+    def framed(self) -> bool:
+        """Whether the answer itself tells where it ends; if not, an orderly end of its connection does."""
+        coding = self.headers.get("Transfer-Encoding", "").lower()
+        return "Content-Length" in self.headers or "chunked" in coding
+
     @property
     def media_type(self) -> str:
         return self.headers.get("Content-Type", "").partition(";")[0].strip().lower()
 
     async def chunk(self) -> bytes:
-        """More of the body as it comes; empty only after its framed end, else ``AnswerBrokenError``."""
+        """More of the body as it comes; empty only after its whole end, else ``AnswerBrokenError``."""
         try:
             return await self._response.content.readany()
         except (aiohttp.ClientError, OSError) as error:
@@ -228,10 +234,8 @@
 
 
 def _usable(response: aiohttp.ClientResponse) -> bool:
-    """Whether it is an answer that may be passed on: framed, plain, and stamped if it is a success."""
+    """Whether it is an answer that may be passed on: plain, and stamped if it is a success."""
     headers = response.headers
     if "Content-Encoding" in headers or not 200 <= response.status < 600:
         return False
-    framed = "Content-Length" in headers or "chunked" in headers.get("Transfer-Encoding", "").lower()
-    stamped = RESPONSE_SIGNATURE in headers or not response.ok
-    return stamped and (framed or response.status in (204, 304))
+    return RESPONSE_SIGNATURE in headers or not response.ok
