Counts of an item's failures outlive the proxy and the primary that met them

Cause, by reading: answers of 500 were counted in the proxy that ran the item and told to the lease table only as it gave the item back. A lost lease, an ended proxy or a change of the stores' primary set the count to nothing, so an item that fails at each run could reach brokers more than three times `maxAttempts`.

It is absolute and never goes down, so a report told twice counts once. An item that comes with all its failures is dead-lettered unsent. What may be lost is the one answer that a process had not told as it ended.

Tests: the proxy dies, the primary changes, the stores cannot keep it, and the order of telling and sending. `run_item` takes the recorder as an argument, so its callers in tests pass one.

--- a/cherrycove/tier/batch/commands.py
+++ b/cherrycove/tier/batch/commands.py
@@ -8,6 +8,7 @@
 import attrs
 from result import Err, Ok, Result
 
+from cherrycove.tier.batch.jobs import ItemKey
 from cherrycove.tier.errors import ErrorKind, Failure
 from cherrycove.tier.protocol.batch_log_pb2 import BatchCommand, ItemResult
 from cherrycove.tier.protocol.batch_pb2 import SubmitRequest
@@ -40,6 +41,15 @@
     return command.SerializeToString()
 
 
+def failures_command(key: ItemKey, failed_attempts: int) -> bytes:
+    """Keeps how many answers of 500 an item has had."""
+    command = BatchCommand()
+    command.failures.reference.job_id = key.job_id
+    command.failures.reference.item_id = key.item_id
+    command.failures.failed_attempts = failed_attempts
+    return command.SerializeToString()
+
+
 def results_command(results: Sequence[ItemResult]) -> bytes:
     """Gives results their positions, in this order."""
     command = BatchCommand()
--- a/cherrycove/tier/batch/interface.py
+++ b/cherrycove/tier/batch/interface.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from enum import Enum
 from typing import Protocol
 
@@ -29,14 +29,20 @@
     failed_attempts: int = 0  # answers of 500 so far, earlier leases included
 
 
+RecordFailures = Callable[[int], Awaitable[None]]  # returns once the count outlives this process
+
+
 class ItemExecutor(Protocol):
     """Runs items at model brokers; implemented by ``cherrycove.tier.dataplane``."""
 
     def free_places(self) -> int:
         """How many further items could be started now without harming live requests."""
 
-    async def run_item(self, item: LeasedItem, may_send: Callable[[], bool]) -> ItemOutcome:
+    async def run_item(
+        self, item: LeasedItem, may_send: Callable[[], bool], record_failures: RecordFailures
+    ) -> ItemOutcome:
         """Run the item to its end, resuming at other brokers with Last-Event-Id where one breaks off.
 
         ``may_send`` is asked just before every send to a broker; after False nothing more is sent and the
-        outcome is RETURNED. Cancelling the task closes the broker's connection."""
+        outcome is RETURNED. After each answer of 500 ``record_failures`` is awaited, with their number so far,
+        before the item is sent again. Cancelling the task closes the broker's connection."""
--- a/cherrycove/tier/batch/jobs.py
+++ b/cherrycove/tier/batch/jobs.py
@@ -18,6 +18,7 @@
     AcceptJob,
     BatchCommand,
     BatchSnapshot,
+    ItemFailures,
     ItemResult,
     JobSnapshot,
 )
@@ -56,6 +57,7 @@
 
     encoded: bytes  # serialized Item; empty once it was dropped
     listed: bool = False  # has a result
+    failed_attempts: int = 0  # answers of 500; never goes down
 
 
 @attrs.frozen
@@ -123,10 +125,14 @@
         """Tell ``observer`` of every change from now on."""
         self._observers.append(observer)
 
+    def item(self, key: ItemKey) -> StoredItem | None:
+        """None where the job or the item is unknown."""
+        job = self.jobs.get(key.job_id)
+        return job.items.get(key.item_id) if job is not None else None
+
     def body(self, key: ItemKey) -> bytes | None:
         """The body of an item; None where the item is unknown or its body was dropped."""
-        job = self.jobs.get(key.job_id)
-        item = job.items.get(key.item_id) if job is not None else None
+        item = self.item(key)
         if item is None or not item.encoded:
             return None
         return Item.FromString(item.encoded).body
@@ -146,6 +152,8 @@
             return self._end(message.end.job_id)
         elif kind == "forget":
             self._forget(message.forget.job_ids)
+        elif kind == "failures":
+            self._count_failures(message.failures)
         return None
 
     def snapshot(self) -> bytes:
@@ -202,6 +210,11 @@
         for observer in self._observers:
             observer.item_listed(job, key.item_id)
 
+    def _count_failures(self, failures: ItemFailures) -> None:
+        item = self.item(_key(failures.reference))
+        if item is not None:
+            item.failed_attempts = max(item.failed_attempts, failures.failed_attempts)
+
     def _end(self, job_id: str) -> EndOutcome:
         job = self.jobs.get(job_id)
         if job is None:
@@ -254,13 +267,15 @@
     message.received_unix_ms = job.received_unix_ms
     message.ended = job.ended
     for item_id, item in job.items.items():
-        message.items.add(item_id=item_id, encoded=item.encoded)
+        message.items.add(item_id=item_id, encoded=item.encoded, failed_attempts=item.failed_attempts)
     for result in job.results:
         message.results.add(item_id=result.item_id, completed=result.completed, text=result.text)
 
 
 def _read_job(message: JobSnapshot) -> Job:
-    items = {item.item_id: StoredItem(item.encoded) for item in message.items}
+    items = {
+        item.item_id: StoredItem(item.encoded, failed_attempts=item.failed_attempts) for item in message.items
+    }
     results = [StoredResult(entry.item_id, entry.completed, entry.text) for entry in message.results]
     for result in results:
         items[result.item_id].listed = True
--- a/cherrycove/tier/batch/replies.py
+++ b/cherrycove/tier/batch/replies.py
@@ -43,10 +43,11 @@
 
 def _write_grant(leased: pb.LeasedItem, job: Job, grant: Grant, now: float) -> None:
     leased.job_id = job.job_id
-    leased.item.MergeFromString(job.items[grant.key.item_id].encoded)
+    item = job.items[grant.key.item_id]
+    leased.item.MergeFromString(item.encoded)
     leased.route = job.terms.route
     leased.host = job.terms.host
     leased.due_in_ms = int((grant.due - now) * 1000)
     leased.retained_ms = int(min(grant.retained_until - now, MAX_RETAINED_S) * 1000)
-    leased.failed_attempts = grant.failed_attempts
+    leased.failed_attempts = max(item.failed_attempts, grant.failed_attempts)
     leased.max_attempts = job.terms.max_attempts
--- a/cherrycove/tier/batch/store.py
+++ b/cherrycove/tier/batch/store.py
@@ -22,9 +22,10 @@
     SharedProposals,
     accept_command,
     end_command,
+    failures_command,
     forget_command,
 )
-from cherrycove.tier.batch.jobs import EndOutcome, ItemKey, Job, JobsState
+from cherrycove.tier.batch.jobs import EndOutcome, ItemKey, Job, JobsState, StoredItem
 from cherrycove.tier.batch.leases import JobTerms, LeaseCall, LeaseTable, LeaseTimes
 from cherrycove.tier.batch.replies import item_result, lease_reply, read_reply
 from cherrycove.tier.batch.signals import ResultSignals
@@ -205,9 +206,13 @@
         if job.ended or item.listed:
             return Ok(pb.ReportReply())
         outcome = request.WhichOneof("outcome")
+        if outcome == "failures_so_far":
+            return await self._record_failures(key, item, request.failures_so_far)
         if outcome == "failed_attempts":
-            table.give_back(request.incarnation, key, request.failed_attempts)
-            return Ok(pb.ReportReply())
+            reply = await self._record_failures(key, item, request.failed_attempts)
+            if isinstance(reply, Ok):
+                table.give_back(request.incarnation, key, request.failed_attempts)
+            return reply
         if outcome is None:
             return Err(Failure(ErrorKind.INVALID, "a report without an outcome"))
         completed = outcome == "completed_text"
@@ -215,6 +220,15 @@
         recorded = await self._recorder.record(item_result(key, completed, text))
         return Err(recorded.err_value) if isinstance(recorded, Err) else Ok(pb.ReportReply())
 
+    async def _record_failures(self, key: ItemKey, item: StoredItem, failed_attempts: int) -> Reply:
+        """Counts outlive every process: a new holder or primary must not begin at nothing."""
+        if failed_attempts > item.failed_attempts:
+            command = failures_command(key, failed_attempts)
+            outcome = await self._group.propose(command, PROPOSE_TIMEOUT_S)
+            if isinstance(outcome, Err):
+                return Err(outcome.err_value)
+        return Ok(pb.ReportReply())
+
     # Parts of the calls
 
     def _not_primary(self) -> Err[Failure]:
--- a/cherrycove/tier/batch/worker.py
+++ b/cherrycove/tier/batch/worker.py
@@ -45,6 +45,7 @@
 
     key: ItemKey
     item: pb.LeasedItem
+    failed_attempts: int  # answers of 500 so far
     revoked: bool = False
     outcome: ItemOutcome | None = None
     execution: asyncio.Task[ItemOutcome] | None = None
@@ -194,9 +195,13 @@
         key = ItemKey(item.job_id, item.item.item_id)
         if key in self._runs or self._stopping:
             return
-        run = _Run(key, item)
+        run = _Run(key, item, item.failed_attempts)
         self._runs[key] = run
-        run.execution = asyncio.create_task(self._executor.run_item(item, lambda: self._may_send(run)))
+        run.execution = asyncio.create_task(
+            self._executor.run_item(
+                item, lambda: self._may_send(run), lambda failed: self._record_failures(run, failed)
+            )
+        )
         run.task = asyncio.create_task(self._follow(run))
 
     def _may_send(self, run: _Run) -> bool:
@@ -217,14 +222,14 @@
             if run.outcome.state is not ItemState.RETURNED and self._waiting:
                 self._wake.set()
             if not (run.revoked and run.outcome.state is ItemState.RETURNED):
-                await self._report(run, run.outcome)
+                await self._report(self._outcome_report(run, run.outcome))
         finally:
             self._runs.pop(run.key, None)
 
     async def _outcome(self, run: _Run) -> ItemOutcome:
         assert run.execution is not None
         await asyncio.wait((run.execution,))
-        returned = ItemOutcome(ItemState.RETURNED, failed_attempts=run.item.failed_attempts)
+        returned = ItemOutcome(ItemState.RETURNED, failed_attempts=run.failed_attempts)
         if run.execution.cancelled():
             return returned
         error = run.execution.exception()
@@ -233,8 +238,14 @@
             return returned
         return run.execution.result()
 
-    async def _report(self, run: _Run, outcome: ItemOutcome) -> None:
-        request = self._report_request(run, outcome)
+    async def _record_failures(self, run: _Run, failed_attempts: int) -> None:
+        run.failed_attempts = failed_attempts
+        request = self._report_of(run)
+        request.failures_so_far = failed_attempts
+        await self._report(request)
+
+    async def _report(self, request: pb.ReportRequest) -> None:
+        """Until it is taken, or the job is no longer known."""
         pause_s = FIRST_REPORT_PAUSE_S
         while True:
             request.epoch = self._epoch
@@ -244,10 +255,14 @@
             await asyncio.sleep(pause_s)
             pause_s = min(2 * pause_s, LONGEST_REPORT_PAUSE_S)
 
-    def _report_request(self, run: _Run, outcome: ItemOutcome) -> pb.ReportRequest:
+    def _report_of(self, run: _Run) -> pb.ReportRequest:
         request = pb.ReportRequest(proxy=self._proxy, incarnation=self._incarnation)
         request.reference.job_id = run.key.job_id
         request.reference.item_id = run.key.item_id
+        return request
+
+    def _outcome_report(self, run: _Run, outcome: ItemOutcome) -> pb.ReportRequest:
+        request = self._report_of(run)
         if outcome.state is ItemState.COMPLETED:
             request.completed_text = outcome.text
         elif outcome.state is ItemState.DEAD_LETTERED:
--- a/cherrycove/tier/dataplane/items.py
+++ b/cherrycove/tier/dataplane/items.py
@@ -14,7 +14,7 @@
 import attrs
 from multidict import CIMultiDict
 
-from cherrycove.tier.batch.interface import ItemOutcome, ItemState
+from cherrycove.tier.batch.interface import ItemOutcome, ItemState, RecordFailures
 from cherrycove.tier.configuration import Route
 from cherrycove.tier.dataplane.admission.interface import Ending, Refuse, Ticket
 from cherrycove.tier.dataplane.dispatch import ENDINGS
@@ -54,8 +54,15 @@
     def free_places(self) -> int:
         return self._gate.free_places()
 
-    async def run_item(self, item: LeasedItem, may_send: Callable[[], bool]) -> ItemOutcome:
-        run = ItemRun(gate=self._gate, upstream=self._upstream, item=item, failed=item.failed_attempts)
+    async def run_item(
+        self, item: LeasedItem, may_send: Callable[[], bool], record_failures: RecordFailures
+    ) -> ItemOutcome:
+        run = ItemRun(
+            gate=self._gate, upstream=self._upstream, item=item, failed=item.failed_attempts,
+            record_failures=record_failures,
+        )  # fmt: skip
+        if run.failed_for_good:  # its last holder did not come to report that
+            return run.dead_lettered()
         while True:
             route = self._route(item)
             if route is None:
@@ -94,6 +101,7 @@
     upstream: Upstream
     item: LeasedItem
     failed: int  # answers of 500
+    record_failures: RecordFailures
     last_id: int | None = None
     data: list[bytes] = attrs.field(factory=list)
     fruitless: int = 0  # sends in a row that brought nothing
@@ -102,6 +110,13 @@
     def returned(self) -> ItemOutcome:
         return ItemOutcome(ItemState.RETURNED, failed_attempts=self.failed)
 
+    @property
+    def failed_for_good(self) -> bool:
+        return self.failed >= max(self.item.max_attempts, 1)
+
+    def dead_lettered(self) -> ItemOutcome:
+        return ItemOutcome(ItemState.DEAD_LETTERED, reason="attempts", failed_attempts=self.failed)
+
     async def attempt(
         self, ticket: Ticket, may_send: Callable[[], bool], still_served: Callable[[str], bool]
     ) -> ItemOutcome | None:
@@ -110,7 +125,7 @@
         granted = await self.gate.acquire(ticket)
         if isinstance(granted, Refuse):
             return await self._rest()
-        ending = Ending.LEFT
+        ending, failed_before = Ending.LEFT, self.failed
         try:
             if not may_send():
                 return self.returned()
@@ -123,6 +138,8 @@
             outcome, ending = None, Ending.SILENT
         finally:
             granted.finish(ending)
+        if outcome is None and self.failed > failed_before:
+            await self.record_failures(self.failed)
         return outcome or await self._rest()
 
     async def _rest(self) -> ItemOutcome | None:
@@ -167,8 +184,8 @@
             return ItemOutcome(ItemState.DEAD_LETTERED, reason="unprocessable", failed_attempts=self.failed)
         if status == SERVER_ERROR:
             self.failed += 1
-            if self.failed >= self.item.max_attempts:
-                return ItemOutcome(ItemState.DEAD_LETTERED, reason="attempts", failed_attempts=self.failed)
+            if self.failed_for_good:
+                return self.dead_lettered()
         return None
 
     async def _collect(
--- a/tests/tier/batch_support.py
+++ b/tests/tier/batch_support.py
@@ -15,7 +15,7 @@
 
 from cherrycove.tier.batch.client import BatchClient
 from cherrycove.tier.batch.http_api import BatchApi
-from cherrycove.tier.batch.interface import ItemOutcome
+from cherrycove.tier.batch.interface import ItemOutcome, RecordFailures
 from cherrycove.tier.batch.jobs import ItemKey, JobsState
 from cherrycove.tier.batch.leases import LeaseTimes
 from cherrycove.tier.batch.store import BatchStore
@@ -277,16 +277,20 @@
         self.items: dict[ItemKey, asyncio.Future[ItemOutcome]] = {}
         self.leases: dict[ItemKey, pb.LeasedItem] = {}
         self.may_send: dict[ItemKey, Callable[[], bool]] = {}
+        self.record_failures: dict[ItemKey, RecordFailures] = {}
         self.started: asyncio.Queue[ItemKey] = asyncio.Queue()
         self.cancelled: asyncio.Queue[ItemKey] = asyncio.Queue()
 
     def free_places(self) -> int:
         return self.places - len(self.items)
 
-    async def run_item(self, item: pb.LeasedItem, may_send: Callable[[], bool]) -> ItemOutcome:
+    async def run_item(
+        self, item: pb.LeasedItem, may_send: Callable[[], bool], record_failures: RecordFailures
+    ) -> ItemOutcome:
         key = ItemKey(item.job_id, item.item.item_id)
         future: asyncio.Future[ItemOutcome] = asyncio.get_running_loop().create_future()
         self.items[key], self.leases[key], self.may_send[key] = future, item, may_send
+        self.record_failures[key] = record_failures
         self.started.put_nowait(key)
         try:
             return await future
--- a/tests/tier/test_batch_jobs.py
+++ b/tests/tier/test_batch_jobs.py
@@ -6,7 +6,13 @@
 from pytest import MonkeyPatch
 
 from cherrycove.tier.batch import jobs as jobs_module
-from cherrycove.tier.batch.commands import accept_command, end_command, forget_command, results_command
+from cherrycove.tier.batch.commands import (
+    accept_command,
+    end_command,
+    failures_command,
+    forget_command,
+    results_command,
+)
 from cherrycove.tier.batch.jobs import AcceptOutcome, EndOutcome, ItemKey, JobsState
 from cherrycove.tier.batch.replies import item_result
 
@@ -108,6 +114,19 @@
     assert copy.body(ItemKey("j", "a")) is None
 
 
+def test_counts_of_failures_never_go_down_and_outlive_a_snapshot() -> None:
+    state = JobsState()
+    state.apply(1, accept_command(job("j", "a", "b"), 0))
+    for count in (1, 2, 1):
+        state.apply(2, failures_command(ItemKey("j", "a"), count))
+    state.apply(3, failures_command(ItemKey("j", "unknown"), 1))
+    state.apply(4, failures_command(ItemKey("unknown", "a"), 1))
+    copy = JobsState()
+    copy.restore(state.snapshot())
+    assert [item.failed_attempts for item in copy.jobs["j"].items.values()] == [2, 0]
+    assert copy.jobs == state.jobs
+
+
 def test_replicas_that_apply_the_same_commands_are_alike() -> None:
     twice = [item_result(ItemKey("j", "b"), True, text) for text in (b"1", b"2")]
     commands = [
--- a/tests/tier/test_batch_worker.py
+++ b/tests/tier/test_batch_worker.py
@@ -22,6 +22,7 @@
 from cherrycove.tier.batch.jobs import ItemKey
 from cherrycove.tier.batch.replies import item_result
 from cherrycove.tier.batch.worker import BatchWorker
+from cherrycove.tier.errors import ErrorKind, Failure
 from cherrycove.tier.protocol import batch_pb2 as pb
 
 BUDGET_S = 5.0
@@ -145,6 +146,74 @@
     play(scene)
 
 
+def test_failures_outlive_the_proxy_that_met_them() -> None:
+    clock = Clock()
+
+    async def scene(tier: Tier) -> None:
+        dead, alive = ScriptedExecutor(), ScriptedExecutor()
+        worker = await start(tier, dead, "p1")
+        await submit(tier, "a")
+        await dead.next_started()
+        await dead.record_failures[A](1)
+        await dead.record_failures[A](1)  # told again: counted once
+        assert worker._loop_task is not None
+        worker._loop_task.cancel()
+        clock.now += 1.6
+        await start(tier, alive, "p2")
+        assert await alive.next_started() == A
+        assert alive.leases[A].failed_attempts == 1
+        alive.finish(A, completed(b"text"))
+        await results(tier, 1)
+
+    play(scene, clock=clock)
+
+
+def test_failures_outlive_the_primary_that_was_told_of_them() -> None:
+    clock = Clock()
+
+    async def scene(tier: Tier) -> None:
+        first, second = ScriptedExecutor(), ScriptedExecutor()
+        worker = await start(tier, first, "p1")
+        await submit(tier, "a")
+        await first.next_started()
+        first.finish(A, ItemOutcome(ItemState.RETURNED, failed_attempts=1))
+        assert await first.next_started() == A
+        await first.record_failures[A](2)
+        assert worker._loop_task is not None
+        worker._loop_task.cancel()
+        tier.lead(1, publish=True)
+        clock.now += 1.6
+        await start(tier, second, "p2")
+        await submit(tier, "b", job_id="j2")
+        clock.now += 1.6  # nobody announced the item to the new primary
+        while await second.next_started() != A:
+            pass
+        assert second.leases[A].failed_attempts == 2
+
+    play(scene, stores=2, clock=clock)
+
+
+def test_a_failure_that_the_stores_could_not_keep_is_told_again() -> None:
+    async def scene(tier: Tier) -> None:
+        executor = ScriptedExecutor()
+        await start(tier, executor, "p1")
+        await submit(tier, "a")
+        await executor.next_started()
+        group = tier.nodes[0].group
+        group.refusal = Failure(ErrorKind.UNAVAILABLE, "the disk is full")
+        before = len(group.proposals)
+        telling = asyncio.ensure_future(executor.record_failures[A](1))
+        while len(group.proposals) < before + 2:
+            await group.arrived.get()
+        assert not telling.done()
+        group.refusal = None
+        await telling
+        item = tier.nodes[0].state.item(A)
+        assert item is not None and item.failed_attempts == 1
+
+    play(scene)
+
+
 def test_fault_of_the_executor_gives_the_item_back() -> None:
     async def scene(tier: Tier) -> None:
         executor = ScriptedExecutor()
--- a/tests/tier/test_dataplane_client_gone.py
+++ b/tests/tier/test_dataplane_client_gone.py
@@ -14,7 +14,9 @@
 ROUTES = [
     route(name, f"/{name}/", kind, timeoutMs=60_000, targetLatencyMs=60_000, **fields)
     for name, kind, fields in (
-        ("again", "idempotent", {}), ("stream", "streaming", {}), ("resume", "streaming", {"resumable": True}),
+        ("again", "idempotent", {}),
+        ("stream", "streaming", {}),
+        ("resume", "streaming", {"resumable": True}),
     )
 ]  # fmt: skip
 TARGETS = ("/again/x", "/stream/x", "/resume/x")
--- a/tests/tier/test_dataplane_items.py
+++ b/tests/tier/test_dataplane_items.py
@@ -28,6 +28,10 @@
     return True
 
 
+async def unrecorded(failed_attempts: int) -> None:
+    pass
+
+
 def run(*scripts: Script, last: Script = echo, **fields: int) -> tuple[ItemOutcome, list[Received]]:
     """Run one item at brokers that answer by ``scripts`` in order and then by ``last``."""
 
@@ -37,7 +41,7 @@
         for broker in brokers:
             broker.scripts = shared
         async with World(brokers) as world, asyncio.timeout(TIMEOUT_S):
-            outcome = await world.plane.executor.run_item(leased(**fields), always)
+            outcome = await world.plane.executor.run_item(leased(**fields), always, unrecorded)
             assert world.plane.executor.free_places() > 0
             return outcome, [request for broker in brokers for request in broker.received]
 
@@ -105,6 +109,35 @@
     assert outcome.state is ItemState.DEAD_LETTERED and len(received) == 1
 
 
+def test_each_failure_is_recorded_before_the_item_is_sent_again() -> None:
+    async def story() -> None:
+        told, recorded = asyncio.Queue[int](), asyncio.Event()
+
+        async def record(failed_attempts: int) -> None:
+            told.put_nowait(failed_attempts)
+            await recorded.wait()
+
+        broker = ToyBroker(scripts=[failing], script=stream(3))
+        async with World([broker]) as world, asyncio.timeout(TIMEOUT_S):
+            item = leased(failed_attempts=1, max_attempts=3)
+            run = asyncio.create_task(world.plane.executor.run_item(item, always, record))
+            assert await told.get() == 2
+            for _ in range(20):
+                await asyncio.sleep(0)
+            assert len(broker.received) == 1 and broker.running == 0
+            recorded.set()
+            assert await run == ItemOutcome(ItemState.COMPLETED, text=TEXT, failed_attempts=2)
+            assert len(broker.received) == 2 and told.empty()
+
+    asyncio.run(story())
+
+
+def test_an_item_that_has_had_all_its_failures_is_not_sent() -> None:
+    outcome, received = run(failed_attempts=2)
+    assert outcome == ItemOutcome(ItemState.DEAD_LETTERED, reason="attempts", failed_attempts=2)
+    assert not received
+
+
 def test_refusals_and_breaks_are_no_attempts() -> None:
     async def reset(wire: Wire, request: Received) -> None:
         wire.reset()
@@ -119,7 +152,9 @@
 def test_an_item_that_may_not_be_sent_is_returned_unsent() -> None:
     async def story() -> None:
         async with World([ToyBroker(script=stream(3))]) as world:
-            outcome = await world.plane.executor.run_item(leased(failed_attempts=1), lambda: False)
+            outcome = await world.plane.executor.run_item(
+                leased(failed_attempts=1), lambda: False, unrecorded
+            )
             assert outcome == ItemOutcome(ItemState.RETURNED, failed_attempts=1)
             assert not world.brokers[0].received
 
@@ -130,7 +165,7 @@
     async def story() -> None:
         routes = [route("other", "/other/", "batch", timeoutMs=60000)]
         async with World([ToyBroker()], document=configuration_bytes(routes)) as world:
-            outcome = await world.plane.executor.run_item(leased(), always)
+            outcome = await world.plane.executor.run_item(leased(), always, unrecorded)
             assert outcome.state is ItemState.RETURNED and not world.brokers[0].received
 
     asyncio.run(story())
@@ -145,7 +180,7 @@
             ended.set()
 
         async with World([ToyBroker(script=script)]) as world, asyncio.timeout(TIMEOUT_S):
-            task = asyncio.create_task(world.plane.executor.run_item(leased(), always))
+            task = asyncio.create_task(world.plane.executor.run_item(leased(), always, unrecorded))
             await world.brokers[0].wait_received()
             task.cancel()
             await ended.wait()
