Items whose route was removed are given up though nobody runs them

Cause, by reading: an item of a removed route was dead-lettered only by a proxy that held it. One that waited was leased to nobody, and stayed unlisted until its retention, far past `finishS`.

Change: the primary of the stores gives up waiting items of such jobs in its periodic work. A store may know an older configuration than the proxy that took the job, so a job carries the version it came under, and only a configuration at least as new, without its route, ends it; a job of which no version is known is left alone. Items that may run are left to their holders, also those of an earlier term until they could be announced.

Tests: older, newer and untold versions, and a running item; the version goes with the job.

--- a/cherrycove/tier/batch/http_api.py
+++ b/cherrycove/tier/batch/http_api.py
@@ -61,6 +61,8 @@
         parsed = parse_submission(job_id, route, body)
         if isinstance(parsed, Err):
             return _failure(parsed.err_value)
+        configuration = self._views.configuration
+        parsed.ok_value.configuration_version = configuration.version if configuration is not None else 0
         answer = await self._client.submit(parsed.ok_value, _budget(request, SUBMIT_BUDGET_S))
         if isinstance(answer, Err):
             return _failure(_of_unknown_outcome(answer.err_value))
--- a/cherrycove/tier/batch/interface.py
+++ b/cherrycove/tier/batch/interface.py
@@ -10,6 +10,7 @@
 
 from cherrycove.tier.protocol.batch_pb2 import LeasedItem
 
+ROUTE_REMOVED = "route_removed"  # reason for which an item is dead-lettered
 LONGEST_CALL_S = 3.0  # that a client's call for a batch job is held
 
 
@@ -44,5 +45,5 @@
         """Run the item to its end, resuming at other brokers with Last-Event-Id where one breaks off.
 
         ``may_send`` is asked just before every send to a broker; after False nothing more is sent and the
-        outcome is RETURNED. After each answer of 500 ``record_failures`` is awaited, with their number so far,
-        before the item is sent again. Cancelling the task closes the broker's connection."""
+        outcome is RETURNED. After each answer of 500 ``record_failures`` is awaited, with their number so
+        far, before the item is sent again. Cancelling the task closes the broker's connection."""
--- a/cherrycove/tier/batch/leases.py
+++ b/cherrycove/tier/batch/leases.py
@@ -175,6 +175,13 @@
         jobs = [job for job in self._jobs.values() if job.terms.retained_until <= now]
         return [ItemKey(job.terms.job_id, item_id) for job in jobs for item_id in [*job.waiting, *job.leased]]
 
+    def waiting_items(self, job_id: str, now: float) -> list[ItemKey]:
+        """Items of a job that nobody runs; none until those of an earlier term could be announced."""
+        job = self._jobs.get(job_id)
+        if job is None or job.available_from > now:
+            return []
+        return [ItemKey(job_id, item_id) for item_id in job.waiting]
+
     # Holders
 
     def _holder(self, call: LeaseCall, now: float) -> _Holder | None:
--- /dev/null
+++ b/cherrycove/tier/batch/removed_routes.py
@@ -0,0 +1,24 @@
+"""Which jobs can be run no more, since their route has left the configuration. Pure."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from cherrycove.tier.batch.jobs import Job
+from cherrycove.tier.configuration import Configuration
+
+BATCH_KIND = "batch"
+
+
+def jobs_of_removed_routes(jobs: Iterable[Job], configuration: Configuration | None) -> list[str]:
+    """Ids of open jobs whose route is not there. One that came under a newer configuration than this is not
+    among them, nor one of which that is not known: its route may have been added since."""
+    if configuration is None:
+        return []
+    routes = {route.name for route in configuration.routes if route.route_kind == BATCH_KIND}
+    return [
+        job.job_id for job in jobs
+        if not job.done
+        and 0 < job.terms.configuration_version <= configuration.version
+        and job.terms.route not in routes
+    ]  # fmt: skip
--- a/cherrycove/tier/batch/store.py
+++ b/cherrycove/tier/batch/store.py
@@ -10,7 +10,7 @@
 import asyncio
 import logging
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 from google.protobuf.message import Message
 from result import Err, Ok, Result
@@ -25,10 +25,13 @@
     failures_command,
     forget_command,
 )
+from cherrycove.tier.batch.interface import ROUTE_REMOVED
 from cherrycove.tier.batch.jobs import EndOutcome, ItemKey, Job, JobsState, StoredItem
 from cherrycove.tier.batch.leases import JobTerms, LeaseCall, LeaseTable, LeaseTimes
+from cherrycove.tier.batch.removed_routes import jobs_of_removed_routes
 from cherrycove.tier.batch.replies import item_result, lease_reply, read_reply
 from cherrycove.tier.batch.signals import ResultSignals
+from cherrycove.tier.distribution.views import Views
 from cherrycove.tier.errors import ErrorKind, Failure
 from cherrycove.tier.protocol import batch_pb2 as pb
 from cherrycove.tier.protocol.interface import CallRegistry
@@ -45,7 +48,7 @@
 FORGET_MARGIN_S = 30.0  # past statusS
 CROWDED_FRACTION = 0.25  # of the room for jobs, above which complete jobs that nobody ended are forgotten too
 EXPIRED = "expired"
-GIVEN_UP_AT_ONCE = 64  # items past their retention in one round of maintenance
+GIVEN_UP_AT_ONCE = 64  # items in one round of maintenance, for each reason
 
 Reply = Result[Message, Failure]
 
@@ -63,6 +66,7 @@
         clock: Callable[[], float] = time.monotonic,
         wall_clock: Callable[[], float] = time.time,
         times: LeaseTimes | None = None,
+        views: Views | None = None,
     ) -> None:
         self._settings = settings
         self._group = group
@@ -70,6 +74,7 @@
         self._clock = clock
         self._wall_clock = wall_clock
         self._times = times or LeaseTimes()
+        self._views = views or Views()
         self._table: LeaseTable | None = None
         self._ages = JobAges()
         self._signals = ResultSignals()
@@ -267,18 +272,22 @@
                 _log.exception("batch_maintenance_failed")
 
     async def maintain_once(self) -> None:
-        """Free leases that ran out, give up items past their retention, forget old jobs."""
+        """Free leases that ran out, give up items that are past their retention or have no route any more,
+        forget old jobs."""
         table = self._current_table()
         if table is None:
             return
         now = self._clock()
         table.expire(now)
-        expired = table.past_retention(now)[:GIVEN_UP_AT_ONCE]
-        await asyncio.gather(
-            *(self._recorder.record(item_result(key, False, EXPIRED.encode())) for key in expired)
-        )
+        await self._give_up(table.past_retention(now), EXPIRED)
+        removed = jobs_of_removed_routes(self._state.jobs.values(), self._views.configuration)
+        await self._give_up([key for job in removed for key in table.waiting_items(job, now)], ROUTE_REMOVED)
         await self._forget_old(now)
 
+    async def _give_up(self, keys: Sequence[ItemKey], reason: str) -> None:
+        results = [item_result(key, False, reason.encode()) for key in keys[:GIVEN_UP_AT_ONCE]]
+        await asyncio.gather(*(self._recorder.record(result) for result in results))
+
     async def _forget_old(self, now: float) -> None:
         old = self._ages.older_than(self._settings.bounds.status_s + FORGET_MARGIN_S, now)
         crowded = self._state.stored_bytes > self._room_bytes() * CROWDED_FRACTION
--- a/cherrycove/tier/batch/worker.py
+++ b/cherrycove/tier/batch/worker.py
@@ -15,7 +15,7 @@
 from result import Err, Ok
 
 from cherrycove.tier.batch.client import BatchClient
-from cherrycove.tier.batch.interface import ItemExecutor, ItemOutcome, ItemState
+from cherrycove.tier.batch.interface import ROUTE_REMOVED, ItemExecutor, ItemOutcome, ItemState
 from cherrycove.tier.batch.jobs import ItemKey
 from cherrycove.tier.batch.leases import RENEWAL_INTERVAL_S
 from cherrycove.tier.distribution.views import Views
@@ -36,7 +36,6 @@
 MAX_UNREPORTED_BYTES = 16 * 1024 * 1024  # texts that wait for the stores; over this no more work is taken
 STOP_SHARE_OF_GRACE = 0.5  # of gracePeriodS: running items may finish so long
 REPORT_SHARE_OF_GRACE = 0.25  # and then what was given back may be reported so long
-ROUTE_REMOVED = "route_removed"
 
 
 @attrs.define(eq=False)
--- a/cherrycove/tier/programs/store.py
+++ b/cherrycove/tier/programs/store.py
@@ -32,8 +32,8 @@
         self._joining: asyncio.Task[None] | None = None
         self._group, self._fresh = open_group(PROGRAM, settings, self._state, self._server, self._client)
         self._server.identify(self._group.identity.member_id)
-        self._store = BatchStore(settings, self._group, self._state, self._server)
         self._views = Views()
+        self._store = BatchStore(settings, self._group, self._state, self._server, views=self._views)
         self._puller = Puller(settings, self._client, self._views, self._announce)
         self._views.on_change(self._follow_keepers)
         StoreMembersService(self._group, self._views).serve_on(self._server)
--- a/tests/tier/batch_support.py
+++ b/tests/tier/batch_support.py
@@ -209,9 +209,9 @@
         self.port = free_port()
         self.cluster = Cluster()
         self.nodes: list[StoreNode] = []
+        self.views = Views(configuration=configuration(ROUTE))
         for number in range(stores):
             self._add_store(f"127.0.0.{number + 1}", memory_mb, clock)
-        self.views = Views(configuration=configuration(ROUTE))
         self.rpc = RpcClient()
         self.settings = settings(self.port, "127.0.0.1")
         self.client = BatchClient(self.rpc, self.views, self.settings)
@@ -225,7 +225,7 @@
         identity = MemberIdentity(f"m-{ip}", own.node_name, own.internal_address("store"))
         group = self.cluster.add(identity, state)
         clocks = {"clock": clock, "wall_clock": clock} if clock is not None else {}
-        store = BatchStore(own, group, state, server, times=SHORT_TIMES, **clocks)
+        store = BatchStore(own, group, state, server, times=SHORT_TIMES, views=self.views, **clocks)
         self.nodes.append(StoreNode(ip, group, state, store, server))
 
     def publish(self) -> None:
--- a/tests/tier/test_batch_http.py
+++ b/tests/tier/test_batch_http.py
@@ -7,8 +7,9 @@
 import json
 from collections.abc import Awaitable, Callable
 
+import attrs
 import pytest
-from batch_support import PATIENCE_S, Frontend, Tier, job
+from batch_support import PATIENCE_S, ROUTE, Frontend, Tier, configuration, job
 
 from cherrycove.tier.batch.commands import accept_command, results_command
 from cherrycove.tier.batch.http_api import MAX_PAGE_BYTES, render_page
@@ -86,6 +87,16 @@
     play(scene)
 
 
+def test_a_job_carries_the_version_of_the_configuration_it_came_under() -> None:
+    async def scene(tier: Tier, frontend: Frontend) -> None:
+        tier.views.configuration = attrs.evolve(configuration(ROUTE), version=7)
+        call = await frontend.exchange("POST", "/jobs/1", submission("a"), Request_Id="j1")
+        assert call == "POST /jobs/1 -> 202 {}"
+        assert tier.nodes[0].state.jobs["j1"].terms.configuration_version == 7
+
+    play(scene)
+
+
 def test_bodies_come_back_as_they_were_sent() -> None:
     async def scene(tier: Tier, frontend: Frontend) -> None:
         await frontend.exchange("POST", "/jobs/1", submission("a", "b"), Request_Id="j1")
--- a/tests/tier/test_batch_worker.py
+++ b/tests/tier/test_batch_worker.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+import attrs
 from batch_support import (
     PATIENCE_S,
     ROUTE,
@@ -389,6 +390,34 @@
     play(scene, clock=clock)
 
 
+def test_items_whose_route_left_the_configuration_are_given_up_unleased() -> None:
+    clock = Clock()
+
+    async def scene(tier: Tier) -> None:
+        node = tier.nodes[0]
+        executor = ScriptedExecutor(places=1)
+        await start(tier, executor, "p1")
+        versions = {"older": 3, "newer": 5, "untold": 0}
+        for job_id, version in versions.items():
+            request = job(job_id, "a", "b")
+            request.configuration_version = version
+            assert isinstance(await tier.client.submit(request, BUDGET_S), Ok)
+        running = await executor.next_started()
+        other = attrs.evolve(ROUTE, name="r-other")
+        tier.views.configuration = attrs.evolve(configuration(other), version=4)
+        await node.store.maintain_once()
+        listed = {name: len(each.results) for name, each in node.state.jobs.items()}
+        expected = 1 if running.job_id == "older" else 2
+        assert listed == {"older": expected, "newer": 0, "untold": 0}
+        (entry, *_) = node.state.jobs["older"].results
+        assert (entry.completed, entry.text) == (False, b"route_removed")
+        tier.views.configuration = None
+        await node.store.maintain_once()
+        executor.finish(running, completed(b"text"))
+
+    play(scene, clock=clock)
+
+
 def test_old_jobs_are_forgotten_only_when_ended_or_in_the_way() -> None:
     clock = Clock()
 
