--- a/cherrycove/tier/controlplane/broker_list.py
+++ b/cherrycove/tier/controlplane/broker_list.py
@@ -4,7 +4,7 @@
 
 import json
 import logging
-from typing import Any
+from typing import Any, Protocol
 
 import aiohttp
 import attrs
@@ -128,6 +128,18 @@
         return max(min(backoff, MAX_BACKOFF_S), calls / self._calls_per_s)
 
 
+class BrokerReader(Protocol):
+    """Reads the whole list of brokers."""
+
+    calls: int  # made by the read that is under way or ended last
+
+    async def start(self) -> None: ...
+
+    async def stop(self) -> None: ...
+
+    async def read(self) -> Result[BrokerList, Failure]: ...
+
+
 class BrokerListReader:
     """Calls the platform."""
 
--- a/cherrycove/tier/controlplane/broker_reading.py
+++ b/cherrycove/tier/controlplane/broker_reading.py
@@ -8,7 +8,7 @@
 from result import Err
 
 from cherrycove.tier.controlplane.broker_changes import AbsenceCheck
-from cherrycove.tier.controlplane.broker_list import BrokerListReader, ReadPacing
+from cherrycove.tier.controlplane.broker_list import BrokerListReader, BrokerReader, ReadPacing
 from cherrycove.tier.controlplane.term import Term
 from cherrycove.tier.controlplane.topics import ControlTopics
 from cherrycove.tier.protocol.control_pb2 import BrokerList
@@ -23,10 +23,13 @@
 class BrokerReading:
     """One reader of the platform's list: the primary keeper."""
 
-    def __init__(self, settings: Settings, term: Term, topics: ControlTopics) -> None:
+    def __init__(
+        self, settings: Settings, term: Term, topics: ControlTopics, reader: BrokerReader | None = None
+    ) -> None:
+        """``reader`` stands in for the one that calls the platform."""
         self._term = term
         self._topics = topics
-        self._reader = BrokerListReader(settings)
+        self._reader = reader or BrokerListReader(settings)
         self._pacing = ReadPacing(settings)
         self._absences = AbsenceCheck()
         self._inherited = BrokerList()
--- a/cherrycove/tier/controlplane/keeper.py
+++ b/cherrycove/tier/controlplane/keeper.py
@@ -10,6 +10,7 @@
 from result import Ok, Result
 
 from cherrycove.tier.controlplane.broker_changes import broker_entry
+from cherrycove.tier.controlplane.broker_list import BrokerReader
 from cherrycove.tier.controlplane.broker_reading import BrokerReading
 from cherrycove.tier.controlplane.configuration_decisions import ConfigurationDecisions
 from cherrycove.tier.controlplane.group_wishes import GroupWishes
@@ -52,11 +53,12 @@
         server: CallRegistry,
         client: Caller,
         views: Views | None = None,
+        reader: BrokerReader | None = None,
     ) -> None:
         """The caller starts and stops ``server`` and ``client``; ``state`` is the group's state machine.
 
         ``views`` is what a Puller of this process learns from the primary while this keeper does not lead; a
-        term that begins takes the members alive from there."""
+        term that begins takes the members alive from there. ``reader`` stands in for the platform's list."""
         self._settings = settings
         self._group = group
         self._state = state
@@ -70,12 +72,12 @@
         self._topics = ControlTopics(self._publisher, state)
         self._wishes = GroupWishes(settings, group, state)
         self._stores = StoreMaintenance(settings, group, state, self._term, client, self._fleet)
-        self._brokers = BrokerReading(settings, self._term, self._topics)
+        self._brokers = BrokerReading(settings, self._term, self._topics, reader)
         decisions = ConfigurationDecisions(group, state, self._leadership)
         retirement = Retirement(
             group, state, self._leadership, self._fleet, self._stores_heard, full_size(settings)
         )
-        self._operator_api = OperatorApi(self._leadership, state, decisions, retirement)
+        self.operator_api = OperatorApi(self._leadership, state, decisions, retirement)
         self._tasks: list[asyncio.Task[None]] = []
         self._publisher.serve_on(server)
         server.register(STATUS_CALL, StatusRequest, self.status)
@@ -84,7 +86,7 @@
 
     async def start(self) -> None:
         await self._brokers.start()
-        await self._operator_api.start(self._settings.listen_addresses.control_plane)
+        await self.operator_api.start(self._settings.listen_addresses.control_plane)
         steps = {"watch": self._watch, "stores": self._stores.step, "brokers": self._brokers.step}
         self._tasks = [asyncio.create_task(_repeat(name, step), name=name) for name, step in steps.items()]
 
@@ -95,7 +97,7 @@
             with suppress(asyncio.CancelledError):
                 await task
         self._tasks = []
-        await self._operator_api.stop()
+        await self.operator_api.stop()
         await self._brokers.stop()
 
     async def status(self, request: StatusRequest) -> Result[StatusReply, Failure]:
--- a/cherrycove/tier/controlplane/leadership.py
+++ b/cherrycove/tier/controlplane/leadership.py
@@ -43,7 +43,7 @@
         primary = group.primary
         if primary is None and group.identity.member_id in group.listed():
             return ""
-        heard_at, address = views.last_contact, views.contact_address
+        heard_at, address = views.last_contact, views.primary_address
         if primary is not None and self._primary_since >= heard_at:
             heard_at, address = self._primary_since, primary.address
         if now - heard_at >= HINT_FRESH_S or address == group.identity.address:
--- a/cherrycove/tier/controlplane/operator_api.py
+++ b/cherrycove/tier/controlplane/operator_api.py
@@ -40,6 +40,9 @@
         self._runner: web.AppRunner | None = None
 
     async def start(self, address: str) -> None:
+        """Listen on ``address``; without one, only ``answer`` answers."""
+        if not address:
+            return
         host, _, port = address.rpartition(":")
         self._port = int(port)
         application = web.Application(client_max_size=MAX_BODY_BYTES)
@@ -56,6 +59,15 @@
             await self._runner.cleanup()
             self._runner = None
 
+    async def answer(self, request: web.Request) -> web.Response:
+        """The answer to one request, however it came."""
+        configuration = request.path == "/api/configuration"
+        if request.method == "PUT":
+            return await self._put_configuration(request)
+        if request.method == "POST":
+            return await self._post_retire(request)
+        return await (self._get_configuration if configuration else self._get_retire)(request)
+
     async def _put_configuration(self, request: web.Request) -> web.Response:
         body = await _read_body(request)
         settled = await self._leadership.settled()
--- a/cherrycove/tier/distribution/puller.py
+++ b/cherrycove/tier/distribution/puller.py
@@ -187,7 +187,7 @@
         """Take ``reply`` over; returns the pause in s."""
         self._choice.answered(target)
         self._views.last_contact = asyncio.get_running_loop().time()
-        self._views.contact_address = target
+        self._views.primary_address = target
         if self._updater.apply(list(reply.updates)):
             self._choice.learn(self._keepers())
         return UNUSABLE_PAUSE_S if self._updater.unusable else 0.0
@@ -196,6 +196,8 @@
         now = asyncio.get_running_loop().time()
         if failure.kind is ErrorKind.NOT_PRIMARY:
             return self._choice.not_primary(target, failure.primary, now)
+        if target == self._views.primary_address:
+            self._views.primary_address = ""
         return self._choice.failed(target, now)
 
     def _keepers(self) -> list[str]:
--- a/cherrycove/tier/distribution/views.py
+++ b/cherrycove/tier/distribution/views.py
@@ -34,7 +34,7 @@
     members: tuple[Announcement, ...] = ()  # processes of the tier that are alive
     store_group: StoreGroup = attrs.field(factory=StoreGroup)
     last_contact: float = float("-inf")  # monotonic s of the last answer from a primary keeper
-    contact_address: str = ""  # of the keeper that gave it
+    primary_address: str = ""  # RPC address of that keeper; empty once it left a pull unanswered
     _listeners: list[Callable[[], None]] = attrs.field(factory=list)
 
     def on_change(self, callback: Callable[[], None]) -> None:
--- a/tests/tier/test_control_retire_replicated.py
+++ b/tests/tier/test_control_retire_replicated.py
@@ -12,7 +12,14 @@
 
 from cherrycove.tier.programs.keeper import KeeperProgram
 from cherrycove.tier.programs.store import StoreProgram
-from cherrycove.tier.settings import Bounds, CloudApi, FaultTolerance, ListenAddresses, ProcessLimits, Settings
+from cherrycove.tier.settings import (
+    Bounds,
+    CloudApi,
+    FaultTolerance,
+    ListenAddresses,
+    ProcessLimits,
+    Settings,
+)
 
 HOSTS = ("127.0.0.1", "127.0.0.2", "127.0.0.3", "127.0.0.4")
 LONG_TIMEOUT_S = 3 * STEP_TIMEOUT_S
