--- a/cherrycove/tier/controlplane/retirement.py
+++ b/cherrycove/tier/controlplane/retirement.py
@@ -47,18 +47,21 @@
         self._lock = asyncio.Lock()
 
     async def order(self, node_name: str) -> Result[None, Failure]:
+        """Take the order to empty ``node_name``; Ok also where it was taken earlier."""
+        deadline = asyncio.get_running_loop().time() + RETIRE_TIMEOUT_S
         try:
-            async with asyncio.timeout(RETIRE_TIMEOUT_S):
+            async with asyncio.timeout_at(deadline):
                 await self._lock.acquire()
         except TimeoutError:
             return Err(Failure(ErrorKind.UNAVAILABLE, "earlier orders are still being decided"))
         try:
-            return await self._order(node_name)
+            return await self._order(node_name, deadline)
         finally:
             self._lock.release()
 
-    async def _order(self, node_name: str) -> Result[None, Failure]:
-        settled = await self._settlement.settle(RETIRE_TIMEOUT_S)
+    async def _order(self, node_name: str, deadline: float) -> Result[None, Failure]:
+        loop = asyncio.get_running_loop()
+        settled = await self._settlement.settle(deadline - loop.time())
         if isinstance(settled, Err):
             return settled
         checked = self._check(node_name)
@@ -66,7 +69,7 @@
             return checked
         if checked.ok_value is None:
             return Ok(None)
-        outcome = await self._settlement.propose(Command(retire=checked.ok_value), RETIRE_TIMEOUT_S)
+        outcome = await self._settlement.propose(Command(retire=checked.ok_value), deadline - loop.time())
         if isinstance(outcome, Ok):
             return Ok(None)
         failure = outcome.err_value
--- a/tests/tier/control_support.py
+++ b/tests/tier/control_support.py
@@ -38,18 +38,19 @@
 STEP_TIMEOUT_S = 10.0  # a test that waits longer has failed
 
 
-def free_ports(count: int, hosts: Sequence[str] = ("127.0.0.1",)) -> list[int]:
-    """Ports that are free at every one of ``hosts``."""
+def free_ports(count: int, hosts: Sequence[str] = ("127.0.0.1",), following: int = 0) -> list[int]:
+    """Ports that are free at every one of ``hosts``, with as many that follow each."""
     found: list[int] = []
     with ExitStack() as held:
         while len(found) < count:
             first = held.enter_context(socket.socket())
             first.bind((hosts[0], 0))
             port = first.getsockname()[1]
+            wanted = [(host, port + step) for step in range(following + 1) for host in hosts]
             try:
-                for host in hosts[1:]:
-                    held.enter_context(socket.socket()).bind((host, port))
-            except OSError:
+                for address in wanted[1:]:
+                    held.enter_context(socket.socket()).bind(address)
+            except (OSError, OverflowError):
                 continue
             found.append(port)
     return found
@@ -231,7 +232,7 @@
 
     def __init__(self, keepers: int, machine_failures: int = 1) -> None:
         self.hosts = [f"127.0.0.{number + 1}" for number in range(keepers)]
-        self.control_port, self.internal_port, platform_port = free_ports(3, self.hosts)
+        self.control_port, self.internal_port, platform_port = free_ports(3, self.hosts, following=1)
         self.replicas = MemoryReplicas()
         self.platform = PlatformList(f"127.0.0.1:{platform_port}")
         self.keepers = [KeeperNode(self, self.settings(host, machine_failures)) for host in self.hosts]
--- a/tests/tier/test_control_operator.py
+++ b/tests/tier/test_control_operator.py
@@ -5,8 +5,13 @@
 import asyncio
 import json
 
+import pytest
 from control_support import World, document, replica, store
 
+from cherrycove.tier.controlplane import state as state_module
+from cherrycove.tier.controlplane.register import REMEMBERED_S, Register
+from cherrycove.tier.protocol.keeper_pb2 import Command, Retired
+
 CONFIGURATION = "/api/configuration"
 
 
@@ -216,3 +221,92 @@
             )
 
     asyncio.run(exchange())
+
+
+def test_beyond_the_bounded_memory_nothing_is_refused(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(state_module, "MAX_ACCEPTED_VERSIONS", 2)
+
+    async def exchange() -> None:
+        async with World(2) as world:
+            world.lead(0)
+            for version, base in ((2, "0"), (4, "2"), (6, "4"), (8, "6")):
+                await world.operator(0, "PUT", CONFIGURATION, document(version), base)
+            world.transcript.clear()
+            await world.operator(0, "PUT", CONFIGURATION, document(2), "0")
+            await world.operator(0, "PUT", CONFIGURATION, document(4, limits={}), "2")
+            await world.operator(0, "PUT", CONFIGURATION, document(6), "4")
+            await world.operator(0, "PUT", CONFIGURATION, document(6, limits={}), "4")
+            world.keepers[1].state.restore(world.keepers[0].state.snapshot())
+            world.lead(1)
+            await world.operator(1, "PUT", CONFIGURATION, document(2), "0")
+            await world.operator(1, "PUT", CONFIGURATION, document(6), "4")
+            await world.operator(1, "PUT", CONFIGURATION, document(9), "8")
+            await world.operator(1, "PUT", CONFIGURATION, document(6), "4")
+            approved(
+                world,
+                """
+                keeper 0: PUT /api/configuration v2 on 0 -> 504
+                keeper 0: PUT /api/configuration v4 on 2 -> 504
+                keeper 0: PUT /api/configuration v6 on 4 -> 200
+                keeper 0: PUT /api/configuration v6 on 4 -> 412
+                keeper 1: PUT /api/configuration v2 on 0 -> 504
+                keeper 1: PUT /api/configuration v6 on 4 -> 200
+                keeper 1: PUT /api/configuration v9 on 8 -> 200
+                keeper 1: PUT /api/configuration v6 on 4 -> 504
+                """,
+            )
+
+    asyncio.run(exchange())
+
+
+def test_a_retire_order_is_sent_again() -> None:
+    """After a lost answer, after a change of primary, after it was carried out; never refused."""
+
+    async def exchange() -> None:
+        async with World(2) as world:
+            world.lead(0)
+            stores = [await world.client(store(f"s{number}")) for number in range(1, 5)]
+            await stores[0].until(lambda views: len(views.stores()) == 4)
+            world.transcript.clear()
+            world.replicas.next_outcomes = ["uncertain_taken"]
+            await world.operator(0, "POST", "/api/retire/s4", b"{}")
+            await world.operator(0, "POST", "/api/retire/s4", b"{}")
+            for client in stores:
+                await client.stop()
+            world.lead(1)
+            await world.operator(1, "POST", "/api/retire/s4", b"{}")
+            retired = Command(retired=Retired(node_name="s4", member_id="disk-s4"))
+            await world.keepers[1].group.propose(retired.SerializeToString(), 1.0)
+            await world.operator(1, "POST", "/api/retire/s4", b"{}")
+            await world.operator(1, "GET", "/api/retire/s4")
+            approved(
+                world,
+                """
+                keeper 0: POST /api/retire/s4 -> 504
+                keeper 0: POST /api/retire/s4 -> 200
+                keeper 1: POST /api/retire/s4 -> 200
+                keeper 1: POST /api/retire/s4 -> 200
+                keeper 1: GET /api/retire/s4 -> 200
+                """,
+            )
+
+    asyncio.run(exchange())
+
+
+def test_a_retire_order_of_open_outcome_is_not_refused_before_that_is_known() -> None:
+    async def exchange() -> None:
+        async with World(1) as world:
+            world.lead(0)
+            stores = [await world.client(store(f"s{number}")) for number in range(1, 5)]
+            await stores[0].until(lambda views: len(views.stores()) == 4)
+            keeper = world.keepers[0].keeper
+            keeper._term_began -= REMEMBERED_S
+            world.replicas.next_outcomes = ["uncertain_lost", "uncertain_lost"]
+            await world.operator(0, "POST", "/api/retire/s4", b"{}")
+            keeper._register = Register()
+            for name in ("s1", "s2"):
+                keeper._register.announce(store(name), asyncio.get_running_loop().time())
+            first = world.operator(0, "POST", "/api/retire/s4", b"{}")
+            assert (await first)[0] == 503
+
+    asyncio.run(exchange())
--- a/tests/tier/test_control_retire_replicated.py
+++ b/tests/tier/test_control_retire_replicated.py
@@ -30,7 +30,7 @@
 
     def __init__(self, folder: Path) -> None:
         self._folder = folder
-        self.control, self.internal, self.platform = free_ports(3, HOSTS)
+        self.control, self.internal, self.platform = free_ports(3, HOSTS, following=1)
         self.keepers = {host: KeeperProgram(self.settings(host)) for host in HOSTS}
         self.stores = {host: StoreProgram(self.settings(host)) for host in HOSTS}
         self.changed = asyncio.Event()
