--- a/tests/tier/control_support.py
+++ b/tests/tier/control_support.py
@@ -213,7 +213,7 @@
 
     def __init__(self, keepers: int, machine_failures: int = 1) -> None:
         self.hosts = [f"127.0.0.{number + 1}" for number in range(keepers)]
-        self.control_port, self.internal_port, platform_port = free_ports(3, self.hosts)
+        self.control_port, self.internal_port, platform_port = free_ports(3, self.hosts, following=1)
         self.replicas = MemoryReplicas()
         self.platform = PlatformList(f"127.0.0.1:{platform_port}")
         self.keepers = [KeeperNode(self, self.settings(host, machine_failures)) for host in self.hosts]
--- a/tests/tier/loopback_ports.py
+++ b/tests/tier/loopback_ports.py
@@ -19,14 +19,16 @@
 _random = random.SystemRandom()
 
 
-def free_ports(count: int, hosts: Sequence[str] = (LOCALHOST,)) -> list[int]:
-    """Ports that are free at every one of ``hosts``, for connections and for datagrams."""
+def free_ports(count: int, hosts: Sequence[str] = (LOCALHOST,), following: int = 0) -> list[int]:
+    """Ports that are free at every one of ``hosts``, for connections and for datagrams, each with so many that
+    follow it."""
     found: list[int] = []
     with ExitStack() as held:
         for port in _random.sample(range(FIRST_PORT, PORTS_END), PORTS_END - FIRST_PORT):
             if len(found) == count:
                 return found
-            if _hold(held, port, hosts):
+            ports = range(port, port + following + 1)
+            if all(_hold(held, each, hosts) for each in ports):
                 found.append(port)
     raise OSError("no port is free")
 
