--- a/tests/tier/loopback_ports.py
+++ b/tests/tier/loopback_ports.py
@@ -20,8 +20,8 @@
 
 
 def free_ports(count: int, hosts: Sequence[str] = (LOCALHOST,), following: int = 0) -> list[int]:
-    """Ports that are free at every one of ``hosts``, for connections and for datagrams, each with so many that
-    follow it."""
+    """Ports that are free at every one of ``hosts``, for connections and for datagrams, each with as many
+    that follow it."""
     found: list[int] = []
     with ExitStack() as held:
         for port in _random.sample(range(FIRST_PORT, PORTS_END), PORTS_END - FIRST_PORT):
