Requests that may not be repeated take the broker connection that was used last

Cause: the pool hands out the connection that has rested longest, up to 4 s where the broker tells no idle time. A connection whose other end is gone without a word is reset at the next send, and a request that may not be repeated is then lost: nothing proves that it has not run. Change: such a request takes the connection used last; where the broker tells no idle time it is trusted for 1 s, and a new one takes the place of the oldest after that, so that there are no more than before. Others as before.

--- a/cherrycove/tier/dataplane/connections.py
+++ b/cherrycove/tier/dataplane/connections.py
@@ -8,6 +8,9 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Iterator
+from contextlib import contextmanager
+from contextvars import ContextVar
 from functools import partial
 from math import inf
 from time import monotonic
@@ -24,8 +27,22 @@
 
 REST_S = 0.008  # behind an answer before its connection is used again; a second answer comes a few ms late
 IDLE_S = 4.0  # that a connection is kept where the broker tells nothing
+ONCE_IDLE_S = 1.0  # the same for a request that may not be repeated: it would be lost to a dead connection
 KEPT_PART = 0.7  # of the time a broker keeps an idle connection that is used; the rest is for the way
 
+_once_only: ContextVar[bool] = ContextVar("once_only", default=False)
+
+
+@contextmanager
+def sent_once_only(once: bool) -> Iterator[None]:
+    """For requests that are sent within, whether they may not be repeated. Such a request would be lost to a
+    connection whose other end is gone without a word; it takes the one that was used last."""
+    before = _once_only.set(once)
+    try:
+        yield
+    finally:
+        _once_only.reset(before)
+
 
 class BrokerConnection(NodeConnection):
     """One connection; takes the answer that carries the id of the request that was sent."""
@@ -34,6 +51,7 @@
         super().__init__(loop)
         self._expected_id = ""
         self._idle_s = IDLE_S
+        self._told = False  # by the broker, for how long it keeps an idle connection
         self._answered_at = inf
         self._stray: StreamReader | None = None  # the body of an answer that is passed over
 
@@ -61,7 +79,7 @@
                 return
         kept = keep_alive_s(message.headers)
         if kept is not None:
-            self._idle_s = kept * KEPT_PART
+            self._idle_s, self._told = kept * KEPT_PART, True
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
@@ -74,7 +92,14 @@
             self._answered_at = min(self._answered_at, monotonic())
 
     def is_connected(self) -> bool:
-        return super().is_connected() and monotonic() - self._answered_at < self._idle_s
+        return super().is_connected() and self._age_s() < self._idle_s
+
+    def fit_for_once(self) -> bool:
+        """Whether a request that may not be repeated can be trusted to it."""
+        return self.is_connected() and (self._told or self._age_s() < ONCE_IDLE_S)
+
+    def _age_s(self) -> float:
+        return monotonic() - self._answered_at
 
 
 class BrokerRequest(aiohttp.ClientRequest):
@@ -110,6 +135,22 @@
         )  # fmt: skip
         self._factory = partial(BrokerConnection, loop=self._loop)  # type: ignore[assignment]
 
+    async def _get(self, key: Any, traces: Any) -> Any:
+        """A kept connection, or None where a new one should be made."""
+        kept = self._conns.get(key)
+        if _once_only.get() and kept:
+            now = monotonic()
+            rested = [each for each in kept if now - each[1] >= REST_S]
+            last_used = max(rested or kept, key=lambda each: each[1])
+            if isinstance(last_used[0], BrokerConnection) and not last_used[0].fit_for_once():
+                kept.popleft()[0].close()  # a new one takes its place, so that there are no more than before
+                if not kept:
+                    del self._conns[key]
+                return None
+            kept.remove(last_used)
+            kept.appendleft(last_used)
+        return await super()._get(key, traces)
+
     def set_limit(self, most_per_broker: int) -> None:
         self._limit_per_host = most_per_broker
 
--- a/cherrycove/tier/dataplane/dispatch.py
+++ b/cherrycove/tier/dataplane/dispatch.py
@@ -71,7 +71,7 @@
         """The answer to ``request``; ``closing`` tells whether its connection should end with it."""
         outgoing = Outgoing(
             request.headers.get(REQUEST_ID, ""), request.method, request.raw_path,
-            end_to_end(request.headers), body,
+            end_to_end(request.headers), body, route.repeatable,
         )  # fmt: skip
         exchange = Exchange(
             gate=self._gate, upstream=self._upstream, request=request, outgoing=outgoing, route=route,
--- a/cherrycove/tier/dataplane/items.py
+++ b/cherrycove/tier/dataplane/items.py
@@ -177,7 +177,7 @@
         headers[REQUEST_ID] = item.item_id
         if self.last_id is not None:
             headers[LAST_EVENT_ID] = str(self.last_id)
-        return Outgoing(item.item_id, "POST", item.path, headers, item.body)
+        return Outgoing(item.item_id, "POST", item.path, headers, item.body, repeatable=True)
 
     def _failure(self, status: int) -> ItemOutcome | None:
         if status == UNPROCESSABLE:
--- a/cherrycove/tier/dataplane/upstream.py
+++ b/cherrycove/tier/dataplane/upstream.py
@@ -18,7 +18,7 @@
 from yarl import URL
 
 from cherrycove.http1.back import PIECE
-from cherrycove.tier.dataplane.connections import BrokerConnector, BrokerRequest
+from cherrycove.tier.dataplane.connections import BrokerConnector, BrokerRequest, sent_once_only
 from cherrycove.tier.dataplane.headers import (
     DEADLINE_MS,
     EXPECTED_INSTANCE,
@@ -60,6 +60,7 @@
     target: str  # path and query exactly as they came
     headers: CIMultiDict[str]
     body: bytes
+    repeatable: bool = False  # may run more than once
 
 
 @attrs.frozen
@@ -187,7 +188,8 @@
             headers[DEADLINE_MS] = str(max(int(remaining_s * 1000), 1))
         sent = SimpleNamespace(begun=False)
         try:
-            response = await self._request(broker, outgoing, headers, sent)
+            with sent_once_only(not outgoing.repeatable):
+                response = await self._request(broker, outgoing, headers, sent)
         except aiohttp.ClientResponseError:
             return _broken(sent, BreakReason.GARBLED)
         except (aiohttp.ClientError, OSError, ValueError):
--- a/tests/tier/test_dataplane_wire.py
+++ b/tests/tier/test_dataplane_wire.py
@@ -5,12 +5,15 @@
 import asyncio
 import socket
 import struct
+import time
 
+import aiohttp.connector
 import attrs
 import pytest
 from dataplane_world import TIMEOUT_S, World, configuration_bytes, entry
 from multidict import CIMultiDict
 
+from cherrycove.http1 import back
 from cherrycove.tier.dataplane import connections, upstream
 from cherrycove.tier.dataplane.connections import BrokerConnection
 from examples.toy_broker import SIGNATURE, Received, Script, ToyBroker, Wire, stream
@@ -454,3 +457,74 @@
         server.close()
 
     asyncio.run(story())
+
+
+def clock_ahead(monkeypatch: pytest.MonkeyPatch) -> list[float]:
+    """The clock of the connections, as far ahead of the real one as the item of the list says, in s."""
+    ahead = [0.0]
+    for module in (connections, back, aiohttp.connector):
+        monkeypatch.setattr(module, "monotonic", lambda: time.monotonic() + ahead[0])
+    return ahead
+
+
+@pytest.mark.parametrize(
+    ("keep_alive", "target", "idle_s", "connections_used"),
+    (
+        ("", "/once/x", 0.2, 1), ("", "/once/x", 1.1, 2), ("", "/again/x", 2.0, 1), ("", "/again/x", 4.1, 2),
+        ("timeout=10", "/once/x", 5.0, 1), ("timeout=10", "/once/x", 7.1, 2),
+    ),
+)  # fmt: skip
+def test_an_idle_connection_is_trusted_for_as_long_as_the_request_allows(
+    monkeypatch: pytest.MonkeyPatch, keep_alive: str, target: str, idle_s: float, connections_used: int
+) -> None:
+    ahead = clock_ahead(monkeypatch)
+
+    async def script(wire: Wire, request: Received) -> None:
+        fields = {"Keep_Alive": keep_alive} if keep_alive else {}
+        await wire.answer(request, request.body, **fields)
+
+    async def story() -> None:
+        async with World([ToyBroker(script=script)]) as world:
+            assert (await world.ask(target)).status == 200
+            ahead[0] += idle_s
+            assert (await world.ask(target)).status == 200
+            assert world.brokers[0].connections == connections_used
+            connector = world.plane._upstream._connector
+            assert connector is not None
+            assert [len(kept) for kept in connector._conns.values()] == [1]  # not one more than before
+
+    asyncio.run(story())
+
+
+def test_a_request_that_may_not_be_repeated_takes_the_connection_that_was_used_last(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    ahead = clock_ahead(monkeypatch)
+
+    async def story() -> None:
+        release: dict[str, asyncio.Event] = {"r1": asyncio.Event(), "r2": asyncio.Event()}
+        served: list[tuple[str, Wire]] = []
+
+        async def script(wire: Wire, request: Received) -> None:
+            identity = request.headers["request-id"]
+            served.append((identity, wire))
+            if identity in release:
+                await release[identity].wait()
+            await wire.answer(request, b"")
+
+        async with World([ToyBroker(script=script)]) as world, asyncio.timeout(TIMEOUT_S):
+            asks = {}
+            for number, identity in enumerate(release, 1):
+                asks[identity] = asyncio.create_task(
+                    world.ask("/once/x", headers={"Request-Id": identity})
+                )
+                await world.brokers[0].wait_received(number)
+            for identity in release:  # the connection of the second is given back last
+                release[identity].set()
+                assert (await asks[identity]).status == 200
+                ahead[0] += 0.1
+            assert (await world.ask("/once/x", headers={"Request-Id": "r3"})).status == 200
+            wires = dict(served)
+            assert wires["r3"] is wires["r2"]
+
+    asyncio.run(story())
