No kept connection of the tier is used again once something came behind the last answer

Cause: a second answer of the platform that came while its connection stood idle was taken for the next page of the list of brokers (a test brings it about). Internal calls had the guard already. Change: the guard moves into protocol/sessions.py, where every session gets it unless it brings a pool of its own (that to brokers has the same).

--- a/cherrycove/tier/controlplane/broker_list.py
+++ b/cherrycove/tier/controlplane/broker_list.py
@@ -15,7 +15,7 @@
 
 from cherrycove.tier.errors import ErrorKind, Failure
 from cherrycove.tier.protocol.control_pb2 import BrokerEntry, BrokerList
-from cherrycove.tier.protocol.sessions import client_session
+from cherrycove.tier.protocol.sessions import KeptConnector, client_session
 from cherrycove.tier.settings import Settings
 
 READS_PER_DRAIN = 5.0  # the list is read so often within bounds.drain_ms
@@ -150,8 +150,8 @@
 
     async def start(self) -> None:
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
-        connector = aiohttp.TCPConnector(limit=1, keepalive_timeout=10.0)
-        self._session = client_session(connector=connector, timeout=timeout)
+        connector = KeptConnector(limit=1, keepalive_timeout=10.0)
+        self._session = client_session(connector, timeout=timeout)
 
     async def stop(self) -> None:
         if self._session is not None:
--- a/cherrycove/tier/protocol/rpc.py
+++ b/cherrycove/tier/protocol/rpc.py
@@ -18,21 +18,18 @@
 import itertools
 import secrets
 from collections.abc import Callable, Mapping
-from functools import partial
 from typing import Any
 
 import aiohttp
 from aiohttp import StreamReader, web
-from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
 from aiohttp.http import RawResponseMessage
 from google.protobuf.message import DecodeError, Message
 from result import Err, Ok, Result
 
-from cherrycove.sockets import unread
 from cherrycove.tier.errors import ErrorKind, Failure
 from cherrycove.tier.protocol.interface import Handler, Reply
-from cherrycove.tier.protocol.sessions import client_session
+from cherrycove.tier.protocol.sessions import KeptConnection, KeptConnector, client_session
 
 KIND_HEADER = "X-Error-Kind"
 PRIMARY_HEADER = "X-Primary"
@@ -124,7 +121,7 @@
     """What came on a connection is not the reply to the call that was sent over it."""
 
 
-class CallConnection(ResponseHandler):
+class CallConnection(KeptConnection):
     """The library's connection, which takes the reply to the call that was sent last, and nothing else.
 
     The library puts whatever comes into one queue, where a second or late reply would be the next call's.
@@ -148,13 +145,6 @@
         if self.transport is not None:
             self.transport.close()
 
-    def is_connected(self) -> bool:
-        """Asked while the connection stands idle: what came since the last reply, read or not, is an end, a
-        fault or a second reply."""
-        if self.transport is None or not super().is_connected():
-            return False
-        return not self.should_close and not unread(self.transport)
-
 
 class CallRequest(aiohttp.ClientRequest):
     """A call that tells its connection which reply to take."""
@@ -166,14 +156,6 @@
         return await super().send(conn)
 
 
-class CallConnector(aiohttp.TCPConnector):
-    """The library's pool, with connections of ours."""
-
-    def __init__(self) -> None:
-        super().__init__(limit=0, keepalive_timeout=KEEP_ALIVE_S)
-        self._factory = partial(CallConnection, loop=self._loop)  # type: ignore[assignment]
-
-
 class RpcClient:
     """Makes internal calls over pooled connections."""
 
@@ -183,9 +165,8 @@
         self._numbers = itertools.count(1)
 
     async def start(self) -> None:
-        self._session = client_session(
-            connector=CallConnector(), request_class=CallRequest, auto_decompress=False
-        )
+        connector = KeptConnector(CallConnection, limit=0, keepalive_timeout=KEEP_ALIVE_S)
+        self._session = client_session(connector, request_class=CallRequest, auto_decompress=False)
 
     async def stop(self) -> None:
         if self._session is not None:
--- a/tests/tier/test_sessions.py
+++ b/tests/tier/test_sessions.py
@@ -149,6 +149,32 @@
     check(use, end)
 
 
+def test_a_second_answer_of_the_platform_is_not_that_to_the_next_question() -> None:
+    async def twice(line: Line, arrival: Arrival) -> None:
+        page = b'{"instances":[{"instanceId":"i-%d","service":"s","address":"a"}]}' % len(server.arrivals)
+        await line.answer(page)
+        await taken.wait()
+        await line.answer(page)
+        written.set()
+
+    server, taken, written = LineServer(twice), asyncio.Event(), asyncio.Event()
+
+    async def story() -> None:
+        async with server, asyncio.timeout(TIMEOUT_S):
+            reader = BrokerListReader(platform_at(server.address))
+            await reader.start()
+            for number in (1, 2, 3):
+                taken.clear()
+                written.clear()
+                listed = (await reader.read()).unwrap()
+                assert [broker.instance_id for broker in listed.brokers] == [f"i-{number}"]
+                taken.set()
+                await written.wait()
+            await reader.stop()
+
+    asyncio.run(story())
+
+
 def platform_at(address: str) -> Settings:
     return Settings(
         node_name="k-1", machine_class="storage", ip_address="127.0.0.1", zone="z", region="r",
