Calls for batch jobs are known by their path also beside a route that covers it; tests of the bounds on one request

Cause, by reading: on a host with a route whose prefix covers `/api/lots/` (`/`, `/api/`), reads and ends of batch jobs went to that route's brokers. They go to the batch plane now where the host has a batch route.

--- a/cherrycove/tier/dataplane/ingress.py
+++ b/cherrycove/tier/dataplane/ingress.py
@@ -18,8 +18,9 @@
 from aiohttp.streams import StreamReader
 
 from cherrycove.tier.batch.interface import LONGEST_CALL_S
-from cherrycove.tier.configuration import ClientLimits, Configuration, Route
+from cherrycove.tier.configuration import ClientLimits, Route
 from cherrycove.tier.dataplane.arrivals import Arrivals
+from cherrycove.tier.dataplane.batch_calls import BATCH_KIND, batch_route, is_batch_call
 from cherrycove.tier.dataplane.dispatch import Dispatcher, latest_answer
 from cherrycove.tier.dataplane.drain import DrainDeadline, LongestLately
 from cherrycove.tier.dataplane.headers import REQUEST_ID
@@ -27,8 +28,6 @@
 from cherrycove.tier.distribution.views import Views
 from cherrycove.tier.settings import Settings
 
-BATCH_KIND = "batch"
-BATCH_PATHS = ("/api/lots/", "/api/items/")
 BACKLOG = 1024  # connections to be accepted
 PARSER_LINE_BYTES = 256 * 1024  # the configuration's own bound is below it
 READ_BYTES = 32 * 1024
@@ -191,10 +190,9 @@
             return self._own(request, 503, "no configuration yet", retry_after_s=UNCONFIGURED_RETRY_S)
         path = request.raw_path.partition("?")[0]
         route = configuration.match(request.headers.get("Host", ""), path)
-        if self.batch_api is not None and _is_batch_call(request, path, route):
-            return await self._batch(
-                self.batch_api, request, body, route or _batch_route(configuration, request)
-            )
+        lots = batch_route(configuration, request.headers.get("Host", ""))
+        if self.batch_api is not None and is_batch_call(request.method, path, route, lots):
+            return await self._batch(self.batch_api, request, body, lots if route is None else route)
         if route is None or route.route_kind == BATCH_KIND:
             return self._own(request, 404, "no route")
         return await self._live(request, body, route, arrived)
@@ -248,17 +246,3 @@
     if request.headers.get("Expect", "").lower() == "100-continue" and request.transport is not None:
         request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
     return await request.read()
-
-
-def _is_batch_call(request: web.BaseRequest, path: str, route: Route | None) -> bool:
-    if route is not None:
-        return route.route_kind == BATCH_KIND and request.method == "POST"
-    return path.startswith(BATCH_PATHS)
-
-
-def _batch_route(configuration: Configuration, request: web.BaseRequest) -> Route | None:
-    host = request.headers.get("Host", "").partition(":")[0].lower()
-    return next(
-        (each for each in configuration.routes
-         if each.route_kind == BATCH_KIND and each.hostname.lower() == host), None,
-    )  # fmt: skip
