A broker whose weights have another version is passed over without counting as failed

Cause, by reading: a 421 to a request with `Expect-Version` was taken for another broker at the address, so a broker whose weights are older rested for all requests. It is passed over for this request only (`Ending.UNSUITED`). Also a test that a more urgent kind is not behind a less urgent one nor behind batch items (held already; fails without the rank), and the host's batch route is looked up only for paths of batch jobs.

--- a/cherrycove/tier/dataplane/admission/interface.py
+++ b/cherrycove/tier/dataplane/admission/interface.py
@@ -45,6 +45,7 @@
     REFUSED = "refused"  # the broker had no room
     UNREACHABLE = "unreachable"  # no connection came up
     MISDIRECTED = "misdirected"  # another broker is at the address
+    UNSUITED = "unsuited"  # its weights may not have the version that the request asks for
     BROKEN = "broken"  # closed, reset or garbled
     SILENT = "silent"  # nothing came for long
     LEFT = "left"  # the client left, or its time was over
--- a/cherrycove/tier/dataplane/admission/scheduler.py
+++ b/cherrycove/tier/dataplane/admission/scheduler.py
@@ -38,6 +38,7 @@
     Ending.REFUSED: 0.1,
     Ending.UNREACHABLE: 0.2,
     Ending.MISDIRECTED: 1.0,
+    Ending.UNSUITED: 1.0,
     Ending.BROKEN: 0.3,
     Ending.SILENT: 1.0,
 }
@@ -178,6 +179,8 @@
                 state.health.broke(now)
             case Ending.LEFT:
                 state.health.trial = False
+            case Ending.UNSUITED:
+                state.health.heard(now)
             case _ if now - self._stood_still_at < UNSURE_S:
                 state.health.trial = False
             case _:
--- a/cherrycove/tier/dataplane/dispatch.py
+++ b/cherrycove/tier/dataplane/dispatch.py
@@ -20,6 +20,7 @@
 from cherrycove.tier.dataplane.headers import (
     DEADLINE_MS,
     EVENT_STREAM,
+    EXPECT_VERSION,
     LAST_EVENT_ID,
     REQUEST_ID,
     end_to_end,
@@ -162,7 +163,7 @@
         outcome = await self.upstream.send(grant.broker, self._resuming(), remaining_s)
         if isinstance(outcome, NotRun):
             self.in_flight = False
-            return None, ENDINGS[outcome.reason]
+            return None, self._not_run(outcome.reason)
         self._count_run()
         if isinstance(outcome, MayHaveRun):
             return None, Ending.BROKEN
@@ -171,6 +172,11 @@
         finally:
             outcome.answer.close()
 
+    def _not_run(self, reason: NotRunReason) -> Ending:
+        if reason is NotRunReason.OTHER_INSTANCE and EXPECT_VERSION in self.outgoing.headers:
+            return Ending.UNSUITED  # the same status says that the weights have another version
+        return ENDINGS[reason]
+
     def _count_run(self) -> None:
         if self.in_flight:
             self.in_flight = False
--- a/cherrycove/tier/dataplane/headers.py
+++ b/cherrycove/tier/dataplane/headers.py
@@ -14,6 +14,7 @@
 REQUEST_ID = "Request-Id"
 DEADLINE_MS = "Deadline-Ms"
 EXPECTED_INSTANCE = "Expected-Instance"
+EXPECT_VERSION = "Expect-Version"
 RESPONSE_SIGNATURE = "Response-Signature"
 NOT_EXECUTED = "Not-Executed"
 LAST_EVENT_ID = "Last-Event-Id"
--- a/cherrycove/tier/dataplane/ingress.py
+++ b/cherrycove/tier/dataplane/ingress.py
@@ -20,7 +20,7 @@
 from cherrycove.tier.batch.interface import LONGEST_CALL_S
 from cherrycove.tier.configuration import ClientLimits, Route
 from cherrycove.tier.dataplane.arrivals import Arrivals
-from cherrycove.tier.dataplane.batch_calls import BATCH_KIND, batch_route, is_batch_call
+from cherrycove.tier.dataplane.batch_calls import BATCH_KIND, BATCH_PATHS, batch_route, is_batch_call
 from cherrycove.tier.dataplane.dispatch import Dispatcher, latest_answer
 from cherrycove.tier.dataplane.drain import DrainDeadline, LongestLately
 from cherrycove.tier.dataplane.headers import REQUEST_ID
@@ -190,7 +190,8 @@
             return self._own(request, 503, "no configuration yet", retry_after_s=UNCONFIGURED_RETRY_S)
         path = request.raw_path.partition("?")[0]
         route = configuration.match(request.headers.get("Host", ""), path)
-        lots = batch_route(configuration, request.headers.get("Host", ""))
+        of_batch = path.startswith(BATCH_PATHS)
+        lots = batch_route(configuration, request.headers.get("Host", "")) if of_batch else None
         if self.batch_api is not None and is_batch_call(request.method, path, route, lots):
             return await self._batch(self.batch_api, request, body, lots if route is None else route)
         if route is None or route.route_kind == BATCH_KIND:
--- a/tests/tier/test_admission.py
+++ b/tests/tier/test_admission.py
@@ -28,6 +28,7 @@
 ROUTES = [
     route("chat", "/chat/", "streaming", resumable=True, targetLatencyMs=AIM_S * 1000),
     route("report", "/report/", "streaming", targetLatencyMs=AIM_S * 1000),
+    route("later", "/later/", "streaming", targetLatencyMs=AIM_S * 1000, priority=1),
     route("lots", "/lots/", "batch", timeoutMs=60000, completionTargetMs=8000, retentionS=60),
 ]
 
@@ -375,6 +376,18 @@
     assert sum(item in proxy.sent for item in items) == 9
 
 
+def test_a_more_urgent_kind_is_not_behind_a_less_urgent_one() -> None:
+    proxy = Proxy([broker("a")])
+    out = full(proxy)
+    items = [proxy.item(due_in=1.0) for _ in range(3)]
+    less = [proxy.arrive("later") for _ in range(3)]
+    more = [proxy.arrive("chat") for _ in range(3)]
+    for ticket in out[:3]:
+        proxy.end(ticket)
+    assert all(ticket in proxy.sent for ticket in more)
+    assert not any(ticket in proxy.sent for ticket in [*less, *items])
+
+
 def test_free_places_are_shared_among_the_proxies() -> None:
     proxy = Proxy([broker("a", slots=48), broker("b", slots=48)], proxies=4)
     assert proxy.scheduler.free_places(proxy.now) == 20
--- a/tests/tier/test_dataplane_bounds.py
+++ b/tests/tier/test_dataplane_bounds.py
@@ -153,6 +153,28 @@
     asyncio.run(story())
 
 
+def test_a_broker_with_other_weights_is_passed_over_and_stays_as_good_for_others() -> None:
+    async def story() -> None:
+        async def other_weights(wire: Wire, request: Received) -> None:
+            if "expect-version" in request.headers:
+                await wire.head(request, "421 Misdirected Request", Content_Length="0", Versions="1")
+            else:
+                await wire.answer(request, b"old")
+
+        async def expected(wire: Wire, request: Received) -> None:
+            await wire.answer(request, b"new", Versions="2")
+
+        brokers = [ToyBroker("i-1", script=other_weights), ToyBroker("i-2", script=expected)]
+        async with World(brokers) as world:
+            for _ in range(8):
+                assert (await world.ask("/once/x", headers={"Expect-Version": "2"})).body == b"new"
+            world.tell(listed=brokers[:1])
+            assert (await world.ask("/once/x")).body == b"old"
+            assert any("expect-version" in request.headers for request in brokers[0].received)
+
+    asyncio.run(story())
+
+
 def test_without_a_configuration_nothing_is_said_not_to_exist() -> None:
     async def story() -> None:
         async with World([ToyBroker()], document=None) as world:
