A SIGHUP during the start of a daemon no longer ends it

Cause, by reading: until the event loop took its signals, a second or so into the start on a slow machine, SIGHUP had its default effect and ended the process. It is ignored from the first line, kept from before the settings are read, and acted on once the program has started. Tests: the first line, the late reading, and a stream under way that outlives a reading of the settings (held already). Undone, the first two fail.

--- a/cherrycove/tier/__main__.py
+++ b/cherrycove/tier/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 
 DAEMONS = ("proxy", "keeper", "store")
@@ -10,6 +11,8 @@
 def main() -> int:
     name = sys.argv[1] if len(sys.argv) > 1 else ""
     if name in DAEMONS:
+        # Its default would end the process; the settings are read later anyway.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         from cherrycove.tier.programs.process import run_daemon
 
         return run_daemon(name)
--- a/cherrycove/tier/programs/process.py
+++ b/cherrycove/tier/programs/process.py
@@ -9,6 +9,7 @@
 import secrets
 import signal
 import sys
+from collections.abc import Sequence
 from typing import Protocol
 
 from cherrycove.tier.settings import Settings, SettingsError, load_settings
@@ -40,6 +41,8 @@
 
 def run_daemon(name: str) -> int:
     """Run ``name`` (proxy, keeper or store) until SIGTERM; returns the exit code."""
+    early: list[int] = []  # SIGHUPs that come before the event loop takes them
+    signal.signal(signal.SIGHUP, lambda number, _: early.append(number))
     try:
         settings = load_settings()
     except SettingsError as error:
@@ -49,7 +52,7 @@
     gc.set_threshold(YOUNGEST_COLLECTION, 20, 50)
     module = importlib.import_module(f"cherrycove.tier.programs.{name}")
     try:
-        asyncio.run(_live(module.assemble(settings)))
+        asyncio.run(_live(module.assemble(settings), early))
     except OSError as error:
         print(f"cherrycove {name}: {error}", file=sys.stderr)
         return EXIT_CANNOT_START
@@ -62,13 +65,15 @@
     configure(name, settings.node_name)
 
 
-async def _live(program: Program) -> None:
+async def _live(program: Program, early: Sequence[int]) -> None:
     loop = asyncio.get_running_loop()
     ended = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, ended.set)
     loop.add_signal_handler(signal.SIGINT, ended.set)
     loop.add_signal_handler(signal.SIGHUP, _reload, program)
     await program.start()
+    if early:
+        _reload(program)
     gc.collect()
     gc.freeze()
     await ended.wait()
--- /dev/null
+++ b/tests/tier/test_process_life.py
@@ -0,0 +1,123 @@
+"""The life of a daemon: signals at its start, and a proxy whose settings are read again."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+from collections.abc import Iterator
+from types import SimpleNamespace
+
+import attrs
+import pytest
+from dataplane_world import TIMEOUT_S, Client, configuration_bytes, entry, free_address
+from test_dataplane_exchanges import events
+
+from cherrycove.tier import __main__ as command
+from cherrycove.tier.configuration import parse_configuration
+from cherrycove.tier.programs import process
+from cherrycove.tier.programs.proxy import ProxyProgram
+from cherrycove.tier.settings import Bounds, ListenAddresses, ProcessLimits, Settings
+from examples.toy_broker import Received, ToyBroker, Wire
+
+GRACE_S = 1.0
+
+
+@pytest.fixture(autouse=True)
+def signals_as_they_were() -> Iterator[None]:
+    numbers = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
+    before = {number: signal.getsignal(number) for number in numbers}
+    yield
+    for number, handler in before.items():
+        signal.signal(number, handler)
+
+
+def settings() -> Settings:
+    return Settings(
+        node_name="f-1", machine_class="frontend", ip_address="127.0.0.1", zone="z", region="r",
+        internal_port_range=[7000, 7010], limits=ProcessLimits(file_descriptors=4096),
+        bounds=Bounds(grace_period_s=GRACE_S),
+        listen_addresses=ListenAddresses(frontend=free_address(), readiness=free_address()),
+    )  # fmt: skip
+
+
+def test_a_signal_to_read_the_settings_does_not_end_a_daemon_that_starts(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    seen: list[object] = []
+
+    def run_daemon(name: str) -> int:
+        seen.append(signal.getsignal(signal.SIGHUP))
+        return 0
+
+    daemons = SimpleNamespace(run_daemon=run_daemon)
+    monkeypatch.setitem(sys.modules, "cherrycove.tier.programs.process", daemons)
+    monkeypatch.setattr(sys, "argv", ["cherrycove.tier", "proxy"])
+    assert command.main() == 0
+    assert seen == [signal.SIG_IGN]
+
+
+@attrs.define
+class RecordingProgram:
+    """Asks itself to end as soon as it has started."""
+
+    calls: list[str] = attrs.field(factory=list)
+
+    async def start(self) -> None:
+        self.calls.append("start")
+        os.kill(os.getpid(), signal.SIGTERM)
+
+    async def stop(self) -> None:
+        self.calls.append("stop")
+
+    def reload(self, settings: Settings) -> None:
+        self.calls.append("reload")
+
+
+@pytest.mark.parametrize(("early", "calls"), [
+    ([], ["start", "stop"]), ([signal.SIGHUP], ["start", "reload", "stop"]),
+])  # fmt: skip
+def test_settings_that_changed_during_the_start_are_read_again(
+    monkeypatch: pytest.MonkeyPatch, early: list[int], calls: list[str]
+) -> None:
+    monkeypatch.setattr(process, "load_settings", settings)
+    program = RecordingProgram()
+    asyncio.run(process._live(program, early))
+    assert program.calls == calls
+
+
+def test_a_request_under_way_is_not_cut_when_the_settings_are_read_again() -> None:
+    async def story() -> None:
+        release = asyncio.Event()
+
+        async def script(wire: Wire, request: Received) -> None:
+            await wire.stream_head(request)
+            await wire.event(1, "word 1")
+            await release.wait()
+            await wire.event(2, "word 2")
+            await wire.end_stream()
+
+        broker, own = ToyBroker(script=script), settings()
+        await broker.start()
+        program = ProxyProgram(own)
+        program._views.configuration = parse_configuration(configuration_bytes()).unwrap()
+        program._views.brokers = (entry(broker),)
+        await program.start()
+        async with asyncio.timeout(TIMEOUT_S):
+            client = await Client.connect(own.listen_addresses.frontend)
+            await client.send("/stream/x")
+            await client.head()
+            assert await client.chunk() == events(1, 1)
+            program.reload(attrs.evolve(own, seed_nodes=["127.0.0.1:1"]))
+            later = await Client.connect(own.listen_addresses.frontend)
+            assert (await later.ask("/nowhere/x")).status == 404
+            release.set()
+            assert await client.chunk() == events(2, 2)
+            assert await client.chunk() == b""
+            client.close()
+            later.close()
+            await program.stop()
+        await broker.stop()
+
+    asyncio.run(story())
