Batch items that wait for a service without brokers are handed back, and follow their route

Cause, by reading: an item that waited at a proxy kept the service it was given. If its route then moved to another service and the old one's brokers went, it waited there for good: renewed with every lease, listed never. Admission refuses such items as soon as the views say so, and the executor asks again with the route in force. Test of the machine and of a whole move; without the refusal both fail (the second by its time-out).

--- a/cherrycove/tier/dataplane/admission/scheduler.py
+++ b/cherrycove/tier/dataplane/admission/scheduler.py
@@ -70,6 +70,7 @@
             if not state.listed or state.broker.draining:
                 self._empty(state)
         self.roster.forget()
+        self._refuse_unserved_items(now)
         self._look(now)
         return self._taken()
 
@@ -282,6 +283,13 @@
 
     # Batch items
 
+    def _refuse_unserved_items(self, now: float) -> None:
+        """Those whose service has no broker left: their route may name another service by now."""
+        for ticket in self._items.in_order(now):
+            if not self.roster.serving(ticket):
+                self._items.remove(ticket)
+                self._actions.append(Refuse(ticket, 0.0))
+
     def _send_items(self, now: float) -> None:
         """To brokers with spare places, the most urgent first; while live requests wait, only urgent ones."""
         proxies = self.roster.proxies
--- a/tests/tier/test_admission.py
+++ b/tests/tier/test_admission.py
@@ -400,6 +400,17 @@
     assert item in proxy.refused
 
 
+def test_a_waiting_item_whose_service_has_lost_its_brokers_is_handed_back() -> None:
+    proxy = Proxy([broker("a")])
+    full(proxy)
+    item = proxy.item()
+    assert item not in proxy.sent and item not in proxy.refused
+    proxy.brokers = [broker("a", draining=True)]
+    proxy.know()
+    assert item in proxy.refused
+    assert not proxy.scheduler._items
+
+
 def subject(part: str, tokens: int) -> Prompt:
     return Prompt((Part(part, tokens), Part("own", 100)), tokens + 100, 20)
 
--- a/tests/tier/test_dataplane_items.py
+++ b/tests/tier/test_dataplane_items.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
 import attrs
 from aiohttp import web
-from dataplane_world import HOST, TIMEOUT_S, World, configuration_bytes, route
+from dataplane_world import HOST, TIMEOUT_S, World, configuration_bytes, entry, route
 
 from cherrycove.tier.batch.interface import ItemOutcome, ItemState
-from cherrycove.tier.configuration import Route
+from cherrycove.tier.configuration import Route, parse_configuration
 from cherrycove.tier.protocol.batch_pb2 import Item, LeasedItem
 from examples.toy_broker import Received, Script, ToyBroker, Wire, echo, stream
 
@@ -171,6 +172,36 @@
     asyncio.run(story())
 
 
+def test_an_item_that_waits_follows_its_route_to_another_service() -> None:
+    async def story() -> None:
+        release = asyncio.Event()
+
+        async def held(wire: Wire, request: Received) -> None:
+            await release.wait()
+            await wire.answer(request, b"")
+
+        old, new = ToyBroker("i-1", slots=1, script=held), ToyBroker("i-2", script=stream(3))
+        async with World([old, new]) as world, asyncio.timeout(TIMEOUT_S):
+            world.tell(listed=[old])
+            client = await world.client()
+            await client.send("/again/x")
+            await old.wait_received()
+            run = asyncio.create_task(world.plane.executor.run_item(leased(), always, unrecorded))
+            while not any(ticket.batch for ticket in world.plane._gate._waiting):
+                await asyncio.sleep(0)
+            world.views.brokers = (attrs.evolve(entry(new), service="other"),)
+            moved = [route("lots", "/lots/", "batch", timeoutMs=60000, service="other")]
+            document = json.loads(configuration_bytes(moved, version=2))
+            document["services"].append({**document["services"][0], "name": "other"})
+            world.views.configuration = parse_configuration(json.dumps(document).encode()).unwrap()
+            world.views.changed()
+            assert (await run).text == TEXT
+            assert len(new.received) == 1
+            release.set()
+
+    asyncio.run(story())
+
+
 def test_cancelling_an_item_closes_the_brokers_connection() -> None:
     async def story() -> None:
         ended = asyncio.Event()
