--- a/tests/tier/test_batch_http.py
+++ b/tests/tier/test_batch_http.py
@@ -112,6 +112,31 @@
     play(scene)
 
 
+def test_strangers_read_the_same_at_any_proxy_from_any_position() -> None:
+    async def scene(tier: Tier, first: Frontend) -> None:
+        async with Frontend(tier) as second:
+            job_call = ("POST", "/jobs/1", submission("a", "b", "c", "d"))
+            assert (await first.exchange(*job_call, Request_Id="j1")).endswith("-> 202 {}")
+            for item_id in ("c", "a", "b"):
+                record(tier, "j1", item_id, f"text of {item_id}".encode())
+            reads = [f"/api/lots/j1?pageCursor={position}" for position in (3, 0, 2, 1, 0, 9)]
+            reads += ["/api/items/j1?instanceId=d"]
+            before = [(await first.call("GET", read))[:2] for read in reads]
+            assert before[-1] == (200, BODY)
+            pages = [json.loads(body)["results"] for _, body in before[:-1]]
+            whole = pages[1]
+            assert pages == [whole[3:], whole, whole[2:], whole[1:], whole, []]
+            tier.lead(1, publish=True)
+            assert [(await second.call("GET", read))[:2] for read in reads] == before
+            assert (await second.exchange(*job_call, Request_Id="j1")).endswith("-> 202 {}")
+            for frontend in (second, first, second):
+                assert await frontend.exchange("DELETE", "/api/lots/j1") == "DELETE /api/lots/j1 -> 200 {}"
+            assert (await first.exchange(*job_call, Request_Id="j1")).endswith("-> 202 {}")
+            assert [(await first.call("GET", read))[:2] for read in reads] == before
+
+    play(scene, stores=2)
+
+
 def test_held_read_answers_as_soon_as_a_result_exists() -> None:
     async def scene(tier: Tier, frontend: Frontend) -> None:
         await frontend.exchange("POST", "/jobs/1", submission("a"), Request_Id="j1")
