--- a/cherrycove/tier/dataplane/admission/scheduler.py
+++ b/cherrycove/tier/dataplane/admission/scheduler.py
@@ -38,6 +38,7 @@
     Ending.REFUSED: 0.1,
     Ending.UNREACHABLE: 0.2,
     Ending.MISDIRECTED: 1.0,
+    Ending.UNSUITED: 1.0,
     Ending.BROKEN: 0.3,
     Ending.SILENT: 1.0,
 }
@@ -69,6 +70,7 @@
             if not state.listed or state.broker.draining:
                 self._empty(state)
         self.roster.forget()
+        self._refuse_unserved_items(now)
         self._look(now)
         return self._taken()
 
@@ -178,6 +180,8 @@
                 state.health.broke(now)
             case Ending.LEFT:
                 state.health.trial = False
+            case Ending.UNSUITED:
+                state.health.heard(now)
             case _ if now - self._stood_still_at < UNSURE_S:
                 state.health.trial = False
             case _:
@@ -279,6 +283,13 @@
 
     # Batch items
 
+    def _refuse_unserved_items(self, now: float) -> None:
+        """Those whose service has no broker left: their route may name another service by now."""
+        for ticket in self._items.in_order(now):
+            if not self.roster.serving(ticket):
+                self._items.remove(ticket)
+                self._actions.append(Refuse(ticket, 0.0))
+
     def _send_items(self, now: float) -> None:
         """To brokers with spare places, the most urgent first; while live requests wait, only urgent ones."""
         proxies = self.roster.proxies
