Exhaustive exploration of the decisions on configurations

The keepers' own ConfigurationDecisions, Settlement, ControlState and Proposals run on an event loop without clock or sockets; the group beneath is a shared log of which a change of primary keeps any prefix. Every order of sendings, sendings again to any keeper, commits, lost leases, time-outs, closed connections, restarts and changes of primary is played. Answers are judged from the committed log alone. No class of the control plane had to be cut: each state is reached by playing its events anew, since coroutines cannot be copied.

--- /dev/null
+++ b/cherrycove/tier/exploration/decision_scenarios.py
@@ -0,0 +1,47 @@
+"""Bounded situations of operators and keepers, each explored by name."""
+
+from __future__ import annotations
+
+import attrs
+
+from cherrycove.tier.exploration.decision_model import DecisionBudget, DecisionModel, Situation
+from cherrycove.tier.exploration.decision_orders import Order, order
+
+FIRST = order("first", version=1, base_version=0)
+SAME_NUMBER = order("same-number", version=1, base_version=0)
+SAME_BASE = order("same-base", version=2, base_version=0)
+NEXT = order("next", version=2, base_version=1)
+INVALID = order("invalid", version=3, base_version=0, valid=False)
+NOT_ABOVE = order("not-above", version=1, base_version=1)
+
+
+@attrs.frozen(kw_only=True)
+class DecisionScenario:
+    """Who sends what, and how much may happen."""
+
+    orders: tuple[Order, ...]
+    budget: DecisionBudget
+    keepers: int = 2
+
+    def prepare(self) -> tuple[DecisionModel, Situation]:
+        model = DecisionModel(self.keepers, self.orders, self.budget)
+        return model, model.first()
+
+
+SCENARIOS: dict[str, DecisionScenario] = {
+    "one-number": DecisionScenario(
+        orders=(FIRST, SAME_NUMBER), budget=DecisionBudget(sends=2, take_overs=1, time_outs=1)
+    ),
+    "one-base": DecisionScenario(
+        orders=(FIRST, SAME_BASE), budget=DecisionBudget(sends=2, pauses=1, time_outs=1)
+    ),
+    "sent-again": DecisionScenario(
+        orders=(FIRST, NEXT), budget=DecisionBudget(sends=2, take_overs=1, time_outs=1)
+    ),
+    "operators-gone": DecisionScenario(
+        orders=(FIRST, SAME_BASE), budget=DecisionBudget(sends=2, time_outs=1, crashes=1, gone=1)
+    ),
+    "invalid": DecisionScenario(
+        orders=(FIRST, INVALID, NOT_ABOVE), budget=DecisionBudget(sends=1, take_overs=1)
+    ),
+}
--- a/cherrycove/tier/exploration/mutations.py
+++ b/cherrycove/tier/exploration/mutations.py
@@ -2,13 +2,21 @@
 
 from __future__ import annotations
 
+import asyncio
+import json
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack, contextmanager
 from typing import Any
 from unittest import mock
 
 import attrs
+from result import Ok, Result
 
+from cherrycove.tier.controlplane.leadership import Leadership
+from cherrycove.tier.controlplane.settlement import Settlement
+from cherrycove.tier.controlplane.state import AcceptOutcome, ControlState
+from cherrycove.tier.errors import Failure
+from cherrycove.tier.protocol.keeper_pb2 import AcceptConfiguration, Command
 from cherrycove.tier.protocol.replication_pb2 import VoteRequest
 from cherrycove.tier.replication.elections import Elections
 from cherrycove.tier.replication.interface import MemberIdentity
@@ -46,11 +54,76 @@
     yield mock.patch("cherrycove.tier.replication.recruiting.next_step", forgetful)
 
 
+def _digests_forgotten() -> Patches:
+    yield mock.patch.object(ControlState, "was_accepted", lambda *arguments: False)
+
+
+def _decide_without_lease() -> Patches:
+    yield mock.patch.object(Leadership, "confirmed", lambda leadership: True)
+
+
+def _no_barrier() -> Patches:
+    async def settle(settlement: Any, timeout_s: float) -> Result[None, Failure]:
+        return Ok(None)
+
+    yield mock.patch.object(Settlement, "settle", settle)
+
+
+def _base_checked_once() -> Patches:
+    """The base is not checked again when a change is applied, so each of two with one base takes effect."""
+    accept = ControlState._accept
+
+    def accept_any(state: Any, command: AcceptConfiguration) -> AcceptOutcome:
+        changed = AcceptConfiguration()
+        changed.CopyFrom(command)
+        changed.base_version = state.configuration.version
+        return accept(state, changed)
+
+    yield mock.patch.object(ControlState, "_accept", accept_any)
+
+
+def _no_barrier_and_base_checked_once() -> Patches:
+    yield from _no_barrier()
+    yield from _base_checked_once()
+
+
+def _acknowledge_before_commit() -> Patches:
+    async def propose(settlement: Any, command: Command, timeout_s: float) -> Result[object, Failure]:
+        waiting = asyncio.ensure_future(settlement._group.propose(command.SerializeToString(), timeout_s))
+        await asyncio.sleep(0)
+        return waiting.result() if waiting.done() else Ok(AcceptOutcome.ACCEPTED)
+
+    yield mock.patch.object(Settlement, "propose", propose)
+
+
+def _uncertain_taken_as_certain() -> Patches:
+    yield mock.patch.object(Failure, "certain", True)
+
+
+def _documents_unchecked() -> Patches:
+    @attrs.frozen
+    class Unchecked:
+        version: int
+
+    def parse(body: bytes) -> Result[Unchecked, Failure]:
+        return Ok(Unchecked(json.loads(body)["version"]))
+
+    yield mock.patch("cherrycove.tier.exploration.decision_model._parse", parse)
+
+
 MUTATIONS: dict[str, Callable[[], Patches]] = {
     **SIMULATION_MUTATIONS,
     "vote-twice-in-an-epoch": _vote_twice_in_an_epoch,
     "vote-for-itself-within-lease": _vote_for_itself_within_lease,
     "excluded-disks-come-back": _excluded_disks_come_back,
+    "digests-forgotten": _digests_forgotten,
+    "decide-without-lease": _decide_without_lease,
+    "no-barrier": _no_barrier,
+    "base-checked-once": _base_checked_once,
+    "no-barrier-and-base-checked-once": _no_barrier_and_base_checked_once,
+    "acknowledge-before-commit": _acknowledge_before_commit,
+    "uncertain-taken-as-certain": _uncertain_taken_as_certain,
+    "documents-unchecked": _documents_unchecked,
 }
 
 
--- a/cherrycove/tier/exploration/scenarios.py
+++ b/cherrycove/tier/exploration/scenarios.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from typing import Any, Protocol
 
-from cherrycove.tier.exploration import group_scenarios
+from cherrycove.tier.exploration import decision_scenarios, group_scenarios
 from cherrycove.tier.exploration.search import Model
 
 
@@ -20,4 +20,4 @@
         """The model and the state to begin with."""
 
 
-SCENARIOS: Mapping[str, Any] = {**group_scenarios.SCENARIOS}
+SCENARIOS: Mapping[str, Any] = {**group_scenarios.SCENARIOS, **decision_scenarios.SCENARIOS}
