--- a/tests/tier/test_control_retire_replicated.py
+++ b/tests/tier/test_control_retire_replicated.py
@@ -1,17 +1,20 @@
-"""Keepers and stores on the same machines, with real replication and real disks over loopback: a machine that
-is to be emptied leaves both groups for good before its order is completed."""
+"""Keepers and stores with real replication and real disks over loopback: a machine that is to be emptied
+leaves both groups for good before its order is completed, whether keepers share machines with stores or not."""
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from pathlib import Path
 
 import aiohttp
+import pytest
 from control_support import STEP_TIMEOUT_S, document, free_ports
 
 from cherrycove.tier.programs.keeper import KeeperProgram
 from cherrycove.tier.programs.store import StoreProgram
+from cherrycove.tier.replication.group import ReplicatedGroup
+from cherrycove.tier.replication.interface import CommittedMembers
 from cherrycove.tier.settings import (
     Bounds,
     CloudApi,
@@ -21,29 +24,31 @@
     Settings,
 )
 
-HOSTS = ("127.0.0.1", "127.0.0.2", "127.0.0.3", "127.0.0.4")
+STORAGE = ("127.0.0.1", "127.0.0.2", "127.0.0.3", "127.0.0.4")
+CORE = ("127.0.0.5", "127.0.0.6", "127.0.0.7")
 LONG_TIMEOUT_S = 3 * STEP_TIMEOUT_S
 
 
 class Site:
-    """Four machines with a keeper and a store each."""
+    """Four storage machines with a store each; keepers there as well, or on three core machines."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, keeper_hosts: Sequence[str]) -> None:
         self._folder = folder
-        self.control, self.internal, self.platform = free_ports(3, HOSTS, following=1)
-        self.keepers = {host: KeeperProgram(self.settings(host)) for host in HOSTS}
-        self.stores = {host: StoreProgram(self.settings(host)) for host in HOSTS}
-        self.changed = asyncio.Event()
+        self._keeper_hosts = keeper_hosts
+        self.control, self.internal, self.platform = free_ports(3, STORAGE + CORE, following=1)
+        self.keepers = {host: KeeperProgram(self.settings(host)) for host in keeper_hosts}
+        self.stores = {host: StoreProgram(self.settings(host)) for host in STORAGE}
 
     def settings(self, host: str) -> Settings:
+        machine_class = "storage" if host in STORAGE else "core"
         return Settings(
-            node_name=f"storage-{host[-1]}",
-            machine_class="storage",
+            node_name=f"{machine_class}-{host[-1]}",
+            machine_class=machine_class,
             ip_address=host,
             zone="north",
             region="land",
             internal_port_range=[self.internal, self.internal + 9],
-            seed_nodes=[f"{one}:{self.control}" for one in HOSTS[:3]],
+            seed_nodes=[f"{one}:{self.control}" for one in self._keeper_hosts[:3]],
             first_start=True,
             listen_addresses=ListenAddresses(control_plane=f"{host}:{self.control}"),
             fault_tolerance=FaultTolerance(machine_failures=1),
@@ -65,7 +70,7 @@
         turn = 0
         async with asyncio.timeout(LONG_TIMEOUT_S), aiohttp.ClientSession() as session:
             while True:
-                url = f"http://{HOSTS[turn % len(HOSTS)]}:{self.control}{path}"
+                url = f"http://{self._keeper_hosts[turn % len(self._keeper_hosts)]}:{self.control}{path}"
                 turn += 1
                 headers = {"If-Match": str(base)}
                 async with session.request(method, url, data=body or None, headers=headers) as response:
@@ -80,9 +85,10 @@
                 continue
 
 
-def test_a_machine_leaves_both_groups_for_good(tmp_path: Path) -> None:
+@pytest.mark.parametrize("keeper_hosts", [STORAGE, CORE], ids=["shared", "core"])
+def test_a_machine_leaves_both_groups_for_good(tmp_path: Path, keeper_hosts: Sequence[str]) -> None:
     async def exchange() -> None:
-        async with Site(tmp_path) as site:
+        async with Site(tmp_path, keeper_hosts) as site:
             await site.operator("PUT", "/api/configuration", document(3))
             leaving = "127.0.0.1"
             await site.operator("POST", "/api/retire/storage-1", b'{"durationS":10}')
@@ -90,15 +96,31 @@
             async def completed() -> bool:
                 return b"completed" in await site.operator("GET", "/api/retire/storage-1")
 
+            async def settled() -> bool:
+                groups = (site.keepers.values(), site.stores.values())
+                known = [told(program._group for program in programs) for programs in groups]
+                return await completed() and all(len(lists) == 1 for lists in known)
+
             await site.until(completed)
-            for programs in (site.keepers, site.stores):
-                groups = [program._group for program in programs.values()]  # type: ignore[attr-defined]
-                [committed] = [known for group in groups if (known := group.committed_members()) is not None]
-                hosts = {member.address.rpartition(":")[0] for member in committed.members}
-                assert hosts == set(HOSTS) - {leaving}
-                assert committed.excluded == {f"first-{leaving}"}
-            assert b"completed" in await site.operator("GET", "/api/retire/storage-1")
+            await site.until(settled)
+            [stores] = told(program._group for program in site.stores.values())
+            [keepers] = told(program._group for program in site.keepers.values())
+            assert hosts(stores) == set(STORAGE) - {leaving}
+            assert stores.excluded == {f"first-{leaving}"}
+            assert leaving not in hosts(keepers)
+            assert len(keepers.members) == 3
+            assert keepers.excluded == stores.excluded & {f"first-{host}" for host in keeper_hosts}
             await site.operator("POST", "/api/retire/storage-1", b'{"durationS":10}')
+            assert await completed()
             assert await site.operator("GET", "/api/configuration") == document(3)
 
     asyncio.run(exchange())
+
+
+def told(groups: Iterable[ReplicatedGroup]) -> list[CommittedMembers]:
+    """The lists in force that replicas tell: one, from the one that leads, unless a change is open."""
+    return [one for group in groups if (one := group.committed_members()) is not None]
+
+
+def hosts(group: CommittedMembers) -> set[str]:
+    return {member.address.rpartition(":")[0] for member in group.members}
