--- a/cherrycove/tier/replication/group.py
+++ b/cherrycove/tier/replication/group.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import time
 from collections.abc import Callable, Sequence
 from pathlib import Path
 from random import Random
@@ -22,13 +21,12 @@
 from cherrycove.tier.replication.machine import ReplicaMachine
 from cherrycove.tier.replication.proposals import Proposals
 from cherrycove.tier.replication.recruiting import Wishes
+from cherrycove.tier.replication.runtime import Runtime, Storage, Writer
 from cherrycove.tier.replication.timing import Timing
 from cherrycove.tier.replication.transport import Transport
-from cherrycove.tier.replication.writer import DiskWriter
 from cherrycove.tier.storage.entries import Entry, EntryKind
 from cherrycove.tier.storage.files import DamagedStorageError
-from cherrycove.tier.storage.identity import new_identity
-from cherrycove.tier.storage.store import RecoveredState, ReplicaStorage
+from cherrycove.tier.storage.store import RecoveredState
 
 CALL_PREFIX = "replicate/"
 TICK_S = 0.05
@@ -56,6 +54,7 @@
         random: Random | None = None,
         timing: Timing | None = None,
         snapshot_log_bytes: int = SNAPSHOT_LOG_BYTES,
+        runtime: Runtime | None = None,
     ) -> None:
         """``identity.member_id`` is that of ``directory`` (``storage.identity.open_identity``)."""
         self._name = name
@@ -63,6 +62,8 @@
         self._directory = directory
         self._faults = faults
         self._state = machine
+        self._runtime = runtime or Runtime()
+        self._clock = self._runtime.clock
         self._disk_limit = disk_limit_bytes
         self._random = random or Random()
         self._timing = timing or Timing()
@@ -72,8 +73,8 @@
         self._wishes = Wishes()
         self._listeners: list[Callable[[], None]] = []
         self._machine: ReplicaMachine | None = None
-        self._storage: ReplicaStorage | None = None
-        self._writer: DiskWriter | None = None
+        self._storage: Storage | None = None
+        self._writer: Writer | None = None
         self._ticker: asyncio.Task[None] | None = None
         self._starting = asyncio.Lock()
         self._applied_index = 0
@@ -112,7 +113,7 @@
         return machine.committed_members(time.monotonic()) if machine is not None else None
 
     def confirmed(self) -> bool:
-        return self._machine is not None and self._machine.confirmed(time.monotonic())
+        return self._machine is not None and self._machine.confirmed(self._clock())
 
     async def propose(self, command: bytes, timeout_s: float) -> Result[object, Failure]:
         machine = self._machine
@@ -120,7 +121,7 @@
             return Err(self._not_primary())
         if self._disk_nearly_full(len(command)):
             return Err(Failure(ErrorKind.OVERLOADED, f"{self._name}: the disk is nearly full"))
-        index = machine.propose(command, time.monotonic())
+        index = machine.propose(command, self._clock())
         if index is None:
             return Err(self._not_primary())
         future = self._proposals.add(index, machine.epoch)
@@ -154,44 +155,48 @@
         ``initial_members`` counts only where nothing is logged yet and this replica is among them."""
         async with self._starting:
             if self._machine is None:
-                recovered, storage = await asyncio.to_thread(self._recover)
+                recovered, storage = await self._runtime.run_blocking(self._recover)
                 self._begin(recovered, storage)
         if initial_members and self._machine is not None:
-            self._machine.bootstrap(initial_members, time.monotonic())
+            self._machine.bootstrap(initial_members, self._clock())
             self._run_effects()
 
-    def _recover(self) -> tuple[RecoveredState, ReplicaStorage]:
-        storage = ReplicaStorage(self._directory, self._disk_limit)
+    def _recover(self) -> tuple[RecoveredState, Storage]:
+        storage = self._runtime.open_storage(self._directory, self._disk_limit)
         try:
             return storage.recover(), storage
         except DamagedStorageError as error:
             storage.close()
             details = {"group": self._name, "member": self._identity.member_id, "reason": str(error)}
             _log.error("disk_damaged", extra=details)
-        self._identity = attrs.evolve(self._identity, member_id=new_identity(self._directory))
-        storage = ReplicaStorage(self._directory, self._disk_limit)
+        self._identity = attrs.evolve(
+            self._identity, member_id=self._runtime.renew_identity(self._directory)
+        )
+        storage = self._runtime.open_storage(self._directory, self._disk_limit)
         return storage.recover(), storage
 
-    def _begin(self, recovered: RecoveredState, storage: ReplicaStorage) -> None:
+    def _begin(self, recovered: RecoveredState, storage: Storage) -> None:
         self._machine = ReplicaMachine(
             self._identity,
             self._faults,
             recovered,
             storage,
             self._random,
-            time.monotonic(),
+            self._clock(),
             self._timing,
             self._wishes,
         )
         self._storage = storage
-        self._writer = DiskWriter(storage, self._written, self._write_failed, self._snapshot_skipped)
+        self._writer = self._runtime.make_writer(
+            storage, self._written, self._write_failed, self._snapshot_skipped
+        )
         self._writer.start()
         self._run_effects()
         self._ticker = asyncio.get_running_loop().create_task(self._tick())
 
     async def _tick(self) -> None:
         while self._machine is not None:
-            self._machine.tick(time.monotonic())
+            self._machine.tick(self._clock())
             self._run_effects()
             await asyncio.sleep(TICK_S)
 
@@ -203,7 +208,7 @@
             return
         if machine.role is Role.PRIMARY:
             await self._proposals.settled(STOP_COMMIT_S)
-            machine.hand_over(time.monotonic())
+            machine.hand_over(self._clock())
             self._run_effects()
             await self._transport.flush(STOP_FLUSH_S)
         if self._ticker is not None:
@@ -220,7 +225,7 @@
             return
         if self._snapshot_ticket and ticket >= self._snapshot_ticket:
             self._snapshot_ticket = 0
-        self._machine.written(ticket, time.monotonic())
+        self._machine.written(ticket, self._clock())
         self._run_effects()
         if not self._machine.writing:
             self._inbox.written()
@@ -228,7 +233,7 @@
     def _write_failed(self, error: OSError) -> None:
         _log.error("disk_write_failed", extra={"group": self._name, "reason": str(error)})
         if self._machine is not None:
-            self._machine.write_failed(time.monotonic())
+            self._machine.write_failed(self._clock())
             self._run_effects()
 
     def _snapshot_skipped(self, ticket: int, error: OSError) -> None:
@@ -248,10 +253,10 @@
         if machine is None:
             return
         if batch.stranger:
-            machine.disk_replaced(sender.member_id, time.monotonic())
+            machine.disk_replaced(sender.member_id, self._clock())
             self._run_effects()
         for message in batch.messages:
-            machine.receive(sender, message, time.monotonic())
+            machine.receive(sender, message, self._clock())
             self._run_effects()
 
     def _writing(self) -> bool:
@@ -306,7 +311,7 @@
         state = self._state.snapshot()
         self._snapshot_bytes = len(state)
         self._log_bytes = 0
-        self._snapshot_ticket = machine.save_snapshot(state, time.monotonic())
+        self._snapshot_ticket = machine.save_snapshot(state, self._clock())
         self._run_effects()
 
     def _changed(self, machine: ReplicaMachine) -> None:
--- /dev/null
+++ b/cherrycove/tier/simulation/control/loop.py
@@ -0,0 +1,177 @@
+"""A deterministic asyncio event loop on virtual time, shared by many simulated processes.
+
+Every callback belongs to the life of one process, which its context names. A callback of a life that ended
+is dropped; that of a frozen one waits until it is thawed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+from asyncio import Handle, TimerHandle
+from collections import deque
+from collections.abc import Callable, Coroutine
+from contextvars import Context, ContextVar, copy_context
+from random import Random
+from typing import Any
+
+import attrs
+
+TIMER_LATENESS_S = 0.001  # timers fire up to so late
+MAX_CALLBACKS_AT_ONCE = 1_000_000  # without time passing: then something spins
+
+
+@attrs.define(eq=False)
+class Life:
+    """One start of a process."""
+
+    name: str
+    ended: bool = False
+    frozen: bool = False
+    deferred: list[Handle] = attrs.field(factory=list)
+
+
+CURRENT_LIFE: ContextVar[Life | None] = ContextVar("life", default=None)
+
+
+class SpinningError(RuntimeError):
+    """Callbacks were scheduled without end at one moment."""
+
+
+class VirtualLoop(asyncio.AbstractEventLoop):
+    """Runs callbacks in the order of their time; ``time`` jumps from one to the next."""
+
+    def __init__(self, random: Random) -> None:
+        self._random = random
+        self._now = 0.0
+        self._ready: deque[Handle] = deque()
+        self._timers: list[tuple[float, int, TimerHandle]] = []
+        self._scheduled = 0
+        self.callbacks = 0  # run so far
+        self.errors: list[str] = []  # of tasks and callbacks, for a world that wants none
+
+    # Running
+
+    def run_until(self, end: float) -> None:
+        """Run everything due up to virtual time ``end``."""
+        asyncio._set_running_loop(self)
+        try:
+            while True:
+                self._run_ready()
+                if not self._timers or self._timers[0][0] > end:
+                    break
+                self._take_due()
+            self._now = end
+        finally:
+            asyncio._set_running_loop(None)
+
+    def _take_due(self) -> None:
+        when, _, first = heapq.heappop(self._timers)
+        self._now = max(self._now, when)
+        self._ready.append(first)
+
+    def _run_ready(self) -> None:
+        ready = self._ready
+        left = MAX_CALLBACKS_AT_ONCE
+        while ready:
+            handle = ready.popleft()
+            if handle._cancelled:  # type: ignore[attr-defined]
+                continue
+            life = handle._context.get(CURRENT_LIFE)  # type: ignore[attr-defined]
+            if life is not None and life.ended:
+                continue
+            if life is not None and life.frozen:
+                life.deferred.append(handle)
+                continue
+            self.callbacks += 1
+            left -= 1
+            if left == 0:
+                raise SpinningError(f"at {self._now}: {handle!r}")
+            handle._run()
+
+    # Lives
+
+    def spawn(self, life: Life, coroutine: Coroutine[Any, Any, Any], name: str = "") -> asyncio.Task[Any]:
+        """Run ``coroutine`` as a task of ``life``."""
+        context = copy_context()
+        context.run(CURRENT_LIFE.set, life)
+        return asyncio.Task(coroutine, loop=self, name=name or None, context=context)
+
+    def call_in(self, life: Life | None, delay: float, callback: Callable[..., Any], *args: Any) -> None:
+        """Call back after ``delay`` seconds as a part of ``life``; None: as a part of the world."""
+        context = copy_context()
+        context.run(CURRENT_LIFE.set, life)
+        self._schedule(self._now + delay, callback, args, context)
+
+    def thaw(self, life: Life) -> None:
+        """Let a frozen process go on with what waited, in order."""
+        life.frozen = False
+        self._ready.extend(life.deferred)
+        life.deferred.clear()
+
+    def end(self, life: Life) -> None:
+        """The process is gone; none of its callbacks runs any more."""
+        life.ended = True
+        life.deferred.clear()
+
+    # AbstractEventLoop
+
+    def time(self) -> float:
+        return self._now
+
+    def call_soon(  # type: ignore[override]
+        self, callback: Callable[..., Any], *args: Any, context: Context | None = None
+    ) -> Handle:
+        handle = Handle(callback, args, self, context)
+        self._ready.append(handle)
+        return handle
+
+    def call_soon_threadsafe(  # type: ignore[override]
+        self, callback: Callable[..., Any], *args: Any, context: Context | None = None
+    ) -> Handle:
+        return self.call_soon(callback, *args, context=context)
+
+    def call_later(  # type: ignore[override]
+        self, delay: float, callback: Callable[..., Any], *args: Any, context: Context | None = None
+    ) -> TimerHandle:
+        return self._schedule(self._now + delay, callback, args, context)
+
+    def call_at(  # type: ignore[override]
+        self, when: float, callback: Callable[..., Any], *args: Any, context: Context | None = None
+    ) -> TimerHandle:
+        return self._schedule(when, callback, args, context)
+
+    def _schedule(
+        self, when: float, callback: Callable[..., Any], args: Any, context: Context | None
+    ) -> TimerHandle:
+        when = max(when, self._now) + self._random.random() * TIMER_LATENESS_S
+        handle = TimerHandle(when, callback, args, self, context)
+        self._scheduled += 1
+        heapq.heappush(self._timers, (when, self._scheduled, handle))
+        return handle
+
+    def _timer_handle_cancelled(self, handle: TimerHandle) -> None:
+        """A cancelled timer is dropped when its time comes."""
+
+    def create_future(self) -> asyncio.Future[Any]:
+        return asyncio.Future(loop=self)
+
+    def create_task(  # type: ignore[override]
+        self, coro: Any, *, name: str | None = None, context: Context | None = None
+    ) -> asyncio.Task[Any]:
+        return asyncio.Task(coro, loop=self, name=name, context=context)
+
+    def get_debug(self) -> bool:
+        return False
+
+    def is_running(self) -> bool:
+        return True
+
+    def is_closed(self) -> bool:
+        return False
+
+    def call_exception_handler(self, context: dict[str, Any]) -> None:
+        """Keep what went wrong; tasks of ended lives are destroyed while pending, which is no error."""
+        error = context.get("exception")
+        if error is not None:
+            self.errors.append(f"{self._now:.3f} {context.get('message', '')}: {error!r}")
--- /dev/null
+++ b/cherrycove/tier/simulation/control/network.py
@@ -0,0 +1,233 @@
+"""A simulated network: links that delay, hold up and cut, and calls over them.
+
+A call travels as its bytes. What is on a link that is cut waits for the cut to end, as TCP does, unless its
+connection is given up before; a dead process resets, a machine without power says nothing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from random import Random
+from typing import Any
+
+import attrs
+from google.protobuf.message import Message
+from result import Err, Ok, Result
+
+from cherrycove.tier.errors import ErrorKind, Failure
+from cherrycove.tier.protocol.interface import Handler, Reply
+from cherrycove.tier.simulation.control.loop import Life, VirtualLoop
+
+CONNECT_TIMEOUT_S = 0.5
+DELAY_S = (0.0003, 0.004)  # one way
+RETRANSMIT_S = 0.25  # a packet that was lost comes so much later, doubled for each further loss
+MAX_RETRANSMITS = 3
+LATE_SHARE = 0.5  # of the requests given up during a cut, that come through after it all the same
+
+Refuse = Callable[[str], Any]
+
+
+@attrs.define
+class NetworkConditions:
+    """How links behave at present."""
+
+    loss: float = 0.0  # share of messages that are sent again after a while
+    resets: float = 0.0  # share of calls whose connection is reset on the way
+
+
+@attrs.define(eq=False)
+class Endpoint:
+    """What a process serves at its address."""
+
+    life: Life
+    identity: str = ""
+    process: Any = None  # whose operator's interface this is
+    calls: dict[str, tuple[type[Message], Handler]] = attrs.field(factory=dict)
+
+    def register(self, name: str, request_type: type[Message], handler: Handler) -> None:
+        self.calls[name] = (request_type, handler)
+
+
+class Network:
+    """Machines by host; endpoints by address."""
+
+    def __init__(self, loop: VirtualLoop, random: Random) -> None:
+        self._loop = loop
+        self._random = random
+        self.conditions = NetworkConditions()
+        self.powered: set[str] = set()  # hosts that are up
+        self._endpoints: dict[str, Endpoint] = {}
+        self._cuts: dict[tuple[str, str], int] = {}  # directed links and how many cuts hold them
+        self._held: dict[tuple[str, str], list[Callable[[], None]]] = {}
+        self._connected: set[tuple[int, str]] = set()  # life of the caller and address
+
+    # Links
+
+    def cut(self, links: set[tuple[str, str]]) -> None:
+        for link in links:
+            self._cuts[link] = self._cuts.get(link, 0) + 1
+
+    def join(self, links: set[tuple[str, str]]) -> None:
+        for link in links:
+            left = self._cuts.get(link, 0) - 1
+            if left > 0:
+                self._cuts[link] = left
+                continue
+            self._cuts.pop(link, None)
+            for deliver in self._held.pop(link, ()):
+                self._loop.call_in(None, self._random.uniform(0.01, 0.6), deliver)
+
+    def is_cut(self, source: str, target: str) -> bool:
+        return (source, target) in self._cuts
+
+    def open(self, endpoint: Endpoint, address: str) -> None:
+        self._endpoints[address] = endpoint
+
+    def endpoint(self, address: str) -> Endpoint | None:
+        endpoint = self._endpoints.get(address)
+        return endpoint if endpoint is not None and not endpoint.life.ended else None
+
+    def _delay(self) -> float:
+        delay = self._random.uniform(*DELAY_S)
+        again = RETRANSMIT_S
+        for _ in range(MAX_RETRANSMITS):
+            if self._random.random() >= self.conditions.loss:
+                break
+            delay += again
+            again *= 2
+        return delay
+
+    def _carry(self, source: str, target: str, deliver: Callable[[], None]) -> None:
+        """Deliver over the link, when it is not cut."""
+
+        def arrive() -> None:
+            if self.is_cut(source, target):
+                self._held.setdefault((source, target), []).append(deliver)
+            else:
+                deliver()
+
+        if source == target:
+            self._loop.call_in(None, self._random.uniform(0.0001, 0.0005), deliver)
+        else:
+            self._loop.call_in(None, self._delay(), arrive)
+
+    # Calls
+
+    async def exchange(
+        self,
+        source: str,
+        life: Life,
+        address: str,
+        serve: Callable[[Endpoint], Awaitable[Any]],
+        timeout_s: float,
+    ) -> Result[Any, Failure]:
+        """One exchange of ``life`` at host ``source`` with whoever serves ``address``."""
+        target = address.rpartition(":")[0]
+        answer: asyncio.Future[Any] = self._loop.create_future()
+        connection = (id(life), address)
+        fresh = connection not in self._connected
+        blocked = self.is_cut(source, target) or self.is_cut(target, source)
+        if target not in self.powered or (fresh and blocked):
+            self._connected.discard(connection)
+            await asyncio.sleep(min(CONNECT_TIMEOUT_S, timeout_s))
+            return Err(Failure(ErrorKind.UNREACHABLE, f"{address}: no connection"))
+        self._connected.add(connection)
+        call = _Call(self, source, target, address, serve, answer)
+        self._carry(source, target, call.arrive)
+        if self._random.random() < self.conditions.resets:
+            self._loop.call_in(life, self._random.uniform(0.0, 0.02), call.reset)
+        done, _ = await asyncio.wait([answer], timeout=timeout_s)
+        if not done:
+            self._connected.discard(connection)
+            call.given_up = self._random.random() >= LATE_SHARE
+            return Err(Failure(ErrorKind.UNCERTAIN, f"{address}: no answer in time"))
+        if isinstance(answer.result(), Err):
+            self._connected.discard(connection)
+        result: Result[Any, Failure] = answer.result()
+        return result
+
+
+class _Call:
+    """One exchange on its way."""
+
+    def __init__(
+        self,
+        network: Network,
+        source: str,
+        target: str,
+        address: str,
+        serve: Callable[[Endpoint], Awaitable[Any]],
+        answer: asyncio.Future[Any],
+    ) -> None:
+        self._network = network
+        self._source = source
+        self._target = target
+        self._address = address
+        self._serve = serve
+        self._answer = answer
+        self.given_up = False
+
+    def arrive(self) -> None:
+        network = self._network
+        if self.given_up or self._target not in network.powered:
+            return
+        endpoint = network.endpoint(self._address)
+        if endpoint is None:
+            self._back(Err(Failure(ErrorKind.UNREACHABLE, f"{self._address}: refused")))
+            return
+        network._loop.spawn(endpoint.life, self._run(endpoint))
+
+    async def _run(self, endpoint: Endpoint) -> None:
+        outcome = await self._serve(endpoint)
+        self._back(Ok(outcome))
+
+    def _back(self, result: Result[Any, Failure]) -> None:
+        self._network._carry(self._target, self._source, lambda: self._finish(result))
+
+    def _finish(self, result: Result[Any, Failure]) -> None:
+        if not self._answer.done():
+            self._answer.set_result(result)
+
+    def reset(self) -> None:
+        self._finish(Err(Failure(ErrorKind.UNCERTAIN, f"{self._address}: connection reset")))
+
+
+class Client:
+    """The internal calls of one process; implements ``Caller``."""
+
+    def __init__(self, network: Network, host: str, life: Life) -> None:
+        self._network = network
+        self._host = host
+        self._life = life
+
+    async def call(
+        self,
+        address: str,
+        name: str,
+        message: Message,
+        reply_type: type[Reply],
+        timeout_s: float,
+        receiver: str = "",
+    ) -> Result[Reply, Failure]:
+        body = message.SerializeToString()
+
+        async def serve(endpoint: Endpoint) -> Result[bytes, Failure]:
+            return await _serve(endpoint, name, body, receiver)
+
+        outcome = await self._network.exchange(self._host, self._life, address, serve, timeout_s)
+        if isinstance(outcome, Err):
+            return outcome
+        answer: Result[bytes, Failure] = outcome.ok_value
+        return answer if isinstance(answer, Err) else Ok(reply_type.FromString(answer.ok_value))
+
+
+async def _serve(endpoint: Endpoint, name: str, body: bytes, receiver: str) -> Result[bytes, Failure]:
+    if receiver and endpoint.identity and receiver != endpoint.identity:
+        return Err(Failure(ErrorKind.UNAVAILABLE, f"meant for {receiver}"))
+    call = endpoint.calls.get(name)
+    if call is None:
+        return Err(Failure(ErrorKind.UNAVAILABLE, f"no call {name!r}"))
+    request_type, handler = call
+    outcome = await handler(request_type.FromString(body))
+    return outcome if isinstance(outcome, Err) else Ok(outcome.ok_value.SerializeToString())
--- /dev/null
+++ b/cherrycove/tier/simulation/control/processes.py
@@ -0,0 +1,259 @@
+"""Simulated processes: the real planes, assembled as ``programs`` assembles them, without listeners."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+from result import Ok, Result
+
+from cherrycove.tier.batch.jobs import JobsState
+from cherrycove.tier.batch.store import BatchStore
+from cherrycove.tier.controlplane.keeper import Keeper
+from cherrycove.tier.controlplane.state import AcceptOutcome, Applied, ControlState
+from cherrycove.tier.distribution.publisher import PULL_CALL
+from cherrycove.tier.distribution.puller import Puller
+from cherrycove.tier.distribution.topics import CONFIGURATION, VersionVector
+from cherrycove.tier.distribution.views import Views
+from cherrycove.tier.errors import Failure
+from cherrycove.tier.programs.replica import describe, identity_of, standby_of
+from cherrycove.tier.protocol.control_pb2 import Announcement, PullReply, PullRequest
+from cherrycove.tier.replication.group import ReplicatedGroup
+from cherrycove.tier.replication.interface import MemberIdentity
+from cherrycove.tier.simulation.control.history import change_in
+from cherrycove.tier.simulation.control.loop import Life
+from cherrycove.tier.simulation.control.machines import EmptyPlatform, Machine
+
+if TYPE_CHECKING:
+    from cherrycove.tier.simulation.control.world import World
+
+KEEPER = "keeper"
+STORE = "store"
+PROXY = "proxy"
+
+
+class Process:
+    """One start of one program on one machine."""
+
+    program = ""
+
+    def __init__(self, world: World, machine: Machine) -> None:
+        self.world = world
+        self.machine = machine
+        machine.starts += 1
+        self.life = Life(f"{self.program}@{machine.name}#{machine.starts}")
+        self.settings = machine.settings(world.faults)
+        self.leaving = False
+        self.random = Random(world.random.random())
+        self.client = world.surroundings.client(machine, self.life)
+        self.endpoint = world.surroundings.serve(machine, self.life, self.program)
+
+    def begin(self) -> None:
+        self.world.loop.spawn(self.life, self.start(), name=self.life.name)
+
+    async def start(self) -> None:
+        raise NotImplementedError
+
+    async def stop(self) -> None:
+        """End in order."""
+        raise NotImplementedError
+
+
+class ReplicaProcess(Process):
+    """What keepers and stores share."""
+
+    group: ReplicatedGroup
+    fresh: bool
+
+    def open_group(self, state: Any) -> None:
+        surroundings = self.world.surroundings
+        member_id, self.fresh = surroundings.identity(self.machine, self.program)
+        self.endpoint.identity = member_id
+        settings = self.settings
+        identity = MemberIdentity(
+            member_id, settings.node_name, settings.internal_address(self.program), settings.zone
+        )
+        self.group = ReplicatedGroup(
+            self.program,
+            identity,
+            Path("simulated"),
+            self.world.faults,
+            state,
+            self.endpoint,  # type: ignore[arg-type]
+            self.client,  # type: ignore[arg-type]
+            random=self.random,
+            runtime=surroundings.runtime(self.machine.disks[self.program]),
+        )
+
+    def announce(self) -> Announcement:
+        return describe(
+            self.program, self.settings, self.group, self.fresh, self.life.name, self.leaving
+        )
+
+
+class WatchedState(ControlState):
+    """Tells the world of every change that was accepted."""
+
+    def __init__(self, process: Process) -> None:
+        super().__init__()
+        self._process = process
+
+    def apply(self, index: int, command: bytes) -> AcceptOutcome | Applied:
+        outcome = super().apply(index, command)
+        change = change_in(command) if outcome is AcceptOutcome.ACCEPTED else None
+        if change is not None:
+            self._process.world.accepted(self._process, index, change)
+        return outcome
+
+
+class KeeperProcess(ReplicaProcess):
+    """As ``programs.keeper``."""
+
+    program = KEEPER
+
+    def __init__(self, world: World, machine: Machine) -> None:
+        super().__init__(world, machine)
+        self.state = WatchedState(self)
+        self.open_group(self.state)
+        self.views = Views()
+        self.keeper = Keeper(
+            self.settings,
+            self.group,
+            self.state,
+            self.endpoint,  # type: ignore[arg-type]
+            self.client,  # type: ignore[arg-type]
+            self.views,
+            EmptyPlatform(),
+        )
+        self.puller = Puller(self.settings, self.client, self.views, self.announce)  # type: ignore[arg-type]
+
+    async def start(self) -> None:
+        self._watch_pulls()
+        await self.group.start(self._initial_members())
+        await self.keeper.start()
+        self.world.serve_operators(self)
+        await self.puller.start()
+
+    def _watch_pulls(self) -> None:
+        """What is handed out to a puller is judged as it leaves."""
+        request_type, pull = self.endpoint.calls[PULL_CALL]
+        history = self.world.history
+
+        async def watched(request: PullRequest) -> Result[PullReply, Failure]:
+            floor = history.newest_version
+            outcome: Result[PullReply, Failure] = await pull(request)
+            if isinstance(outcome, Ok):
+                held = VersionVector(request.versions).get(CONFIGURATION).sequence
+                newer = [update.configuration.version for update in outcome.ok_value.updates]
+                history.read(self.life.name, max([held, *newer]), None, floor)
+                self.world.spoke_for_the_tier(self, "handed out")
+            return outcome
+
+        self.endpoint.calls[PULL_CALL] = (request_type, watched)
+
+    async def stop(self) -> None:
+        self.leaving = True
+        self.puller.announce_now()
+        await self.group.stop()
+        await self.puller.stop()
+        await self.keeper.stop()
+
+    def _initial_members(self) -> list[MemberIdentity]:
+        if not self.settings.first_start:
+            return []
+        return [
+            MemberIdentity(f"first-{ip}", "", self.settings.peer_address(ip, KEEPER))
+            for ip in sorted(set(self.settings.seed_ips()))
+        ]
+
+
+class StoreProcess(ReplicaProcess):
+    """As ``programs.store``."""
+
+    program = STORE
+
+    def __init__(self, world: World, machine: Machine) -> None:
+        super().__init__(world, machine)
+        self.state = JobsState()
+        self.open_group(self.state)
+        self.store = BatchStore(
+            self.settings,
+            self.group,
+            self.state,
+            self.endpoint,  # type: ignore[arg-type]
+            clock=world.loop.time,
+            wall_clock=world.loop.time,
+        )
+        self.views = Views()
+        self.puller = Puller(self.settings, self.client, self.views, self.announce)  # type: ignore[arg-type]
+        self._joined = False
+        self._joining: asyncio.Task[None] | None = None
+        self.views.on_change(self._follow_keepers)
+
+    async def start(self) -> None:
+        await self.group.start()
+        await self.store.start()
+        await self.puller.start()
+
+    async def stop(self) -> None:
+        self.leaving = True
+        self.puller.announce_now()
+        await self.group.stop()
+        await self.puller.stop()
+        await self.store.stop()
+
+    def _follow_keepers(self) -> None:
+        initial = [identity_of(replica) for replica in self.views.store_group.initial]
+        named = {member.member_id for member in initial}
+        if not self._joined and self.group.identity.member_id in named:
+            self._joined = True
+            self._joining = asyncio.ensure_future(self.group.start(initial))
+        self.group.retire(frozenset(self.views.store_group.retiring))
+        self.group.offer_standbys(
+            [standby_of(store, self.settings) for store in self.views.stores() if not store.leaving]
+        )
+
+
+class ProxyProcess(Process):
+    """The part of a proxy that follows the keepers."""
+
+    program = PROXY
+
+    def __init__(self, world: World, machine: Machine) -> None:
+        super().__init__(world, machine)
+        self.views = Views()
+        self.puller = Puller(self.settings, self.client, self.views, self.announce)  # type: ignore[arg-type]
+        self._newest = 0
+        self.views.on_change(self._changed)
+
+    @property
+    def version(self) -> int:
+        return 0 if self.views.configuration is None else self.views.configuration.version
+
+    async def start(self) -> None:
+        await self.puller.start()
+
+    async def stop(self) -> None:
+        self.leaving = True
+        await self.puller.stop()
+
+    def announce(self) -> Announcement:
+        return Announcement(
+            node_name=self.settings.node_name,
+            program=PROXY,
+            ip=self.settings.ip_address,
+            zone=self.settings.zone,
+            incarnation=self.life.name,
+            configuration_version=self.version,
+        )
+
+    def _changed(self) -> None:
+        self.world.history.require(
+            self.version >= self._newest, f"{self.life.name} went back from {self._newest} to {self.version}"
+        )
+        self._newest = self.version
+
+
+PROGRAMS: dict[str, type[Process]] = {KEEPER: KeeperProcess, STORE: StoreProcess, PROXY: ProxyProcess}
--- /dev/null
+++ b/cherrycove/tier/simulation/control/world.py
@@ -0,0 +1,270 @@
+"""The simulated world: machines, links, processes, and the checks of what they do."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from random import Random
+from typing import Any
+
+import attrs
+
+from cherrycove.tier.simulation.control.history import LEASE_BOUND_S, Change, History, holds
+from cherrycove.tier.simulation.control.loop import CURRENT_LIFE, VirtualLoop
+from cherrycove.tier.simulation.control.machines import (
+    CONFIG_APPLY_S,
+    CONTACT_S,
+    CONTROL_PORT,
+    Machine,
+    Surroundings,
+)
+from cherrycove.tier.simulation.control.network import Network
+from cherrycove.tier.simulation.control.processes import (
+    KEEPER,
+    PROGRAMS,
+    PROXY,
+    STORE,
+    KeeperProcess,
+    Process,
+    ProxyProcess,
+)
+from cherrycove.tier.simulation.control.terms import Terms
+
+OPERATOR_HOST = "operator"
+CHECK_PAUSE_S = 0.25
+START_S = 0.3  # machines start within this time of each other
+SEEDS = 3
+
+
+@attrs.frozen
+class Shape:
+    """Sizes of a world."""
+
+    faults: int = 1
+    machines: int = 3
+    proxies: int = 2
+    stores: bool = False
+
+
+class World:
+    """One deployment on virtual time."""
+
+    def __init__(self, seed: int, shape: Shape) -> None:
+        self.random = Random(seed)
+        self.shape = shape
+        self.faults = shape.faults
+        self.loop = VirtualLoop(Random(self.random.random()))
+        self.network = Network(self.loop, Random(self.random.random()))
+        self.surroundings = Surroundings(self.loop, self.network, Random(self.random.random()), self.faults)
+        self.history = History(self.loop.time)
+        self.terms = Terms(self.faults, self.loop.time)
+        self.machines: list[Machine] = []  # those that count
+        self.proxies: list[Machine] = []
+        self.on_acknowledged: Callable[[Process, Change], None] = lambda process, change: None
+        self.failure: BaseException | None = None
+        self._hosts = 0
+
+    @property
+    def now(self) -> float:
+        return self.loop.time()
+
+    # Building
+
+    def build(self) -> None:
+        """Make the machines; all start within START_S with the same seeds."""
+        programs = (KEEPER, STORE) if self.shape.stores else (KEEPER,)
+        self.machines = [self.place("storage", programs) for _ in range(self.shape.machines)]
+        self.proxies = [self.place("frontend", (PROXY,)) for _ in range(self.shape.proxies)]
+        seeds = tuple(machine.host for machine in self.machines[: max(SEEDS, 2 * self.faults + 1)])
+        for machine in (*self.machines, *self.proxies):
+            machine.seeds = seeds
+            machine.first_start = True
+            self.after(self.random.uniform(0.0, START_S), lambda one=machine: self.power_up(one))
+        self.after(CHECK_PAUSE_S, self._check)
+
+    def place(self, kind: str, programs: tuple[str, ...]) -> Machine:
+        """A new machine, not started yet, that knows some of those that serve now as its seeds."""
+        self._hosts += 1
+        number = self._hosts
+        present = [machine.host for machine in self.machines if not machine.gone]
+        seeds = tuple(self.random.sample(present, min(SEEDS, len(present))))
+        return Machine(f"{kind}-{number}", f"10.0.0.{number}", f"zone-{number % 3}", programs, seeds=seeds)
+
+    # Time
+
+    def after(self, delay: float, action: Callable[[], Any]) -> None:
+        """Do ``action`` as the world, later."""
+        self.loop.call_in(None, delay, self._guarded, action)
+
+    def _guarded(self, action: Callable[[], Any]) -> None:
+        try:
+            action()
+        except BaseException as error:
+            self.failure = self.failure or error
+
+    def run_until(self, end: float) -> None:
+        """Run up to ``end``; what broke on the way is raised."""
+        step = 0.5
+        while self.now < end:
+            self.loop.run_until(min(self.now + step, end))
+            if self.history.broken is not None:
+                raise self.history.broken
+            if self.failure is not None:
+                raise self.failure
+
+    # Machines
+
+    def power_up(self, machine: Machine) -> None:
+        if machine.gone or machine.running:
+            return
+        self.network.powered.add(machine.host)
+        self.start(machine)
+
+    def start(self, machine: Machine) -> None:
+        """Start the processes of a machine that has power."""
+        if machine.gone or machine.running:
+            return
+        for program in machine.programs:
+            process = PROGRAMS[program](self, machine)
+            machine.running[program] = process
+            process.begin()
+        self.update_contacts()
+
+    def kill(self, machine: Machine, power: bool = False) -> None:
+        """End the processes of a machine at once."""
+        for process in machine.running.values():
+            self.loop.end(process.life)
+        machine.running.clear()
+        for disk in machine.disks.values():
+            disk.process_ended(self.random)
+        if power:
+            self.network.powered.discard(machine.host)
+        self.update_contacts()
+
+    def lose_disks(self, machine: Machine) -> None:
+        """The machine's processes are gone, and what they stored."""
+        self.kill(machine)
+        machine.disks = {}
+        machine.first_start = False
+
+    def remove(self, machine: Machine) -> None:
+        """The machine is taken away for good."""
+        self.kill(machine, power=True)
+        machine.gone = True
+        machine.disks = {}
+        if machine in self.machines:
+            self.machines.remove(machine)
+
+    def freeze(self, machine: Machine) -> None:
+        for process in machine.running.values():
+            process.life.frozen = True
+        self.update_contacts()
+
+    def thaw(self, machine: Machine) -> None:
+        for process in machine.running.values():
+            if process.life.frozen:
+                self.loop.thaw(process.life)
+        self.update_contacts()
+
+    def keeper(self, machine: Machine) -> KeeperProcess | None:
+        process = machine.running.get(KEEPER)
+        return process if isinstance(process, KeeperProcess) else None
+
+    def primary(self) -> Machine | None:
+        """The machine whose keeper leads; only faults that seek it out ask for it."""
+        for machine in self.machines:
+            process = self.keeper(machine)
+            if process is not None and process.group.confirmed():
+                return machine
+        return None
+
+    # Contacts
+
+    def update_contacts(self) -> None:
+        """Note since when each machine that counts is without contact to as many others as a quorum needs."""
+        for machine in self.machines:
+            reachable = sum(self._in_contact(machine, other) for other in self.machines)
+            if reachable >= self.faults:
+                machine.isolated_since = None
+            elif machine.isolated_since is None:
+                machine.isolated_since = self.now
+
+    def _in_contact(self, machine: Machine, other: Machine) -> bool:
+        process = other.running.get(KEEPER)
+        return (
+            other is not machine
+            and process is not None
+            and not process.life.frozen
+            and not self.network.is_cut(machine.host, other.host)
+            and not self.network.is_cut(other.host, machine.host)
+        )
+
+    def spoke_for_the_tier(self, process: Process, what: str) -> None:
+        """``process`` confirmed, refused for good or handed out: only one with a majority may."""
+        since = process.machine.isolated_since
+        alone = 0.0 if since is None else self.now - since
+        self.history.require(alone <= LEASE_BOUND_S, f"{process.life.name} {what}, {alone:.2f} s cut off")
+
+    # Configurations
+
+    def accepted(self, process: Process, index: int, change: Change) -> None:
+        self.history.accepted(process.life.name, index, change)
+
+    def holders(self, change: Change) -> list[str]:
+        """Machines on whose disk ``change`` is synced."""
+        return [
+            machine.name
+            for machine in self.machines
+            if KEEPER in machine.disks and holds(machine.disks[KEEPER], change)
+        ]
+
+    def copies_wanted(self) -> int:
+        """f + 1, but for disks that the terms allowed to be lost and that had no time to be made up for."""
+        return max(1, self.faults + 1 - self.terms.lost_disks())
+
+    def acknowledged(self, process: Process, change: Change) -> None:
+        """A 200 for ``change`` leaves ``process``."""
+        self.spoke_for_the_tier(process, "confirmed")
+        self.history.acknowledge(
+            process.life.name, change, self.holders(change), self.copies_wanted()
+        )
+        self.on_acknowledged(process, change)
+
+    def serve_operators(self, process: KeeperProcess) -> None:
+        self.network.open(process.endpoint, f"{process.machine.host}:{CONTROL_PORT}")
+        process.endpoint.process = process
+
+    # Checks in calm
+
+    def _check(self) -> None:
+        self.terms.settle()
+        calm = self.terms.calm_for()
+        if calm >= CONTACT_S + CONFIG_APPLY_S:
+            self._check_views()
+            self._check_copies()
+        self.after(CHECK_PAUSE_S, self._check)
+
+    def _check_views(self) -> None:
+        due = self.history.acknowledged_before(self.now - CONFIG_APPLY_S)
+        for machine in self.proxies:
+            process = machine.running.get(PROXY)
+            if isinstance(process, ProxyProcess):
+                detail = f"{process.life.name} in touch has version {process.version}, not {due}"
+                self.history.require(process.version >= due, detail)
+
+    def _check_copies(self) -> None:
+        """Every acknowledged change has reached as many machines as the group ought to have members."""
+        newest = self.history.newest
+        if newest is None or self.now - self.history.newest_since < 1.0:
+            return
+        places = self.holders(newest)
+        detail = f"{newest} only on {places} in calm"
+        members = min(2 * self.faults + 1, len(self.machines))
+        self.history.require(len(places) >= members, detail)
+
+    def present(self, names: Iterable[str]) -> list[Machine]:
+        wanted = set(names)
+        return [machine for machine in self.machines if machine.name in wanted]
+
+    @staticmethod
+    def as_world() -> None:
+        CURRENT_LIFE.set(None)
