--- /dev/null
+++ b/cherrycove/tier/simulation/control/command.py
@@ -0,0 +1,48 @@
+"""Runs many worlds of one scenario and names the seeds that broke an invariant."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterable
+from functools import partial
+from multiprocessing import Pool
+
+from cherrycove.tier.simulation.control.mutations import without
+from cherrycove.tier.simulation.control.scenarios import Run, run_world
+from cherrycove.tier.simulation.invariants import InvariantBrokenError
+
+
+def _attempt(scenario: str, mutation: str, seed: int) -> tuple[int, str, float]:
+    began = time.process_time()
+    try:
+        with without(mutation):
+            run_world(scenario, seed)
+    except InvariantBrokenError as error:
+        return seed, str(error), time.process_time() - began
+    return seed, "", time.process_time() - began
+
+
+def run_many(scenario: str, seeds: Iterable[int], processes: int, mutation: str = "") -> int:
+    """Print each broken seed and a summary; the number of broken worlds."""
+    broken = worlds = 0
+    processor_s = 0.0
+    with Pool(processes) as pool:
+        for seed, detail, used_s in pool.imap_unordered(partial(_attempt, scenario, mutation), seeds):
+            worlds += 1
+            processor_s += used_s
+            if detail:
+                broken += 1
+                print(f"{scenario} {seed}: {detail}", flush=True)
+    rate = 60.0 * worlds / max(processor_s, 1e-9)
+    print(f"{scenario}: {worlds} worlds, {broken} broken, {rate:.1f} worlds a minute of one core")
+    return broken
+
+
+def print_trace(scenario: str, seed: int) -> None:
+    """The events of one world, and how it ended."""
+    run = Run(scenario, seed)
+    try:
+        print(run.go())
+    except InvariantBrokenError as error:
+        print(error)
+    print("\n".join(run.world.history.trace))
--- a/cherrycove/tier/simulation/control/loop.py
+++ b/cherrycove/tier/simulation/control/loop.py
@@ -75,7 +75,7 @@
         left = MAX_CALLBACKS_AT_ONCE
         while ready:
             handle = ready.popleft()
-            if handle._cancelled:  # type: ignore[attr-defined]
+            if handle._cancelled:
                 continue
             life = handle._context.get(CURRENT_LIFE)  # type: ignore[attr-defined]
             if life is not None and life.ended:
@@ -156,7 +156,7 @@
     def create_future(self) -> asyncio.Future[Any]:
         return asyncio.Future(loop=self)
 
-    def create_task(  # type: ignore[override]
+    def create_task(
         self, coro: Any, *, name: str | None = None, context: Context | None = None
     ) -> asyncio.Task[Any]:
         return asyncio.Task(coro, loop=self, name=name, context=context)
--- a/cherrycove/tier/simulation/control/machines.py
+++ b/cherrycove/tier/simulation/control/machines.py
@@ -12,7 +12,14 @@
 from cherrycove.tier.errors import Failure
 from cherrycove.tier.protocol.control_pb2 import BrokerList
 from cherrycove.tier.replication.runtime import Runtime
-from cherrycove.tier.settings import Bounds, CloudApi, FaultTolerance, ListenAddresses, ProcessLimits, Settings
+from cherrycove.tier.settings import (
+    Bounds,
+    CloudApi,
+    FaultTolerance,
+    ListenAddresses,
+    ProcessLimits,
+    Settings,
+)
 from cherrycove.tier.simulation.control.disk import Disk, DiskQueue, DiskStorage
 from cherrycove.tier.simulation.control.loop import Life, VirtualLoop
 from cherrycove.tier.simulation.control.network import Client, Endpoint, Network
--- /dev/null
+++ b/cherrycove/tier/simulation/control/mutations.py
@@ -0,0 +1,255 @@
+"""Guards of the control side that can be taken out; the scenario of each one's point must notice."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
+from typing import Any
+from unittest import mock
+
+import attrs
+from result import Ok
+
+from cherrycove.tier.controlplane.configuration_decisions import ConfigurationDecisions, _mismatch
+from cherrycove.tier.controlplane.leadership import Leadership
+from cherrycove.tier.controlplane.state import ControlState
+from cherrycove.tier.distribution.publisher import Publisher
+from cherrycove.tier.distribution.puller import ViewUpdater
+from cherrycove.tier.distribution.topics import VersionVector
+from cherrycove.tier.replication.group import ReplicatedGroup
+from cherrycove.tier.replication.machine import ReplicaMachine
+from cherrycove.tier.replication.primary import Primary
+from cherrycove.tier.replication.proposals import Proposals
+from cherrycove.tier.replication.recruiting import Recruiting
+from cherrycove.tier.simulation import mutations as of_the_group
+from cherrycove.tier.simulation.control.machines import Surroundings
+
+Patches = Iterator[Any]
+
+
+@attrs.frozen
+class Mutation:
+    """A guard, taken out by ``patches``; worlds of ``scenario`` must break without it."""
+
+    scenario: str
+    patches: Callable[[], Patches]
+
+
+# 1. A machine cut off
+
+
+def _lease_without_end() -> Patches:
+    def confirmed(primary: Any, now: float) -> bool:
+        return bool(primary._core.commit_index >= primary._noop_index)
+
+    yield mock.patch.object(Primary, "confirmed", confirmed)
+
+
+def _pulls_answered_without_lease() -> Patches:
+    yield mock.patch.object(Publisher, "_leads", lambda publisher: not publisher._closed)
+
+
+def _reads_without_lease() -> Patches:
+    async def settled(leadership: Any, timeout_s: float = 0.0) -> Any:
+        return Ok(None)
+
+    yield mock.patch.object(Leadership, "settled", settled)
+
+
+def _refusals_without_lease() -> Patches:
+    check = ConfigurationDecisions._check
+
+    def unconfirmed(decisions: Any, body: bytes, base_version: int) -> Any:
+        with mock.patch.object(decisions._leadership, "confirmed", lambda: True):
+            return check(decisions, body, base_version)
+
+    yield from _reads_without_lease()
+    yield mock.patch.object(ConfigurationDecisions, "_check", unconfirmed)
+
+
+def _views_go_back() -> Patches:
+    def advance(vector: Any, version: Any) -> bool:
+        return True
+
+    def apply_configuration(updater: Any, document: Any) -> None:
+        updater._views.configuration = None
+        original(updater, document)
+
+    original = ViewUpdater._apply_configuration
+    yield mock.patch.object(VersionVector, "advance", advance)
+    yield mock.patch.object(ViewUpdater, "_apply_configuration", apply_configuration)
+    yield from _pulls_answered_without_lease()
+
+
+# 2. Two operators, orders sent again
+
+
+def _decisions_at_the_same_time() -> Patches:
+    class Turn:
+        async def __aenter__(self) -> bool:
+            return True
+
+        async def __aexit__(self, *details: Any) -> None:
+            return None
+
+    yield mock.patch.object(ConfigurationDecisions, "_turn", lambda decisions, timeout_s: Turn())
+    yield from _base_not_checked_when_applied()
+
+
+def _base_not_checked_when_applied() -> Patches:
+    original = ControlState._accept
+
+    def unchecked(state: Any, command: Any) -> Any:
+        kept = state._configuration
+        state._configuration = type(kept)(version=command.base_version, document=kept.document)
+        outcome = original(state, command)
+        if state._configuration.version == command.base_version:
+            state._configuration = kept
+        return outcome
+
+    yield mock.patch.object(ControlState, "_accept", unchecked)
+
+
+def _no_barrier_after_an_uncertain_change() -> Patches:
+    async def settle(decisions: Any, timeout_s: float) -> Any:
+        decisions._unsettled = False
+        return Ok(None)
+
+    yield mock.patch.object(ConfigurationDecisions, "_settle", settle)
+
+
+def _uncertain_is_refused() -> Patches:
+    def uncommitted(decisions: Any, failure: Any) -> Any:
+        return _mismatch(0, decisions._state.configuration.version)
+
+    yield mock.patch.object(ConfigurationDecisions, "_uncommitted", uncommitted)
+
+
+def _accepted_digests_forgotten() -> Patches:
+    yield mock.patch.object(ControlState, "was_accepted", lambda state, digest, version: False)
+
+
+def _decides_before_its_first_entry() -> Patches:
+    def confirmed(primary: Any, now: float) -> bool:
+        return bool(now - primary._confirmed_since(now) < primary._core.timing.lease_s)
+
+    yield mock.patch.object(Primary, "confirmed", confirmed)
+
+
+# 3. A second loss
+
+
+def _emptied_keeps_identity() -> Patches:
+    identity = Surroundings.identity
+    kept: dict[tuple[str, str], str] = {}
+
+    def same(surroundings: Any, machine: Any, program: str) -> tuple[str, bool]:
+        member_id, fresh = identity(surroundings, machine, program)
+        first = kept.setdefault((machine.host, program), member_id)
+        machine.disks[program].member_id = first
+        return first, fresh
+
+    yield mock.patch.object(Surroundings, "identity", same)
+
+
+def _taken_in_before_it_caught_up() -> Patches:
+    def step(recruiting: Any, unreachable: frozenset[str], now: float) -> Any:
+        chosen = original(recruiting, unreachable, now)
+        learner = recruiting.learner
+        if chosen is None and learner is not None:
+            learner.match_index = max(learner.match_index, 1)
+            with mock.patch.object(type(learner), "caught_up", lambda peer, within: True):
+                return original(recruiting, unreachable, now)
+        return chosen
+
+    original = Recruiting.step
+    yield mock.patch.object(Recruiting, "step", step)
+
+
+# 4. A restarted member
+
+
+def _snapshot_without_digests() -> Patches:
+    def restore(state: Any, data: bytes) -> None:
+        original(state, data)
+        state._accepted = {}
+
+    original = ControlState.restore
+    yield mock.patch.object(ControlState, "restore", restore)
+
+
+# 5. Answers for another
+
+
+def _batches_for_another_disk_are_taken() -> Patches:
+    async def receive(group: Any, batch: Any) -> Any:
+        if group._machine is not None:
+            batch.receiver_id = group._identity.member_id
+        return await original(group, batch)
+
+    original = ReplicatedGroup._receive
+    yield mock.patch.object(ReplicatedGroup, "_receive", receive)
+
+
+def _outcomes_by_place_alone() -> Patches:
+    def committed(proposals: Any, index: int, epoch: int, outcome: object) -> None:
+        waiting = proposals._waiting.get(index)
+        original(proposals, index, epoch if waiting is None else waiting.epoch, outcome)
+
+    original = Proposals.committed
+    yield mock.patch.object(Proposals, "committed", committed)
+
+
+def _replies_of_older_epochs_count() -> Patches:
+    def receive(machine: Any, sender: Any, message: Any, now: float) -> None:
+        message.epoch = max(message.epoch, machine._core.epoch) if message.epoch else message.epoch
+        original(machine, sender, message, now)
+
+    original = ReplicaMachine._receive_from_backup
+    yield mock.patch.object(ReplicaMachine, "_receive_from_backup", receive)
+
+
+def _of_the_group(name: str) -> Callable[[], Patches]:
+    return of_the_group.MUTATIONS[name]
+
+
+MUTATIONS: dict[str, Mutation] = {
+    "lease-without-end": Mutation("cut-off", _lease_without_end),
+    "pulls-answered-without-lease": Mutation("cut-off", _pulls_answered_without_lease),
+    "reads-without-lease": Mutation("cut-off", _reads_without_lease),
+    "refusals-without-lease": Mutation("cut-off", _refusals_without_lease),
+    "views-go-back": Mutation("cut-off", _views_go_back),
+    "vote-within-lease": Mutation("cut-off", _of_the_group("vote-within-lease")),
+    "decisions-at-the-same-time": Mutation("races", _decisions_at_the_same_time),
+    "base-not-checked-when-applied": Mutation("races", _base_not_checked_when_applied),
+    "no-barrier-after-an-uncertain-change": Mutation("races", _no_barrier_after_an_uncertain_change),
+    "uncertain-is-refused": Mutation("races", _uncertain_is_refused),
+    "accepted-digests-forgotten": Mutation("races", _accepted_digests_forgotten),
+    "decides-before-its-first-entry": Mutation("races", _decides_before_its_first_entry),
+    "one-copy-fewer": Mutation("second-loss", _of_the_group("one-copy-fewer")),
+    "new-list-alone": Mutation("second-loss", _of_the_group("new-list-alone")),
+    "emptied-keeps-identity": Mutation("second-loss", _emptied_keeps_identity),
+    "taken-in-before-it-caught-up": Mutation("second-loss", _taken_in_before_it_caught_up),
+    "acknowledge-before-sync": Mutation("restart", _of_the_group("acknowledge-before-sync")),
+    "commit-before-own-sync": Mutation("restart", _of_the_group("commit-before-own-sync")),
+    "vote-before-sync": Mutation("restart", _of_the_group("vote-before-sync")),
+    "vote-without-log-check": Mutation("restart", _of_the_group("vote-without-log-check")),
+    "count-copies-of-older-epochs": Mutation("restart", _of_the_group("count-copies-of-older-epochs")),
+    "restarted-quorum-needs-no-lease-to-end": Mutation(
+        "restart", _of_the_group("restarted-quorum-needs-no-lease-to-end")
+    ),
+    "snapshot-without-digests": Mutation("restart", _snapshot_without_digests),
+    "batches-for-another-disk-are-taken": Mutation("misdelivery", _batches_for_another_disk_are_taken),
+    "outcomes-by-place-alone": Mutation("misdelivery", _outcomes_by_place_alone),
+    "replies-of-older-epochs-count": Mutation("misdelivery", _replies_of_older_epochs_count),
+}
+NAMES = tuple(MUTATIONS)
+
+
+@contextmanager
+def without(name: str) -> Iterator[None]:
+    """Run with the guard ``name`` taken out; "" takes out none."""
+    with ExitStack() as stack:
+        for patch in MUTATIONS[name].patches() if name else ():
+            stack.enter_context(patch)
+        yield
--- a/cherrycove/tier/simulation/control/operators.py
+++ b/cherrycove/tier/simulation/control/operators.py
@@ -26,13 +26,19 @@
 PAUSES_S = (0.05, 0.1, 0.2, 0.4, 0.8)
 IN_FLIGHT = 8
 KEPT_ORDERS = 64
+RETIRE_POLL_S = 0.3
 
 
 class Request:
     """As much of an HTTP request as the operator's interface reads."""
 
     def __init__(
-        self, method: str, path: str, body: bytes = b"", headers: Mapping[str, str] | None = None, node: str = ""
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: Mapping[str, str] | None = None,
+        node: str = "",
     ) -> None:
         self.method = method
         self.path = self.raw_path = path
@@ -126,6 +132,7 @@
         self._sent: list[Order] = []
         self._in_flight = 0
         self._known = 0  # newest version that an operator has seen
+        self._clear_answers: dict[Order, int] = {}  # that keepers gave, also those lost on the way
         self.active = True
         self.answered = 0
         self.unanswered = 0
@@ -180,12 +187,22 @@
     def retire_state(self, node: str) -> Order:
         return Order(Kind.RETIRE_STATE, Request("GET", f"/api/retire/{node}", node=node))
 
+    async def retire(self, node: str) -> None:
+        """Order ``node`` to be emptied and ask until it is."""
+        reply = await self.send(self.retire_order(node))
+        if reply is None or reply.status != 200:
+            return
+        while node not in self._world.history.retired:
+            await asyncio.sleep(RETIRE_POLL_S)
+            await self.send(self.retire_state(node))
+
     # Sending
 
     async def send(self, order: Order, give_up_s: float = GIVE_UP_S) -> Reply | None:
         """The clear answer to ``order``, or None."""
         self._in_flight += 1
         began = self._world.now
+        clear = self._clear_answers.get(order, 0)
         tries = 0
         try:
             while self._world.now - began < give_up_s:
@@ -193,7 +210,8 @@
                 if reply is not None:
                     self.answered += 1
                     return reply
-                self._judge_delay(began)
+                if self._clear_answers.get(order, 0) == clear:
+                    self._judge_delay(began)
                 await asyncio.sleep(PAUSES_S[min(tries, len(PAUSES_S) - 1)] * self._random.uniform(0.5, 1.0))
                 tries += 1
             self.unanswered += 1
@@ -205,7 +223,8 @@
         """An order is answered within acknowledgeMs of calm."""
         waited = self._world.now - began
         calm = min(self._world.terms.calm_for() - CONTACT_S, waited)
-        self._world.history.require(calm <= ACKNOWLEDGE_S, f"an order has no answer after {calm:.2f} s of calm")
+        detail = f"an order has no answer after {calm:.2f} s of calm"
+        self._world.history.require(calm <= ACKNOWLEDGE_S, detail)
 
     async def _try(self, order: Order) -> Reply | None:
         """One round: a keeper, and whom it points to."""
@@ -214,10 +233,12 @@
         for _ in range(REDIRECTS + 1):
             reply = await self._ask(host, order)
             if reply is None or reply.status in (408, 429) or reply.status >= 500:
+                self._world.history.note(f"{host} {order.kind.value} {reply and reply.status}")
                 return None
             if reply.status != 307:
                 self._learn(order, reply)
                 return reply
+            self._world.history.note(f"{host} points to {reply.location}")
             host = reply.location.partition("://")[2].partition("/")[0].rpartition(":")[0]
         return None
 
@@ -252,6 +273,8 @@
         response = await process.keeper.operator_api.answer(order.request)  # type: ignore[arg-type]
         body = response.body if isinstance(response.body, bytes) else b""
         reply = Reply(response.status, response.headers.get("Location", ""), body)
+        if reply.status == 200 or reply.status in FINAL_REFUSALS:
+            self._clear_answers[order] = self._clear_answers.get(order, 0) + 1
         self._judge(process, order, reply, floor)
         return reply
 
@@ -272,6 +295,7 @@
                 world.history.read(name, version, digest_of(reply.body), floor)
             elif order.kind is Kind.RETIRE_STATE and json.loads(reply.body)["state"] == "completed":
                 world.retired(process, order.request.match_info["node"])
+        elif order.kind is Kind.RETIRE and reply.status in FINAL_REFUSALS:
+            world.judge_retire_refusal(process, order.request.match_info["node"], reply.status)
         elif reply.status == 404 and order.kind is Kind.READ:
             world.history.require(floor == 0, f"{name} knows no configuration, after {floor} was confirmed")
-
--- a/cherrycove/tier/simulation/control/terms.py
+++ b/cherrycove/tier/simulation/control/terms.py
@@ -1,7 +1,7 @@
 """What may be lost at once, by the operators' terms and by the world's clock alone.
 
 A machine is lost while it is down, frozen, slowed or cut off and for ``catchUpS`` after it is back, or after
-its start if it is new. Besides, all processes may be killed, or lose power, at any time; their disks are kept.
+its start if it is new. Besides, all processes may be killed, or lose power, at any time: their disks stay.
 """
 
 from __future__ import annotations
