--- a/cherrycove/tier/replication/group.py
+++ b/cherrycove/tier/replication/group.py
@@ -110,7 +110,7 @@
 
     def committed_members(self) -> CommittedMembers | None:
         machine = self._machine
-        return machine.committed_members(time.monotonic()) if machine is not None else None
+        return machine.committed_members(self._clock()) if machine is not None else None
 
     def confirmed(self) -> bool:
         return self._machine is not None and self._machine.confirmed(self._clock())
