Storage: what a start found survives a loss of power; damage never brings older state back

A start now syncs the folder, the promise and the last segment before it relies on them. - The replica's folder was made without a sync of the one above it: a loss of power could take the whole disk away. - A disk that gets a new identity removed its files in any order: after a crash in between, the former identity could stand over an empty disk, or an address begin as an initial member a second time. The identity is made invalid first and stays so until all else is gone.

Tests of damage leave syncs out, which no reader of the same machine can see.

--- a/cherrycove/tier/storage/files.py
+++ b/cherrycove/tier/storage/files.py
@@ -20,6 +20,23 @@
         os.close(descriptor)
 
 
+def sync_file(path: Path) -> None:
+    """Make the contents of ``path`` last as they are read now, also what a killed process left unsynced."""
+    descriptor = os.open(path, os.O_WRONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+def make_directory(directory: Path) -> None:
+    """Make ``directory`` and the folders above it that are missing, and their names last."""
+    if not directory.parent.is_dir():
+        make_directory(directory.parent)
+    directory.mkdir(exist_ok=True)
+    sync_directory(directory.parent)  # also where it was there: the process that made it may have been killed
+
+
 def write_all(descriptor: int, data: bytes | memoryview) -> None:
     """Write every byte of ``data`` at the file's position."""
     view = memoryview(data)
@@ -46,9 +63,9 @@
     sync_directory(path.parent)
 
 
-def remove_files(directory: Path) -> None:
-    """Remove every file of ``directory`` for good."""
+def remove_files(directory: Path, kept: Path) -> None:
+    """Remove every file of ``directory`` but ``kept`` for good."""
     for path in directory.iterdir():
-        if path.is_file():
+        if path.is_file() and path != kept:
             path.unlink()
     sync_directory(directory)
--- a/cherrycove/tier/storage/identity.py
+++ b/cherrycove/tier/storage/identity.py
@@ -6,7 +6,12 @@
 import uuid
 from pathlib import Path
 
-from cherrycove.tier.storage.files import DamagedStorageError, remove_files, replace_file
+from cherrycove.tier.storage.files import (
+    DamagedStorageError,
+    make_directory,
+    remove_files,
+    replace_file,
+)
 
 IDENTITY_FILE = "identity"
 FIRST_START_PREFIX = "first-"
@@ -35,8 +40,12 @@
 
 
 def new_identity(directory: Path) -> str:
-    """Empty ``directory`` and give it a random member id."""
-    remove_files(directory)
+    """Empty ``directory`` and give it a random member id.
+
+    The identity is made invalid first, and stays so until all else is gone: after a crash in between, no
+    start takes what is left for the former member's disk, or an empty disk for one that held nothing yet."""
+    replace_file(directory / IDENTITY_FILE, b"")
+    remove_files(directory, kept=directory / IDENTITY_FILE)
     return _create(directory, uuid.uuid4().hex[:16])
 
 
@@ -44,9 +53,10 @@
     """The member id of the disk at ``directory`` and whether it was created just now.
 
     An empty disk gets a random id, or ``first-IP`` at the first start of the deployment, so that members of
-    the initial group can be named by their addresses alone. The id is synced before this returns. Blocks.
+    the initial group can be named by their addresses alone. The id lasts once ``ReplicaStorage.recover`` has
+    returned: where another process made it and was killed, only that syncs its name. Blocks.
     """
-    directory.mkdir(parents=True, exist_ok=True)
+    make_directory(directory)
     path = directory / IDENTITY_FILE
     if path.exists():
         try:
--- a/cherrycove/tier/storage/promises.py
+++ b/cherrycove/tier/storage/promises.py
@@ -1,6 +1,7 @@
 """The newest epoch that a replica has promised to, with its vote, in two slots that are written in turn.
 
-A torn write harms only the slot that was being written; the other one holds the promise before it.
+A torn write harms only the slot that was being written; the other one holds the promise before it. Each slot
+is stored twice, so that damage to one copy of a synced promise does not bring an older one back.
 """
 
 from __future__ import annotations
@@ -12,9 +13,11 @@
 
 import attrs
 
-from cherrycove.tier.storage.files import DamagedStorageError, replace_file, write_all
+from cherrycove.tier.storage.files import DamagedStorageError, replace_file, sync_file, write_all
 
 PROMISE_FILE = "promise"
+_SLOTS = 2
+_COPIES = 2  # of each slot; the second ones stand behind all first ones
 _SLOT_BYTES = 4096
 _HEADER = struct.Struct("<IQQQH")  # CRC-32 of the rest, sequence, epoch, committed, bytes of the vote
 
@@ -68,24 +71,33 @@
         if not self._path.exists():
             if not may_create:
                 raise DamagedStorageError(f"{self._path} is missing")
-            replace_file(self._path, _encode(self._slot) * 2)
+            replace_file(self._path, _encode(self._slot) * (_SLOTS * _COPIES))
+        sync_file(self._path)
         data = self._path.read_bytes()
-        slots = [_decode(data[start : start + _SLOT_BYTES]) for start in (0, _SLOT_BYTES)]
-        valid = [slot for slot in slots if slot is not None]
+        copies = [_decode(data[start : start + _SLOT_BYTES]) for start in range(0, len(data), _SLOT_BYTES)]
+        valid = [slot for slot in copies if slot is not None]
         if not valid:
             raise DamagedStorageError(f"{self._path}: no valid slot")
         self._slot = max(valid, key=lambda slot: slot.sequence)
         self._descriptor = os.open(self._path, os.O_WRONLY)
+        if valid.count(self._slot) < _COPIES:
+            self._store(self._slot)
         return self._slot.promise
 
     def write(self, promise: Promise) -> None:
         """Store ``promise`` and sync it."""
         slot = _Slot(self._slot.sequence + 1, promise)
-        os.lseek(self._descriptor, (slot.sequence % 2) * _SLOT_BYTES, os.SEEK_SET)
-        write_all(self._descriptor, _encode(slot))
-        os.fdatasync(self._descriptor)
+        self._store(slot)
         self._slot = slot
 
+    def _store(self, slot: _Slot) -> None:
+        data = _encode(slot)
+        for copy in range(_COPIES):
+            position = (slot.sequence % _SLOTS + copy * _SLOTS) * _SLOT_BYTES
+            os.lseek(self._descriptor, position, os.SEEK_SET)
+            write_all(self._descriptor, data)
+        os.fdatasync(self._descriptor)
+
     def close(self) -> None:
         if self._descriptor >= 0:
             os.close(self._descriptor)
--- a/cherrycove/tier/storage/segments.py
+++ b/cherrycove/tier/storage/segments.py
@@ -16,7 +16,7 @@
 import attrs
 
 from cherrycove.tier.storage.entries import Entry, decode_frame, encode_frame, valid_frame_after
-from cherrycove.tier.storage.files import DamagedStorageError, sync_directory, write_all
+from cherrycove.tier.storage.files import DamagedStorageError, sync_directory, sync_file, write_all
 
 SEGMENT_SUFFIX = ".log"
 SEGMENT_BYTES = 4 * 1024 * 1024  # a segment is followed by a new one when larger than this
@@ -98,7 +98,9 @@
         return self._number + 1
 
     def recover(self, base_index: int, first_number: int) -> list[Entry]:
-        """The entries behind ``base_index``, from segments numbered ``first_number`` and above."""
+        """The entries behind ``base_index``, from segments numbered ``first_number`` and above.
+
+        They are durable when this returns: a killed process may have left its last frame unsynced."""
         self.remove_below(first_number)
         names = segment_names(self._directory)
         self._number = first_number - 1
@@ -109,6 +111,8 @@
             _replay(log, base_index, entries)
             if torn:
                 self._cut(name, valid)
+            elif name is names[-1]:
+                sync_file(self._directory / name.file_name)
             self.closed_bytes += valid
         return log
 
--- a/cherrycove/tier/storage/snapshots.py
+++ b/cherrycove/tier/storage/snapshots.py
@@ -14,6 +14,7 @@
 _MAGIC = b"CvS1"
 _HEADER = struct.Struct("<4sIQQQIQ")  # magic, CRC-32, index, epoch, segment, bytes of members, of state
 _CHECKED_FROM = 8
+BLOCK_BYTES = 1024 * 1024  # of the state, read and checked as a whole when it is sent to another replica
 
 
 @attrs.frozen
@@ -47,25 +48,73 @@
     return path
 
 
+def snapshot_paths(directory: Path) -> list[Path]:
+    """The snapshot files of ``directory``, the newest one last."""
+    return sorted(directory.glob(f"{SNAPSHOT_PREFIX}*"))
+
+
+def remove_other_snapshots(kept: Path) -> None:
+    """Remove the snapshots beside ``kept``, whose name must last already."""
+    for path in snapshot_paths(kept.parent):
+        if path != kept:
+            path.unlink(missing_ok=True)
+
+
 def read_snapshot(path: Path) -> tuple[Snapshot, int]:
     """The snapshot of a file and the number of the first segment that goes with it."""
-    data = path.read_bytes()
-    if len(data) < _HEADER.size:
-        raise DamagedStorageError(f"{path}: too short")
-    magic, checksum, index, epoch, segment, members_length, state_length = _HEADER.unpack_from(data)
-    whole = _HEADER.size + members_length + state_length == len(data)
-    if magic != _MAGIC or not whole or zlib.crc32(memoryview(data)[_CHECKED_FROM:]) != checksum:
+    with path.open("rb") as file:  # part by part: the state may take much of the memory
+        header = file.read(_HEADER.size)
+        if len(header) < _HEADER.size:
+            raise DamagedStorageError(f"{path}: too short")
+        magic, checksum, index, epoch, segment, members_length, state_length = _HEADER.unpack(header)
+        whole = _HEADER.size + members_length + state_length == path.stat().st_size
+        if magic != _MAGIC or not whole:
+            raise DamagedStorageError(f"{path}: not a whole snapshot")
+        members = file.read(members_length)
+        state = file.read(state_length)
+    found = zlib.crc32(header[_CHECKED_FROM:])
+    found = zlib.crc32(members, found)
+    if zlib.crc32(state, found) != checksum:
         raise DamagedStorageError(f"{path}: wrong checksum")
-    middle = _HEADER.size + members_length
-    return Snapshot(index, epoch, data[_HEADER.size : middle], data[middle:]), segment
-
-
-def read_state(path: Path, offset: int, size: int) -> bytes:
-    """Part of the state in a snapshot file that is known to be whole; empty if it is gone."""
-    try:
-        with path.open("rb") as file:
-            members_length = _HEADER.unpack(file.read(_HEADER.size))[-2]
-            file.seek(_HEADER.size + members_length + offset)
-            return file.read(size)
-    except OSError:
-        return b""
+    return Snapshot(index, epoch, members, state), segment
+
+
+def _block_checksums(state: bytes) -> tuple[int, ...]:
+    view = memoryview(state)
+    return tuple(zlib.crc32(view[start : start + BLOCK_BYTES]) for start in range(0, len(state), BLOCK_BYTES))
+
+
+@attrs.frozen
+class StoredSnapshot:
+    """A snapshot file of this replica, with the checksums that its state had in memory."""
+
+    path: Path
+    index: int
+    size: int
+    _state_offset: int
+    _block_checksums: tuple[int, ...]
+
+    @staticmethod
+    def of(path: Path, snapshot: Snapshot) -> StoredSnapshot:
+        offset = _HEADER.size + len(snapshot.members)
+        return StoredSnapshot(path, snapshot.index, snapshot.size, offset, _block_checksums(snapshot.state))
+
+    def read(self, offset: int, size: int) -> bytes:
+        """Part of the state. DamagedStorageError where the file no longer holds what was stored."""
+        first = offset // BLOCK_BYTES
+        checksums = self._block_checksums[first : -(-(offset + size) // BLOCK_BYTES)]
+        with self.path.open("rb") as file:
+            file.seek(self._state_offset + first * BLOCK_BYTES)
+            blocks = [
+                self._checked(file.read(self._block_size(first + i)), c) for i, c in enumerate(checksums)
+            ]
+        start = offset - first * BLOCK_BYTES
+        return b"".join(blocks)[start : start + size]
+
+    def _block_size(self, number: int) -> int:
+        return min(BLOCK_BYTES, self.size - self._state_offset - number * BLOCK_BYTES)
+
+    def _checked(self, block: bytes, checksum: int) -> bytes:
+        if zlib.crc32(block) != checksum:
+            raise DamagedStorageError(f"{self.path}: wrong checksum of a block")
+        return block
--- a/cherrycove/tier/storage/store.py
+++ b/cherrycove/tier/storage/store.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import logging
 from collections.abc import Sequence
 from pathlib import Path
 
@@ -12,16 +14,18 @@
 from cherrycove.tier.storage.promises import Promise, PromiseFile
 from cherrycove.tier.storage.segments import SEGMENT_BYTES, SegmentLog, no_space, segment_names
 from cherrycove.tier.storage.snapshots import (
-    SNAPSHOT_PREFIX,
     Snapshot,
+    StoredSnapshot,
     read_snapshot,
-    read_state,
-    snapshot_path,
+    remove_other_snapshots,
+    snapshot_paths,
     write_snapshot,
 )
 
 RESERVED_BYTES = 64 * 1024  # of the disk's limit, for identity, promise and folders
 
+_log = logging.getLogger(__name__)
+
 
 @attrs.frozen
 class RecoveredState:
@@ -41,31 +45,34 @@
         self._limit = limit_bytes - RESERVED_BYTES if limit_bytes else 0
         self._promises = PromiseFile(directory)
         self._log = SegmentLog(directory, segment_bytes)
-        self._snapshot_path: Path | None = None
-        self._snapshot_bytes = 0
+        self._snapshot: StoredSnapshot | None = None
 
     @property
     def size(self) -> int:
         """Bytes of log and snapshot."""
-        return self._log.size + self._snapshot_bytes
+        return self._log.size + (self._snapshot.size if self._snapshot is not None else 0)
 
     def recover(self) -> RecoveredState:
         """Read everything; cut a torn tail. Raises DamagedStorageError where synced data is lost."""
         for leftover in self._directory.glob("*.tmp"):
             leftover.unlink()
-        paths = sorted(self._directory.glob(f"{SNAPSHOT_PREFIX}*"))
+        sync_directory(
+            self._directory
+        )  # a killed process may have left this to do; what follows relies on it
+        paths = snapshot_paths(self._directory)
         may_create = not paths and not segment_names(self._directory)
         promise = self._promises.open(may_create)
         snapshot, first_number = read_snapshot(paths[-1]) if paths else (None, 1)
-        for path in paths[:-1]:
-            path.unlink()
         if snapshot is not None:
-            self._snapshot_path = paths[-1]
-            self._snapshot_bytes = snapshot.size
+            self._snapshot = StoredSnapshot.of(paths[-1], snapshot)
+            remove_other_snapshots(paths[-1])
         entries = self._log.recover(snapshot.index if snapshot else 0, first_number)
         newest = entries[-1].epoch if entries else snapshot.epoch if snapshot else 0
         if newest > promise.epoch:
             raise DamagedStorageError(f"log of epoch {newest}, promise of epoch {promise.epoch}")
+        last = entries[-1].index if entries else snapshot.index if snapshot else 0
+        if last < promise.committed:
+            raise DamagedStorageError(f"log up to entry {last}, of {promise.committed} known as committed")
         return RecoveredState(promise, snapshot, entries)
 
     def write_promise(self, promise: Promise) -> None:
@@ -86,19 +93,21 @@
         if tail:
             self._log.append(tail)
         path = write_snapshot(self._directory, snapshot, first_number)
-        previous, self._snapshot_path = self._snapshot_path, path
-        self._snapshot_bytes = snapshot.size
-        self._log.remove_below(first_number)
-        if previous is not None and previous != path:
-            previous.unlink(missing_ok=True)
-        sync_directory(self._directory)
+        self._snapshot = StoredSnapshot.of(path, snapshot)
+        with contextlib.suppress(OSError):  # the snapshot counts; the next one, or a start, removes the rest
+            self._log.remove_below(first_number)
+            remove_other_snapshots(path)
 
     def read_state(self, index: int, offset: int, size: int) -> bytes:
-        """Part of the state in the stored snapshot of entry ``index``; empty if that one is gone."""
-        path = self._snapshot_path
-        if path is None or path != snapshot_path(self._directory, index):
+        """Part of the state in the stored snapshot of entry ``index``; empty if it is gone or damaged."""
+        snapshot = self._snapshot
+        if snapshot is None or snapshot.index != index:
+            return b""
+        try:
+            return snapshot.read(offset, size)
+        except (OSError, DamagedStorageError) as error:
+            _log.error("snapshot_unreadable", extra={"path": str(snapshot.path), "reason": str(error)})
             return b""
-        return read_state(path, offset, size)
 
     def _check_room(self, wanted: int) -> None:
         if self._limit and self.size + wanted > self._limit:
--- /dev/null
+++ b/tests/tier/test_storage_damage.py
@@ -0,0 +1,283 @@
+"""Flipped bits anywhere on a replica's disk: found by checksum, never served; told by ``storage verify``."""
+
+from __future__ import annotations
+
+import json
+import os
+import shutil
+from collections.abc import Callable, Iterable, Iterator
+from pathlib import Path
+
+import pytest
+from cleo.testers.command_tester import CommandTester
+
+from cherrycove.tier.cli import application
+from cherrycove.tier.storage.entries import Entry, EntryKind
+from cherrycove.tier.storage.files import DamagedStorageError
+from cherrycove.tier.storage.identity import IDENTITY_FILE, open_identity
+from cherrycove.tier.storage.promises import PROMISE_FILE, Promise
+from cherrycove.tier.storage.snapshots import BLOCK_BYTES, Snapshot
+from cherrycove.tier.storage.store import RecoveredState, ReplicaStorage
+
+IP = "10.0.0.1"
+MEMBER = f"first-{IP}"
+OLDER, NEWEST = Promise(4, "first-10.0.0.2"), Promise(5, MEMBER)
+SNAPSHOT = Snapshot(3, 4, b"members", b"state at 3")
+
+
+@pytest.fixture(autouse=True)
+def no_syncs(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A sync shows only after a loss of power (``test_storage_crashes.py``); here it only takes time."""
+    monkeypatch.setattr(os, "fsync", lambda descriptor: None)
+    monkeypatch.setattr(os, "fdatasync", lambda descriptor: None)
+
+
+def entries(first: int, last: int) -> list[Entry]:
+    return [Entry(index, 4, EntryKind.COMMAND, b"%d" % index) for index in range(first, last + 1)]
+
+
+@pytest.fixture
+def disk(tmp_path: Path) -> Path:
+    """A replica's folder with a snapshot and two frames of the log behind it."""
+    directory = tmp_path / "disk"
+    open_identity(directory, first_start=True, ip=IP)
+    storage = ReplicaStorage(directory)
+    storage.recover()
+    storage.write_promise(OLDER)
+    storage.append(entries(1, 4))
+    storage.save_snapshot(SNAPSHOT, entries(4, 4))
+    storage.append(entries(5, 6))
+    storage.write_promise(NEWEST)
+    storage.close()
+    return directory
+
+
+def recover(directory: Path) -> RecoveredState:
+    storage = ReplicaStorage(directory)
+    try:
+        return storage.recover()
+    finally:
+        storage.close()
+
+
+def with_flipped_bits(path: Path, places: Iterable[int] = ()) -> Iterator[int]:
+    """The file with a bit flipped at each of its bytes, or of ``places``, in turn."""
+    data = path.read_bytes()
+    for place in places or range(len(data)):
+        flipped = bytearray(data)
+        flipped[place] ^= 1 << place % 8
+        path.write_bytes(flipped)
+        yield place
+
+
+def only(directory: Path, pattern: str) -> Path:
+    (path,) = directory.glob(pattern)
+    return path
+
+
+def test_an_identity_with_a_flipped_bit_is_not_taken(disk: Path) -> None:
+    path = disk / IDENTITY_FILE
+    for _ in with_flipped_bits(path):
+        flipped = path.read_bytes()
+        copy = disk.parent / "copy"
+        copy.mkdir()
+        (copy / IDENTITY_FILE).write_bytes(flipped)
+        member_id, fresh = open_identity(copy, first_start=True, ip=IP)
+        assert fresh
+        assert member_id != MEMBER
+        shutil.rmtree(copy)
+
+
+def test_a_flipped_bit_of_a_promise_never_brings_an_older_one_back(disk: Path) -> None:
+    path = disk / PROMISE_FILE
+    written = path.read_bytes()
+    used = {place for place in range(len(written)) if written[place]}
+    behind = {place + 1 for place in used if place + 1 < len(written)}
+    for _ in with_flipped_bits(path, sorted(used | behind)):
+        assert recover(disk).promise == NEWEST
+
+
+def test_a_damaged_copy_of_a_promise_is_written_again(disk: Path) -> None:
+    path = disk / PROMISE_FILE
+    written = path.read_bytes()
+    place = written.index(MEMBER.encode())
+    path.write_bytes(written[:place] + b"x" + written[place + 1 :])
+    assert recover(disk).promise == NEWEST
+    assert path.read_bytes() == written
+
+
+def test_a_snapshot_with_a_flipped_bit_is_damage(disk: Path) -> None:
+    for _ in with_flipped_bits(only(disk, "snapshot-*")):
+        with pytest.raises(DamagedStorageError):
+            recover(disk)
+
+
+def test_a_log_with_a_flipped_bit_is_damage_or_loses_its_last_frame_only(disk: Path) -> None:
+    path = only(disk, "*.log")
+    whole = path.read_bytes()
+    last_frame = whole.rindex(b"CvF1")
+    for place in with_flipped_bits(path):
+        if place < last_frame:
+            with pytest.raises(DamagedStorageError):
+                recover(disk)
+        else:
+            assert recover(disk) == RecoveredState(NEWEST, SNAPSHOT, entries(4, 4))
+
+
+def test_a_log_that_lost_what_was_known_as_committed_is_damage(disk: Path) -> None:
+    storage = ReplicaStorage(disk)
+    storage.recover()
+    storage.write_promise(Promise(5, MEMBER, committed=6))
+    storage.close()
+    path = only(disk, "*.log")
+    whole = path.read_bytes()
+    path.write_bytes(whole[:-1] + bytes([whole[-1] ^ 1]))
+    with pytest.raises(DamagedStorageError, match="log up to entry 4, of 6 known as committed"):
+        recover(disk)
+    path.unlink()
+    with pytest.raises(DamagedStorageError, match="log up to entry 3, of 6 known as committed"):
+        recover(disk)
+
+
+def test_a_log_beside_an_older_or_removed_snapshot_is_damage(disk: Path) -> None:
+    only(disk, "snapshot-*").unlink()
+    with pytest.raises(DamagedStorageError, match="entries 1 to 3 are missing"):
+        recover(disk)
+
+
+def test_of_two_snapshots_the_newer_one_counts_and_a_damaged_one_is_not_passed_over(disk: Path) -> None:
+    older = only(disk, "snapshot-*").read_bytes()
+    storage = ReplicaStorage(disk)
+    storage.recover()
+    newer = Snapshot(5, 4, b"members", b"state at 5")
+    storage.save_snapshot(newer, entries(6, 6))
+    storage.close()
+    older_path = disk / "snapshot-0000000000000003"
+    older_path.write_bytes(older)
+    assert recover(disk) == RecoveredState(NEWEST, newer, entries(6, 6))
+    assert not older_path.exists()
+    older_path.write_bytes(older)
+    newer_path = disk / "snapshot-0000000000000005"
+    newer_path.write_bytes(newer_path.read_bytes()[:-1] + b"6")
+    with pytest.raises(DamagedStorageError):
+        recover(disk)
+
+
+def test_state_that_was_damaged_after_the_start_is_not_sent_to_another_replica(disk: Path) -> None:
+    state = bytes(range(256)) * (BLOCK_BYTES // 256) + b"the last block"
+    storage = ReplicaStorage(disk)
+    storage.recover()
+    storage.save_snapshot(Snapshot(6, 4, b"members", state), [])
+    whole = storage.read_state(6, 0, BLOCK_BYTES) + storage.read_state(6, BLOCK_BYTES, BLOCK_BYTES)
+    assert whole == state
+    assert storage.read_state(6, BLOCK_BYTES - 3, 10) == state[BLOCK_BYTES - 3 : BLOCK_BYTES + 7]
+    assert storage.read_state(6, len(state), 10) == b""
+    path = only(disk, "snapshot-*")
+    data = path.read_bytes()
+    path.write_bytes(data[:-1] + b"c")
+    assert storage.read_state(6, 0, BLOCK_BYTES) == state[:BLOCK_BYTES]
+    assert storage.read_state(6, BLOCK_BYTES, BLOCK_BYTES) == b""
+    assert storage.read_state(6, BLOCK_BYTES - 3, 10) == b""
+    storage.close()
+
+
+def test_a_snapshot_counts_though_what_it_replaces_can_not_be_removed(
+    disk: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def refuse(path: Path, missing_ok: bool = False) -> None:
+        raise OSError("no")
+
+    storage = ReplicaStorage(disk)
+    storage.recover()
+    newer = Snapshot(5, 4, b"members", b"state at 5")
+    with monkeypatch.context() as patched:
+        patched.setattr(Path, "unlink", refuse)
+        storage.save_snapshot(newer, entries(6, 6))
+    assert storage.read_state(5, 0, 100) == newer.state
+    assert len(list(disk.glob("snapshot-*"))) == 2
+    newest = Snapshot(6, 4, b"members", b"state at 6")
+    storage.save_snapshot(newest, [])
+    storage.close()
+    assert len(list(disk.glob("snapshot-*"))) == 1
+    assert recover(disk) == RecoveredState(NEWEST, newest, [])
+
+
+# storage verify
+
+
+def flip(path: Path, place: int) -> None:
+    data = bytearray(path.read_bytes())
+    data[place] ^= 1
+    path.write_bytes(data)
+
+
+def damage_identity(disk: Path) -> None:
+    flip(disk / IDENTITY_FILE, 3)
+
+
+def empty_identity(disk: Path) -> None:
+    (disk / IDENTITY_FILE).write_bytes(b"")
+
+
+def damage_all_promises(disk: Path) -> None:
+    (disk / PROMISE_FILE).write_bytes(b"\1" * 16384)
+
+
+def remove_promise(disk: Path) -> None:
+    (disk / PROMISE_FILE).unlink()
+
+
+def damage_snapshot(disk: Path) -> None:
+    flip(only(disk, "snapshot-*"), -1)
+
+
+def cut_snapshot(disk: Path) -> None:
+    path = only(disk, "snapshot-*")
+    path.write_bytes(path.read_bytes()[:-1])
+
+
+def damage_log(disk: Path) -> None:
+    flip(only(disk, "*.log"), 20)
+
+
+def remove_snapshot(disk: Path) -> None:
+    only(disk, "snapshot-*").unlink()
+
+
+def older_promises(disk: Path) -> None:
+    (disk / PROMISE_FILE).unlink()
+    fresh = disk.parent / "fresh"
+    fresh.mkdir()
+    recover(fresh)
+    shutil.copy(fresh / PROMISE_FILE, disk / PROMISE_FILE)
+
+
+@pytest.mark.parametrize(
+    ("damage", "told"),
+    [
+        (damage_identity, "identity: not an identity"),
+        (empty_identity, "identity: not an identity"),
+        (damage_all_promises, "promise: no valid slot"),
+        (remove_promise, "promise is missing"),
+        (damage_snapshot, "snapshot-0000000000000003: wrong checksum"),
+        (cut_snapshot, "snapshot-0000000000000003: not a whole snapshot"),
+        (damage_log, "0000000002-0000000000000004.log: invalid frame at byte 0"),
+        (remove_snapshot, "entries 1 to 3 are missing"),
+        (older_promises, "log of epoch 4, promise of epoch 0"),
+    ],
+)
+def test_verify_tells_each_damage(disk: Path, damage: Callable[[Path], None], told: str) -> None:
+    damage(disk)
+    before = {path.name: path.read_bytes() for path in disk.iterdir()}
+    tester = CommandTester(application().find("storage verify"))
+    assert tester.execute(str(disk)) == 1
+    assert told in tester.io.fetch_error()
+    assert {path.name: path.read_bytes() for path in disk.iterdir()} == before
+
+
+def test_verify_counts_what_a_torn_write_left(disk: Path) -> None:
+    path = only(disk, "*.log")
+    path.write_bytes(path.read_bytes() + b"CvF1 torn")
+    tester = CommandTester(application().find("storage verify"))
+    assert tester.execute(f"{disk} --json") == 0
+    assert json.loads(tester.io.fetch_output())["tornBytes"] == 9
