--- a/examples/small_tier.py
+++ b/examples/small_tier.py
@@ -80,14 +80,21 @@
             for broker in self.brokers:
                 await broker.start()
             await self.platform.start()
-            self.daemons = lay_out(self.directory, self.sizes, self.platform.address, self.network)
-            for daemon in self.daemons:
-                await daemon.start()
+            self.daemons = self._lay_out()
+            await self._start_all()
         except BaseException:
             await self._end_all()
             raise
         return self
 
+    def _lay_out(self) -> list[Daemon]:
+        """The daemons to be started, in this order."""
+        return lay_out(self.directory, self.sizes, self.platform.address, self.network)
+
+    async def _start_all(self) -> None:
+        for daemon in self.daemons:
+            await daemon.start()
+
     async def __aexit__(
         self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
     ) -> None:
--- a/examples/tier_processes.py
+++ b/examples/tier_processes.py
@@ -23,6 +23,7 @@
 INTERNAL_PORTS = [7720, 7735]
 CLASSES = {"keeper": "core", "store": "storage", "proxy": "frontend"}
 SERVES = {"keeper": "control_plane", "store": "storage", "proxy": "frontend"}
+LAUNCHER = ("-m", "cherrycove.tier")  # what the interpreter is told to run, before the program's name
 GRACE_PERIOD_S = 2.0
 END_MARGIN_S = 5.0  # beyond the grace period, after which a process that has not ended is killed
 MOST_SEEDS = 3
@@ -42,12 +43,20 @@
     number: int  # from 1, among those of its program
     ip: str
     directory: Path
+    machine: str = ""  # its name, where several processes share one machine
+    launcher: tuple[str, ...] = LAUNCHER
+    environment: dict[str, str] = attrs.field(factory=dict)  # beside that of this process
     process: asyncio.subprocess.Process | None = None
 
     @property
     def name(self) -> str:
         return f"{self.program}-{self.number}"
 
+    @property
+    def node_name(self) -> str:
+        """The name of its machine in the tier."""
+        return self.machine or self.name
+
     @property
     def settings_path(self) -> Path:
         return self.directory / f"{self.name}.yaml"
@@ -78,10 +87,10 @@
 
     async def start(self) -> None:
         """Start the process; it says in its log, and by what it serves, when it is up."""
-        environment = {**os.environ, "CHERRYCOVE_CONFIG": str(self.settings_path)}
+        environment = {**os.environ, **self.environment, "CHERRYCOVE_CONFIG": str(self.settings_path)}
         with self.log_path.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "cherrycove.tier", self.program,
+                sys.executable, *self.launcher, self.program,
                 cwd=ROOT, env=environment, stdout=log, stderr=log, process_group=0,
             )  # fmt: skip
 
@@ -145,7 +154,7 @@
     """The settings file of one process, as a platform would write it."""
     zone = f"zone-{daemon.number}"
     return {
-        "nodeName": daemon.name,
+        "nodeName": daemon.node_name,
         "role": daemon.program,
         "machineClass": CLASSES[daemon.program],
         "serves": [SERVES[daemon.program]],
