--- a/examples/tier_client.py
+++ b/examples/tier_client.py
@@ -72,7 +72,7 @@
 
 async def submit(frontend: str, job_id: str, item_ids: Sequence[str], path: str = "/bundle/") -> None:
     """Hand a batch job in, again after each 503, until it is taken."""
-    body = json.dumps({"requests": [_item(item_id, path) for item_id in item_ids]})
+    body = json.dumps({"requests": [batch_item(item_id, path) for item_id in item_ids]})
 
     async def taken() -> bool:
         status, text = await _call("POST", f"http://{frontend}{path}{job_id}", {"Request-Id": job_id}, body)
@@ -83,7 +83,8 @@
     await until("the batch job is taken", taken)
 
 
-def _item(item_id: str, path: str) -> dict[str, Any]:
+def batch_item(item_id: str, path: str = "/bundle/") -> dict[str, Any]:
+    """One item of a batch job, as a submission lists it."""
     return {
         "instanceId": item_id,
         "path": f"{path}{item_id}",
--- a/tests/tier/linked_tier.py
+++ b/tests/tier/linked_tier.py
@@ -4,6 +4,7 @@
 
 import json
 import shutil
+import signal
 from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import Any
@@ -13,6 +14,7 @@
 from links import Network
 from result import Ok
 
+from cherrycove.tier.protocol.control_pb2 import Announcement
 from cherrycove.tier.protocol.keeper_pb2 import StatusReply, StatusRequest
 from cherrycove.tier.protocol.rpc import RpcClient
 from examples.small_tier import CONFIGURATION_PATH, SmallTier, TierError, until
@@ -92,6 +94,15 @@
         for daemon in self.on_machine(name):
             await daemon.kill()
 
+    def freeze_machine(self, name: str) -> None:
+        """All processes of a machine stand still, with their connections open."""
+        for daemon in self.on_machine(name):
+            daemon.send(signal.SIGSTOP)
+
+    def thaw_machine(self, name: str) -> None:
+        for daemon in self.on_machine(name):
+            daemon.send(signal.SIGCONT)
+
     async def lose_disks(self, name: str) -> None:
         """A machine ends at once and loses its disks; it may be started again with empty ones."""
         await self.kill_machine(name)
@@ -148,6 +159,17 @@
         await until("one keeper leads", known)
         return found[0]
 
+    async def store_leader(self) -> Daemon:
+        """The store that leads its group, as the primary keeper was told."""
+        found: list[Daemon] = []
+
+        def known(told: StatusReply) -> bool:
+            found[:] = [store for store in self.of("store") if _leading(told).node_name == store.node_name]
+            return bool(found)
+
+        await self.until_told(await self.leader(), "one store leads", known)
+        return found[0]
+
     async def until_told(self, keeper: Daemon, fact: str, holds: Callable[[StatusReply], bool]) -> None:
         """Until what ``keeper`` tells has ``fact``."""
 
@@ -200,9 +222,13 @@
         return [line for line in lines if line["event"] == name]
 
 
+def _leading(told: StatusReply) -> Announcement:
+    """What the store said that leads in the newest epoch."""
+    leading = [each for each in told.announcements if each.program == "store" and each.group_primary]
+    return max(leading, key=lambda each: each.group_epoch, default=Announcement())
+
+
 def _members(told: StatusReply) -> dict[str, set[str]]:
     """Ids of the members of both groups, as a primary keeper tells them."""
-    leading = [each for each in told.announcements if each.program == "store" and each.group_primary]
-    newest = max(leading, key=lambda each: each.group_epoch, default=None)
-    stores = set(newest.group_members) if newest is not None else set()
-    return {"keeper": {member.member_id for member in told.members}, "store": stores}
+    keepers = {member.member_id for member in told.members}
+    return {"keeper": keepers, "store": set(_leading(told).group_members)}
