--- a/tests/tier/control_support.py
+++ b/tests/tier/control_support.py
@@ -19,12 +19,14 @@
 
 from cherrycove.tier.controlplane.keeper import Keeper
 from cherrycove.tier.controlplane.state import ControlState
+from cherrycove.tier.controlplane.store_members import STORE_MEMBERS_CALL
 from cherrycove.tier.distribution.puller import Puller
 from cherrycove.tier.distribution.views import Views
 from cherrycove.tier.errors import ErrorKind, Failure
 from cherrycove.tier.protocol.control_pb2 import Announcement, Replica
+from cherrycove.tier.protocol.keeper_pb2 import StoreMembersReply, StoreMembersRequest
 from cherrycove.tier.protocol.rpc import RpcClient, RpcServer
-from cherrycove.tier.replication.interface import MemberIdentity
+from cherrycove.tier.replication.interface import CommittedMembers, MemberIdentity
 from cherrycove.tier.settings import (
     Bounds,
     CloudApi,
@@ -77,6 +79,10 @@
         self.standbys: tuple[MemberIdentity, ...] = ()
         self.standbys_offered = asyncio.Event()
         self.retiring: frozenset[str] = frozenset()
+        self.cut_off = False  # hears of no other replica any more
+        self.listed_here = True  # is a member
+        self.change_open = False  # a change of members is not committed yet
+        self.excluded: set[str] = set()
         self.callbacks: list[Callable[[], None]] = []
 
     @property
@@ -86,17 +92,22 @@
     @property
     def primary(self) -> MemberIdentity | None:
         leader = self._replicas.leader
-        return None if leader is None else leader.identity
+        return None if leader is None or self.cut_off else leader.identity
 
     @property
     def members(self) -> tuple[MemberIdentity, ...]:
-        return tuple(group.identity for group in self._replicas.groups)
+        return tuple(group.identity for group in self._replicas.groups if group.listed_here)
 
     def listed(self) -> frozenset[str]:
         return frozenset(member.member_id for member in self.members)
 
+    def committed_members(self) -> CommittedMembers | None:
+        if not self.confirmed() or self.change_open:
+            return None
+        return CommittedMembers(1, self.members, frozenset(self.excluded))
+
     def confirmed(self) -> bool:
-        return self._replicas.leader is self and self._replicas.lease
+        return self._replicas.leader is self and self._replicas.lease and not self.cut_off
 
     async def propose(self, command: bytes, timeout_s: float) -> Result[object, Failure]:
         return await self._replicas.propose(self, command)
@@ -269,6 +280,13 @@
         await client.start()
         return client
 
+    async def store_group(self, *names: str) -> StoreGroup:
+        """The store group's primary, at the address of all stores of a test."""
+        group = StoreGroup(self.settings("127.0.0.1").peer_address("127.0.0.1", "store"), *names)
+        self._closers.append(group.stop)
+        await group.start()
+        return group
+
     async def operator(
         self, keeper: int, method: str, path: str, body: bytes | None = None, if_match: str | None = None
     ) -> tuple[int, bytes]:
@@ -334,6 +352,11 @@
             group_epoch=self.group.epoch,
         )
 
+    async def seeds_cut_off(self) -> None:
+        """No pull of this process reaches a keeper any more, and what it learned from them is old."""
+        await self._puller.stop()
+        self.views.last_contact = float("-inf")
+
     async def start(self) -> None:
         await self.client.start()
         await self.keeper.start()
@@ -347,6 +370,34 @@
         await self.client.stop()
 
 
+class StoreGroup:
+    """Stands in for the store group's primary: tells the keepers which member list is in force."""
+
+    def __init__(self, address: str, *names: str) -> None:
+        self._address = address
+        self._server = RpcServer()
+        self._server.register(STORE_MEMBERS_CALL, StoreMembersRequest, self._answer)
+        self.members = [replica(name) for name in names]
+        self.excluded: list[str] = []
+        self.revision = 0
+        self.leads = True
+        self.answers = 0
+
+    async def start(self) -> None:
+        await self._server.start(self._address)
+
+    async def stop(self) -> None:
+        await self._server.stop()
+
+    async def _answer(self, request: StoreMembersRequest) -> Result[StoreMembersReply, Failure]:
+        self.answers += 1
+        if not self.leads:
+            return Err(Failure(ErrorKind.NOT_PRIMARY, "does not lead"))
+        return Ok(
+            StoreMembersReply(members=self.members, excluded=self.excluded, revision=self.revision, epoch=1)
+        )
+
+
 class Client:
     """A process that pulls; ``announcement`` may be changed by the test."""
 
