--- a/tests/tier/test_dataplane_wire.py
+++ b/tests/tier/test_dataplane_wire.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import socket
-import struct
 import time
 
 import aiohttp.connector
@@ -12,6 +11,7 @@
 import pytest
 from dataplane_world import TIMEOUT_S, World, configuration_bytes, entry
 from multidict import CIMultiDict
+from wire_support import reset
 
 from cherrycove.http1 import back
 from cherrycove.tier.dataplane import connections, upstream
@@ -21,7 +21,6 @@
 LONG_BODY = bytes(range(256)) * 32 * 1024  # 8 MiB: more than the sockets between a proxy and a broker hold
 SMALL_BUFFER = 4096
 LARGE_BUFFER = 1024 * 1024
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 STREAM = "text/event-stream"
 
 
@@ -29,13 +28,6 @@
     return b"".join(f"id: {number}\ndata: word {number}\n\n".encode() for number in range(first, last + 1))
 
 
-def reset(wire: Wire) -> None:
-    """End by a reset behind what has been written, as a process does that goes with bytes unread."""
-    place = wire.writer.get_extra_info("socket")
-    place.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-    wire.writer.transport.abort()
-
-
 def unframed(body: bytes, release: asyncio.Event | None = None, media: str = STREAM) -> Script:
     """An answer without a length: ended by an orderly close or, once ``release`` is set, by a reset."""
 
@@ -45,7 +37,7 @@
         if release is None:
             return wire.close()
         await release.wait()
-        reset(wire)
+        reset(wire.writer)
 
     return script
 
--- /dev/null
+++ b/tests/tier/test_hostile_peers.py
@@ -0,0 +1,232 @@
+"""Many callers at once at peers that repeat, confuse, cut and garble what they answer, by drawn luck.
+
+Whatever the peers do: an answer that a caller gets is its own and whole, nothing that may not be repeated
+runs twice, and what is said not to have run has not.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import Awaitable, Callable
+
+import attrs
+import pytest
+from dataplane_world import World
+from wire_support import Arrival, Line, LineServer, reset
+
+from cherrycove.tier.errors import ErrorKind
+from cherrycove.tier.protocol.batch_pb2 import BodyReply, BodyRequest
+from cherrycove.tier.protocol.rpc import RpcClient
+from examples.toy_broker import SIGNATURE, Received, ToyBroker, Wire
+
+TIMEOUT_S = 20.0  # of a whole test; nothing takes that long unless it fails
+CALLERS = 8
+CALLS_EACH = 30
+EVENTS = 6
+SEEDS = (1, 2, 3)
+NAMELESS = b"HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nContent-Length: 5\r\n\r\nstray"
+
+
+# Internal calls
+
+
+def reply_bytes(arrival: Arrival) -> bytes:
+    """The whole right reply to a call."""
+    body = BodyReply(body=BodyRequest.FromString(arrival.body).job_id.encode()).SerializeToString()
+    head = f"HTTP/1.1 200 OK\r\nX-Call: {arrival.headers['x-call']}\r\nContent-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+@attrs.define(eq=False)
+class HostileServer:
+    """Answers internal calls in ways drawn from ``rng``."""
+
+    rng: random.Random
+    runs: Counter[str] = attrs.field(factory=Counter)
+    former: list[bytes] = attrs.field(factory=list)
+
+    async def script(self, line: Line, arrival: Arrival) -> None:
+        job = BodyRequest.FromString(arrival.body).job_id
+        right = reply_bytes(arrival)
+        wrong = self.rng.choice(self.former) if self.former else b""
+        way = self.rng.randrange(10)
+        if way == 0:
+            return await line.answer(
+                b"full", "503 Full", X_Call=arrival.headers["x-call"], X_Error_Kind="overloaded"
+            )
+        self.runs[job] += 1
+        self.former.append(right)
+        if way == 1:
+            await line.write(wrong)
+        elif way == 2:
+            await line.write(wrong + right)
+        elif way == 3:
+            await line.write(right + wrong)
+        elif way == 4:
+            await line.write(right + b"\x00 these bytes are no reply\r\n\r\n")
+        elif way == 5:
+            await line.write(right[: self.rng.randrange(len(right))])
+            line.reset()
+        elif way == 6:
+            await line.write(right[: self.rng.randrange(len(right))])
+            await line.close()
+        else:
+            await line.write(right)
+        if way == 1 and not wrong:
+            await line.close()
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_every_internal_call_gets_its_own_reply_or_none_and_runs_at_most_once(seed: int) -> None:
+    hostile = HostileServer(random.Random(seed))
+    kinds: Counter[str] = Counter()
+
+    async def story() -> None:
+        client = RpcClient()
+        await client.start()
+        async with LineServer(hostile.script) as server:
+
+            async def call(job: str) -> None:
+                outcome = await client.call(
+                    server.address, "c", BodyRequest(job_id=job), BodyReply, TIMEOUT_S
+                )
+                if outcome.is_ok():
+                    kinds["own"] += 1
+                    assert outcome.unwrap().body == job.encode()
+                    return
+                failure = outcome.unwrap_err()
+                kinds[failure.kind.value] += 1
+                if failure.certain:
+                    assert hostile.runs[job] == 0
+
+            await many(call)
+        await client.stop()
+
+    asyncio.run(story())
+    assert max(hostile.runs.values()) == 1
+    assert kinds["own"] > CALLERS * CALLS_EACH // 3
+    assert kinds[ErrorKind.UNCERTAIN.value] and kinds[ErrorKind.OVERLOADED.value]
+
+
+async def many(call: Callable[[str], Awaitable[None]]) -> None:
+    """``call`` for many names, by several callers at once."""
+
+    async def caller(number: int) -> None:
+        for count in range(CALLS_EACH):
+            await call(f"c{number}-{count}")
+
+    async with asyncio.timeout(TIMEOUT_S):
+        await asyncio.gather(*(caller(number) for number in range(CALLERS)))
+
+
+# Requests to brokers
+
+
+def answer_bytes(request: Received) -> bytes:
+    """The whole right answer: the request's id, in one of three framings."""
+    identity = request.headers["request-id"]
+    head = f"HTTP/1.1 200 OK\r\nRequest-Id: {identity}\r\nResponse-Signature: {SIGNATURE}\r\n"
+    return f"{head}Content-Length: {len(identity)}\r\n\r\n{identity}".encode()
+
+
+def event(request: Received, number: int) -> bytes:
+    version = "versions: 2\n" if number == 3 else ""
+    return f"{version}id: {number}\ndata: {request.headers['request-id']} {number}\n\n".encode()
+
+
+@attrs.define(eq=False)
+class HostileBroker:
+    """Answers requests in ways drawn from ``rng``, which all brokers share."""
+
+    rng: random.Random
+    former: list[bytes] = attrs.field(factory=list)
+
+    async def script(self, wire: Wire, request: Received) -> None:
+        if "/resume/" in request.target or "/stream/" in request.target:
+            return await self._stream(wire, request)
+        right = answer_bytes(request)
+        wrong = self.rng.choice(self.former) if self.former else b""
+        self.former.append(right)
+        way = self.rng.randrange(11)
+        if way == 0:
+            await wire.write(right + wrong)
+        elif way == 1:
+            await wire.write(wrong + right)
+        elif way == 2:
+            await wire.write(b"\x00 these bytes are no answer\r\n\r\n")
+            wire.close()
+        elif way == 3:
+            await wire.write(right[: self.rng.randrange(len(right))])
+            wire.reset()
+        elif way == 4:
+            identity = request.headers["request-id"]
+            await wire.head(request, Response_Signature=SIGNATURE)  # its connection ends it
+            await wire.write(identity.encode())
+            wire.close()
+        elif way == 5:
+            await wire.head(request, Response_Signature=SIGNATURE)
+            await wire.write(request.headers["request-id"].encode()[:-1])
+            reset(wire.writer)
+        elif way == 6:
+            await wire.write(NAMELESS + right)
+        else:
+            await wire.write(right)
+
+    async def _stream(self, wire: Wire, request: Received) -> None:
+        first = int(request.headers.get("last-event-id", "0")) + 1
+        if self.rng.random() < 0.3:
+            first = 1  # whatever was asked for
+        text = b"".join(event(request, number) for number in range(first, EVENTS + 1))
+        cut = self.rng.randrange(len(text)) if text and self.rng.random() < 0.3 else None
+        await wire.stream_head(request)
+        part = text[:cut]
+        if part:
+            await wire.write(b"%x\r\n%s\r\n" % (len(part), part))
+        if cut is None:
+            return await wire.end_stream()
+        wire.close() if self.rng.random() < 0.5 else reset(wire.writer)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_every_client_gets_its_own_whole_answer_or_none_and_nothing_runs_twice(seed: int) -> None:
+    hostile = HostileBroker(random.Random(seed))
+    brokers = [ToyBroker(f"i-{number}", script=hostile.script) for number in range(3)]
+    statuses: Counter[tuple[str, int, bool]] = Counter()
+
+    async def story(world: World) -> None:
+        async def ask(identity: str) -> None:
+            kind = ("once", "again", "stream", "resume")[sum(identity.encode()) % 4]
+            reply = await world.ask(f"/{kind}/x", headers={"Request-Id": identity})
+            statuses[kind, reply.status, reply.complete] += 1
+            if reply.status == 200:
+                check_own(kind, identity, reply.body, reply.complete)
+            if reply.status == 503:
+                assert runs(brokers, identity) == 0
+
+        await many(ask)
+
+    def check_own(kind: str, identity: str, body: bytes, complete: bool) -> None:
+        if kind in ("once", "again"):
+            assert body == identity.encode() and complete
+            return
+        asked = Received(method="", target="", headers={"request-id": identity}, body=b"")
+        whole = b"".join(event(asked, number) for number in range(1, EVENTS + 1))
+        assert body == whole if complete else whole.startswith(body)
+
+    async def run() -> None:
+        async with World(brokers) as world:
+            await story(world)
+
+    asyncio.run(run())
+    received = [request for broker in brokers for request in broker.received]
+    targets = {request.headers["request-id"]: request.target for request in received}
+    for identity, count in Counter(request.headers["request-id"] for request in received).items():
+        assert count <= (1 if targets[identity] in ("/once/x", "/stream/x") else 2), identity
+    assert statuses["again", 200, True] and statuses["resume", 200, True]
+    assert statuses["once", 502, True] and statuses["stream", 200, False]
+
+
+def runs(brokers: list[ToyBroker], identity: str) -> int:
+    return sum(request.headers["request-id"] == identity for each in brokers for request in each.received)
--- a/tests/tier/wire_support.py
+++ b/tests/tier/wire_support.py
@@ -48,9 +48,15 @@
 
     def reset(self) -> None:
         """End the connection by a reset, whatever is still unsent or unread."""
-        place = self.writer.get_extra_info("socket")
-        place.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        self.writer.transport.abort()
+        reset(self.writer)
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """End a connection by a reset behind what has been written, as a process does that goes with bytes
+    unread."""
+    place = writer.get_extra_info("socket")
+    place.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    writer.transport.abort()
 
 
 Script = Callable[[Line, Arrival], Awaitable[None]]
