Requests that may not be repeated: the pool's order stays, only old connections are left out

Cause: taking the connection used last lets the others age, and a burst then needs handshakes that the pool's own order, the longest rested first, does not. Where brokers tell their idle time that order costs nothing. Change: only connections idle for over 1 s at a broker that tells nothing are closed and passed over.

--- a/cherrycove/tier/dataplane/connections.py
+++ b/cherrycove/tier/dataplane/connections.py
@@ -36,7 +36,7 @@
 @contextmanager
 def sent_once_only(once: bool) -> Iterator[None]:
     """For requests that are sent within, whether they may not be repeated. Such a request would be lost to a
-    connection whose other end is gone without a word; it takes the one that was used last."""
+    connection whose other end is gone without a word, so it is trusted to fewer of them."""
     before = _once_only.set(once)
     try:
         yield
@@ -136,19 +136,13 @@
         self._factory = partial(BrokerConnection, loop=self._loop)  # type: ignore[assignment]
 
     async def _get(self, key: Any, traces: Any) -> Any:
-        """A kept connection, or None where a new one should be made."""
-        kept = self._conns.get(key)
-        if _once_only.get() and kept:
-            now = monotonic()
-            rested = [each for each in kept if now - each[1] >= REST_S]
-            last_used = max(rested or kept, key=lambda each: each[1])
-            if isinstance(last_used[0], BrokerConnection) and not last_used[0].fit_for_once():
-                kept.popleft()[0].close()  # a new one takes its place, so that there are no more than before
-                if not kept:
-                    del self._conns[key]
-                return None
-            kept.remove(last_used)
-            kept.appendleft(last_used)
+        """A kept connection that the request can be trusted to, or None where a new one should be made."""
+        while _once_only.get() and (kept := self._conns.get(key)):
+            connection = kept[0][0]
+            if not isinstance(connection, BrokerConnection) or connection.fit_for_once():
+                break
+            kept.popleft()
+            connection.close()
         return await super()._get(key, traces)
 
     def set_limit(self, most_per_broker: int) -> None:
