--- a/cherrycove/tier/batch/jobs.py
+++ b/cherrycove/tier/batch/jobs.py
@@ -14,6 +14,7 @@
 
 import attrs
 
+from cherrycove.tier.batch.jobs_snapshot import read_snapshot
 from cherrycove.tier.protocol.batch_log_pb2 import (
     AcceptJob,
     BatchCommand,
@@ -172,10 +173,14 @@
 
     def restore(self, data: bytes) -> None:
         """Replace all jobs by those of a snapshot."""
-        message = BatchSnapshot.FromString(data)
-        self.jobs = {job.terms.job_id: _read_job(job) for job in message.jobs}
+        self.jobs = {}  # the former ones go before the new ones come
+        self._recent = deque()
+        for part in read_snapshot(data):
+            if isinstance(part, JobSnapshot):
+                self.jobs[part.terms.job_id] = _read_job(part)
+            else:
+                self._recent.append(_key(part))
         self.stored_bytes = sum(_job_bytes(job) for job in self.jobs.values())
-        self._recent = deque(ItemKey(entry.job_id, entry.item_id) for entry in message.recently_listed)
         self._recent_bytes = sum(self._encoded_size(key) for key in self._recent)
         for observer in self._observers:
             observer.state_restored()
--- a/cherrycove/tier/replication/backup.py
+++ b/cherrycove/tier/replication/backup.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from io import BytesIO
+
 import attrs
 
 from cherrycove.tier.protocol.replication_pb2 import (
@@ -24,7 +26,7 @@
 
     index: int
     entry_epoch: int
-    data: bytearray = attrs.field(factory=bytearray)
+    data: BytesIO = attrs.field(factory=BytesIO)  # gives what it holds without another copy of it
 
 
 class Backup:
@@ -122,12 +124,12 @@
         incoming = self._incoming
         if incoming is None or (incoming.index, incoming.entry_epoch) != (chunk.index, chunk.entry_epoch):
             incoming = self._incoming = IncomingSnapshot(chunk.index, chunk.entry_epoch)
-        if chunk.offset == len(incoming.data):
-            incoming.data += chunk.data
-        received = len(incoming.data)
+        if chunk.offset == incoming.data.tell():
+            incoming.data.write(chunk.data)
+        received = incoming.data.tell()
         if received == chunk.size:
             self._incoming = None
-            self._install(chunk, bytes(incoming.data), now)
+            self._install(chunk, incoming.data.getvalue(), now)
         return received
 
     def _install(self, chunk: SnapshotChunk, state: bytes, now: float) -> None:
--- a/tests/tier/test_replication_storage.py
+++ b/tests/tier/test_replication_storage.py
@@ -5,6 +5,7 @@
 import errno
 import os
 import shutil
+import tracemalloc
 from pathlib import Path
 
 import pytest
@@ -237,6 +238,22 @@
             recover(tmp_path)
 
 
+def test_a_snapshot_is_read_without_a_second_copy_of_its_state(tmp_path: Path) -> None:
+    storage = new_storage(tmp_path)
+    state = os.urandom(1024) * 4096
+    storage.save_snapshot(Snapshot(2, 1, b"members", state), [])
+    storage.close()
+    tracemalloc.start()
+    try:
+        recovered = recover(tmp_path)
+        _, peak = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert recovered.snapshot is not None
+    assert recovered.snapshot.state == state
+    assert peak < 1.1 * len(state)
+
+
 def test_a_full_disk_refuses_and_recovers(tmp_path: Path) -> None:
     storage = new_storage(tmp_path, limit_bytes=64 * 1024 + 2000)
     storage.append([entry(1, payload=b"x" * 1500)])
