--- a/cherrycove/tier/cli/storage.py
+++ b/cherrycove/tier/cli/storage.py
@@ -27,6 +27,7 @@
     state: RecoveredState
     segments: list[tuple[str, int]]  # name, bytes
     torn_bytes: int  # at the end of the log, from a write that was never acknowledged
+    damaged_promise_copies: int  # another copy is whole
 
 
 def inspect(directory: Path) -> Inspection:
@@ -50,7 +51,7 @@
     kept = [copy / name for name, _ in segments]
     present = {path.name: path.stat().st_size for path in kept if path.exists()}
     torn_bytes = sum(size - present.get(name, 0) for name, size in segments[-1:])
-    return Inspection(member_id, state, segments, torn_bytes)
+    return Inspection(member_id, state, segments, torn_bytes, storage.damaged_promise_copies)
 
 
 class StorageCommand(TierCommand):
@@ -89,8 +90,13 @@
     def perform(self) -> Outcome:
         inspection = self.inspected()
         path = self.argument("directory")
-        document = {"directory": path, "whole": True, "tornBytes": inspection.torn_bytes}
-        return Outcome(document, [f"{path}: whole; {inspection.torn_bytes} bytes of an unfinished write"])
+        damaged = inspection.damaged_promise_copies
+        document: dict[str, Any] = {"directory": path, "whole": True, "tornBytes": inspection.torn_bytes}
+        lines = [f"{path}: whole; {inspection.torn_bytes} bytes of an unfinished write"]
+        if damaged:
+            document["damagedPromiseCopies"] = damaged
+            lines.append(f"{path}: one of two copies of the promise is damaged; a start writes it again")
+        return Outcome(document, lines)
 
 
 def _document(inspection: Inspection) -> dict[str, Any]:
--- a/cherrycove/tier/storage/promises.py
+++ b/cherrycove/tier/storage/promises.py
@@ -61,6 +61,7 @@
         self._path = directory / PROMISE_FILE
         self._slot = _Slot(0, Promise())
         self._descriptor = -1
+        self.damaged_copies = 0  # of the newest slot, found by ``open`` and written again
 
     @property
     def promise(self) -> Promise:
@@ -80,7 +81,8 @@
             raise DamagedStorageError(f"{self._path}: no valid slot")
         self._slot = max(valid, key=lambda slot: slot.sequence)
         self._descriptor = os.open(self._path, os.O_WRONLY)
-        if valid.count(self._slot) < _COPIES:
+        self.damaged_copies = _COPIES - valid.count(self._slot)
+        if self.damaged_copies:
             self._store(self._slot)
         return self._slot.promise
 
--- a/cherrycove/tier/storage/store.py
+++ b/cherrycove/tier/storage/store.py
@@ -52,6 +52,11 @@
         """Bytes of log and snapshot."""
         return self._log.size + (self._snapshot.size if self._snapshot is not None else 0)
 
+    @property
+    def damaged_promise_copies(self) -> int:
+        """How many copies of the newest promise ``recover`` found damaged, or torn, and wrote again."""
+        return self._promises.damaged_copies
+
     def recover(self) -> RecoveredState:
         """Read everything; cut a torn tail. Raises DamagedStorageError where synced data is lost."""
         for leftover in self._directory.glob("*.tmp"):
--- a/tests/tier/test_storage_damage.py
+++ b/tests/tier/test_storage_damage.py
@@ -275,6 +275,14 @@
     assert {path.name: path.read_bytes() for path in disk.iterdir()} == before
 
 
+def test_verify_tells_of_a_damaged_copy_of_the_promise(disk: Path) -> None:
+    path = disk / PROMISE_FILE
+    flip(path, path.read_bytes().index(MEMBER.encode()))
+    tester = CommandTester(application().find("storage verify"))
+    assert tester.execute(str(disk)) == 0
+    assert "one of two copies of the promise is damaged" in tester.io.fetch_output()
+
+
 def test_verify_counts_what_a_torn_write_left(disk: Path) -> None:
     path = only(disk, "*.log")
     path.write_bytes(path.read_bytes() + b"CvF1 torn")
