--- a/tests/tier/disk_model.py
+++ b/tests/tier/disk_model.py
@@ -17,6 +17,7 @@
 from contextlib import contextmanager
 from functools import cache
 from pathlib import Path, PurePath
+from random import Random
 from types import FrameType
 from typing import Any
 from unittest import mock
@@ -121,6 +122,15 @@
                 found.add(contents_of(names, dict(zip(numbers, chosen, strict=True))))
         return found
 
+    def after_some_power_loss(self, random: Random) -> Contents:
+        """One of ``after_power_loss``, which may be very many."""
+        names = self._names_after([change for change in self.unsynced_names if random.random() < 0.5])
+        data: dict[int, bytes] = {}
+        for number, file in self.files.items():
+            chosen = [random.choice(outcomes(change)) for change in file.unsynced]
+            data[number] = self._replayed(file, [change for change in chosen if change is not None])
+        return contents_of(names, data)
+
     def _possible_names(self) -> list[dict[str, int]]:
         found: list[dict[str, int]] = []
         for kept in itertools.product((True, False), repeat=len(self.unsynced_names)):
--- a/tests/tier/storage_crashes.py
+++ b/tests/tier/storage_crashes.py
@@ -47,10 +47,12 @@
 
 
 def append(first: int, last: int, epoch: int = 1) -> Step:
-    new = entries(first, last, epoch)
+    return append_entries(entries(first, last, epoch))
 
+
+def append_entries(new: list[Entry]) -> Step:
     def becomes(state: RecoveredState) -> RecoveredState:
-        kept = [entry for entry in state.entries if entry.index < first]
+        kept = [entry for entry in state.entries if entry.index < new[0].index]
         return attrs.evolve(state, entries=[*kept, *new])
 
     return Step(lambda storage: storage.append(new), becomes)
@@ -58,8 +60,12 @@
 
 def snapshot(index: int, last: int, epoch: int = 1, required: bool = False) -> Step:
     """Of the state at ``index``, with the entries up to ``last`` behind it."""
+    return snapshot_before(index, epoch, entries(index + 1, last, epoch), required)
+
+
+def snapshot_before(index: int, epoch: int, tail: list[Entry], required: bool = False) -> Step:
+    """Of the state at ``index``, the entry of ``epoch``, with ``tail`` behind it."""
     new = Snapshot(index, epoch, b"members", b"state at %d" % index)
-    tail = entries(index + 1, last, epoch)
     return Step(
         lambda storage: storage.save_snapshot(new, tail),
         lambda state: RecoveredState(state.promise, new, tail),
@@ -197,6 +203,17 @@
             assert self._starts.after(contents).result.state == with_entry
 
 
+def perform(step: Step, storage: ReplicaStorage) -> bool:
+    """As the writer thread does: where the disk refuses, once more, or not at all if that may be."""
+    try:
+        step.do(storage)
+    except OSError:
+        if step.skipped_on_failure:
+            return False
+        step.do(storage)
+    return True
+
+
 class Run:
     """A history on a recorded disk, with a call that fails or a sync that is left out."""
 
@@ -233,7 +250,7 @@
                 return
             done = len(states)
             after = [step.becomes(state) for state in now]
-            performed = self._perform(step, storage)
+            performed = perform(step, storage)
             if not self.failed_step and 0 < self.disk.failing_call <= self.disk.calls:
                 self.failed_step = number
             for state in states[done:-1]:
@@ -241,16 +258,6 @@
             now = after if performed else now + after
             yield Moment(number, states[-1], now)
 
-    def _perform(self, step: Step, storage: ReplicaStorage) -> bool:
-        """As the writer thread does: where the disk refuses, once more, or not at all if that may be."""
-        try:
-            step.do(storage)
-        except OSError:
-            if step.skipped_on_failure:
-                return False
-            step.do(storage)
-        return True
-
 
 def check_history(name: str, folder: Path, ignored_sync: str = "") -> set[str]:
     """All crashes of one history; the places of all syncs that were seen."""
