--- a/cherrycove/tier/batch/store.py
+++ b/cherrycove/tier/batch/store.py
@@ -41,7 +41,7 @@
 _log = logging.getLogger(__name__)
 
 MAX_READ_WAIT_S = 2.0
-MEMORY_FRACTION = 0.2  # of the process, for jobs; a snapshot that is read holds them twice more
+MEMORY_FRACTION = 0.2  # of the process, for jobs; a snapshot that is taken or read holds them once more
 DISK_FRACTION = 0.25  # of the disk, for jobs; it holds two snapshots and the log
 MEGABYTE = 1024 * 1024
 MAINTENANCE_INTERVAL_S = 0.5
--- a/cherrycove/tier/storage/store.py
+++ b/cherrycove/tier/storage/store.py
@@ -110,6 +110,8 @@
             return b""
         try:
             return snapshot.read(offset, size)
+        except FileNotFoundError:
+            return b""  # replaced just now
         except (OSError, DamagedStorageError) as error:
             _log.error("snapshot_unreadable", extra={"path": str(snapshot.path), "reason": str(error)})
             return b""
--- a/tests/tier/disk_model.py
+++ b/tests/tier/disk_model.py
@@ -202,7 +202,8 @@
         self.root = root
         self.state = state
         self.states: list[DiskState] = []  # after each call that changes anything
-        self.failing_call = 0  # number of the call that finds the disk full; 0: none
+        self.failing_call = 0  # number of the first call that finds the disk full; 0: none
+        self.failures = 1  # how many calls in a row do
         self.ignored_sync = ""  # place of a sync that is left out
         self.sync_places: set[str] = set()
         self._open: dict[int, OpenFile] = {}
@@ -249,7 +250,7 @@
 
     def _begin(self) -> None:
         self._calls += 1
-        if self._calls == self.failing_call:
+        if 0 < self.failing_call <= self._calls < self.failing_call + self.failures:
             raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
 
     def _end(self) -> None:
--- a/tests/tier/storage_crashes.py
+++ b/tests/tier/storage_crashes.py
@@ -204,14 +204,14 @@
 
 
 def perform(step: Step, storage: ReplicaStorage) -> bool:
-    """As the writer thread does: where the disk refuses, once more, or not at all if that may be."""
-    try:
-        step.do(storage)
-    except OSError:
-        if step.skipped_on_failure:
-            return False
-        step.do(storage)
-    return True
+    """As the writer thread does: where the disk refuses, until it succeeds, or not at all if that may be."""
+    while True:
+        try:
+            step.do(storage)
+            return True
+        except OSError:
+            if step.skipped_on_failure:
+                return False
 
 
 class Run:
--- a/tests/tier/test_storage_lives.py
+++ b/tests/tier/test_storage_lives.py
@@ -31,6 +31,7 @@
 MOST_STEPS = 16  # in one life
 MOST_ENTRIES = 6  # in one write
 MOST_CALLS_BEFORE_A_FULL_DISK = 60
+MOST_CALLS_ON_A_FULL_DISK = 12
 
 
 @attrs.frozen
@@ -119,6 +120,7 @@
         replica = Replica.of(started.state, before.committed, random)
         if random.random() < 0.5:
             disk.failing_call = disk.calls + random.randint(1, MOST_CALLS_BEFORE_A_FULL_DISK)
+            disk.failures = random.randint(1, MOST_CALLS_ON_A_FULL_DISK)
         for _ in range(random.randint(0, MOST_STEPS)):
             committed = replica.committed
             step = replica.next_step()
