--- a/cherrycove/tier/storage/store.py
+++ b/cherrycove/tier/storage/store.py
@@ -52,6 +52,11 @@
         """Bytes of log and snapshot."""
         return self._log.size + (self._snapshot.size if self._snapshot is not None else 0)
 
+    @property
+    def damaged_promise_copies(self) -> int:
+        """How many copies of the newest promise ``recover`` found damaged, or torn, and wrote again."""
+        return self._promises.damaged_copies
+
     def recover(self) -> RecoveredState:
         """Read everything; cut a torn tail. Raises DamagedStorageError where synced data is lost."""
         for leftover in self._directory.glob("*.tmp"):
@@ -105,6 +110,8 @@
             return b""
         try:
             return snapshot.read(offset, size)
+        except FileNotFoundError:
+            return b""  # replaced just now
         except (OSError, DamagedStorageError) as error:
             _log.error("snapshot_unreadable", extra={"path": str(snapshot.path), "reason": str(error)})
             return b""
--- a/tests/tier/disk_model.py
+++ b/tests/tier/disk_model.py
@@ -17,6 +17,7 @@
 from contextlib import contextmanager
 from functools import cache
 from pathlib import Path, PurePath
+from random import Random
 from types import FrameType
 from typing import Any
 from unittest import mock
@@ -121,6 +122,15 @@
                 found.add(contents_of(names, dict(zip(numbers, chosen, strict=True))))
         return found
 
+    def after_some_power_loss(self, random: Random) -> Contents:
+        """One of ``after_power_loss``, which may be very many."""
+        names = self._names_after([change for change in self.unsynced_names if random.random() < 0.5])
+        data: dict[int, bytes] = {}
+        for number, file in self.files.items():
+            chosen = [random.choice(outcomes(change)) for change in file.unsynced]
+            data[number] = self._replayed(file, [change for change in chosen if change is not None])
+        return contents_of(names, data)
+
     def _possible_names(self) -> list[dict[str, int]]:
         found: list[dict[str, int]] = []
         for kept in itertools.product((True, False), repeat=len(self.unsynced_names)):
@@ -192,7 +202,8 @@
         self.root = root
         self.state = state
         self.states: list[DiskState] = []  # after each call that changes anything
-        self.failing_call = 0  # number of the call that finds the disk full; 0: none
+        self.failing_call = 0  # number of the first call that finds the disk full; 0: none
+        self.failures = 1  # how many calls in a row do
         self.ignored_sync = ""  # place of a sync that is left out
         self.sync_places: set[str] = set()
         self._open: dict[int, OpenFile] = {}
@@ -239,7 +250,7 @@
 
     def _begin(self) -> None:
         self._calls += 1
-        if self._calls == self.failing_call:
+        if 0 < self.failing_call <= self._calls < self.failing_call + self.failures:
             raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
 
     def _end(self) -> None:
