--- a/tests/tier/test_control_cut_off.py
+++ b/tests/tier/test_control_cut_off.py
@@ -11,7 +11,10 @@
 from result import Err
 
 from cherrycove.tier.controlplane import leadership as leadership_module
+from cherrycove.tier.controlplane.configuration_decisions import ConfigurationDecisions
+from cherrycove.tier.controlplane.leadership import Leadership
 from cherrycove.tier.controlplane.register import REMEMBERED_S
+from cherrycove.tier.errors import ErrorKind
 from cherrycove.tier.protocol.control_pb2 import Announcement, PullReply, PullRequest
 from cherrycove.tier.protocol.keeper_pb2 import Command, FormStoreGroup, RecordMachines, Retire, StoreMachine
 
@@ -268,3 +271,45 @@
                 assert (await call).status == 503
 
     asyncio.run(exchange())
+
+
+def test_a_lease_that_ends_while_a_change_waits_for_its_turn() -> None:
+    async def exchange() -> None:
+        async with World(1) as world:
+            await prepared(world)
+            node = world.keepers[0]
+            decisions = ConfigurationDecisions(node.group, node.state, Leadership(node.group, node.views))
+            world.replicas.gate = asyncio.Event()
+            first = asyncio.create_task(decisions.put(document(5), 3))
+            await world.replicas.waiting.wait()
+            refusable = ((b"{", 3), (document(9), 1))
+            others = [asyncio.create_task(decisions.put(body, base)) for body, base in refusable]
+            await asyncio.sleep(0)  # both wait for the first now
+            world.replicas.lease = False
+            world.replicas.gate.set()
+            outcomes = [(await task).unwrap_err().kind for task in (first, *others)]
+            assert outcomes == [ErrorKind.NOT_PRIMARY] * 3
+
+    asyncio.run(exchange())
+
+
+def test_a_store_is_told_to_others_only_when_its_disk_is_recorded() -> None:
+    async def exchange() -> None:
+        async with World(1) as world:
+            world.lead(0)
+            keeper = world.keepers[0].keeper
+            now = asyncio.get_running_loop().time()
+            keeper._register.announce(store("s1"), now)
+            keeper._register.announce(Announcement(node_name="f1", program="proxy", incarnation="1"), now)
+            names = {one.node_name for one in keeper._members(now).members if one.program != "keeper"}
+            assert names == {"f1"}
+            machine = StoreMachine(node_name="s1", ip="127.0.0.1", store_id="disk-s1")
+            record = Command(record_machines=RecordMachines(machines=[machine]))
+            await world.keepers[0].group.propose(record.SerializeToString(), 1.0)
+            names = {one.node_name for one in keeper._members(now).members if one.program != "keeper"}
+            assert names == {"f1", "s1"}
+            keeper._register.announce(store("s1", incarnation="2", member_id="disk-new"), now)
+            names = {one.node_name for one in keeper._members(now).members if one.program != "keeper"}
+            assert names == {"f1"}
+
+    asyncio.run(exchange())
--- a/tests/tier/test_distribution_puller.py
+++ b/tests/tier/test_distribution_puller.py
@@ -32,6 +32,7 @@
 from cherrycove.tier.settings import Settings
 
 PULL_TIMEOUT_S = WAIT_MS / 1000.0 + CALL_MARGIN_S
+MOST_CALLS = 200  # a caller that spins is slowed down behind these, so that its test ends
 APPLY_S = 2.0  # a proxy in touch has an acknowledged configuration after so long
 
 
@@ -78,6 +79,8 @@
     ) -> Any:
         number = int(target.partition(":")[0].rpartition(".")[2])
         self.calls.append((round(asyncio.get_running_loop().time(), 2), number))
+        if len(self.calls) > MOST_CALLS:
+            await asyncio.sleep(timeout_s)
         if number in self.refusing:
             return Err(Failure(ErrorKind.UNREACHABLE, "refused"))
         if number in self.silent:
@@ -239,8 +242,8 @@
         await proxy.puller.start()
         await asyncio.sleep(1.0)
         proxy.puller.announce_now()
-        async with asyncio.timeout(5.0):
-            await proxy.puller.stop()
+        await proxy.puller.stop()
+        assert asyncio.get_running_loop().time() < 1.1
 
     run(exchange())
 
