A stream that has begun is not ended because no broker has room just then

Cause, by reading: a resumable stream whose broker went silent or broke off asks admission for another one; where admission refused, since no broker answered, the client's stream was ended with time left. A request of which nothing was passed on gets its answer at once as before. Undone, the test fails.

--- a/cherrycove/tier/dataplane/dispatch.py
+++ b/cherrycove/tier/dataplane/dispatch.py
@@ -41,6 +41,7 @@
 MARGIN_S = 0.02  # ahead of the client's deadline, for the answer's way
 MOST_SENDS = 24  # of one request, also those that were refused
 RETRY_AFTER_S = 0.3  # advised where nothing better is known
+RESUME_PAUSE_S = 0.1  # before a stream that has begun asks again for a broker
 SERVER_ERROR = 500
 
 ENDINGS = {
@@ -126,7 +127,10 @@
         while True:
             granted = await self.gate.acquire(self.ticket)
             if isinstance(granted, Refuse):
-                return self._failed(502, granted.retry_after_s)
+                if not self.relay.begun:
+                    return self._failed(502, granted.retry_after_s)
+                await asyncio.sleep(RESUME_PAUSE_S)  # its client has a part, and time is left for the others
+                continue
             response = await self._attempt(granted)
             if response is not None:
                 return response
--- a/tests/tier/test_dataplane_bounds.py
+++ b/tests/tier/test_dataplane_bounds.py
@@ -175,6 +175,38 @@
     asyncio.run(story())
 
 
+def test_a_stream_that_has_begun_waits_for_a_broker_as_long_as_it_has_time() -> None:
+    async def story() -> None:
+        move, unlisted = moved_clock(), asyncio.Event()
+
+        async def breaks(wire: Wire, request: Received) -> None:
+            await wire.stream_head(request)
+            await wire.event(1, "word 1")
+            await unlisted.wait()
+            wire.reset()
+
+        first, second = ToyBroker("i-1", script=breaks), ToyBroker("i-2", script=stream(4))
+        async with World([first, second]) as world, asyncio.timeout(TIMEOUT_S):
+            world.tell(listed=[first])
+            client = await world.client()
+            await client.send("/resume/x")
+            await client.head()
+            text = await client.chunk()
+            world.tell(listed=[])
+            unlisted.set()
+            while not world.plane._gate._waiting:
+                await asyncio.sleep(0)
+            move(0.5)  # no broker can be reached for longer than a request is held for that
+            while world.plane._gate._waiting:
+                await world.readiness()
+            world.tell(listed=[second])
+            while chunk := await client.chunk():
+                text += chunk
+            assert text == events(1, 4)
+
+    asyncio.run(story())
+
+
 def test_without_a_configuration_nothing_is_said_not_to_exist() -> None:
     async def story() -> None:
         async with World([ToyBroker()], document=None) as world:
