A head within its bound may have many fields

Cause, found by asking: the library refuses more than 128 fields with a 400 of our own, whatever `maxHeaderBytes` allows (127 and the five of the client: 400). The number follows from the bound in force now.

--- a/cherrycove/tier/dataplane/ingress.py
+++ b/cherrycove/tier/dataplane/ingress.py
@@ -30,6 +30,8 @@
 
 BACKLOG = 1024  # connections to be accepted
 PARSER_LINE_BYTES = 256 * 1024  # the configuration's own bound is below it
+SHORTEST_FIELD_BYTES = len("n:\r\n")  # of a head; the library bounds the number of fields
+LEAST_FIELDS = 128  # that it is set to allow
 READ_BYTES = 32 * 1024
 UNACKNOWLEDGED_MS = 20_000  # after which a client that takes nothing of what it is sent is cut off
 UNCONFIGURED_RETRY_S = 0.5
@@ -99,8 +101,9 @@
             self, logger=_log, head_timeout_s=limits.header_timeout_ms / 1000,
             loop=asyncio.get_running_loop(), access_log=None,
             keepalive_timeout=limits.idle_timeout_ms / 1000, auto_decompress=False,
-            max_line_size=PARSER_LINE_BYTES, max_field_size=PARSER_LINE_BYTES, lingering_time=0.0,
-            read_bufsize=READ_BYTES,
+            max_line_size=PARSER_LINE_BYTES, max_field_size=PARSER_LINE_BYTES,
+            max_headers=max(limits.max_header_bytes // SHORTEST_FIELD_BYTES, LEAST_FIELDS),
+            lingering_time=0.0, read_bufsize=READ_BYTES,
         )  # fmt: skip
 
 
--- a/tests/tier/test_dataplane_exchanges.py
+++ b/tests/tier/test_dataplane_exchanges.py
@@ -106,6 +106,17 @@
     asyncio.run(story())
 
 
+def test_a_head_within_its_bound_may_have_many_fields() -> None:
+    async def story() -> None:
+        async with World([ToyBroker()], document=configuration_bytes(maxHeaderBytes=16384)) as world:
+            fields = {f"X-{number}": "v" for number in range(1000)}
+            assert (await world.ask("/once/x", headers=fields)).status == 200
+            (received,) = world.brokers[0].received
+            assert all(received.headers[name.lower()] == "v" for name in fields)
+
+    asyncio.run(story())
+
+
 def test_a_stream_is_passed_on_event_by_event_and_ends_whole() -> None:
     async def story() -> None:
         seen = asyncio.Event()
