--- /dev/null
+++ b/tests/tier/test_batch_failing_items.py
@@ -0,0 +1,80 @@
+"""Items that fail at each run, from the stores over proxies to model brokers, all on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from batch_support import PATIENCE_S, Clock, Tier, job
+from dataplane_world import World, configuration_bytes, route
+from result import Ok
+
+from cherrycove.tier.batch.jobs import ItemKey
+from cherrycove.tier.batch.worker import BatchWorker
+from examples.toy_broker import Received, ToyBroker, Wire
+
+KEY = ItemKey("j1", "a")
+ROUTE = route("r-batch", "/jobs/", "batch", timeoutMs=60_000, completionTargetMs=8000, retentionS=60)
+MAX_ATTEMPTS = 2  # of the job
+
+
+def crash(worker: BatchWorker) -> None:
+    """End all of its tasks at once, with nothing more told."""
+    runs = [task for run in worker._runs.values() for task in (run.task, run.execution)]
+    for task in [worker._loop_task, *runs]:
+        assert task is not None
+        task.cancel()
+
+
+@pytest.mark.parametrize(("status", "reason", "most"), [
+    ("500 Internal Server Error", b"attempts", MAX_ATTEMPTS), ("422 Unprocessable Entity", b"unprocessable", 1),
+])  # fmt: skip
+def test_a_failing_item_is_given_up_after_its_attempts(status: str, reason: bytes, most: int) -> None:
+    async def failing(wire: Wire, request: Received) -> None:
+        await wire.answer(request, b"why", status)
+
+    async def story() -> None:
+        broker = ToyBroker(script=failing)
+        async with asyncio.timeout(PATIENCE_S), Tier() as tier:
+            async with World([broker], document=configuration_bytes([ROUTE]), views=tier.views) as world:
+                await tier.worker(world.plane.executor).start()
+                assert isinstance(await tier.client.submit(job("j1", "a"), PATIENCE_S), Ok)
+                results = tier.nodes[0].state.jobs["j1"].results
+                while not results:
+                    await tier.nodes[0].group.arrived.get()
+                    await asyncio.sleep(0)
+                assert [(each.completed, each.text) for each in results] == [(False, reason)]
+                assert len(broker.received) == most
+
+    asyncio.run(story())
+
+
+def test_attempts_are_counted_over_proxies_that_crash() -> None:
+    clock = Clock()
+
+    async def failing(wire: Wire, request: Received) -> None:
+        await wire.answer(request, b"why", "500 Internal Server Error")
+
+    async def story() -> None:
+        broker = ToyBroker(script=failing)
+        async with asyncio.timeout(PATIENCE_S), Tier(clock=clock) as tier:
+            async with World([broker], document=configuration_bytes([ROUTE]), views=tier.views) as world:
+                request = job("j1", "a")
+                request.max_attempts = 4
+                state, results = tier.nodes[0].state, []
+                for number in range(1, 5):
+                    worker = tier.worker(world.plane.executor, f"p{number}", clock)
+                    await worker.start()
+                    if number == 1:
+                        assert isinstance(await tier.client.submit(request, PATIENCE_S), Ok)
+                        results = state.jobs["j1"].results
+                    while (item := state.item(KEY)) and item.failed_attempts < number and not results:
+                        await asyncio.sleep(0)
+                    crash(worker)
+                    clock.now += 1.6  # its leases are over
+                while not results:
+                    await asyncio.sleep(0)
+                assert [(each.completed, each.text) for each in results] == [(False, b"attempts")]
+                assert len(broker.received) == 4
+
+    asyncio.run(story())
