--- a/cherrycove/tier/programs/replica.py
+++ b/cherrycove/tier/programs/replica.py
@@ -8,6 +8,7 @@
 from cherrycove.tier.protocol.interface import Caller, CallRegistry
 from cherrycove.tier.replication.group import ReplicatedGroup
 from cherrycove.tier.replication.interface import MemberIdentity, StateMachine
+from cherrycove.tier.replication.timing import Timing
 from cherrycove.tier.settings import Settings
 from cherrycove.tier.storage.identity import open_identity
 
@@ -32,7 +33,10 @@
     )
     limit = int(settings.limits.disk_mb * BYTES_PER_MB * DISK_SHARE)
     faults = settings.fault_tolerance.machine_failures
-    group = ReplicatedGroup(program, identity, directory, faults, machine, server, client, limit)
+    timing = Timing.for_catch_up(settings.bounds.catch_up_s)
+    group = ReplicatedGroup(
+        program, identity, directory, faults, machine, server, client, limit, timing=timing
+    )
     return group, fresh
 
 
--- a/cherrycove/tier/replication/core.py
+++ b/cherrycove/tier/replication/core.py
@@ -20,6 +20,7 @@
 from cherrycove.tier.storage.snapshots import Snapshot
 from cherrycove.tier.storage.store import RecoveredState
 
+CHUNK_BYTES = 1024 * 1024  # of a snapshot in one message
 INITIAL_EPOCH = 0  # of the entry with the initial members, which counts as committed
 
 
@@ -65,12 +66,14 @@
         timing: Timing,
         random: Random,
         kept_entries: int,
+        chunk_bytes: int,
     ) -> None:
         self.identity = identity
         self.faults = faults
         self.timing = timing
         self.random = random
         self._kept_entries = kept_entries
+        self.chunk_bytes = chunk_bytes
         self.role = Role.BACKUP
         self.primary: MemberIdentity | None = None
         self.promise = recovered.promise
--- a/cherrycove/tier/replication/machine.py
+++ b/cherrycove/tier/replication/machine.py
@@ -11,7 +11,7 @@
 
 from cherrycove.tier.protocol.replication_pb2 import Message
 from cherrycove.tier.replication.backup import Backup
-from cherrycove.tier.replication.core import INITIAL_EPOCH, ReplicaCore, Role
+from cherrycove.tier.replication.core import CHUNK_BYTES, INITIAL_EPOCH, ReplicaCore, Role
 from cherrycove.tier.replication.effects import Effects
 from cherrycove.tier.replication.elections import Elections
 from cherrycove.tier.replication.interface import CommittedMembers, MemberIdentity
@@ -39,11 +39,13 @@
         timing: Timing | None = None,
         wishes: Wishes | None = None,
         kept_entries: int = KEPT_ENTRIES,
+        chunk_bytes: int = CHUNK_BYTES,
     ) -> None:
-        """``wishes`` may change at any time. ``kept_entries`` before a snapshot stay in memory."""
+        """``wishes`` may change at any time. ``kept_entries`` before a snapshot stay in memory; it is sent in
+        parts of ``chunk_bytes``."""
         timing = timing or Timing()
         empty = recovered.snapshot is None and not recovered.entries and recovered.promise.epoch == 0
-        self._core = ReplicaCore(identity, faults, recovered, timing, random, kept_entries)
+        self._core = ReplicaCore(identity, faults, recovered, timing, random, kept_entries, chunk_bytes)
         self._elections = Elections(self._core, now, fresh=empty)
         self._backup = Backup(self._core)
         self._primary: Primary | None = None
--- a/cherrycove/tier/replication/membership_policy.py
+++ b/cherrycove/tier/replication/membership_policy.py
@@ -21,6 +21,8 @@
     retiring: frozenset[str]  # node names or member ids
     target_size: int
     excluded: frozenset[str] = frozenset()  # member ids that must not be taken in
+    set_aside: frozenset[str] = frozenset()  # ids of standbys that did not answer lately: taken in last
+    unheard: frozenset[str] = frozenset()  # member ids that did not answer just now
 
 
 def is_retiring(member: MemberIdentity, retiring: frozenset[str]) -> bool:
@@ -55,7 +57,7 @@
 
 
 def _candidates(view: GroupView) -> list[MemberIdentity]:
-    """Standbys that may be taken in; those in zones without a member first."""
+    """Standbys that may be taken in; those that answer first, then those in zones without a member."""
     ids = {member.member_id for member in view.members}
     zones = {member.zone for member in view.members if member.member_id not in view.unreachable}
     usable = [
@@ -65,7 +67,12 @@
         and standby.member_id not in view.excluded
         and not is_retiring(standby, view.retiring)
     ]
-    return sorted(usable, key=lambda standby: (standby.zone in zones, standby.node_name, standby.member_id))
+
+    def rank(standby: MemberIdentity) -> tuple[bool, bool, str, str]:
+        silent = standby.member_id in view.set_aside
+        return silent, standby.zone in zones, standby.node_name, standby.member_id
+
+    return sorted(usable, key=rank)
 
 
 def _replace(view: GroupView, member: MemberIdentity, standby: MemberIdentity | None) -> Change:
@@ -75,7 +82,10 @@
 
 
 def _emptied(view: GroupView, standbys: list[MemberIdentity]) -> Change | None:
+    """Give a machine its place back, unless this primary does not hear it: another standby may be heard."""
     for standby in standbys:
+        if standby.member_id in view.set_aside:
+            continue
         for member in view.members:
             if member.member_id != view.primary.member_id and _same_machine(standby, member):
                 return _replace(view, member, standby)
@@ -83,8 +93,15 @@
 
 
 def _retiring(view: GroupView, standbys: list[MemberIdentity]) -> Step | None:
+    """Let a member go that is to leave, while all that stay are heard.
+
+    One that is lost needs the standby more: it may be its successor, and whoever leaves after its order is
+    switched off and is no loss that the group may count."""
     leaving = [member for member in view.members if is_retiring(member, view.retiring)]
-    if not leaving or not (standbys or len(view.members) > view.target_size):
+    staying = [member.member_id for member in view.members if member not in leaving]
+    if not leaving or not view.unheard.isdisjoint(staying):
+        return None
+    if not standbys and len(view.members) <= view.target_size:
         return None
     others = [member for member in leaving if member.member_id != view.primary.member_id]
     if others:
@@ -105,8 +122,11 @@
 
 
 def _unreachable(view: GroupView, standbys: list[MemberIdentity]) -> Change | None:
+    """Replace a silent member, or go without it where more are left than the group needs."""
     gone = [member for member in view.members if member.member_id in view.unreachable]
-    return _replace(view, gone[0], standbys[0]) if gone and standbys else None
+    if not gone or not (standbys or len(view.members) > view.target_size):
+        return None
+    return _replace(view, gone[0], standbys[0] if standbys else None)
 
 
 def next_step(view: GroupView) -> Step | None:
@@ -115,6 +135,9 @@
     emptied = _emptied(view, standbys)
     if emptied is not None:
         return emptied
+    unreachable = _unreachable(view, standbys)
+    if unreachable is not None:
+        return unreachable
     retiring = _retiring(view, standbys)
     if retiring is not None:
         return retiring
@@ -123,4 +146,4 @@
         return excluding
     if len(view.members) < view.target_size and standbys:
         return Change(add=standbys[0])
-    return _unreachable(view, standbys)
+    return None
--- a/cherrycove/tier/replication/peers.py
+++ b/cherrycove/tier/replication/peers.py
@@ -20,7 +20,6 @@
 from cherrycove.tier.replication.log import decode_members, to_message
 
 APPEND_BYTES = 512 * 1024  # of entries in one message
-CHUNK_BYTES = 1024 * 1024  # of a snapshot in one message
 OUTSTANDING_APPENDS = 8  # messages with entries that may be unanswered
 RESPONSIVE_S = 0.6  # a peer silent for longer gets heartbeats only
 MICROSECONDS = 1_000_000
@@ -68,6 +67,10 @@
     def responsive(self, now: float) -> bool:
         return now - self.heard_at < RESPONSIVE_S
 
+    def heard_lately(self, now: float) -> bool:
+        """Whether it has answered, in this time as primary, and not long ago."""
+        return self.acknowledged > NEVER and self.responsive(now)
+
     def caught_up(self, within: int) -> bool:
         """Whether it lacks at most ``within`` entries of the log."""
         return self._transfer is None and self.match_index + within >= self._core.log.last_index
@@ -130,7 +133,7 @@
             transfer = self._transfer = Transfer(header.index)
         if now - transfer.sent_at < self._core.timing.resend_s:
             return
-        data = self._source.read_state(header.index, transfer.offset, CHUNK_BYTES)
+        data = self._source.read_state(header.index, transfer.offset, self._core.chunk_bytes)
         if not data and header.state_bytes > transfer.offset:
             return
         transfer.sent_at = now
--- a/cherrycove/tier/replication/primary.py
+++ b/cherrycove/tier/replication/primary.py
@@ -129,7 +129,8 @@
     def _change_members(self, now: float) -> None:
         limit = self._core.timing.unreachable_s
         silent = frozenset(key for key, peer in self._peers.items() if now - peer.heard_at > limit)
-        step = self._recruiting.step(silent, now)
+        unheard = frozenset(key for key, peer in self._peers.items() if not peer.heard_lately(now))
+        step = self._recruiting.step(silent, unheard, now)
         if step is None:
             return
         if not isinstance(step, Change):
--- a/cherrycove/tier/replication/recruiting.py
+++ b/cherrycove/tier/replication/recruiting.py
@@ -30,9 +30,9 @@
         self._set_aside: dict[str, float] = {}  # member id of a standby that did not answer: until when
         self.learner: Peer | None = None
 
-    def step(self, unreachable: frozenset[str], now: float) -> Step | None:
-        """The change to be made now, if any is wanted and prepared."""
-        step = next_step(self._view(unreachable, now))
+    def step(self, unreachable: frozenset[str], unheard: frozenset[str], now: float) -> Step | None:
+        """The change to be made now, if any is wanted and prepared. ``unheard``: did not answer just now."""
+        step = next_step(self._view(unreachable, unheard, now))
         if not isinstance(step, Change) or step.add is None:
             self.learner = None
             return step
@@ -50,16 +50,16 @@
         self.learner.tick(now)
         return self.learner
 
-    def _view(self, unreachable: frozenset[str], now: float) -> GroupView:
-        standbys = tuple(
-            standby for standby in self._wishes.standbys if self._set_aside.get(standby.member_id, now) <= now
-        )
+    def _view(self, unreachable: frozenset[str], unheard: frozenset[str], now: float) -> GroupView:
+        set_aside = frozenset(member_id for member_id, until in self._set_aside.items() if until > now)
         return GroupView(
             primary=self._core.identity,
             members=self._core.members,
-            standbys=standbys,
+            standbys=self._wishes.standbys,
             unreachable=unreachable,
             retiring=self._wishes.retiring,
             target_size=2 * self._core.faults + 1,
             excluded=frozenset(self._core.membership.excluded),
+            unheard=unheard,
+            set_aside=set_aside,
         )
--- a/cherrycove/tier/replication/timing.py
+++ b/cherrycove/tier/replication/timing.py
@@ -4,6 +4,9 @@
 
 import attrs
 
+UNREACHABLE_SHARE = 0.25  # of the time to catch up; an election, a transfer and a commit need the rest
+LONGEST_UNREACHABLE_S = 2.0
+
 
 @attrs.frozen(kw_only=True)
 class Timing:
@@ -21,6 +24,13 @@
     removed_pause_s: float = 5.0  # a replica told that it was removed stands again only after this time more
     step_down_s: float = 1.5  # a primary that could not renew its lease for so long stops leading
     disk_stall_s: float = 1.0  # a primary whose own sync takes longer, while others sync, hands over
-    unreachable_s: float = 2.0  # a member that is silent for so long may be replaced
+    unreachable_s: float = 1.2  # a member that is silent for so long may be replaced; see ``for_catch_up``
     resend_s: float = 0.4  # an unanswered snapshot chunk is sent again after this time
-    set_aside_s: float = 5.0  # a standby that could not be caught up is not tried again for so long
+    set_aside_s: float = 5.0  # a standby that did not answer is tried after all others for so long
+
+    @classmethod
+    def for_catch_up(cls, catch_up_s: float) -> Timing:
+        """Durations with which the place of a lost machine is filled within ``catch_up_s`` of its successor's
+        start, also when the lost one led: then the time of silence begins only after an election."""
+        wanted = min(catch_up_s * UNREACHABLE_SHARE, LONGEST_UNREACHABLE_S)
+        return cls(unreachable_s=max(wanted, cls().election_timeout_s))
