Register: a late announcement no longer shuts the newer incarnation out

Cause: the register took whatever incarnation it had not heard yet for the newer one. A pull that a cut held up and that came after the process had started again and announced itself replaced the present incarnation, whose announcements were then ignored as those of a replaced one until the entry was forgotten (60 s).

Ruled out: a standby set aside by the primary (none was), a partial cut that lasted (its end was seen in the trace; the keeper pulled from the primary every 0.7 s).

Change: an incarnation that counts as replaced takes its place back when the one in place has been silent for longer than a process that lives ever is. The test fails without the change.

--- a/cherrycove/tier/controlplane/register.py
+++ b/cherrycove/tier/controlplane/register.py
@@ -12,6 +12,7 @@
 LEAVING_TIMEOUT_S = 1.5  # the same, of one that announced to leave
 REMEMBERED_S = 60.0  # a store that is gone may come back for so long
 MINOR_CHANGE_INTERVAL_S = 1.0  # rates and versions alone are published no more often
+REPLACED_SILENT_S = 1.5  # a process that lives pulls more often than this
 REPLACED_KEPT = 4  # earlier incarnations of one process that are recognised
 
 
@@ -57,14 +58,18 @@
             entry.seeded = True
 
     def announce(self, announcement: Announcement, now: float) -> None:
-        """A process announced itself; a newer incarnation replaces an older one."""
+        """A process announced itself; a newer incarnation replaces an older one.
+
+        Which of two is newer is told by the order in which they come. An announcement that a cut held up may
+        come first after that of a newer incarnation and so replace it; then the one in place is not heard
+        again, and the other one takes its place back."""
         key = ProcessKey(announcement.node_name, announcement.program)
         known = self._entries.get(key)
         replaced: tuple[str, ...] = ()
         if known is not None:
-            if announcement.incarnation in known.replaced:
+            if announcement.incarnation in known.replaced and now - known.heard_at < REPLACED_SILENT_S:
                 return
-            replaced = known.replaced
+            replaced = tuple(one for one in known.replaced if one != announcement.incarnation)
             if known.announcement.incarnation != announcement.incarnation:
                 replaced = (*replaced, known.announcement.incarnation)[-REPLACED_KEPT:]
         self._entries[key] = Registration(announcement=announcement, heard_at=now, replaced=replaced)
--- a/tests/tier/test_control_register.py
+++ b/tests/tier/test_control_register.py
@@ -61,6 +61,18 @@
     assert register.remembered("store") == []
 
 
+def test_a_late_announcement_of_an_earlier_incarnation_does_not_shut_the_newer_out() -> None:
+    """A pull that a cut held up comes after the process was started again and has announced itself."""
+    register = Register()
+    register.announce(store("s1", incarnation="2", member_id="new"), 0.0)
+    register.announce(store("s1", incarnation="1", member_id="old"), 0.1)
+    for pull in range(1, 5):
+        register.announce(store("s1", incarnation="2", member_id="new"), 0.1 + 0.7 * pull)
+    assert [entry.announcement.member_id for entry in register.alive(3.0)] == ["new"]
+    register.announce(store("s1", incarnation="1", member_id="old"), 3.0)
+    assert [entry.announcement.member_id for entry in register.alive(3.0)] == ["new"]
+
+
 def test_an_earlier_primarys_list_does_not_hide_what_was_announced() -> None:
     register = Register()
     register.announce(store("s1", incarnation="2"), 0.0)
