--- a/cherrycove/tier/simulation/control/loop.py
+++ b/cherrycove/tier/simulation/control/loop.py
@@ -12,12 +12,14 @@
 from collections import deque
 from collections.abc import Callable, Coroutine
 from contextvars import Context, ContextVar, copy_context
+from inspect import CORO_CREATED, getcoroutinestate
 from random import Random
 from typing import Any
 
 import attrs
 
 TIMER_LATENESS_S = 0.001  # timers fire up to so late
+SPAWNED_KEPT = 64  # coroutines of a life that are looked through for those that have not begun
 MAX_CALLBACKS_AT_ONCE = 1_000_000  # without time passing: then something spins
 
 
@@ -29,6 +31,7 @@
     ended: bool = False
     frozen: bool = False
     deferred: list[Handle] = attrs.field(factory=list)
+    spawned: list[Coroutine[Any, Any, Any]] = attrs.field(factory=list)  # some may not have begun yet
 
 
 CURRENT_LIFE: ContextVar[Life | None] = ContextVar("life", default=None)
@@ -95,6 +98,9 @@
         """Run ``coroutine`` as a task of ``life``."""
         context = copy_context()
         context.run(CURRENT_LIFE.set, life)
+        if len(life.spawned) >= SPAWNED_KEPT:
+            life.spawned = [one for one in life.spawned if getcoroutinestate(one) == CORO_CREATED]
+        life.spawned.append(coroutine)
         return asyncio.Task(coroutine, loop=self, name=name or None, context=context)
 
     def call_in(self, life: Life | None, delay: float, callback: Callable[..., Any], *args: Any) -> None:
@@ -113,6 +119,10 @@
         """The process is gone; none of its callbacks runs any more."""
         life.ended = True
         life.deferred.clear()
+        for coroutine in life.spawned:
+            if getcoroutinestate(coroutine) == CORO_CREATED:
+                coroutine.close()
+        life.spawned.clear()
 
     # AbstractEventLoop
 
--- a/cherrycove/tier/simulation/control/processes.py
+++ b/cherrycove/tier/simulation/control/processes.py
@@ -43,7 +43,7 @@
         self.world = world
         self.machine = machine
         machine.starts += 1
-        self.life = Life(f"{self.program}@{machine.name}#{machine.starts}")
+        self.life = Life(f"{self.program}@{machine.name}/{machine.host}#{machine.starts}")
         self.settings = machine.settings(world.faults)
         self.leaving = False
         self.random = Random(world.random.random())
