Leases: a late request no longer shuts the present process of a proxy out

A lease request of an earlier process of a proxy, which a cut held up and which came first after one of the present process, superseded the present one for the rest of the store primary's term: the proxy got no item any more until the primary changed.

Change: the present process takes its place back when the lease of the other one has ended. The test fails without the change. The client's clock is that of the event loop, so that it runs on virtual time.

--- a/cherrycove/tier/batch/client.py
+++ b/cherrycove/tier/batch/client.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import TypeVar
 
 from google.protobuf.message import Message
@@ -127,13 +126,13 @@
         self._last = Failure(ErrorKind.UNAVAILABLE, "no store is known")
 
     async def run(self, reply_type: type[Reply], budget_s: float) -> Result[Reply, Failure]:
-        deadline = time.monotonic() + budget_s
+        deadline = _now() + budget_s
         pause_s = FIRST_PAUSE_S
         while True:
             answer = await self._round(reply_type, deadline)
             if answer is not None:
                 return answer
-            remaining = deadline - time.monotonic()
+            remaining = deadline - _now()
             if remaining <= pause_s:
                 return Err(self._verdict())
             await asyncio.sleep(pause_s)
@@ -141,12 +140,12 @@
 
     async def _round(self, reply_type: type[Reply], deadline: float) -> Result[Reply, Failure] | None:
         """Try every store once, those that are named as primary first; None if no try was final."""
-        addresses = self._finder.candidates(time.monotonic())
+        addresses = self._finder.candidates(_now())
         hints = 0
         tried: set[str] = set()
         while addresses:
             address = addresses.pop(0)
-            remaining = deadline - time.monotonic()
+            remaining = deadline - _now()
             if remaining <= 0:
                 return None
             if address in tried:
@@ -169,14 +168,14 @@
 
     def _note(self, address: str, failure: Failure) -> None:
         if failure.kind in SILENT_KINDS:
-            self._finder.missed(address, time.monotonic())
+            self._finder.missed(address, _now())
         else:
             self._finder.doubt(address)
         self._certain = self._certain and failure.certain
         self._last = failure
 
     def _worth_asking(self, hint: str) -> bool:
-        return bool(hint) and not self._finder.silent(hint, time.monotonic())
+        return bool(hint) and not self._finder.silent(hint, _now())
 
     def _final(self, failure: Failure) -> Err[Failure]:
         """What the primary refused; want of room proves nothing about an earlier try of unknown outcome."""
@@ -188,3 +187,7 @@
         if self._certain:
             return Failure(ErrorKind.UNAVAILABLE, self._last.detail)
         return Failure(ErrorKind.UNCERTAIN, self._last.detail)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/cherrycove/tier/batch/leases.py
+++ b/cherrycove/tier/batch/leases.py
@@ -101,6 +101,7 @@
         self._jobs: dict[str, _Job] = {}
         self._order: list[tuple[float, str]] = []  # (due, job id) of jobs with waiting items
         self._holders: dict[str, _Holder] = {}  # by incarnation
+        self._present: dict[str, str] = {}  # proxy -> its present incarnation
         self._superseded: dict[str, list[str]] = {}  # proxy -> earlier incarnations
         self._failed: Counter[ItemKey] = Counter()  # answers of 500
         self._waiting = 0
@@ -186,11 +187,10 @@
 
     def _holder(self, call: LeaseCall, now: float) -> _Holder | None:
         """The caller's record, renewed; None for a request that a newer one has overtaken."""
-        if call.incarnation in self._superseded.get(call.proxy, ()):
+        if not self._is_present(call):
             return None
         holder = self._holders.get(call.incarnation)
         if holder is None:
-            self._supersede(call.proxy)
             holder = _Holder(call.proxy, now, -1, 0)
             self._holders[call.incarnation] = holder
         if call.sequence <= holder.sequence:
@@ -200,13 +200,27 @@
         holder.capacity = call.capacity
         return holder
 
-    def _supersede(self, proxy: str) -> None:
-        """A new process of ``proxy`` has come; what earlier ones held is free."""
-        for incarnation in [name for name, holder in self._holders.items() if holder.proxy == proxy]:
-            self._drop_holder(incarnation)
-            earlier = self._superseded.setdefault(proxy, [])
-            earlier.append(incarnation)
+    def _is_present(self, call: LeaseCall) -> bool:
+        """Whether the caller is the present process of its proxy; one that was not heard yet becomes it, and
+        what the one before held is free.
+
+        A late request, which a cut held up, may so put an earlier process in the place of the present one.
+        The present one takes its place back when the lease of the earlier one has ended."""
+        present = self._present.get(call.proxy)
+        if call.incarnation == present:
+            return True
+        earlier = self._superseded.setdefault(call.proxy, [])
+        if call.incarnation in earlier:
+            if present in self._holders:
+                return False
+            earlier.remove(call.incarnation)
+        if present is not None:
+            earlier.append(present)
             del earlier[:-SUPERSEDED_KEPT]
+            if present in self._holders:
+                self._drop_holder(present)
+        self._present[call.proxy] = call.incarnation
+        return True
 
     def _drop_holder(self, incarnation: str) -> None:
         holder = self._holders[incarnation]
--- a/tests/tier/test_batch_leases.py
+++ b/tests/tier/test_batch_leases.py
@@ -130,6 +130,17 @@
     assert new.ask(0.3).revoked == []
 
 
+def test_a_late_request_of_an_earlier_process_does_not_shut_the_proxy_out() -> None:
+    """A request that a cut held up comes after the proxy was started again and has asked already."""
+    table = table_with(terms("j", "a"), terms("k", "a"))
+    old, new = Proxy(table, "p1", "old"), Proxy(table, "p1", "new")
+    assert new.granted(0.0, capacity=1) == keys("j", "a")
+    assert old.granted(0.1, capacity=0) == []
+    assert new.granted(0.2) == []
+    assert new.granted(0.1 + TIMES.lease_s) == keys("k", "a")
+    assert old.granted(0.2 + TIMES.lease_s) == []
+
+
 def test_items_of_an_earlier_term_wait_for_announcements() -> None:
     table = LeaseTable(2, 10.0, TIMES)
     table.add_job(terms("before", "a", "b"), earlier_term=True)
