--- /dev/null
+++ b/cherrycove/tier/simulation/control/job_history.py
@@ -0,0 +1,131 @@
+"""What clients of batch jobs and model brokers saw, and what must hold of it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from functools import lru_cache
+
+import attrs
+
+from cherrycove.tier.protocol.batch_log_pb2 import BatchCommand, BatchSnapshot
+from cherrycove.tier.protocol.batch_pb2 import ReadReply, SubmitRequest
+from cherrycove.tier.simulation.control.disk import Disk
+from cherrycove.tier.simulation.control.history import History
+from cherrycove.tier.storage.entries import EntryKind
+
+CANCEL_S = 3.0  # after its end was acknowledged, no item of a job is started later than this
+
+
+@lru_cache(maxsize=4096)
+def _job_in(payload: bytes) -> str:
+    """The job that a command of the stores' log takes; "" if it takes none."""
+    command = BatchCommand.FromString(payload)
+    return command.accept.job.job_id if command.WhichOneof("command") == "accept" else ""
+
+
+@lru_cache(maxsize=256)
+def _jobs_in(state: bytes) -> frozenset[str]:
+    return frozenset(job.terms.job_id for job in BatchSnapshot.FromString(state).jobs)
+
+
+def holds_job(disk: Disk, job_id: str) -> bool:
+    """Whether the job is synced on ``disk``."""
+    if disk.snapshot is not None and job_id in _jobs_in(disk.snapshot.state):
+        return True
+    entries = reversed(disk.entries)
+    return any(entry.kind is EntryKind.COMMAND and _job_in(entry.payload) == job_id for entry in entries)
+
+
+@attrs.frozen
+class Seen:
+    """A result as a reader got it."""
+
+    item_id: str
+    completed: bool
+    text: bytes
+
+
+@attrs.define
+class JobRecord:
+    """One job from its first try on."""
+
+    request: SubmitRequest
+    tries: int = 0
+    refused: int = 0
+    acknowledged_at: float | None = None
+    ended_at: float | None = None
+    started: bool = False
+    results: dict[int, Seen] = attrs.field(factory=dict)
+    texts: set[bytes] = attrs.field(factory=set)  # that brokers made for its items
+
+    @property
+    def complete(self) -> bool:
+        return len(self.results) == len(self.request.items)
+
+
+class JobHistory:
+    """All jobs of one world."""
+
+    def __init__(self, history: History) -> None:
+        self._history = history
+        self.jobs: dict[str, JobRecord] = {}
+
+    def open(self, request: SubmitRequest) -> None:
+        self.jobs[request.job_id] = JobRecord(request)
+
+    def acknowledged(self) -> list[JobRecord]:
+        return [job for job in self.jobs.values() if job.acknowledged_at is not None]
+
+    # Answers, as they leave a proxy
+
+    def accepted(self, who: str, job_id: str, now: float, places: Iterable[str], wanted: int) -> None:
+        held = sorted(places)
+        job = self.jobs[job_id]
+        if job.acknowledged_at is None:
+            job.acknowledged_at = now
+            self._history.note(f"{who} 202 {job_id} on {held}")
+        if len(held) < wanted:
+            self._history.fail(f"{who} took {job_id} on {held}, not {wanted}")
+
+    def refused(self, job_id: str) -> None:
+        job = self.jobs[job_id]
+        job.refused += 1
+        self._judge_refusals(job_id, job)
+
+    def unknown(self, who: str, job_id: str, what: str, sent_at: float) -> None:
+        """A 404 leaves ``who`` for a call sent at ``sent_at``."""
+        acknowledged_at = self.jobs[job_id].acknowledged_at
+        if acknowledged_at is not None and acknowledged_at < sent_at:
+            self._history.fail(f"{who} does not know {job_id} at a call to {what}")
+
+    def ended(self, job_id: str, now: float) -> None:
+        job = self.jobs[job_id]
+        job.ended_at = now if job.ended_at is None else job.ended_at
+
+    def read(self, who: str, job_id: str, cursor: int, reply: ReadReply) -> None:
+        job = self.jobs[job_id]
+        if reply.total != len(job.request.items):
+            self._history.fail(f"{who} counts {reply.total} items of {job_id}")
+        for position, entry in enumerate(reply.results, cursor):
+            seen = Seen(entry.item_id, entry.completed, entry.text)
+            known = job.results.setdefault(position, seen)
+            if known != seen:
+                self._history.fail(f"{who} has {seen} at {position} of {job_id}, it was {known}")
+            if seen.completed and seen.text not in job.texts:
+                self._history.fail(f"{who} has a text at {position} of {job_id} that no broker made")
+        names = [seen.item_id for seen in job.results.values()]
+        if len(set(names)) != len(names):
+            self._history.fail(f"an item of {job_id} stands at two positions")
+
+    # Runs, as they reach a broker
+
+    def started(self, who: str, job_id: str, now: float) -> None:
+        job = self.jobs[job_id]
+        job.started = True
+        self._judge_refusals(job_id, job)
+        if job.ended_at is not None and now - job.ended_at > CANCEL_S:
+            self._history.fail(f"{who} starts an item of {job_id}, {now - job.ended_at:.2f} s after its end")
+
+    def _judge_refusals(self, job_id: str, job: JobRecord) -> None:
+        if job.started and job.tries == job.refused:
+            self._history.fail(f"{job_id} runs, though every try was refused")
--- a/cherrycove/tier/simulation/control/operators.py
+++ b/cherrycove/tier/simulation/control/operators.py
@@ -13,6 +13,7 @@
 from multidict import CIMultiDict
 from result import Err
 
+from cherrycove.tier.simulation.control.batch_load import BATCH_ROUTE
 from cherrycove.tier.simulation.control.history import FINAL_REFUSALS, Change, digest_of
 from cherrycove.tier.simulation.control.loop import Life
 from cherrycove.tier.simulation.control.machines import ACKNOWLEDGE_S, CONTACT_S, CONTROL_PORT
@@ -99,10 +100,20 @@
 }
 
 
+_BATCH = {
+    "name": BATCH_ROUTE,
+    "hostname": "b.example",
+    "pathPrefix": "/b/",
+    "routeKind": "batch",
+    "service": "s",
+    "maxAttempts": 3,
+}
+
+
 def document(version: int, random: Random, size: int) -> dict[str, Any]:
     """A valid configuration of about ``size`` bytes; no two are equal."""
     note = random.randbytes(max(8, size // 2)).hex()
-    return {"version": version, "routes": [_ROUTE], "services": [{"name": "s"}], "note": note}
+    return {"version": version, "routes": [_ROUTE, _BATCH], "services": [{"name": "s"}], "note": note}
 
 
 def spoil(body: dict[str, Any], random: Random) -> bytes:
--- a/cherrycove/tier/simulation/control/processes.py
+++ b/cherrycove/tier/simulation/control/processes.py
@@ -8,8 +8,10 @@
 
 from result import Ok, Result
 
+from cherrycove.tier.batch.client import BatchClient
 from cherrycove.tier.batch.jobs import JobsState
 from cherrycove.tier.batch.store import BatchStore
+from cherrycove.tier.batch.worker import BatchWorker
 from cherrycove.tier.controlplane.keeper import Keeper
 from cherrycove.tier.controlplane.state import AcceptOutcome, Applied, ControlState
 from cherrycove.tier.distribution.publisher import PULL_CALL
@@ -22,6 +24,7 @@
 from cherrycove.tier.protocol.control_pb2 import Announcement, PullReply, PullRequest
 from cherrycove.tier.replication.group import ReplicatedGroup
 from cherrycove.tier.replication.interface import MemberIdentity
+from cherrycove.tier.simulation.control.batch_load import FRONT_PORT, Brokers
 from cherrycove.tier.simulation.control.history import change_in
 from cherrycove.tier.simulation.control.loop import Life
 from cherrycove.tier.simulation.control.machines import EmptyPlatform, Machine
@@ -211,6 +214,10 @@
         super().__init__(world, machine)
         self.views = Views()
         self.puller = Puller(self.settings, self.client, self.views, self.announce)
+        self.batch = BatchClient(self.client, self.views, self.settings)
+        self.worker = BatchWorker(
+            self.settings, self.batch, Brokers(self), self.views, self.life.name, clock=world.loop.time
+        )
         self._newest = 0
         self.views.on_change(self._changed)
 
@@ -220,9 +227,14 @@
 
     async def start(self) -> None:
         await self.puller.start()
+        if self.world.shape.stores:
+            await self.worker.start()
+            self.endpoint.process = self
+            self.world.network.open(self.endpoint, f"{self.machine.host}:{FRONT_PORT}")
 
     async def stop(self) -> None:
         self.leaving = True
+        await self.worker.stop()
         await self.puller.stop()
 
     def announce(self) -> Announcement:
--- a/cherrycove/tier/simulation/control/scenarios.py
+++ b/cherrycove/tier/simulation/control/scenarios.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import gc
 import logging
 from collections.abc import Callable
@@ -9,6 +10,7 @@
 
 import attrs
 
+from cherrycove.tier.simulation.control.batch_load import BatchClients
 from cherrycove.tier.simulation.control.faults import CUTS_S, Faults
 from cherrycove.tier.simulation.control.history import Change
 from cherrycove.tier.simulation.control.machines import ACKNOWLEDGE_S, Machine
@@ -21,6 +23,8 @@
 CALM_END_S = 6.5  # without troubles, at the end
 LAST_LOSS_S = 6.5  # for what is read back after the final fault
 READ_STEP_S = 0.25
+JOBS_READ_S = 8.0
+BATCH_CLIENTS = 4
 MIN_PAUSE_S = 0.05
 AFTER_RETIREMENT = 0.7  # share of retired machines that a loss follows at once
 
@@ -94,6 +98,7 @@
     seed: int
     acknowledged: int
     reads: int
+    jobs: int
     callbacks: int
     struck: dict[str, int]
 
@@ -111,6 +116,7 @@
         self.world = World(self._random.getrandbits(48), shape)
         self.faults = Faults(self.world, Random(self._random.random()))
         self.operators = Operators(self.world, self._plan.habits)
+        self.clients = BatchClients(self.world)
         self._striking = True
         self._ambush_pending = False
 
@@ -130,6 +136,7 @@
             self._seed,
             world.history.acknowledged,
             self.operators.answered,
+            len(world.jobs.acknowledged()),
             world.loop.callbacks,
             self.faults.struck,
         )
@@ -141,6 +148,8 @@
         world.on_acknowledged = self._acknowledged
         world.on_retired = self._retired
         self.operators.start()
+        if world.shape.stores:
+            self.clients.start(BATCH_CLIENTS)
         world.after(FIRST_TROUBLE_S, self._strike)
 
     def close(self) -> None:
@@ -149,6 +158,7 @@
             for process in machine.running.values():
                 self.world.loop.end(process.life)
         self.world.loop.end(self.operators.life)
+        self.world.loop.end(self.clients.life)
 
     def _final_fault(self) -> None:
         """As many further losses as the terms allow, of those who hold the newest change."""
@@ -170,6 +180,26 @@
             world.run_until(world.now + READ_STEP_S)
         world.history.require(self.operators.answered > before, "the configuration can't be read back")
 
+        self._read_jobs()
+
+    def _read_jobs(self) -> None:
+        """Every job that was taken can be read, with the results that were read before."""
+        world = self.world
+        self.clients.active = False
+        unread = {job.request.job_id for job in world.jobs.acknowledged()}
+
+        async def read(job_id: str) -> None:
+            while await self.clients.read(job_id, 0) is None:
+                await asyncio.sleep(READ_STEP_S)
+            unread.discard(job_id)
+
+        for job_id in sorted(unread):
+            world.loop.spawn(self.clients.life, read(job_id))
+        given_up = world.now + JOBS_READ_S
+        while unread and world.now < given_up:
+            world.run_until(world.now + READ_STEP_S)
+        world.history.require(not unread, f"{sorted(unread)} can't be read")
+
     # Troubles
 
     def _strike(self) -> None:
--- a/cherrycove/tier/simulation/control/world.py
+++ b/cherrycove/tier/simulation/control/world.py
@@ -10,6 +10,7 @@
 import attrs
 
 from cherrycove.tier.simulation.control.history import LEASE_BOUND_S, Change, History, holds
+from cherrycove.tier.simulation.control.job_history import JobHistory, JobRecord, holds_job
 from cherrycove.tier.simulation.control.loop import VirtualLoop
 from cherrycove.tier.simulation.control.machines import (
     CATCH_UP_S,
@@ -60,6 +61,7 @@
         self.network = Network(self.loop, Random(self.random.random()))
         self.surroundings = Surroundings(self.loop, self.network, Random(self.random.random()), self.faults)
         self.history = History(self.loop.time)
+        self.jobs = JobHistory(self.history)
         self.terms = Terms(self.faults, self.loop.time)
         self.machines: list[Machine] = []  # those that count
         self.proxies: list[Machine] = []
@@ -237,6 +239,14 @@
             if KEEPER in machine.disks and holds(machine.disks[KEEPER], change)
         ]
 
+    def holders_of_job(self, job_id: str) -> list[str]:
+        """Machines on whose disk the job is synced."""
+        return [
+            machine.name
+            for machine in self.machines
+            if STORE in machine.disks and holds_job(machine.disks[STORE], job_id)
+        ]
+
     def copies_wanted(self) -> int:
         """f + 1, but for disks that the terms allowed to be lost and that had no time to be made up for."""
         return max(1, self.faults + 1 - self.terms.lost_disks())
@@ -276,9 +286,18 @@
         if due is None:
             return
         places = self.holders(due)
-        detail = f"{due} only on {places} in calm"
         members = min(2 * self.faults + 1, len(self.machines))
-        self.history.require(len(places) >= members, detail)
+        if len(places) < members:
+            self.history.fail(f"{due} only on {places} in calm")
+        self._check_copies_of_jobs(members)
+
+    def _check_copies_of_jobs(self, members: int) -> None:
+        for job in self.jobs.acknowledged():
+            if job.acknowledged_at is None or self.now - job.acknowledged_at < SPREAD_S:
+                continue
+            places = self.holders_of_job(job.request.job_id)
+            if len(places) < members:
+                self.history.fail(f"{job.request.job_id} only on {places} in calm")
 
     # Retirement
 
@@ -293,10 +312,18 @@
             left = [place for place in self.holders(newest) if place != name]
             detail = f"{name} may go, and {newest} is left on {left} only"
             self.history.require(len(left) >= self.copies_wanted(), detail)
+        for job in self.jobs.acknowledged():
+            self._judge_job_left(job, name)
         for machine in self.present([name]):
             self.after(0.0, partial(self.remove, machine))
         self.on_retired(name)
 
+    def _judge_job_left(self, job: JobRecord, name: str) -> None:
+        """Enough copies of ``job`` are left without the machine ``name``."""
+        places = [place for place in self.holders_of_job(job.request.job_id) if place != name]
+        if len(places) < self.copies_wanted():
+            self.history.fail(f"{name} may go, and {job.request.job_id} is left on {places} only")
+
     def judge_retire_refusal(self, process: Process, name: str, status: int) -> None:
         """A machine that is there is known; 409 only where too few would remain."""
         if not self.present([name]) or self.terms.calm_for() < CATCH_UP_S:
