--- a/cherrycove/tier/simulation/control/disk.py
+++ b/cherrycove/tier/simulation/control/disk.py
@@ -20,9 +20,7 @@
 SYNC_S = (0.001, 0.006)
 SLOW_SYNC_S = (0.1, 0.5)
 RETRY_S = 0.25
-STOP_RETRIES = 2
-
-_numbers = Random(0)
+STANDING_STEP_S = 0.05  # a disk that stands still is looked at again so often
 
 
 @attrs.define(eq=False)
@@ -142,17 +140,15 @@
         self._later()
 
     def _later(self, delay: float = 0.0) -> None:
-        now = self._loop.time()
-        syncs = len(self._disk.in_progress)
         each = SLOW_SYNC_S if self._disk.slow else SYNC_S
-        ends = now + delay + sum(self._random.uniform(*each) for _ in range(syncs))
-        self._loop.call_in(self._life, max(ends, self._disk.standing_until) - now, self._finish)
+        duration = sum(self._random.uniform(*each) for _ in self._disk.in_progress)
+        self._loop.call_in(self._life, delay + duration, self._finish)
 
     def _finish(self) -> None:
         if self._stopped:
             return
         if self._disk.standing_until > self._loop.time():
-            self._later()
+            self._loop.call_in(self._life, STANDING_STEP_S, self._finish)
             return
         if self._disk.full and self._refuse():
             return
