--- a/cherrycove/tier/simulation/control/faults.py
+++ b/cherrycove/tier/simulation/control/faults.py
@@ -75,7 +75,7 @@
     def storm(self, duration: float) -> None:
         """Packets are lost and connections reset everywhere; no machine counts as lost by it."""
         world = self._world
-        conditions = NetworkConditions(loss=0.1, resets=0.1)
+        conditions = NetworkConditions(loss=0.1, resets=0.1, strays=0.1)
         world.network.conditions = conditions
         world.history.note(f"storm for {duration:.2f} s")
         self.struck["storm"] = self.struck.get("storm", 0) + 1
--- a/cherrycove/tier/simulation/control/mutations.py
+++ b/cherrycove/tier/simulation/control/mutations.py
@@ -8,13 +8,15 @@
 from unittest import mock
 
 import attrs
-from result import Ok
+from google.protobuf.message import DecodeError
+from result import Err, Ok
 
 from cherrycove.tier.controlplane.configuration_decisions import ConfigurationDecisions, _mismatch
 from cherrycove.tier.controlplane.leadership import Leadership
 from cherrycove.tier.controlplane.settlement import Settlement
 from cherrycove.tier.controlplane.state import ControlState
 from cherrycove.tier.distribution.publisher import Publisher
+from cherrycove.tier.errors import ErrorKind, Failure
 from cherrycove.tier.replication.group import ReplicatedGroup
 from cherrycove.tier.replication.machine import ReplicaMachine
 from cherrycove.tier.replication.primary import Primary
@@ -22,6 +24,7 @@
 from cherrycove.tier.replication.recruiting import Recruiting
 from cherrycove.tier.simulation import mutations as of_the_group
 from cherrycove.tier.simulation.control.machines import Surroundings
+from cherrycove.tier.simulation.control.network import Client
 
 Patches = Iterator[Any]
 
@@ -193,6 +196,16 @@
     yield mock.patch.object(ReplicaMachine, "_receive_from_backup", receive)
 
 
+def _replies_by_place() -> Patches:
+    def take(client: Any, body: bytes, reply_type: Any) -> Any:
+        try:
+            return Ok(reply_type.FromString(body))
+        except DecodeError:
+            return Err(Failure(ErrorKind.UNCERTAIN, "unreadable"))
+
+    yield mock.patch.object(Client, "take_stray", take)
+
+
 def _of_the_group(name: str) -> Callable[[], Patches]:
     return of_the_group.MUTATIONS[name]
 
@@ -223,6 +236,7 @@
     ),
     "snapshot-without-digests": Mutation("restart", _snapshot_without_digests),
     "batches-for-another-disk-are-taken": Mutation("misdelivery", _batches_for_another_disk_are_taken),
+    "replies-by-place": Mutation("misdelivery", _replies_by_place),
     "outcomes-by-place-alone": Mutation("misdelivery", _outcomes_by_place_alone),
     "replies-of-older-epochs-count": Mutation("misdelivery", _replies_of_older_epochs_count),
 }
--- a/cherrycove/tier/simulation/control/network.py
+++ b/cherrycove/tier/simulation/control/network.py
@@ -34,6 +34,7 @@
 
     loss: float = 0.0  # share of messages that are sent again after a while
     resets: float = 0.0  # share of calls whose connection is reset on the way
+    strays: float = 0.0  # share of calls at whose place another call's reply comes
 
 
 @attrs.define(eq=False)
@@ -81,6 +82,9 @@
     def is_cut(self, source: str, target: str) -> bool:
         return (source, target) in self._cuts
 
+    def is_stray(self) -> bool:
+        return self.conditions.strays > 0 and self._random.random() < self.conditions.strays
+
     def open(self, endpoint: Endpoint, address: str) -> None:
         self._endpoints[address] = endpoint
 
@@ -200,6 +204,7 @@
         self._network = network
         self._host = host
         self._life = life
+        self._earlier: dict[str, bytes] = {}  # an earlier reply from each address, which may come again
 
     async def call(
         self,
@@ -219,7 +224,17 @@
         if isinstance(outcome, Err):
             return outcome
         answer: Result[bytes, Failure] = outcome.ok_value
-        return answer if isinstance(answer, Err) else Ok(reply_type.FromString(answer.ok_value))
+        if isinstance(answer, Err):
+            return answer
+        stray = self._earlier.get(address)
+        if stray is not None and self._network.is_stray():
+            return self.take_stray(stray, reply_type)
+        self._earlier[address] = answer.ok_value
+        return Ok(reply_type.FromString(answer.ok_value))
+
+    def take_stray(self, body: bytes, reply_type: type[Reply]) -> Result[Reply, Failure]:
+        """A reply to another call is dropped with its connection, as ``protocol.rpc`` does by its number."""
+        return Err(Failure(ErrorKind.UNCERTAIN, "the reply to another call"))
 
 
 async def _serve(endpoint: Endpoint, name: str, body: bytes, receiver: str) -> Result[bytes, Failure]:
--- a/cherrycove/tier/simulation/control/scenarios.py
+++ b/cherrycove/tier/simulation/control/scenarios.py
@@ -74,7 +74,8 @@
         after_acknowledgement=0.05,
     ),
     "misdelivery": Plan(
-        kinds={"storm": 3, "wipe": 4, "kill": 3, "cut": 2, "replace": 1},
+        kinds={"storm": 4, "wipe": 4, "kill": 3, "cut": 2, "replace": 2},
+        shapes=(SMALL, WITH_STANDBY, WITH_STORES, MANY_WITH_STORES),
         habits=Habits(document_bytes=(400, 4_000)),
         at_once=0.8,
     ),
--- a/cherrycove/tier/simulation/control/world.py
+++ b/cherrycove/tier/simulation/control/world.py
@@ -37,6 +37,8 @@
 START_S = 0.3  # machines start within this time of each other
 SEEDS = 3
 SEED_LAG_S = 3.0
+OLD_SEEDS = 0.1  # share of starts with the seeds of the start before
+ADDRESS_REUSE_S = 2.0
 SPREAD_S = 1.0  # in calm, a change has reached every member so long after its acknowledgement
 
 
@@ -70,6 +72,8 @@
         self.retiring: set[str] = set()  # ordered to be emptied, and still there
         self.failure: BaseException | None = None
         self._hosts = 0
+        self._made = 0
+        self._left: dict[int, float] = {}  # addresses of machines that were taken away, and since when
         self._listed: list[tuple[float, list[str]]] = []
 
     @property
@@ -92,9 +96,18 @@
 
     def place(self, kind: str, programs: tuple[str, ...]) -> Machine:
         """A new machine, not started yet, that knows some of those that serve now as its seeds."""
+        number = self._free_number()
+        self._made += 1
+        return Machine(f"{kind}-{self._made}", f"10.0.0.{number}", f"zone-{number % 3}", programs)
+
+    def _free_number(self) -> int:
+        """Of a new address, or of one that a machine left a while ago."""
+        left = [number for number, at in self._left.items() if self.now - at >= ADDRESS_REUSE_S]
+        if left and self.random.random() < 0.5:
+            del self._left[left[0]]
+            return left[0]
         self._hosts += 1
-        number = self._hosts
-        return Machine(f"{kind}-{number}", f"10.0.0.{number}", f"zone-{number % 3}", programs)
+        return self._hosts
 
     def _seeds(self) -> tuple[str, ...]:
         """Some of the machines that served a while ago, as the operator's list has them."""
@@ -141,7 +154,7 @@
         """Start the processes of a machine that has power."""
         if machine.gone or machine.running:
             return
-        if not machine.first_start:
+        if not machine.first_start and (not machine.seeds or self.random.random() >= OLD_SEEDS):
             machine.seeds = self._seeds()
         for program in machine.programs:
             process = PROGRAMS[program](self, machine)
@@ -173,6 +186,7 @@
         machine.gone = True
         machine.disks = {}
         self.retiring.discard(machine.name)
+        self._left[int(machine.host.rpartition(".")[2])] = self.now
         if machine in self.machines:
             self.machines.remove(machine)
 
