--- a/cherrycove/tier/simulation/control/world.py
+++ b/cherrycove/tier/simulation/control/world.py
@@ -10,6 +10,7 @@
 import attrs
 
 from cherrycove.tier.simulation.control.history import LEASE_BOUND_S, Change, History, holds
+from cherrycove.tier.simulation.control.job_history import JobHistory, JobRecord, holds_job
 from cherrycove.tier.simulation.control.loop import VirtualLoop
 from cherrycove.tier.simulation.control.machines import (
     CATCH_UP_S,
@@ -36,6 +37,9 @@
 START_S = 0.3  # machines start within this time of each other
 SEEDS = 3
 SEED_LAG_S = 3.0
+OLD_SEEDS = 0.1  # share of starts with the seeds of the start before
+ADDRESS_REUSE_S = 2.0
+SPREAD_S = 1.0  # in calm, a change has reached every member so long after its acknowledgement
 
 
 @attrs.frozen
@@ -59,6 +63,7 @@
         self.network = Network(self.loop, Random(self.random.random()))
         self.surroundings = Surroundings(self.loop, self.network, Random(self.random.random()), self.faults)
         self.history = History(self.loop.time)
+        self.jobs = JobHistory(self.history)
         self.terms = Terms(self.faults, self.loop.time)
         self.machines: list[Machine] = []  # those that count
         self.proxies: list[Machine] = []
@@ -67,6 +72,8 @@
         self.retiring: set[str] = set()  # ordered to be emptied, and still there
         self.failure: BaseException | None = None
         self._hosts = 0
+        self._made = 0
+        self._left: dict[int, float] = {}  # addresses of machines that were taken away, and since when
         self._listed: list[tuple[float, list[str]]] = []
 
     @property
@@ -89,9 +96,18 @@
 
     def place(self, kind: str, programs: tuple[str, ...]) -> Machine:
         """A new machine, not started yet, that knows some of those that serve now as its seeds."""
+        number = self._free_number()
+        self._made += 1
+        return Machine(f"{kind}-{self._made}", f"10.0.0.{number}", f"zone-{number % 3}", programs)
+
+    def _free_number(self) -> int:
+        """Of a new address, or of one that a machine left a while ago."""
+        left = [number for number, at in self._left.items() if self.now - at >= ADDRESS_REUSE_S]
+        if left and self.random.random() < 0.5:
+            del self._left[left[0]]
+            return left[0]
         self._hosts += 1
-        number = self._hosts
-        return Machine(f"{kind}-{number}", f"10.0.0.{number}", f"zone-{number % 3}", programs)
+        return self._hosts
 
     def _seeds(self) -> tuple[str, ...]:
         """Some of the machines that served a while ago, as the operator's list has them."""
@@ -138,7 +154,7 @@
         """Start the processes of a machine that has power."""
         if machine.gone or machine.running:
             return
-        if not machine.first_start:
+        if not machine.first_start and (not machine.seeds or self.random.random() >= OLD_SEEDS):
             machine.seeds = self._seeds()
         for program in machine.programs:
             process = PROGRAMS[program](self, machine)
@@ -170,6 +186,7 @@
         machine.gone = True
         machine.disks = {}
         self.retiring.discard(machine.name)
+        self._left[int(machine.host.rpartition(".")[2])] = self.now
         if machine in self.machines:
             self.machines.remove(machine)
 
@@ -236,6 +253,14 @@
             if KEEPER in machine.disks and holds(machine.disks[KEEPER], change)
         ]
 
+    def holders_of_job(self, job_id: str) -> list[str]:
+        """Machines on whose disk the job is synced."""
+        return [
+            machine.name
+            for machine in self.machines
+            if STORE in machine.disks and holds_job(machine.disks[STORE], job_id)
+        ]
+
     def copies_wanted(self) -> int:
         """f + 1, but for disks that the terms allowed to be lost and that had no time to be made up for."""
         return max(1, self.faults + 1 - self.terms.lost_disks())
@@ -271,13 +296,22 @@
 
     def _check_copies(self) -> None:
         """Every acknowledged change has reached as many machines as the group ought to have members."""
-        newest = self.history.newest
-        if newest is None or self.now - self.history.newest_since < 1.0:
+        due = self.history.acknowledged_change(self.now - SPREAD_S)
+        if due is None:
             return
-        places = self.holders(newest)
-        detail = f"{newest} only on {places} in calm"
+        places = self.holders(due)
         members = min(2 * self.faults + 1, len(self.machines))
-        self.history.require(len(places) >= members, detail)
+        if len(places) < members:
+            self.history.fail(f"{due} only on {places} in calm")
+        self._check_copies_of_jobs(members)
+
+    def _check_copies_of_jobs(self, members: int) -> None:
+        for job in self.jobs.acknowledged():
+            if job.acknowledged_at is None or self.now - job.acknowledged_at < SPREAD_S:
+                continue
+            places = self.holders_of_job(job.request.job_id)
+            if len(places) < members:
+                self.history.fail(f"{job.request.job_id} only on {places} in calm")
 
     # Retirement
 
@@ -292,10 +326,18 @@
             left = [place for place in self.holders(newest) if place != name]
             detail = f"{name} may go, and {newest} is left on {left} only"
             self.history.require(len(left) >= self.copies_wanted(), detail)
+        for job in self.jobs.acknowledged():
+            self._judge_job_left(job, name)
         for machine in self.present([name]):
             self.after(0.0, partial(self.remove, machine))
         self.on_retired(name)
 
+    def _judge_job_left(self, job: JobRecord, name: str) -> None:
+        """Enough copies of ``job`` are left without the machine ``name``."""
+        places = [place for place in self.holders_of_job(job.request.job_id) if place != name]
+        if len(places) < self.copies_wanted():
+            self.history.fail(f"{name} may go, and {job.request.job_id} is left on {places} only")
+
     def judge_retire_refusal(self, process: Process, name: str, status: int) -> None:
         """A machine that is there is known; 409 only where too few would remain."""
         if not self.present([name]) or self.terms.calm_for() < CATCH_UP_S:
