--- a/cherrycove/tier/controlplane/machines.py
+++ b/cherrycove/tier/controlplane/machines.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, MutableSequence
 
 from cherrycove.tier.protocol.control_pb2 import Replica
 from cherrycove.tier.protocol.keeper_pb2 import ForgetRetired, Retire, Retired, RetireOrder, StoreMachine
@@ -67,7 +67,7 @@
         """Note what ``machine`` announced; whether an order learned from it, at ``revision``."""
         known = self._merge(machine)
         order = self._orders.get(machine.node_name)
-        if order is None or not (not order.completed or same_machine(order, known)):
+        if order is None or _is_over(order, known):
             return False
         return self._learn(order, known, revision)
 
@@ -82,7 +82,7 @@
             )
         )
         order = self._orders.get(command.node_name)
-        if order is not None and (not order.completed or same_machine(order, known)):
+        if order is not None and not _is_over(order, known):
             return self._learn(order, known, revision)
         self._learn(RetireOrder(node_name=command.node_name), known, revision)
         return True
@@ -127,9 +127,14 @@
         return True
 
 
-def _append_newest(known: object, value: str) -> None:
-    if value and value not in known:  # type: ignore[operator]
-        known.append(value)  # type: ignore[attr-defined]
+def _is_over(order: RetireOrder, machine: StoreMachine) -> bool:
+    """Whether ``order`` was carried out, and ``machine`` is a new one of that name."""
+    return order.completed and not same_machine(order, machine)
+
+
+def _append_newest(known: MutableSequence[str], value: str) -> None:
+    if value and value not in known:
+        known.append(value)
 
 
 def _copy(order: RetireOrder) -> RetireOrder:
--- a/cherrycove/tier/controlplane/store_group.py
+++ b/cherrycove/tier/controlplane/store_group.py
@@ -115,7 +115,7 @@
         """What is known of a machine: what it announced lately, else what is recorded."""
         known = StoreMachine(node_name=node_name)
         known.MergeFrom(self.machines.get(node_name, known))
-        for entry in (*reversed(self.remembered), *reversed(self.alive)):
+        for entry in (*self.remembered, *self.alive):
             if entry.announcement.node_name == node_name:
                 known.MergeFrom(self._announced(entry))
         return known
