--- a/tests/tier/test_dataplane_wire.py
+++ b/tests/tier/test_dataplane_wire.py
@@ -284,6 +284,61 @@
     asyncio.run(story())
 
 
+# Statuses, stamps and encodings
+
+
+@pytest.mark.parametrize(
+    "status", ("200 OK", "201 Created", "301 Moved", "400 No", "404 No", "422 No", "500 No", "504 No")
+)
+def test_status_stamp_and_body_of_a_broker_pass_unchanged(status: str) -> None:
+    async def script(wire: Wire, request: Received) -> None:
+        await wire.answer(request, b"why", status, Location="http://127.0.0.1:1/x", X_Two="2")
+
+    async def story() -> None:
+        async with World([ToyBroker(script=script)]) as world:
+            reply = await world.ask("/once/x")
+            assert (reply.status, reply.body) == (int(status[:3]), b"why")
+            assert reply.headers["response-signature"] == SIGNATURE and reply.headers["x-two"] == "2"
+            assert len(world.brokers[0].received) == 1
+
+    asyncio.run(story())
+
+
+@pytest.mark.parametrize("status", ("408 Late", "429 Many", "503 Full"))
+def test_a_promise_of_a_broker_is_one_only_with_its_proof(status: str) -> None:
+    async def without_proof(wire: Wire, request: Received) -> None:
+        await wire.answer(request, b"why", status)
+
+    async def with_proof(wire: Wire, request: Received) -> None:
+        await wire.answer(request, b"why", status, Not_Executed="1")
+
+    async def story() -> None:
+        brokers = [ToyBroker("i-1"), ToyBroker("i-2")]
+        async with World(brokers) as world:
+            brokers[0].scripts = brokers[1].scripts = [without_proof]
+            reply = await world.ask("/once/x", b"data")
+            assert reply.status == 502 and "response-signature" not in reply.headers
+            brokers[0].scripts = brokers[1].scripts = [with_proof]
+            assert (await world.ask("/once/x", b"data")).body == b"data"
+            assert sum(len(broker.received) for broker in brokers) == 3
+
+    asyncio.run(story())
+
+
+def test_an_encoded_body_is_not_the_brokers_and_is_not_passed_on() -> None:
+    async def encoded(wire: Wire, request: Received) -> None:
+        await wire.answer(request, b"why", Content_Encoding="gzip")
+
+    async def story() -> None:
+        brokers = [ToyBroker("i-1"), ToyBroker("i-2")]
+        async with World(brokers) as world:
+            for target, status in (("/once/x", 502), ("/again/x", 200)):
+                brokers[0].scripts = brokers[1].scripts = [encoded]
+                assert (await world.ask(target)).status == status
+
+    asyncio.run(story())
+
+
 # Streams that are taken up again
 
 
