--- a/tests/tier/test_batch_failing_items.py
+++ b/tests/tier/test_batch_failing_items.py
@@ -27,7 +27,8 @@
 
 
 @pytest.mark.parametrize(("status", "reason", "most"), [
-    ("500 Internal Server Error", b"attempts", MAX_ATTEMPTS), ("422 Unprocessable Entity", b"unprocessable", 1),
+    ("500 Internal Server Error", b"attempts", MAX_ATTEMPTS),
+    ("422 Unprocessable Entity", b"unprocessable", 1),
 ])  # fmt: skip
 def test_a_failing_item_is_given_up_after_its_attempts(status: str, reason: bytes, most: int) -> None:
     async def failing(wire: Wire, request: Received) -> None:
@@ -35,16 +36,19 @@
 
     async def story() -> None:
         broker = ToyBroker(script=failing)
-        async with asyncio.timeout(PATIENCE_S), Tier() as tier:
-            async with World([broker], document=configuration_bytes([ROUTE]), views=tier.views) as world:
-                await tier.worker(world.plane.executor).start()
-                assert isinstance(await tier.client.submit(job("j1", "a"), PATIENCE_S), Ok)
-                results = tier.nodes[0].state.jobs["j1"].results
-                while not results:
-                    await tier.nodes[0].group.arrived.get()
-                    await asyncio.sleep(0)
-                assert [(each.completed, each.text) for each in results] == [(False, reason)]
-                assert len(broker.received) == most
+        async with (
+            asyncio.timeout(PATIENCE_S),
+            Tier() as tier,
+            World([broker], configuration_bytes([ROUTE]), tier.views) as world,
+        ):
+            await tier.worker(world.plane.executor).start()
+            assert isinstance(await tier.client.submit(job("j1", "a"), PATIENCE_S), Ok)
+            results = tier.nodes[0].state.jobs["j1"].results
+            while not results:
+                await tier.nodes[0].group.arrived.get()
+                await asyncio.sleep(0)
+            assert [(each.completed, each.text) for each in results] == [(False, reason)]
+            assert len(broker.received) == most
 
     asyncio.run(story())
 
@@ -57,24 +61,27 @@
 
     async def story() -> None:
         broker = ToyBroker(script=failing)
-        async with asyncio.timeout(PATIENCE_S), Tier(clock=clock) as tier:
-            async with World([broker], document=configuration_bytes([ROUTE]), views=tier.views) as world:
-                request = job("j1", "a")
-                request.max_attempts = 4
-                state, results = tier.nodes[0].state, []
-                for number in range(1, 5):
-                    worker = tier.worker(world.plane.executor, f"p{number}", clock)
-                    await worker.start()
-                    if number == 1:
-                        assert isinstance(await tier.client.submit(request, PATIENCE_S), Ok)
-                        results = state.jobs["j1"].results
-                    while (item := state.item(KEY)) and item.failed_attempts < number and not results:
-                        await asyncio.sleep(0)
-                    crash(worker)
-                    clock.now += 1.6  # its leases are over
-                while not results:
+        async with (
+            asyncio.timeout(PATIENCE_S),
+            Tier(clock=clock) as tier,
+            World([broker], configuration_bytes([ROUTE]), tier.views) as world,
+        ):
+            request = job("j1", "a")
+            request.max_attempts = 4
+            state, results = tier.nodes[0].state, []
+            for number in range(1, 5):
+                worker = tier.worker(world.plane.executor, f"p{number}", clock)
+                await worker.start()
+                if number == 1:
+                    assert isinstance(await tier.client.submit(request, PATIENCE_S), Ok)
+                    results = state.jobs["j1"].results
+                while (item := state.item(KEY)) and item.failed_attempts < number and not results:
                     await asyncio.sleep(0)
-                assert [(each.completed, each.text) for each in results] == [(False, b"attempts")]
-                assert len(broker.received) == 4
+                crash(worker)
+                clock.now += 1.6  # its leases are over
+            while not results:
+                await asyncio.sleep(0)
+            assert [(each.completed, each.text) for each in results] == [(False, b"attempts")]
+            assert len(broker.received) == 4
 
     asyncio.run(story())
