--- a/tests/tier/test_links_cut.py
+++ b/tests/tier/test_links_cut.py
@@ -22,6 +22,8 @@
 from examples.toy_broker import ToyBroker, stream
 
 CUT_S = float(os.environ.get("LINKED_CUT_S", "0"))
+READERS = 4  # at the keeper that is cut off, while the others decide
+PAUSE_S = 0.01  # of each, between two reads
 READS = 5  # of a keeper that is cut off
 IN_DOUBT = (0, 307, 502, 503, 504)  # neither confirms nor refuses for good
 REFUSALS = 2  # of pulls, by the one keeper that a proxy reaches
@@ -75,6 +77,8 @@
             near_proxy, far_proxy = tier.proxies
             near_side = {lost.name, near.name, near_proxy.name}
             far_side = {far.name, far_proxy.name, *(keeper.name for keeper in others)}
+            decided = asyncio.Event()
+            readers = [asyncio.create_task(keep_reading(near, lost, decided)) for _ in range(READERS)]
             began = asyncio.get_running_loop().time()
             cut(tier.links, near_side, far_side)
 
@@ -82,6 +86,7 @@
             orders = {name: change(with_route(7, name), 1) for name in (NEAR, FAR)}
             assert (await near.ask(lost, orders[NEAR])).status in IN_DOUBT
             status = (await far.settle(others, orders[FAR])).status
+            decided.set()
             if cut is nothing_reaches_it and status == 412:  # what was sent to them in doubt was taken
                 taken, refused = NEAR, FAR
             else:
@@ -91,6 +96,8 @@
             await until_served(far_proxy, f"/{taken}/1")
 
             # The other side has decided: this one hands out nothing, and refuses nothing for good.
+            for answer in await asyncio.gather(*readers):
+                assert answer.status in IN_DOUBT, answer
             for answer in await reads_and_orders(near, lost):
                 assert answer.status in IN_DOUBT, answer
             assert await status_of(near_proxy, f"/{taken}/1") == 404  # it keeps what it has
@@ -114,6 +121,16 @@
     asyncio.run(story())
 
 
+async def keep_reading(operator: Operator, keeper: Daemon, decided: asyncio.Event) -> Answer:
+    """Read again and again; the answer to the first read that was sent after ``decided``."""
+    while True:
+        is_last = decided.is_set()
+        answer = await operator.ask(keeper, READ)
+        if is_last:
+            return answer
+        await asyncio.sleep(PAUSE_S)
+
+
 async def reads_and_orders(operator: Operator, keeper: Daemon) -> list[Answer]:
     """What a keeper answers to reads, to an order on its own version, and to ones that it could refuse."""
     orders = [
