--- a/tests/tier/test_links_frozen.py
+++ b/tests/tier/test_links_frozen.py
@@ -5,9 +5,9 @@
 import asyncio
 from pathlib import Path
 
+from acknowledged import STANDBY, Acknowledged, machines, until_members_are
 from linked_operator import READ, Operator, change
 from linked_tier import LinkedTier, configuration
-from test_links_members import STANDBY, Acknowledged, machines, until_members_are
 from test_real_processes import held_stream
 
 from examples.tier_processes import Sizes
--- a/tests/tier/test_links_orders.py
+++ b/tests/tier/test_links_orders.py
@@ -13,6 +13,7 @@
 
 KEEPERS = Sizes(keepers=3, stores=0, proxies=0)
 ROUNDS = 6
+IN_DOUBT = (NO_ANSWER, 307, 502, 503, 504)
 
 
 async def send_and_lose_the_answer(
@@ -86,6 +87,32 @@
     asyncio.run(story())
 
 
+def test_an_order_whose_copies_are_not_acknowledged_is_taken_in_the_end_and_never_refused(
+    tmp_path: Path,
+) -> None:
+    """The other keepers get everything that the primary sends, and nothing comes back from them."""
+
+    async def story() -> None:
+        async with LinkedTier(tmp_path, [], KEEPERS) as tier:
+            operator = Operator("operator", tier.links)
+            assert (await operator.settle(tier.keepers, change(configuration(1), 0))).status == 200
+            leader = await tier.leader(least_version=1)
+            others = [keeper for keeper in tier.keepers if keeper is not leader]
+            order = change(configuration(5), 1)
+            line = await operator.line(leader)
+            for keeper in others:
+                tier.links.flow(keeper.name, leader.name).shut()
+            assert (await line.send(order)).status in IN_DOUBT
+            sent_again = [asyncio.create_task(operator.settle([keeper], order)) for keeper in tier.keepers]
+            assert (await operator.settle(others, order)).status == 200
+            tier.links.join({leader.name}, {keeper.name for keeper in others}, reset=True)
+            assert [answer.status for answer in await asyncio.gather(*sent_again)] == [200, 200, 200]
+            await tier.until_version(5)
+            assert (await operator.settle([leader], change(configuration(6), 5))).status == 200
+
+    asyncio.run(story())
+
+
 def test_of_two_operators_under_one_number_at_different_keepers_exactly_one_is_confirmed(
     tmp_path: Path,
 ) -> None:
