--- a/cherrycove/tier/exploration/copying.py
+++ b/cherrycove/tier/exploration/copying.py
@@ -16,12 +16,16 @@
 import attrs
 from google.protobuf.message import Message
 
+from cherrycove.tier.replication.effects import WriteEntries, WritePromise, WriteSnapshot
+
 Copier = Callable[[Any, dict[int, Any]], Any]
 Canonical = Callable[[Any, dict[int, int]], Any]
 
 # Counters that only name writes in order; they differ without a difference in behaviour.
 _IGNORED_FIELDS = frozenset({"ticket", "_tickets"})
+_WRITES = (WriteEntries, WritePromise, WriteSnapshot)
 _PLAIN = (int, str, bytes, float, bool, type(None))
+_numbers: dict[Any, int] = {}  # of values met so far, which stand for them in canonical forms
 _copiers: dict[type, Copier] = {}
 _canonicals: dict[type, Canonical] = {}
 
@@ -38,6 +42,11 @@
     return attrs.has(kind) and kind.__hash__ not in (None, object.__hash__)
 
 
+def _is_hashable(kind: type) -> bool:
+    """Whether instances are values that are compared with all their fields, of which none is a list."""
+    return attrs.has(kind) and _is_value(kind) and kind not in _WRITES
+
+
 def copy_graph(value: Any, memo: dict[int, Any]) -> Any:
     """A copy that shares only what never changes; ``memo`` keeps shared objects shared."""
     kind = type(value)
@@ -78,7 +87,9 @@
 
 
 def canonical(value: Any, seen: dict[int, int] | None = None) -> Any:
-    """``value`` as nested tuples of plain values; an object met before is named by its place in the walk."""
+    """``value`` as nested tuples of plain values, comparable within this process.
+
+    An object met before is named by its place in the walk."""
     seen = {} if seen is None else seen
     kind = type(value)
     function = _canonicals.get(kind)
@@ -98,6 +109,8 @@
         return lambda value, seen: None
     if kind is bytearray:
         return lambda value, seen: bytes(value)
+    if _is_hashable(kind):
+        return lambda value, seen: ("value", _numbers.setdefault(value, len(_numbers)))
     return _collection_canonical(kind) or _object_canonical(kind)
 
 
@@ -113,13 +126,11 @@
 
 def _object_canonical(kind: type) -> Canonical:
     names = field_names(kind)
-    shared = not _is_value(kind)
 
     def walk(value: Any, seen: dict[int, int]) -> Any:
-        if shared:
-            if id(value) in seen:
-                return seen[id(value)]
-            seen[id(value)] = len(seen)
+        if id(value) in seen:
+            return seen[id(value)]
+        seen[id(value)] = len(seen)
         fields = names or tuple(sorted(value.__dict__))
         compared = (name for name in fields if name not in _IGNORED_FIELDS)
         return (kind.__name__, *(canonical(getattr(value, name), seen) for name in compared))
--- a/cherrycove/tier/exploration/mutations.py
+++ b/cherrycove/tier/exploration/mutations.py
@@ -16,6 +16,7 @@
 from cherrycove.tier.controlplane.settlement import Settlement
 from cherrycove.tier.controlplane.state import AcceptOutcome, ControlState
 from cherrycove.tier.errors import Failure
+from cherrycove.tier.exploration import group_model
 from cherrycove.tier.protocol.keeper_pb2 import AcceptConfiguration, Command
 from cherrycove.tier.protocol.replication_pb2 import VoteRequest
 from cherrycove.tier.replication.elections import Elections
@@ -54,6 +55,10 @@
     yield mock.patch("cherrycove.tier.replication.recruiting.next_step", forgetful)
 
 
+def _emptied_keeps_identity() -> Patches:
+    yield mock.patch.object(group_model, "replaced_identity", lambda identity: identity)
+
+
 def _digests_forgotten() -> Patches:
     yield mock.patch.object(ControlState, "was_accepted", lambda *arguments: False)
 
@@ -116,6 +121,7 @@
     "vote-twice-in-an-epoch": _vote_twice_in_an_epoch,
     "vote-for-itself-within-lease": _vote_for_itself_within_lease,
     "excluded-disks-come-back": _excluded_disks_come_back,
+    "emptied-keeps-identity": _emptied_keeps_identity,
     "digests-forgotten": _digests_forgotten,
     "decide-without-lease": _decide_without_lease,
     "no-barrier": _no_barrier,
--- a/cherrycove/tier/exploration/reactions.py
+++ b/cherrycove/tier/exploration/reactions.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from unittest import mock
+
 import attrs
 
 from cherrycove.tier.exploration.node import Node
 from cherrycove.tier.protocol.replication_pb2 import Message
+from cherrycove.tier.replication import peers
 from cherrycove.tier.replication.effects import Effects
 from cherrycove.tier.replication.interface import MemberIdentity
 from cherrycove.tier.replication.machine import ReplicaMachine
@@ -119,8 +122,9 @@
 class Reactions:
     """Remembers every reaction; equal nodes are one object."""
 
-    def __init__(self, faults: int) -> None:
+    def __init__(self, faults: int, entries_alone: bool) -> None:
         self._faults = faults
+        self._append_bytes = 1 if entries_alone else peers.APPEND_BYTES
         self._nodes: dict[bytes, Node] = {}
         self._letters: dict[tuple[MemberIdentity, MemberIdentity, bytes], Letter] = {}
         self._known: dict[tuple[Node, int, Event], Reaction] = {}
@@ -157,7 +161,8 @@
         key = (node, now, event)
         known = self._known.get(key)
         if known is None:
-            known = self._known[key] = self._compute(node, now * QUANTUM_S, event)
+            with mock.patch.object(peers, "APPEND_BYTES", self._append_bytes):
+                known = self._known[key] = self._compute(node, now * QUANTUM_S, event)
         return known
 
     def settled(self, node: Node, now: int, event: Event) -> Reaction:
--- a/cherrycove/tier/exploration/search.py
+++ b/cherrycove/tier/exploration/search.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import time
 from array import array
 from collections.abc import Iterable
@@ -10,6 +11,7 @@
 import attrs
 
 State = TypeVar("State")
+GARBAGE_THRESHOLDS = (100_000, 50, 1_000)  # states live long and hold no cycles: few collections
 START = -1  # parent of the first state
 
 
@@ -74,6 +76,14 @@
         self._started = time.monotonic()
 
     def run(self, start: State) -> Report:
+        thresholds = gc.get_threshold()
+        gc.set_threshold(*GARBAGE_THRESHOLDS)
+        try:
+            return self._run(start)
+        finally:
+            gc.set_threshold(*thresholds)
+
+    def _run(self, start: State) -> Report:
         self._seen.add(self._model.key(start))
         self._remember(START, "start")
         frontier = [(0, start)]
