--- a/cherrycove/tier/exploration/decision_scenarios.py
+++ b/cherrycove/tier/exploration/decision_scenarios.py
@@ -41,6 +41,11 @@
     "operators-gone": DecisionScenario(
         orders=(FIRST, SAME_BASE), budget=DecisionBudget(sends=2, time_outs=1, crashes=1, gone=1)
     ),
+    "three-operators": DecisionScenario(
+        orders=(FIRST, SAME_NUMBER, NEXT),
+        keepers=3,
+        budget=DecisionBudget(sends=2, take_overs=2, time_outs=1, pauses=1),
+    ),
     "invalid": DecisionScenario(
         orders=(FIRST, INVALID, NOT_ABOVE), budget=DecisionBudget(sends=1, take_overs=1)
     ),
--- a/tests/tier/test_exploration_decisions.py
+++ b/tests/tier/test_exploration_decisions.py
@@ -14,6 +14,7 @@
     "one-base": 6,
     "sent-again": 5,
     "operators-gone": 5,
+    "three-operators": 3,
     "invalid": 7,
 }
 # Guard that is taken out, and the scenario of the table above that notices it.
