--- /dev/null
+++ b/bench/tier_catch_up.py
@@ -0,0 +1,157 @@
+"""How long an empty member takes to catch up: ``python -m bench.tier_catch_up [--megabytes 1 10 50]``.
+
+Three replicas with real calls on loopback and real files, all in this process, hold a state of so many
+megabytes in a snapshot. One loses its disk and comes back empty, as a standby at the same address. Measured
+is the time from its start until it has applied the state, and until the committed list of the primary names
+it.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import os
+import shutil
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import attrs
+from result import Ok
+
+from cherrycove.tier.protocol.rpc import RpcClient, RpcServer
+from cherrycove.tier.replication.group import ReplicatedGroup
+from cherrycove.tier.replication.interface import MemberIdentity
+from cherrycove.tier.storage.identity import first_member_id, open_identity
+
+MEGABYTE = 1024 * 1024
+COMMAND_BYTES = MEGABYTE // 4
+FAULTS = 1
+MEMBERS = 3
+FIRST_PORT = 7900
+POLL_S = 0.002
+PROPOSE_TIMEOUT_S = 10.0
+LONGEST_S = 120.0
+
+
+class Bytes:
+    """A state machine that keeps all commands, one behind the other."""
+
+    def __init__(self) -> None:
+        self.content = bytearray()
+
+    def apply(self, index: int, command: bytes) -> object:
+        self.content += command
+        return None
+
+    def snapshot(self) -> bytes:
+        return bytes(self.content)
+
+    def restore(self, data: bytes) -> None:
+        self.content = bytearray(data)
+
+
+@attrs.define(eq=False)
+class Node:
+    """One replica with its server and client."""
+
+    name: str
+    address: str
+    directory: Path
+    state: Bytes = attrs.field(init=False)
+    group: ReplicatedGroup = attrs.field(init=False)
+    server: RpcServer = attrs.field(init=False)
+    client: RpcClient = attrs.field(init=False)
+
+    async def start(self, initial: list[MemberIdentity], first_start: bool) -> None:
+        member_id, _ = open_identity(self.directory, first_start, self.name)
+        identity = MemberIdentity(member_id, self.name, self.address)
+        self.state, self.server, self.client = Bytes(), RpcServer(), RpcClient()
+        self.group = ReplicatedGroup(
+            "bench", identity, self.directory, FAULTS, self.state, self.server, self.client
+        )
+        await self.client.start()
+        await self.server.start(self.address)
+        await self.group.start(initial)
+
+    async def stop(self) -> None:
+        await self.group.stop()
+        await self.server.stop()
+        await self.client.stop()
+
+
+async def _until(holds: Callable[[], bool]) -> None:
+    async with asyncio.timeout(LONGEST_S):
+        while not holds():
+            await asyncio.sleep(POLL_S)
+
+
+def _primary(nodes: list[Node]) -> Node | None:
+    return next((node for node in nodes if node.group.confirmed()), None)
+
+
+async def _fill(nodes: list[Node], size: int) -> None:
+    """Commands of ``size`` bytes together."""
+    left = size
+    while left > 0:
+        await _until(lambda: _primary(nodes) is not None)
+        primary = _primary(nodes)
+        if primary is not None:
+            command = os.urandom(min(left, COMMAND_BYTES))
+            outcome = await primary.group.propose(command, PROPOSE_TIMEOUT_S)
+            left -= len(command) if isinstance(outcome, Ok) else 0
+
+
+async def measure(directory: Path, size: int) -> tuple[float, float]:
+    """Seconds from the start of an empty member until it holds the state, and until it is a member."""
+    nodes = [
+        Node(f"n{number}", f"127.0.0.1:{FIRST_PORT + number}", directory / f"n{number}")
+        for number in range(MEMBERS)
+    ]
+    initial = [MemberIdentity(first_member_id(node.name), node.name, node.address) for node in nodes]
+    await asyncio.gather(*(node.start(initial, True) for node in nodes))
+    try:
+        await _fill(nodes, size)
+        return await _replace(nodes, size)
+    finally:
+        await asyncio.gather(*(node.stop() for node in nodes))
+
+
+async def _replace(nodes: list[Node], size: int) -> tuple[float, float]:
+    await _until(lambda: _primary(nodes) is not None)
+    primary = _primary(nodes)
+    lost = next(node for node in nodes if node is not primary)
+    rest = [node for node in nodes if node is not lost]
+    await lost.stop()
+    shutil.rmtree(lost.directory)
+    began = time.monotonic()
+    await lost.start([], False)
+    for node in rest:
+        node.group.offer_standbys([lost.group.identity])
+    await _until(lambda: len(lost.state.content) >= size)
+    caught_up = time.monotonic() - began
+    await _until(lambda: _is_member(rest, lost))
+    return caught_up, time.monotonic() - began
+
+
+def _is_member(rest: list[Node], node: Node) -> bool:
+    primary = _primary(rest)
+    committed = primary.group.committed_members() if primary is not None else None
+    members = committed.members if committed is not None else ()
+    return any(member.member_id == node.group.identity.member_id for member in members)
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(prog="python -m bench.tier_catch_up", description=__doc__)
+    parser.add_argument("--megabytes", type=int, nargs="+", default=[1, 10, 50])
+    for megabytes in parser.parse_args().megabytes:
+        with tempfile.TemporaryDirectory() as directory:
+            caught_up, member = asyncio.run(measure(Path(directory), megabytes * MEGABYTE))
+        print(
+            f"{megabytes} MB: state held after {caught_up:.2f} s, a member after {member:.2f} s", flush=True
+        )
+
+
+if __name__ == "__main__":
+    main()
