--- /dev/null
+++ b/bench/tier_proxies.py
@@ -0,0 +1,152 @@
+"""What a proxy spends on control: ``python -m bench.tier_proxies [--proxies 10 60] [--seconds S]``.
+
+Three real keepers on loopback; in this process as many real pullers as there are proxies, each with its own
+connections, views and announcement. Counted, for each of them and each second, once all know each other:
+processor time of this process, calls, and bytes of the messages in both directions (without the headers of
+HTTP). Every proxy announces other numbers of arrivals with each pull, as one under load does.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import random
+import tempfile
+import time
+from pathlib import Path
+
+import attrs
+import yaml
+from google.protobuf.message import Message
+from result import Ok, Result
+
+from cherrycove.tier.distribution.puller import Puller
+from cherrycove.tier.distribution.views import Views
+from cherrycove.tier.errors import Failure
+from cherrycove.tier.protocol.control_pb2 import Announcement
+from cherrycove.tier.protocol.interface import Caller, Reply
+from cherrycove.tier.protocol.rpc import RpcClient
+from cherrycove.tier.settings import parse_settings
+from examples.small_tier import SmallTier, until
+from examples.tier_processes import Daemon, Sizes, settings_of
+
+ROUTES = 6
+FIRST_NUMBER = 101  # last number of the address of the first proxy
+JOIN_S = 60.0
+
+
+@attrs.define
+class Traffic:
+    """What went over the wire."""
+
+    calls: int = 0
+    sent: int = 0
+    received: int = 0
+
+
+class CountingCaller:
+    """Implements ``Caller``; counts what another one carries."""
+
+    def __init__(self, caller: Caller, traffic: Traffic) -> None:
+        self._caller = caller
+        self._traffic = traffic
+
+    async def call(
+        self,
+        address: str,
+        name: str,
+        message: Message,
+        reply_type: type[Reply],
+        timeout_s: float,
+        receiver: str = "",
+    ) -> Result[Reply, Failure]:
+        self._traffic.calls += 1
+        self._traffic.sent += message.ByteSize()
+        outcome = await self._caller.call(address, name, message, reply_type, timeout_s, receiver)
+        if isinstance(outcome, Ok):
+            self._traffic.received += outcome.ok_value.ByteSize()
+        return outcome
+
+
+class Proxy:
+    """The control part of one proxy."""
+
+    def __init__(self, tier: SmallTier, number: int, traffic: Traffic) -> None:
+        ip = f"{tier.network}.{FIRST_NUMBER + number}"
+        self._daemon = Daemon(program="proxy", number=number, ip=ip, directory=tier.directory)
+        seeds = [keeper.control_plane for keeper in tier.keepers]
+        document = settings_of(self._daemon, seeds, tier.platform.address, tier.sizes)
+        settings = parse_settings(yaml.safe_dump(document))
+        self._client = RpcClient()
+        self.views = Views()
+        self._puller = Puller(settings, CountingCaller(self._client, traffic), self.views, self._announcement)
+
+    async def start(self) -> None:
+        await self._client.start()
+        await self._puller.start()
+
+    async def stop(self) -> None:
+        await self._puller.stop()
+        await self._client.stop()
+
+    def _announcement(self) -> Announcement:
+        daemon = self._daemon
+        arrivals = {f"route-{route}": random.random() * 100 for route in range(ROUTES)}
+        return Announcement(
+            node_name=daemon.name,
+            program="proxy",
+            ip=daemon.ip,
+            zone="zone-1",
+            region="region-1",
+            incarnation=daemon.name,
+            arrivals_per_s=arrivals,
+        )
+
+
+async def measure(count: int, seconds: float) -> None:
+    with tempfile.TemporaryDirectory() as directory:
+        async with SmallTier(Path(directory), [], Sizes(keepers=3, stores=0, proxies=0)) as tier:
+            await tier.put_configuration()
+            traffic = Traffic()
+            proxies = [Proxy(tier, number, traffic) for number in range(count)]
+            await asyncio.gather(*(proxy.start() for proxy in proxies))
+            try:
+                await _joined(proxies)
+                await _counted(count, seconds, traffic)
+            finally:
+                await asyncio.gather(*(proxy.stop() for proxy in proxies))
+
+
+async def _joined(proxies: list[Proxy]) -> None:
+    async def all_known() -> bool:
+        return all(len(proxy.views.proxies()) == len(proxies) for proxy in proxies)
+
+    await until("every proxy knows all others", all_known, JOIN_S)
+
+
+async def _counted(count: int, seconds: float, traffic: Traffic) -> None:
+    before = attrs.evolve(traffic)
+    began, processor = time.monotonic(), time.process_time()
+    await asyncio.sleep(seconds)
+    each = count * (time.monotonic() - began)
+    spent = (time.process_time() - processor) / each
+    print(
+        f"{count} proxies, each and a second: {spent * 1000:.2f} ms of processor time,"
+        f" {(traffic.calls - before.calls) / each:.1f} calls,"
+        f" {(traffic.sent - before.sent) / each:.0f} bytes sent,"
+        f" {(traffic.received - before.received) / each:.0f} bytes received",
+        flush=True,
+    )
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(prog="python -m bench.tier_proxies", description=__doc__)
+    parser.add_argument("--proxies", type=int, nargs="+", default=[10, 60])
+    parser.add_argument("--seconds", type=float, default=20.0)
+    options = parser.parse_args()
+    for count in options.proxies:
+        asyncio.run(measure(count, options.seconds))
+
+
+if __name__ == "__main__":
+    main()
