--- a/cherrycove/tier/simulation/control/mutations.py
+++ b/cherrycove/tier/simulation/control/mutations.py
@@ -137,13 +137,13 @@
 
 
 def _taken_in_before_it_caught_up() -> Patches:
-    def step(recruiting: Any, unreachable: frozenset[str], now: float) -> Any:
-        chosen = original(recruiting, unreachable, now)
+    def step(recruiting: Any, *arguments: Any) -> Any:
+        chosen = original(recruiting, *arguments)
         learner = recruiting.learner
         if chosen is None and learner is not None:
             learner.match_index = max(learner.match_index, 1)
             with mock.patch.object(type(learner), "caught_up", lambda peer, within: True):
-                return original(recruiting, unreachable, now)
+                return original(recruiting, *arguments)
         return chosen
 
     original = Recruiting.step
