Elections without waiting for a lease are proved, with three mends

The doc comment of elections.py has the argument, for a removed primary, one that is frozen or cut off, an address used again and a member that answers in two lives; a test each. What did not hold: - a primary that had committed its own removal stayed confirmed until its next tick, and those left need not ask it: it is not confirmed from that moment; - an answer to an earlier preliminary round of the same epoch counted in a later one: rounds have a number now, which answers repeat; - a disk moved to another address could lead there while its old address answers that it does not run: a replica stands only at the address that its list gives.

--- a/cherrycove/tier/replication/core.py
+++ b/cherrycove/tier/replication/core.py
@@ -119,14 +119,24 @@
         return any(member.member_id == self.identity.member_id for member in self.members)
 
     @property
-    def may_lead(self) -> bool:
-        """Whether a list that still has a say names this replica.
+    def is_listed(self) -> bool:
+        """Whether a list that still has a say names this replica."""
+        return self._listed_identity() is not None
 
-        One that is being removed may hold the only log that is new enough, so it must be able to lead until
-        the change is committed."""
+    def _listed_identity(self) -> MemberIdentity | None:
         electorate = self.electorate()
         lists = (*electorate.current, *(electorate.previous or ()))
-        return any(member.member_id == self.identity.member_id for member in lists)
+        return next((member for member in lists if member.member_id == self.identity.member_id), None)
+
+    @property
+    def may_lead(self) -> bool:
+        """Whether a list that still has a say names this replica, at the address that it has.
+
+        One that is being removed may hold the only log that is new enough, so it must be able to lead until
+        the change is committed. A disk that was moved to another address must not: whoever has the listed
+        address answers that the replica of this disk does not run."""
+        listed = self._listed_identity()
+        return listed is not None and listed.address == self.identity.address
 
     def change_open(self) -> bool:
         """Whether the newest member list is not known to be committed."""
--- a/cherrycove/tier/replication/elections.py
+++ b/cherrycove/tier/replication/elections.py
@@ -1,4 +1,39 @@
-"""Elections: when a replica stands, whom it grants its vote, and when it has won."""
+"""Elections: when a replica stands, whom it grants its vote, and when it has won.
+
+*With a lease.* A primary is confirmed while an election quorum has answered what it sent less than lease_s
+ago. A voter grants nothing within election_timeout_s > lease_s of what it heard last, so whoever is elected
+needs a voter of that quorum whose time is over, and then the lease is over. A replica that starts has
+forgotten what it heard and waits as long from its start.
+
+*Without waiting.* When all were killed there is nobody to wait for. A candidate that hears in one
+preliminary campaign, begun at t0 and at most settled_s long, from EVERY other replica of the lists that
+have a say that it follows nobody (``unbound``), stands at once and tells each voter the life that the voter
+answered in; a voter still in that life need not wait for what it may have answered in an earlier one.
+``unbound`` means: does not lead, heard no primary for election_timeout_s in this life, has run for
+settled_s, its epoch and its log are not newer. Claim: no lease of an older epoch is in force when such a
+candidate is elected, or ever after.
+
+1. Let P be the primary of the newest older epoch that was ever confirmed; leases before P's ended when P
+   was elected (induction over epochs). P was confirmed, so its no-op was committed, and the candidate,
+   being elected by votes that compare logs, holds it. The lists that have a say for the candidate therefore
+   come from P's last list, or from changes behind P's no-op.
+2. P is in these lists, or knows that its removal is committed. For the candidate leaves P out only if it
+   knows that to be committed; whoever commits it is P, which knew it first, or a later primary, against 1.
+   P is not confirmed from that moment (``Primary.confirmed``). This is *a removed primary*.
+3. P is in these lists and runs. Then it answered, and between t0 and its answer it did not lead: the answer
+   names the campaign, so it is not one to an earlier question, and settled_s means that it was given in a
+   life that spans t0. So P's time as primary is over, and a later one counts no answers of the one before.
+   *A primary that is frozen or cut off*, in whichever direction, does not answer, or not within settled_s
+   by the clock of the candidate, and then everyone waits as above.
+4. P is in these lists and does not run: another disk answered at its address (``disk_replaced``). An
+   identity belongs to one disk, and ends with it; a replica leads only at the address that its list gives
+   (``may_lead``); one address is bound by one process. So that P leads nowhere, now or later. This is *an
+   address used again*. Its vote is missing: those that do run must be enough to elect.
+5. What P may still gain are answers given after t0. A voter that gives one notes it in its present life,
+   and this time-out is never waived. If it dies, the life that the candidate names is not its own any more
+   and it waits from its start. This is *a member that answers in two lives*; answers of both within one
+   campaign cannot be, since the second life is settled only when the campaign's time is over.
+"""
 
 from __future__ import annotations
 
@@ -18,6 +53,7 @@
 class Campaign:
     """One round of votes that this replica asks for."""
 
+    number: int
     preliminary: bool
     epoch: int
     began: float
@@ -39,6 +75,7 @@
         self._life = core.random.getrandbits(LIFE_BITS) + 1
         self._heard_epoch = core.epoch
         self._campaign: Campaign | None = None
+        self._campaigns = self._life  # so that no number comes again in another life
         self._deadline = now + core.timing.settled_s + self._spread()
         self._owed: tuple[MemberIdentity, VoteRequest] | None = None  # a vote to be sent when it is synced
         self.won = False
@@ -85,10 +122,14 @@
             return  # its own promise is not synced yet: a slow disk is no reason to begin anew
         self._deadline = now + core.timing.retry_s + self._spread()
         core.become(Role.BACKUP, None)
-        self._campaign = Campaign(True, core.epoch + 1, now)
+        self._campaign = Campaign(self._next_campaign(), True, core.epoch + 1, now)
         self._ask(now)
         self._count(now)
 
+    def _next_campaign(self) -> int:
+        self._campaigns += 1
+        return self._campaigns
+
     def stand(self, now: float, handed_over: bool = False, lives: dict[str, int] | None = None) -> None:
         """Promise a new epoch to itself; votes are asked for when that is synced. ``lives``: of all other
         replicas, when none of them follows a primary."""
@@ -97,7 +138,7 @@
         core.write_promise(Promise(epoch, core.identity.member_id, core.promise.committed))
         core.become(Role.CANDIDATE, None)
         core.effects.changed = True
-        self._campaign = Campaign(False, epoch, now, handed_over, lives=lives or {})
+        self._campaign = Campaign(self._next_campaign(), False, epoch, now, handed_over, lives=lives or {})
         self._deadline = now + self._timeout()
 
     def written(self, now: float) -> None:
@@ -125,6 +166,7 @@
                 last_epoch=core.log.last_epoch,
                 handed_over=campaign.handed_over,
                 life=0 if campaign.preliminary else campaign.lives.get(peer.member_id, 0),
+                campaign=campaign.number,
             )
             core.send(peer, Message(vote_request=request))
 
@@ -169,7 +211,7 @@
         if epoch > self._core.epoch:
             self._core.adopt_epoch(epoch)
             self._campaign = None
-        elif campaign is None or (campaign.preliminary, campaign.epoch) != (reply.preliminary, reply.epoch):
+        elif campaign is None or (campaign.number, campaign.epoch) != (reply.campaign, reply.epoch):
             return
         elif reply.removed:
             self.postpone(now)
@@ -277,5 +319,6 @@
             life=self._life if unbound else NO_LIFE,
             commit_index=commit_index,
             commit_epoch=self._core.log.epoch_at(commit_index) or 0,
+            campaign=request.campaign,
         )
         self._core.send(sender, Message(vote_reply=reply))
--- a/cherrycove/tier/replication/primary.py
+++ b/cherrycove/tier/replication/primary.py
@@ -99,8 +99,11 @@
         return self._core.electorate().confirmed_since(acknowledged)
 
     def confirmed(self, now: float) -> bool:
-        """Whether nobody else can have been elected yet, and all that others committed is applied here."""
-        if self._core.commit_index < self._noop_index:
+        """Whether nobody else can have been elected yet, and all that others committed is applied here.
+
+        Never once it knows that its own removal is committed: those left need not ask it then before they
+        elect without waiting (``elections``)."""
+        if self._core.commit_index < self._noop_index or not self._core.is_listed:
             return False
         return now - self._confirmed_since(now) < self._core.timing.lease_s
 
--- a/tests/tier/test_replication_machine.py
+++ b/tests/tier/test_replication_machine.py
@@ -450,6 +450,15 @@
     assert outgoing.message.append_reply.match_index == 2
 
 
+def last_campaign(effects: Effects) -> int:
+    requests = [
+        outgoing.message.vote_request
+        for outgoing in effects.messages
+        if outgoing.message.HasField("vote_request")
+    ]
+    return requests[-1].campaign
+
+
 def test_a_slow_disk_does_not_make_a_candidate_begin_anew() -> None:
     machine, _ = single()
     for tick in range(20):
@@ -461,6 +470,7 @@
         reply.vote_reply.preliminary = True
         reply.vote_reply.epoch = 1
         reply.vote_reply.granted = True
+        reply.vote_reply.campaign = last_campaign(effects)
         machine.receive(identity(peer), reply, 1.0)
     (write,) = machine.take_effects().writes
     for tick in range(20, 80):
@@ -523,8 +533,10 @@
         tell()
 
 
-def preliminary_vote(granted: bool, commit_index: int = 1, commit_epoch: int = 0) -> Message:
-    reply = VoteReply(preliminary=True, epoch=2, granted=granted)
+def preliminary_vote(
+    granted: bool, campaign: int, commit_index: int = 1, commit_epoch: int = 0
+) -> Message:
+    reply = VoteReply(preliminary=True, epoch=2, granted=granted, campaign=campaign)
     reply.commit_index = commit_index
     reply.commit_epoch = commit_epoch
     return Message(epoch=1, vote_reply=reply)
@@ -542,12 +554,141 @@
     for tick in range(100, 130):
         machine.tick(tick * 0.05)
     assert machine.listed() == {"m0", "m1", "m2", "m3"}
-    machine.take_effects()
-    machine.receive(identity(3), preliminary_vote(granted=True), 6.5)
+    campaign = last_campaign(machine.take_effects())
+    machine.receive(identity(3), preliminary_vote(True, campaign), 6.5)
     assert machine.role is Role.BACKUP
-    machine.receive(identity(2), preliminary_vote(False, commit_index=3, commit_epoch=2), 6.5)
+    machine.receive(identity(2), preliminary_vote(False, campaign, commit_index=3, commit_epoch=2), 6.5)
     assert machine.commit_index == 2
-    machine.receive(identity(2), preliminary_vote(False, commit_index=3, commit_epoch=1), 6.5)
+    machine.receive(identity(2), preliminary_vote(False, campaign, commit_index=3, commit_epoch=1), 6.5)
     assert machine.listed() == {"m0", "m1", "m3"}
-    machine.receive(identity(3), preliminary_vote(granted=True), 6.5)
+    machine.receive(identity(3), preliminary_vote(True, campaign), 6.5)
     assert machine.role is Role.CANDIDATE
+
+
+# Elections without waiting for a lease
+
+
+def unbound(campaign: int, life: int = 7) -> Message:
+    """Answer of a replica that follows nobody."""
+    return Message(
+        epoch=0, vote_reply=VoteReply(preliminary=True, epoch=1, unbound=True, life=life, campaign=campaign)
+    )
+
+
+def asking(now: float = 0.3) -> tuple[ReplicaMachine, int]:
+    """A machine of three that has just started, and the campaign that it began at ``now``."""
+    disk = SimulatedDisk("m0")
+    first = ReplicaMachine(identity(0), 1, disk.recovered(), disk, Random(1), 0.0)
+    first.bootstrap(GROUP, 0.0)
+    sync(first, disk, 0.0)
+    machine = ReplicaMachine(identity(0), 1, disk.recovered(), disk, Random(1), 0.0)
+    machine.tick(now)
+    return machine, last_campaign(machine.take_effects())
+
+
+def test_all_must_answer_that_they_follow_nobody() -> None:
+    machine, campaign = asking()
+    machine.receive(identity(1), unbound(campaign), 0.31)
+    assert machine.role is Role.BACKUP
+    machine.receive(identity(2), unbound(campaign), 0.32)
+    assert machine.role is Role.CANDIDATE
+
+
+def test_a_primary_that_is_frozen_or_cut_off_answers_too_late() -> None:
+    machine, campaign = asking()
+    machine.receive(identity(1), unbound(campaign), 0.31)
+    machine.receive(identity(2), unbound(campaign), 0.46)
+    assert machine.role is Role.BACKUP
+
+
+def test_an_answer_to_an_earlier_question_does_not_count() -> None:
+    machine, earlier = asking()
+    for tick in range(7, 19):
+        machine.tick(tick * 0.05)
+    campaign = last_campaign(machine.take_effects())
+    assert campaign != earlier
+    machine.receive(identity(1), unbound(campaign), 0.91)
+    machine.receive(identity(2), unbound(earlier), 0.91)
+    assert machine.role is Role.BACKUP
+
+
+def test_an_address_used_again_answers_for_a_disk_that_is_gone_but_gives_no_vote() -> None:
+    machine, campaign = asking()
+    machine.disk_replaced("m1", 0.31)
+    assert machine.role is Role.BACKUP
+    machine.disk_replaced("m2", 0.31)
+    assert machine.role is Role.BACKUP
+    machine.receive(identity(2), unbound(campaign), 0.32)
+    assert machine.role is Role.CANDIDATE
+
+
+def test_a_disk_that_was_moved_to_another_address_does_not_stand() -> None:
+    disk = SimulatedDisk("m0")
+    first = ReplicaMachine(identity(0), 1, disk.recovered(), disk, Random(1), 0.0)
+    first.bootstrap(GROUP, 0.0)
+    sync(first, disk, 0.0)
+    moved = MemberIdentity("m0", "n9", "n9:1")
+    machine = ReplicaMachine(moved, 1, disk.recovered(), disk, Random(1), 0.0)
+    for tick in range(100):
+        machine.tick(tick * 0.05)
+    assert bodies(machine.take_effects()) == []
+
+
+def test_a_member_that_answers_in_two_lives_waits_in_the_second() -> None:
+    machine, disk = single()
+    question = vote_request(1)
+    question.vote_request.preliminary = True
+    machine.receive(identity(2), question, 0.2)
+    (outgoing,) = machine.take_effects().messages
+    assert outgoing.message.vote_reply.unbound
+    life = outgoing.message.vote_reply.life
+    again = ReplicaMachine(identity(0), 1, disk.recovered(), disk, Random(2), 0.25)
+    request = vote_request(1)
+    request.vote_request.life = life
+    again.receive(identity(2), request, 0.5)
+    assert not again.take_effects().messages[0].message.vote_reply.granted
+    machine.receive(identity(2), request, 0.5)
+    assert machine.epoch == 1
+
+
+def test_a_member_that_heard_a_primary_after_its_answer_waits_all_the_same() -> None:
+    machine, _ = single()
+    question = vote_request(1)
+    question.vote_request.preliminary = True
+    machine.receive(identity(2), question, 0.2)
+    life = machine.take_effects().messages[0].message.vote_reply.life
+    heard(machine, 1, 0.3)
+    request = vote_request(2)
+    request.vote_request.life = life
+    machine.receive(identity(2), request, 0.5)
+    assert not machine.take_effects().messages[0].message.vote_reply.granted
+
+
+def test_a_removed_primary_is_not_confirmed_once_its_removal_is_committed() -> None:
+    """Those left do not ask it any more before they elect without waiting."""
+    world = quiet_world(members=4)
+    commit(world, 3.0)
+    primary = primary_of(world)
+    leaving = next(replica for replica in world.replicas if replica is not primary)
+    unaware = [replica for replica in world.replicas if replica not in (primary, leaving)]
+
+    def cut_off_at_change(replica: Replica, effects: Effects) -> None:
+        if leaving.disk.member_id not in member_ids(primary):
+            world.cuts |= {(primary.address, other.address) for other in unaware}
+
+    world.on_effects = cut_off_at_change
+    world.retiring = frozenset({leaving.address})
+    world.offer()
+    wait(world, lambda: leaving.disk.member_id not in member_ids(leaving), 1.0)
+    wait(world, lambda: not machine_of(leaving).writing, 0.1)
+    confirmed: list[bool] = []
+
+    def note(replica: Replica, effects: Effects) -> None:
+        if replica is leaving and machine_of(leaving).role is Role.PRIMARY:
+            confirmed.append(machine_of(leaving).confirmed(world.now))
+
+    world.on_effects = note
+    primary.end(Random(1))
+    wait(world, lambda: world.confirmed() in unaware, 6.0)
+    assert confirmed
+    assert not any(confirmed)
