Leadership: a keeper that was replaced while it was away points to the primary

Cause: a keeper that was swapped out while it was down starts with the old list, which names it. It hears no heartbeat and nobody tells it that it was removed, so it took itself for a member without a primary, held every order for 0.7 s and answered 503, for good.

Ruled out: the pulls of that keeper (the primary answered all of them).

Change: where pulls are answered though no heartbeat has come for 1.5 s, the keeper points to who answers them. The transcripts of members that are cut off stay as they are; the new test fails without the change.

--- a/cherrycove/tier/controlplane/leadership.py
+++ b/cherrycove/tier/controlplane/leadership.py
@@ -12,6 +12,7 @@
 
 POLL_S = 0.05  # a lease can end or begin to hold without a change that the group reports
 SETTLE_TIMEOUT_S = 0.7  # below the silence after which callers turn to another keeper
+WITHOUT_HEARTBEATS_S = 1.5  # who knows no primary for so long, though its pulls are answered, was removed
 HINT_FRESH_S = 3.0  # a primary of which nothing was heard for so long is not pointed to
 
 
@@ -37,11 +38,14 @@
         """RPC address of the keeper that leads, by the newest evidence; empty while that is too old.
 
         A member learns of its group's primary by heartbeats and forgets it when they stay away. A keeper
-        outside the group hears none: only the primary's answers to its own pulls tell it."""
+        outside the group hears none, nor does one that was removed and does not know of it: only the answers
+        to its own pulls tell it, where they still come long after the heartbeats."""
+        self._note_primary()
         now = asyncio.get_running_loop().time()
         group, views = self._group, self._views
         primary = group.primary
-        if primary is None and group.identity.member_id in group.listed():
+        listed = group.identity.member_id in group.listed()
+        if primary is None and listed and views.last_contact - self._primary_since < WITHOUT_HEARTBEATS_S:
             return ""
         heard_at, address = views.last_contact, views.primary_address
         if primary is not None and self._primary_since >= heard_at:
--- a/tests/tier/test_control_simulation.py
+++ b/tests/tier/test_control_simulation.py
@@ -13,7 +13,7 @@
 from cherrycove.tier.replication.effects import WriteEntries
 from cherrycove.tier.simulation.control.disk import Disk
 from cherrycove.tier.simulation.control.loop import Life, VirtualLoop
-from cherrycove.tier.simulation.control.machines import CATCH_UP_S
+from cherrycove.tier.simulation.control.machines import CATCH_UP_S, Machine
 from cherrycove.tier.simulation.control.mutations import MUTATIONS, without
 from cherrycove.tier.simulation.control.network import Client, Endpoint, Network
 from cherrycove.tier.simulation.control.operators import Habits, Operators
@@ -224,13 +224,34 @@
     primary = world.primary()
     outside = world.machines[3]
     assert primary is not None and primary is not outside
+    assert ask_for_configuration(world, operators, outside) == (307, primary.host)
+
+
+def test_a_keeper_that_was_replaced_while_it_was_away_points_to_the_primary() -> None:
+    """Its own list still names it, and nobody tells it otherwise: it is a member that hears no primary."""
+    world = World(4, Shape(faults=1, machines=4, proxies=0))
+    world.build()
+    operators = Operators(world, Habits(lost_answers=0.0))
+    world.run_until(4.0)
+    away = next(machine for machine in world.machines[:3] if machine is not world.primary())
+    world.kill(away, power=True)
+    world.run_until(14.0)
+    world.power_up(away)
+    world.run_until(17.0)
+    primary = world.primary()
+    assert primary is not None
+    assert ask_for_configuration(world, operators, away) == (307, primary.host)
+
+
+def ask_for_configuration(world: World, operators: Operators, machine: Machine) -> tuple[int, str]:
+    """The answer of one keeper: its status, and the host that it points to."""
     statuses: list[tuple[int, str]] = []
 
     async def ask() -> None:
-        reply = await operators._ask(outside.host, operators.read_order())
+        reply = await operators._ask(machine.host, operators.read_order())
         assert reply is not None
-        statuses.append((reply.status, reply.location))
+        statuses.append((reply.status, reply.location.partition("://")[2].partition(":")[0]))
 
     world.loop.spawn(operators.life, ask())
-    world.run_until(5.0)
-    assert [(status, primary.host in location) for status, location in statuses] == [(307, True)]
+    world.run_until(world.now + 1.0)
+    return statuses[0]
