--- a/cherrycove/tier/simulation/control/faults.py
+++ b/cherrycove/tier/simulation/control/faults.py
@@ -72,6 +72,31 @@
         world.network.cut(links)
         self._lasting("cut", machine, duration, lambda: world.network.join(links), disk=False)
 
+    def cut_in_steps(self, machine: Machine, duration: float) -> None:
+        """Cut a machine off from one other, which so stands for election, and soon after from the rest.
+
+        Proxies and operators still reach it."""
+        world, random = self._world, self._random
+        others = [other.host for other in world.machines if other is not machine]
+        random.shuffle(others)
+        first, rest = _both_ways(machine.host, others[:1]), _both_ways(machine.host, others[1:])
+        held = set(first)
+        over: list[bool] = []
+
+        def second() -> None:
+            if not over:
+                held.update(rest)
+                world.network.cut(rest)
+                world.update_contacts()
+
+        def undo() -> None:
+            over.append(True)
+            world.network.join(held)
+
+        world.network.cut(first)
+        world.after(random.uniform(0.8, 1.6), second)
+        self._lasting("cut in steps", machine, duration, undo, disk=False)
+
     def storm(self, duration: float) -> None:
         """Packets are lost and connections reset everywhere; no machine counts as lost by it."""
         world = self._world
@@ -208,3 +233,7 @@
             else:
                 world.kill(machine, power=True)
                 self._lasting("power", machine, back, lambda one=machine: world.power_up(one), disk=False)  # type: ignore[misc]
+
+
+def _both_ways(host: str, others: list[str]) -> set[tuple[str, str]]:
+    return {(host, other) for other in others} | {(other, host) for other in others}
--- a/cherrycove/tier/simulation/control/scenarios.py
+++ b/cherrycove/tier/simulation/control/scenarios.py
@@ -51,7 +51,7 @@
 
 
 PLANS: dict[str, Plan] = {
-    "cut-off": Plan(kinds={"cut": 8, "freeze": 2, "storm": 1, "kill": 1}),
+    "cut-off": Plan(kinds={"cut": 8, "steps": 4, "freeze": 2, "storm": 1, "kill": 1}),
     "races": Plan(
         kinds={"kill": 3, "stop": 3, "cut": 2, "freeze": 2, "storm": 2, "all": 1},
         habits=Habits(
@@ -81,7 +81,7 @@
     ),
     "mix": Plan(
         kinds={
-            "cut": 4, "freeze": 2, "slow": 1, "kill": 3, "stop": 1, "all": 1,
+            "cut": 4, "steps": 1, "freeze": 2, "slow": 1, "kill": 3, "stop": 1, "all": 1,
             "disk": 2, "wipe": 3, "replace": 2, "add": 1, "storm": 1, "retire": 1,
         },
         shapes=(SMALL, WITH_STANDBY, LARGE, WITH_STORES),
@@ -277,6 +277,7 @@
         faults, random = self.faults, self._random
         actions: dict[str, Callable[[], None]] = {
             "cut": lambda: faults.cut(machine, random.uniform(*CUTS_S)),
+            "steps": lambda: faults.cut_in_steps(machine, random.uniform(2.0, 6.0)),
             "freeze": lambda: faults.freeze(machine, random.choice([0.4, 1.0, 2.5, 6.0, 15.0])),
             "slow": lambda: faults.slow(machine, random.uniform(1.0, 8.0)),
             "kill": lambda: faults.kill(machine, random.choice([0.2, 0.6, 2.0, 6.0, 20.0])),
