--- a/cherrycove/tier/simulation/control/mutations.py
+++ b/cherrycove/tier/simulation/control/mutations.py
@@ -221,7 +221,7 @@
     "no-barrier-after-an-uncertain-change": Mutation("races", _no_barrier_after_an_uncertain_change),
     "uncertain-is-refused": Mutation("races", _uncertain_is_refused),
     "accepted-digests-forgotten": Mutation("races", _accepted_digests_forgotten),
-    "decides-before-its-first-entry": Mutation("races", _decides_before_its_first_entry),
+    "decides-before-its-first-entry": Mutation("restart", _decides_before_its_first_entry),
     "one-copy-fewer": Mutation("second-loss", _of_the_group("one-copy-fewer")),
     "new-list-alone": Mutation("second-loss", _of_the_group("new-list-alone")),
     "emptied-keeps-identity": Mutation("second-loss", _emptied_keeps_identity),
--- a/cherrycove/tier/simulation/control/scenarios.py
+++ b/cherrycove/tier/simulation/control/scenarios.py
@@ -23,6 +23,7 @@
 CALM_END_S = 6.5  # without troubles, at the end
 LAST_LOSS_S = 6.5  # for what is read back after the final fault
 READ_STEP_S = 0.25
+BLINKS_S = (1.2, 2.2)  # cuts after which another leads, while orders wait at the one that was cut off
 JOBS_READ_S = 8.0
 BATCH_CLIENTS = 4
 MIN_PAUSE_S = 0.05
@@ -74,7 +75,7 @@
         after_acknowledgement=0.05,
     ),
     "misdelivery": Plan(
-        kinds={"storm": 4, "wipe": 4, "kill": 3, "cut": 2, "replace": 2},
+        kinds={"storm": 4, "wipe": 4, "kill": 3, "cut": 1, "blink": 4, "replace": 2},
         shapes=(SMALL, WITH_STANDBY, WITH_STORES, MANY_WITH_STORES),
         habits=Habits(document_bytes=(400, 4_000)),
         at_once=0.8,
@@ -277,6 +278,7 @@
         faults, random = self.faults, self._random
         actions: dict[str, Callable[[], None]] = {
             "cut": lambda: faults.cut(machine, random.uniform(*CUTS_S)),
+            "blink": lambda: faults.cut(machine, random.uniform(*BLINKS_S)),
             "steps": lambda: faults.cut_in_steps(machine, random.uniform(2.0, 6.0)),
             "freeze": lambda: faults.freeze(machine, random.choice([0.4, 1.0, 2.5, 6.0, 15.0])),
             "slow": lambda: faults.slow(machine, random.uniform(1.0, 8.0)),
--- a/tests/tier/test_control_simulation.py
+++ b/tests/tier/test_control_simulation.py
@@ -183,10 +183,14 @@
 # Worlds
 
 
+WITH_STORES = {"second-loss": 2, "misdelivery": 2, "mix": 1}  # seeds whose worlds have batch jobs
+
+
 @pytest.mark.parametrize("name", NAMES)
 def test_worlds_from_fixed_seeds(name: str) -> None:
-    outcome = run_world(name, 0, SHORT_S)
+    outcome = run_world(name, WITH_STORES.get(name, 0), SHORT_S)
     assert outcome.acknowledged > 10
+    assert (outcome.jobs > 5) == (name in WITH_STORES)
 
 
 def test_a_world_is_a_function_of_its_seed() -> None:
