--- a/cherrycove/tier/simulation/control/mutations.py
+++ b/cherrycove/tier/simulation/control/mutations.py
@@ -19,9 +19,9 @@
 from cherrycove.tier.errors import ErrorKind, Failure
 from cherrycove.tier.replication.group import ReplicatedGroup
 from cherrycove.tier.replication.machine import ReplicaMachine
+from cherrycove.tier.replication.peers import Peer
 from cherrycove.tier.replication.primary import Primary
 from cherrycove.tier.replication.proposals import Proposals
-from cherrycove.tier.replication.recruiting import Recruiting
 from cherrycove.tier.simulation import mutations as of_the_group
 from cherrycove.tier.simulation.control.machines import Surroundings
 from cherrycove.tier.simulation.control.network import Client
@@ -140,17 +140,7 @@
 
 
 def _taken_in_before_it_caught_up() -> Patches:
-    def step(recruiting: Any, unreachable: frozenset[str], now: float) -> Any:
-        chosen = original(recruiting, unreachable, now)
-        learner = recruiting.learner
-        if chosen is None and learner is not None:
-            learner.match_index = max(learner.match_index, 1)
-            with mock.patch.object(type(learner), "caught_up", lambda peer, within: True):
-                return original(recruiting, unreachable, now)
-        return chosen
-
-    original = Recruiting.step
-    yield mock.patch.object(Recruiting, "step", step)
+    yield mock.patch.object(Peer, "caught_up", lambda peer, within: True)
 
 
 # 4. A restarted member
