--- a/cherrycove/tier/simulation/control/scenarios.py
+++ b/cherrycove/tier/simulation/control/scenarios.py
@@ -23,6 +23,7 @@
 CALM_END_S = 6.5  # without troubles, at the end
 LAST_LOSS_S = 6.5  # for what is read back after the final fault
 READ_STEP_S = 0.25
+BLINKS_S = (1.2, 2.2)  # cuts after which another leads, while orders wait at the one that was cut off
 JOBS_READ_S = 8.0
 BATCH_CLIENTS = 4
 MIN_PAUSE_S = 0.05
@@ -51,7 +52,7 @@
 
 
 PLANS: dict[str, Plan] = {
-    "cut-off": Plan(kinds={"cut": 8, "freeze": 2, "storm": 1, "kill": 1}),
+    "cut-off": Plan(kinds={"cut": 8, "steps": 4, "freeze": 2, "storm": 1, "kill": 1}),
     "races": Plan(
         kinds={"kill": 3, "stop": 3, "cut": 2, "freeze": 2, "storm": 2, "all": 1},
         habits=Habits(
@@ -74,14 +75,14 @@
         after_acknowledgement=0.05,
     ),
     "misdelivery": Plan(
-        kinds={"storm": 4, "wipe": 4, "kill": 3, "cut": 2, "replace": 2},
+        kinds={"storm": 4, "wipe": 4, "kill": 3, "cut": 1, "blink": 4, "replace": 2},
         shapes=(SMALL, WITH_STANDBY, WITH_STORES, MANY_WITH_STORES),
         habits=Habits(document_bytes=(400, 4_000)),
         at_once=0.8,
     ),
     "mix": Plan(
         kinds={
-            "cut": 4, "freeze": 2, "slow": 1, "kill": 3, "stop": 1, "all": 1,
+            "cut": 4, "steps": 1, "freeze": 2, "slow": 1, "kill": 3, "stop": 1, "all": 1,
             "disk": 2, "wipe": 3, "replace": 2, "add": 1, "storm": 1, "retire": 1,
         },
         shapes=(SMALL, WITH_STANDBY, LARGE, WITH_STORES),
@@ -277,6 +278,8 @@
         faults, random = self.faults, self._random
         actions: dict[str, Callable[[], None]] = {
             "cut": lambda: faults.cut(machine, random.uniform(*CUTS_S)),
+            "blink": lambda: faults.cut(machine, random.uniform(*BLINKS_S)),
+            "steps": lambda: faults.cut_in_steps(machine, random.uniform(2.0, 6.0)),
             "freeze": lambda: faults.freeze(machine, random.choice([0.4, 1.0, 2.5, 6.0, 15.0])),
             "slow": lambda: faults.slow(machine, random.uniform(1.0, 8.0)),
             "kill": lambda: faults.kill(machine, random.choice([0.2, 0.6, 2.0, 6.0, 20.0])),
