--- a/tests/tier/storage_crashes.py
+++ b/tests/tier/storage_crashes.py
@@ -86,7 +86,7 @@
         snapshot(9, 9, required=True),
         append(10, 11),
     ],
-    "snapshots in a row": [append(1, 2, 0), snapshot(1, 2, 0), snapshot(2, 2, 0)],
+    "snapshots in a row": [append(1, 3, 0), snapshot(1, 3, 0), snapshot(2, 3, 0)],
     "snapshots": [
         promise(1, "a"),
         append(1, 4),
