--- a/cherrycove/tier/replication/core.py
+++ b/cherrycove/tier/replication/core.py
@@ -12,7 +12,7 @@
 from cherrycove.tier.protocol.replication_pb2 import Message
 from cherrycove.tier.replication.effects import Effects, Outgoing, WriteEntries, WritePromise, WriteSnapshot
 from cherrycove.tier.replication.interface import MemberIdentity
-from cherrycove.tier.replication.log import Membership, ReplicatedLog, decode_members
+from cherrycove.tier.replication.log import MembersAt, Membership, ReplicatedLog, decode_members
 from cherrycove.tier.replication.quorums import Electorate
 from cherrycove.tier.replication.timing import Timing
 from cherrycove.tier.storage.entries import Entry
@@ -87,6 +87,7 @@
         self.pending: deque[PendingWrite] = deque()
         self.disk_failing = False
         self._tickets = 0
+        self._electorate: tuple[MembersAt, bool, Electorate] | None = None  # for a list, open or not
         if recovered.snapshot is not None:
             self.effects.restore = recovered.snapshot
         self.effects.committed.extend(self.log.entries(self.log.base_index + 1, self.commit_index))
@@ -145,6 +146,12 @@
 
     def electorate(self) -> Electorate:
         newest = self.log.newest_members
+        known = self._electorate
+        if known is None or known[0] is not newest or known[1] != self.change_open():
+            known = self._electorate = (newest, self.change_open(), self._make_electorate(newest))
+        return known[2]
+
+    def _make_electorate(self, newest: MembersAt) -> Electorate:
         if not self.change_open():
             return Electorate(self.faults, newest.members)
         before = self.log.members_at(newest.index - 1).members
--- a/cherrycove/tier/replication/elections.py
+++ b/cherrycove/tier/replication/elections.py
@@ -264,7 +264,8 @@
         """Whether there is a primary whose group has dropped ``sender``, which does not know it yet."""
         if not (confirmed or self._heard_lately(now)) or self._core.change_open():
             return False
-        return all(member.member_id != sender.member_id for member in self._core.members)
+        members = self._core.members  # empty where the first list has not come yet
+        return bool(members) and all(member.member_id != sender.member_id for member in members)
 
     def _bound_to_primary(self, request: VoteRequest, confirmed: bool, now: float) -> bool:
         """Whether a primary may still hold a lease that counts on this replica."""
--- a/cherrycove/tier/replication/quorums.py
+++ b/cherrycove/tier/replication/quorums.py
@@ -49,6 +49,7 @@
 
 from cherrycove.tier.replication.interface import MemberIdentity
 
+NEVER = float("-inf")
 Value = TypeVar("Value", int, float)
 
 
@@ -66,7 +67,7 @@
     values: Mapping[str, Value], members: Sequence[MemberIdentity], count: int, lowest: Value
 ) -> Value:
     """The highest value that ``count`` of ``members`` have reached; ``lowest`` for those without one."""
-    ordered = sorted((values.get(member.member_id, lowest) for member in members), reverse=True)
+    ordered = sorted([values.get(member.member_id, lowest) for member in members], reverse=True)
     return ordered[count - 1] if 0 < count <= len(ordered) else lowest
 
 
@@ -91,12 +92,15 @@
 
     def confirmed_since(self, acknowledged: Mapping[str, float]) -> float:
         """The time up to which an election quorum has acknowledged this primary."""
-        never = float("-inf")
-        lists = [self.current] if self.previous is None else [self.current, self.previous]
-        return min(
-            _reached(acknowledged, members, election_quorum(len(members), self.faults), never)
-            for members in lists
-        )
+        since = self._majority_since(self.current, acknowledged)
+        if self.previous is None:
+            return since
+        return min(since, self._majority_since(self.previous, acknowledged))
+
+    def _majority_since(
+        self, members: tuple[MemberIdentity, ...], acknowledged: Mapping[str, float]
+    ) -> float:
+        return _reached(acknowledged, members, election_quorum(len(members), self.faults), NEVER)
 
     def committable(self, synced: Mapping[str, int]) -> int:
         """The highest index with enough synced copies; its epoch is the caller's to check."""
--- a/cherrycove/tier/simulation/scenario.py
+++ b/cherrycove/tier/simulation/scenario.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import gc
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from random import Random
 
 import attrs
@@ -260,4 +262,17 @@
 
 def run_seed(seed: int, faulty_s: float = FAULTY_S, emptied_keeps_identity: bool = False) -> Outcome:
     """Run the world of ``seed``; raises InvariantBrokenError where an invariant breaks."""
-    return Scenario(seed, faulty_s, emptied_keeps_identity).run()
+    with _collected_at_the_end():
+        return Scenario(seed, faulty_s, emptied_keeps_identity).run()
+
+
+@contextmanager
+def _collected_at_the_end() -> Iterator[None]:
+    """A world makes many small objects and hardly any cycles."""
+    enabled = gc.isenabled()
+    gc.disable()
+    try:
+        yield
+    finally:
+        if enabled:
+            gc.enable()
--- a/cherrycove/tier/simulation/world.py
+++ b/cherrycove/tier/simulation/world.py
@@ -165,6 +165,8 @@
         self.on_effects(replica, effects)
         replica.disk.submit(effects.writes)
         self._sync(replica)
+        if not (effects.messages or effects.committed or effects.restore):
+            return
         if effects.restore is not None:
             replica.state = State.decode(effects.restore.state)
             replica.since_snapshot = 0
--- a/tests/tier/test_replication_machine.py
+++ b/tests/tier/test_replication_machine.py
@@ -565,6 +565,19 @@
     assert machine.role is Role.CANDIDATE
 
 
+def test_a_voter_without_a_list_does_not_tell_a_candidate_that_it_was_removed() -> None:
+    disk = SimulatedDisk("m0")
+    empty = ReplicaMachine(identity(0), 1, disk.recovered(), disk, Random(1), 0.0)
+    empty.receive(identity(1), Message(epoch=1, append=Append(sent_us=1, previous_index=5)), 1.0)
+    empty.take_effects()
+    question = vote_request(2)
+    question.vote_request.preliminary = True
+    empty.receive(identity(2), question, 1.1)
+    (outgoing,) = empty.take_effects().messages
+    assert not outgoing.message.vote_reply.granted
+    assert not outgoing.message.vote_reply.removed
+
+
 # Elections without waiting for a lease
 
 
