--- a/cherrycove/tier/simulation/mutations.py
+++ b/cherrycove/tier/simulation/mutations.py
@@ -7,12 +7,15 @@
 from typing import Any
 from unittest import mock
 
-from cherrycove.tier.replication import quorums
+import attrs
+
+from cherrycove.tier.replication import membership_policy, quorums
 from cherrycove.tier.replication.backup import Backup
 from cherrycove.tier.replication.core import ReplicaCore
 from cherrycove.tier.replication.elections import Elections
 from cherrycove.tier.replication.primary import Primary
 from cherrycove.tier.replication.quorums import Electorate
+from cherrycove.tier.replication.recruiting import Recruiting
 
 Patches = Iterator[Any]
 
@@ -82,6 +85,31 @@
     yield mock.patch.object(Elections, "_nobody_leads", nobody_leads)
 
 
+def _life_not_compared() -> Patches:
+    def bound(elections: Any, request: Any, confirmed: bool, now: float) -> bool:
+        heard_at = elections._heard_here if request.life else elections._heard_at
+        return bool(confirmed or now - heard_at < elections._core.timing.election_timeout_s)
+
+    yield mock.patch.object(Elections, "_bound_to_primary", bound)
+
+
+def _removed_primary_stays_confirmed() -> Patches:
+    yield mock.patch.object(ReplicaCore, "is_listed", True)
+
+
+def _silent_members_stay() -> Patches:
+    yield mock.patch.object(membership_policy, "_unreachable", lambda view, standbys: None)
+
+
+def _retiring_while_others_are_silent() -> Patches:
+    view = Recruiting._view
+
+    def unaware(recruiting: Any, *arguments: Any) -> Any:
+        return attrs.evolve(view(recruiting, *arguments), unheard=frozenset())
+
+    yield mock.patch.object(Recruiting, "_view", unaware)
+
+
 MUTATIONS: dict[str, Callable[[], Patches]] = {
     "acknowledge-before-sync": _acknowledge_before_sync,
     "commit-before-own-sync": _commit_before_own_sync,
@@ -92,6 +120,10 @@
     "count-copies-of-older-epochs": _count_copies_of_older_epochs,
     "new-list-alone": _new_list_alone,
     "restarted-quorum-needs-no-lease-to-end": _restarted_quorum_needs_no_lease_to_end,
+    "life-not-compared": _life_not_compared,
+    "removed-primary-stays-confirmed": _removed_primary_stays_confirmed,
+    "silent-members-stay": _silent_members_stay,
+    "retiring-while-others-are-silent": _retiring_while_others_are_silent,
 }
 EMPTIED_KEEPS_IDENTITY = "emptied-keeps-identity"  # a mutation of the world, not of the protocol
 NAMES = (*MUTATIONS, EMPTIED_KEEPS_IDENTITY)
