--- a/cherrycove/tier/simulation/control/mutations.py
+++ b/cherrycove/tier/simulation/control/mutations.py
@@ -23,6 +23,7 @@
 from cherrycove.tier.replication.primary import Primary
 from cherrycove.tier.replication.proposals import Proposals
 from cherrycove.tier.simulation import mutations as of_the_group
+from cherrycove.tier.simulation.control import network
 from cherrycove.tier.simulation.control.machines import Surroundings
 from cherrycove.tier.simulation.control.network import Client
 
@@ -164,8 +165,13 @@
             batch.receiver_id = group._identity.member_id
         return await original(group, batch)
 
+    async def serve(endpoint: Any, name: str, body: bytes, receiver: str) -> Any:
+        return await serve_to_receiver(endpoint, name, body, "")
+
     original = ReplicatedGroup._receive
+    serve_to_receiver = network._serve
     yield mock.patch.object(ReplicatedGroup, "_receive", receive)
+    yield mock.patch.object(network, "_serve", serve)
 
 
 def _outcomes_by_place_alone() -> Patches:
