--- a/cherrycove/tier/simulation/control/scenarios.py
+++ b/cherrycove/tier/simulation/control/scenarios.py
@@ -316,6 +316,7 @@
 
 def run_world(name: str, seed: int, lasts_s: float = 0.0) -> Outcome:
     """One world; raises ``InvariantBrokenError`` where something does not hold."""
+    disabled_before = logging.root.manager.disable
     logging.disable(logging.CRITICAL)
     gc.disable()
     run = Run(name, seed, lasts_s)
@@ -323,5 +324,6 @@
         return run.go()
     finally:
         run.close()
+        logging.disable(disabled_before)
         gc.enable()
         gc.collect()
--- a/tests/tier/test_control_simulation.py
+++ b/tests/tier/test_control_simulation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from random import Random
 
 import pytest
@@ -219,6 +220,12 @@
         run_world(MUTATIONS[name].scenario, seed, SHORT_S)
 
 
+def test_a_world_leaves_logging_as_it_was() -> None:
+    """Tests of the log failed behind it, in the same process."""
+    run_world(NAMES[0], 0, 1.0)
+    assert logging.root.manager.disable == logging.NOTSET
+
+
 def test_a_keeper_outside_the_group_points_to_the_primary() -> None:
     """It knows the primary from its own pulls; holding an order and answering 503 costs its sender time."""
     world = World(3, Shape(faults=1, machines=4, proxies=0))
