--- a/tests/tier/test_replication_simulation.py
+++ b/tests/tier/test_replication_simulation.py
@@ -17,11 +17,11 @@
     "commit-before-own-sync": 0,
     "vote-without-log-check": 0,
     "one-copy-fewer": 0,
-    "vote-before-sync": 310,
-    "vote-within-lease": 290,
+    "vote-before-sync": 100,
+    "vote-within-lease": 70,
     "count-copies-of-older-epochs": 0,
-    "new-list-alone": 220,
-    EMPTIED_KEEPS_IDENTITY: 0,
+    "new-list-alone": 90,
+    EMPTIED_KEEPS_IDENTITY: 160,
 }
 
 
