--- a/cherrycove/tier/replication/core.py
+++ b/cherrycove/tier/replication/core.py
@@ -12,7 +12,7 @@
 from cherrycove.tier.protocol.replication_pb2 import Message
 from cherrycove.tier.replication.effects import Effects, Outgoing, WriteEntries, WritePromise, WriteSnapshot
 from cherrycove.tier.replication.interface import MemberIdentity
-from cherrycove.tier.replication.log import Membership, ReplicatedLog, decode_members
+from cherrycove.tier.replication.log import MembersAt, Membership, ReplicatedLog, decode_members
 from cherrycove.tier.replication.quorums import Electorate
 from cherrycove.tier.replication.timing import Timing
 from cherrycove.tier.storage.entries import Entry
@@ -20,6 +20,7 @@
 from cherrycove.tier.storage.snapshots import Snapshot
 from cherrycove.tier.storage.store import RecoveredState
 
+CHUNK_BYTES = 1024 * 1024  # of a snapshot in one message
 INITIAL_EPOCH = 0  # of the entry with the initial members, which counts as committed
 
 
@@ -65,12 +66,14 @@
         timing: Timing,
         random: Random,
         kept_entries: int,
+        chunk_bytes: int,
     ) -> None:
         self.identity = identity
         self.faults = faults
         self.timing = timing
         self.random = random
         self._kept_entries = kept_entries
+        self.chunk_bytes = chunk_bytes
         self.role = Role.BACKUP
         self.primary: MemberIdentity | None = None
         self.promise = recovered.promise
@@ -84,6 +87,7 @@
         self.pending: deque[PendingWrite] = deque()
         self.disk_failing = False
         self._tickets = 0
+        self._electorate: tuple[MembersAt, bool, Electorate] | None = None  # for a list, open or not
         if recovered.snapshot is not None:
             self.effects.restore = recovered.snapshot
         self.effects.committed.extend(self.log.entries(self.log.base_index + 1, self.commit_index))
@@ -116,14 +120,24 @@
         return any(member.member_id == self.identity.member_id for member in self.members)
 
     @property
-    def may_lead(self) -> bool:
-        """Whether a list that still has a say names this replica.
+    def is_listed(self) -> bool:
+        """Whether a list that still has a say names this replica."""
+        return self._listed_identity() is not None
 
-        One that is being removed may hold the only log that is new enough, so it must be able to lead until
-        the change is committed."""
+    def _listed_identity(self) -> MemberIdentity | None:
         electorate = self.electorate()
         lists = (*electorate.current, *(electorate.previous or ()))
-        return any(member.member_id == self.identity.member_id for member in lists)
+        return next((member for member in lists if member.member_id == self.identity.member_id), None)
+
+    @property
+    def may_lead(self) -> bool:
+        """Whether a list that still has a say names this replica, at the address that it has.
+
+        One that is being removed may hold the only log that is new enough, so it must be able to lead until
+        the change is committed. A disk that was moved to another address must not: whoever has the listed
+        address answers that the replica of this disk does not run."""
+        listed = self._listed_identity()
+        return listed is not None and listed.address == self.identity.address
 
     def change_open(self) -> bool:
         """Whether the newest member list is not known to be committed."""
@@ -132,6 +146,12 @@
 
     def electorate(self) -> Electorate:
         newest = self.log.newest_members
+        known = self._electorate
+        if known is None or known[0] is not newest or known[1] != self.change_open():
+            known = self._electorate = (newest, self.change_open(), self._make_electorate(newest))
+        return known[2]
+
+    def _make_electorate(self, newest: MembersAt) -> Electorate:
         if not self.change_open():
             return Electorate(self.faults, newest.members)
         before = self.log.members_at(newest.index - 1).members
