--- a/tests/tier/test_control_cut_off.py
+++ b/tests/tier/test_control_cut_off.py
@@ -132,6 +132,30 @@
     asyncio.run(exchange())
 
 
+def test_a_primary_that_reaches_the_others_and_hears_none() -> None:
+    """One way: its lease runs out, while its heartbeats still bind the others, which go on pointing to it."""
+
+    async def exchange() -> None:
+        async with World(2) as world:
+            await prepared(world)
+            world.replicas.lease = False
+            approved(await ask(world, 0), UNDECIDED)
+            approved(await ask(world, 1), POINTS_TO_KEEPER_0)
+            assert world.replicas.committed == 2
+
+    asyncio.run(exchange())
+
+
+def test_a_member_whose_seeds_are_cut_off() -> None:
+    async def exchange() -> None:
+        async with World(2) as world:
+            await world.keepers[1].seeds_cut_off()
+            await prepared(world)
+            approved(await ask(world, 1), POINTS_TO_KEEPER_0)
+
+    asyncio.run(exchange())
+
+
 def test_a_backup_does_not_point_to_a_primary_that_has_been_silent(monkeypatch: pytest.MonkeyPatch) -> None:
     async def exchange() -> None:
         async with World(2) as world:
