A server follows the new identity of a damaged disk

Cause, by reading: the server that refuses calls meant for another member was told its id once, before the disk was read. A damaged disk gives the replica a new id, and all calls meant for that were refused until the next start, so the emptied replica could not be taken in. Ruled out: the replica's own check of whom a batch is meant for, which follows the new id. Change: the server asks for the id at each call. A test on both programs fails with the id of the start.

--- a/cherrycove/tier/programs/keeper.py
+++ b/cherrycove/tier/programs/keeper.py
@@ -27,7 +27,7 @@
         self._incarnation = new_incarnation()
         self._leaving = False
         self._group, self._fresh = open_group(PROGRAM, settings, self._state, self._server, self._client)
-        self._server.identify(self._group.identity.member_id)
+        self._server.identify(lambda: self._group.identity.member_id)
         self._views = Views()
         self._keeper = Keeper(
             settings, self._group, self._state, self._server, self._client, self._views
--- a/cherrycove/tier/programs/store.py
+++ b/cherrycove/tier/programs/store.py
@@ -27,7 +27,7 @@
         self._incarnation = new_incarnation()
         self._leaving = False
         self._group, self._fresh = open_group(PROGRAM, settings, self._state, self._server, self._client)
-        self._server.identify(self._group.identity.member_id)
+        self._server.identify(lambda: self._group.identity.member_id)
         self._views = Views()
         self._store = BatchStore(settings, self._group, self._state, self._server, views=self._views)
         self._puller = Puller(settings, self._client, self._views, self._announce)
--- a/cherrycove/tier/protocol/rpc.py
+++ b/cherrycove/tier/protocol/rpc.py
@@ -48,13 +48,19 @@
 
     def __init__(self) -> None:
         self._calls: dict[str, tuple[type[Message], Handler]] = {}
-        self.identity = ""  # the member that this process is; "": not told
+        self._member_id: Callable[[], str] = lambda: ""
         self._runner: web.ServerRunner | None = None
 
-    def identify(self, member_id: str) -> None:
-        """From now on calls that are meant for another member are refused. A server that has not been told
+    def identify(self, member_id: Callable[[], str]) -> None:
+        """From now on calls that are meant for another member than ``member_id`` tells are refused. It is
+        asked at each call: a disk that turns out to be damaged gets a new id. A server that has not been told
         who it is leaves that to its handlers."""
-        self.identity = member_id
+        self._member_id = member_id
+
+    @property
+    def identity(self) -> str:
+        """Id of the member that this process is; empty while not told."""
+        return self._member_id()
 
     def register(self, name: str, request_type: type[Message], handler: Handler) -> None:
         """``handler`` takes a message of ``request_type`` and returns a Result of a reply message."""
--- a/tests/tier/test_rpc.py
+++ b/tests/tier/test_rpc.py
@@ -17,6 +17,7 @@
 from cherrycove.tier.protocol.batch_pb2 import BodyReply, BodyRequest
 from cherrycove.tier.protocol.rpc import RpcClient, RpcServer
 from cherrycove.tier.settings import Settings
+from cherrycove.tier.storage.promises import PROMISE_FILE
 
 LARGE_BYTES = 3 * 1024 * 1024
 TIMEOUT_S = 10.0  # of a test's waits; nothing takes that long unless it fails
@@ -251,7 +252,7 @@
     async def story() -> None:
         server, client, address = RpcServer(), RpcClient(), free_address()
         server.register("echo", BodyRequest, handler)
-        server.identify("m-1")
+        server.identify(lambda: "m-1")
         await server.start(address)
         await client.start()
         outcomes = [
@@ -294,3 +295,28 @@
     )  # fmt: skip
     made = program(settings)
     assert made._server.identity == made._group.identity.member_id != ""
+
+
+@pytest.mark.parametrize("program", (KeeperProgram, StoreProgram))
+def test_a_server_follows_the_new_identity_of_a_damaged_disk(
+    program: type[KeeperProgram] | type[StoreProgram], tmp_path: Path
+) -> None:
+    """Calls meant for the new member were refused, so it could not be taken in before its next start."""
+    settings = Settings(
+        node_name="s-1", machine_class="storage", ip_address="127.0.0.1", zone="z", region="r",
+        internal_port_range=[7000, 7010], data_directory=str(tmp_path),
+    )  # fmt: skip
+
+    async def story() -> None:
+        first = program(settings)
+        await first._group.start()
+        await first._group.stop()
+        made = program(settings)
+        before = made._server.identity
+        promise = made._group._directory / PROMISE_FILE
+        promise.write_bytes(b"damaged")
+        await made._group.start()
+        assert made._server.identity == made._group.identity.member_id != before
+        await made._group.stop()
+
+    asyncio.run(story())
