--- a/cherrycove/tier/exploration/copying.py
+++ b/cherrycove/tier/exploration/copying.py
@@ -10,18 +10,23 @@
 from collections import deque
 from collections.abc import Callable
 from enum import Enum
+from io import BytesIO
 from random import Random
 from typing import Any
 
 import attrs
 from google.protobuf.message import Message
 
+from cherrycove.tier.replication.effects import WriteEntries, WritePromise, WriteSnapshot
+
 Copier = Callable[[Any, dict[int, Any]], Any]
 Canonical = Callable[[Any, dict[int, int]], Any]
 
 # Counters that only name writes in order; they differ without a difference in behaviour.
 _IGNORED_FIELDS = frozenset({"ticket", "_tickets"})
+_WRITES = (WriteEntries, WritePromise, WriteSnapshot)
 _PLAIN = (int, str, bytes, float, bool, type(None))
+_numbers: dict[Any, int] = {}  # of values met so far, which stand for them in canonical forms
 _copiers: dict[type, Copier] = {}
 _canonicals: dict[type, Canonical] = {}
 
@@ -38,6 +43,11 @@
     return attrs.has(kind) and kind.__hash__ not in (None, object.__hash__)
 
 
+def _is_hashable(kind: type) -> bool:
+    """Whether instances are values that are compared with all their fields, of which none is a list."""
+    return attrs.has(kind) and _is_value(kind) and kind not in _WRITES
+
+
 def copy_graph(value: Any, memo: dict[int, Any]) -> Any:
     """A copy that shares only what never changes; ``memo`` keeps shared objects shared."""
     kind = type(value)
@@ -56,11 +66,26 @@
         return lambda value, memo: [copy_graph(item, memo) for item in value]
     if kind is deque:
         return lambda value, memo: deque(copy_graph(item, memo) for item in value)
-    if kind in (set, bytearray):
-        return lambda value, memo: kind(value)
+    if kind is set:
+        return lambda value, memo: set(value)
+    if kind is BytesIO:
+        return lambda value, memo: _copied_bytes(value)
+    _require_own(kind)
     return _object_copier(kind)
 
 
+def _copied_bytes(value: BytesIO) -> BytesIO:
+    copied = BytesIO(value.getvalue())
+    copied.seek(value.tell())
+    return copied
+
+
+def _require_own(kind: type) -> None:
+    """Objects of other packages may hold more than their fields tell."""
+    if not kind.__module__.startswith("cherrycove."):
+        raise TypeError(f"{kind.__module__}.{kind.__name__} is not known how to be copied")
+
+
 def _object_copier(kind: type) -> Copier:
     names = field_names(kind)
 
@@ -78,7 +103,9 @@
 
 
 def canonical(value: Any, seen: dict[int, int] | None = None) -> Any:
-    """``value`` as nested tuples of plain values; an object met before is named by its place in the walk."""
+    """``value`` as nested tuples of plain values, comparable within this process.
+
+    An object met before is named by its place in the walk."""
     seen = {} if seen is None else seen
     kind = type(value)
     function = _canonicals.get(kind)
@@ -96,8 +123,10 @@
         return lambda value, seen: value.SerializeToString(deterministic=True)
     if issubclass(kind, Random):
         return lambda value, seen: None
-    if kind is bytearray:
-        return lambda value, seen: bytes(value)
+    if kind is BytesIO:
+        return lambda value, seen: (value.getvalue(), value.tell())
+    if _is_hashable(kind):
+        return lambda value, seen: ("value", _numbers.setdefault(value, len(_numbers)))
     return _collection_canonical(kind) or _object_canonical(kind)
 
 
@@ -113,13 +142,11 @@
 
 def _object_canonical(kind: type) -> Canonical:
     names = field_names(kind)
-    shared = not _is_value(kind)
 
     def walk(value: Any, seen: dict[int, int]) -> Any:
-        if shared:
-            if id(value) in seen:
-                return seen[id(value)]
-            seen[id(value)] = len(seen)
+        if id(value) in seen:
+            return seen[id(value)]
+        seen[id(value)] = len(seen)
         fields = names or tuple(sorted(value.__dict__))
         compared = (name for name in fields if name not in _IGNORED_FIELDS)
         return (kind.__name__, *(canonical(getattr(value, name), seen) for name in compared))
