Tier: a proxy records why requests were not answered in time

Cause: nothing told why the tier loses what it loses; admission's reasons were arguments. Change: each live request and batch item has a timeline; one that was not answered in time counts for one cause of a closed list, by route. A rejection says what decided it, a pending request why it waits. The cost in processor time is not measured yet.

--- a/cherrycove/tier/cli/__init__.py
+++ b/cherrycove/tier/cli/__init__.py
@@ -18,6 +18,7 @@
     from cherrycove.tier.cli.check import CheckConfigurationCommand, CheckSettingsCommand
     from cherrycove.tier.cli.command_line import CommandLine
     from cherrycove.tier.cli.configuration import ConfigDiffCommand, ConfigGetCommand, ConfigPutCommand
+    from cherrycove.tier.cli.losses import LossesCommand
     from cherrycove.tier.cli.retire import RetireCommand
     from cherrycove.tier.cli.status import StatusCommand
     from cherrycove.tier.cli.storage import StorageInspectCommand, StorageVerifyCommand
@@ -30,6 +31,7 @@
         ConfigDiffCommand,
         StatusCommand,
         BatchStatusCommand,
+        LossesCommand,
         RetireCommand,
         StorageInspectCommand,
         StorageVerifyCommand,
--- a/cherrycove/tier/dataplane/admission/__init__.py
+++ b/cherrycove/tier/dataplane/admission/__init__.py
@@ -10,7 +10,9 @@
     AttemptOutcome,
     CancelStalledAttempt,
     ClusterSnapshot,
+    PendingCause,
     Reject,
+    RejectionReason,
     StartAttempt,
 )
 from cherrycove.tier.dataplane.admission._scheduler import AdmissionScheduler
@@ -22,6 +24,8 @@
     "AttemptOutcome",
     "CancelStalledAttempt",
     "ClusterSnapshot",
+    "PendingCause",
     "Reject",
+    "RejectionReason",
     "StartAttempt",
 ]
--- a/cherrycove/tier/dataplane/admission/_broker_state.py
+++ b/cherrycove/tier/dataplane/admission/_broker_state.py
@@ -111,6 +111,7 @@
         self.load.in_flight += 1
         self.reserved_tokens += request.prompt.total_tokens
         self.health.attempt_started()
+        self._estimate_uncached(request)
         self.prefix_cache.add(request.prompt)
         if not request.is_batch:
             self.queue.count_sent(now, 1.0)
@@ -123,6 +124,14 @@
         self.queue.out -= not request.is_batch
         return self.in_flight.pop(request)
 
+    def _estimate_uncached(self, request: AdmissionRequest) -> None:
+        """Note how much of the prompt is probably not in the prefix cache."""
+        prompt = request.prompt
+        cached = self.prefix_cache.cached_tokens(prompt)
+        shared = sum(segment.tokens for segment in prompt.shared_segments)
+        request.uncached_tokens = max(prompt.input_tokens - cached, 0)
+        request.uncached_shared_tokens = max(shared - cached, 0)
+
     def slow_start_factor(self, now: float) -> float:
         """How many times its usual time it takes while it warms up; falls to 1 linearly."""
         warm_up_s = self.listing.warmup_remaining_ms / 1000
--- a/cherrycove/tier/dataplane/admission/_deadline_feasibility.py
+++ b/cherrycove/tier/dataplane/admission/_deadline_feasibility.py
@@ -5,7 +5,7 @@
 import attrs
 
 from cherrycove.tier.dataplane.admission._admission_state import AdmissionState
-from cherrycove.tier.dataplane.admission._interface import AdmissionRequest
+from cherrycove.tier.dataplane.admission._interface import AdmissionRequest, Reject, RejectionReason
 
 # Reasons are in docs/design/admission.md ("Rejections"): arguments, not measurements.
 DECISION_FRACTION = 0.22  # of the target latency, within which a first attempt is rejected or kept
@@ -46,21 +46,32 @@
     )
 
 
-def rejection_retry_after_s(request: AdmissionRequest, now: float, forecast: LatencyForecast) -> float | None:
-    """The ``Retry-After`` of a request that is to be rejected now; None while it stays pending."""
+def rejection(request: AdmissionRequest, now: float, forecast: LatencyForecast) -> Reject | None:
+    """The rejection of a request that is to be rejected now; None while it stays pending."""
     waited_s = now - request.arrived_at
     left_s = max(request.deadline - now, 0.0)
+    retry_after_s = RETRY_AFTER_FRACTION * left_s
     is_last_chance = forecast.is_retry or bool(request.attempts)
     if not is_last_chance and waited_s >= MAX_WAIT_FRACTION * request.client_timeout_s:
-        return RETRY_AFTER_FRACTION * left_s  # leaves the client time for one retry
+        # It leaves the client time for one retry.
+        return Reject(request, retry_after_s, RejectionReason.WAITED_TOO_LONG)
     if not forecast.is_reachable:
         if forecast.is_retry or waited_s < NO_BROKER_FRACTION * request.target_latency_s:
             return None
-        return min(MAX_NO_BROKER_RETRY_AFTER_S, RETRY_AFTER_FRACTION * left_s)
+        bounded_s = min(MAX_NO_BROKER_RETRY_AFTER_S, retry_after_s)
+        return Reject(request, bounded_s, RejectionReason.NO_BROKER)
+    if _is_too_late(request, now, forecast, is_last_chance=is_last_chance):
+        return Reject(request, retry_after_s, RejectionReason.FORECAST)
+    return None
+
+
+def _is_too_late(
+    request: AdmissionRequest, now: float, forecast: LatencyForecast, *, is_last_chance: bool
+) -> bool:
+    """Whether the forecast says that waiting on is worth less than a rejection now."""
     needed_s = forecast.queue_wait_s + forecast.first_event_s
     if is_last_chance:
-        return RETRY_AFTER_FRACTION * left_s if needed_s > left_s else None
+        return needed_s > max(request.deadline - now, 0.0)
     left_to_target_s = request.arrived_at + request.target_latency_s - now
-    if waited_s <= DECISION_FRACTION * request.target_latency_s and needed_s > left_to_target_s:
-        return RETRY_AFTER_FRACTION * left_s
-    return None
+    is_early = now - request.arrived_at <= DECISION_FRACTION * request.target_latency_s
+    return is_early and needed_s > left_to_target_s
--- a/cherrycove/tier/dataplane/admission/_interface.py
+++ b/cherrycove/tier/dataplane/admission/_interface.py
@@ -14,6 +14,24 @@
 from cherrycove.tier.distribution.cluster_view import Broker
 
 
+class PendingCause(Enum):
+    """Why a live request became pending instead of starting an attempt at once."""
+
+    NO_BROKER = "no_broker"  # no broker could run it
+    EJECTED = "ejected"  # those that could are ejected, or excluded by its earlier attempts
+    NO_CONNECTION = "no_connection"  # this proxy uses all connections that it may have there
+    NO_SLOT = "no_slot"  # all slots are taken, as far as this proxy knows, or L is reached
+
+
+class RejectionReason(Enum):
+    """What decided that a request is rejected without an attempt."""
+
+    FORECAST = "forecast"  # it could not be answered in time, by the forecast latency
+    NO_BROKER = "no_broker"  # no broker that could run it is reachable
+    WAITED_TOO_LONG = "waited_too_long"  # time would not be left for a retry of its client
+    NOT_CONFIGURED = "not_configured"  # its route or service is not known here
+
+
 @attrs.define(eq=False, kw_only=True)
 class AdmissionRequest:
     """One live request or batch item, the same object for all of its attempts.
@@ -36,6 +54,9 @@
     attempts: int = 0  # started, also those that a broker rejected
     queued_at: float = 0.0  # when it last became pending
     queue_entry: Request | None = None  # of a live request, in the queue of its route or of a broker
+    pending_cause: PendingCause | None = None  # of a live request that last became pending; None: it did not
+    uncached_tokens: int = 0  # of the prompt, that the broker of the last attempt probably had to process
+    uncached_shared_tokens: int = 0  # those of them that belong to shared segments
     excluded_until: dict[str, float] = attrs.field(factory=dict)  # by instance id, after attempts that failed
 
     def is_eligible_at(self, instance_id: str, now: float) -> bool:
@@ -80,6 +101,7 @@
 
     request: AdmissionRequest
     retry_after_s: float
+    reason: RejectionReason = RejectionReason.NOT_CONFIGURED
 
 
 @attrs.frozen
--- a/cherrycove/tier/dataplane/admission/_live_dispatcher.py
+++ b/cherrycove/tier/dataplane/admission/_live_dispatcher.py
@@ -6,11 +6,8 @@
 from cherrycove.tier.dataplane.admission._admission_state import AdmissionState
 from cherrycove.tier.dataplane.admission._broker_selector import BrokerSelector
 from cherrycove.tier.dataplane.admission._broker_state import BrokerState
-from cherrycove.tier.dataplane.admission._deadline_feasibility import (
-    forecast_latency,
-    rejection_retry_after_s,
-)
-from cherrycove.tier.dataplane.admission._interface import Action, AdmissionRequest, Reject
+from cherrycove.tier.dataplane.admission._deadline_feasibility import forecast_latency, rejection
+from cherrycove.tier.dataplane.admission._interface import Action, AdmissionRequest, PendingCause
 
 BrokerSet = dict[BrokerState, None]  # keeps the order of the brokers
 
@@ -63,6 +60,18 @@
         ahead = self._state.pending.in_dispatch_order(now).index(request)
         return self._reject_if_infeasible(request, ahead, now)
 
+    def pending_cause(self, request: AdmissionRequest, now: float) -> PendingCause:
+        """Why the request, for which no attempt started just now, has to wait."""
+        serving = self._state.serving(request)
+        if not serving:
+            return PendingCause.NO_BROKER
+        accepting = [broker for broker in serving if broker.accepts(request, now)]
+        if not accepting:
+            return PendingCause.EJECTED
+        if not any(broker.free_connections(self._state.proxies) for broker in accepting):
+            return PendingCause.NO_CONNECTION
+        return PendingCause.NO_SLOT
+
     def _start_attempt(
         self, request: AdmissionRequest, candidates: list[BrokerState], now: float, window_end: float
     ) -> Action:
@@ -75,9 +84,8 @@
         return self._state.start_attempt(request, broker, now)
 
     def _reject_if_infeasible(self, request: AdmissionRequest, ahead: int, now: float) -> list[Action]:
-        forecast = forecast_latency(self._state, request, ahead)
-        retry_after_s = rejection_retry_after_s(request, now, forecast)
-        if retry_after_s is None:
+        decision = rejection(request, now, forecast_latency(self._state, request, ahead))
+        if decision is None:
             return []
         self._state.pending.remove(request)
-        return [Reject(request, retry_after_s)]
+        return [decision]
--- a/cherrycove/tier/dataplane/admission/_scheduler.py
+++ b/cherrycove/tier/dataplane/admission/_scheduler.py
@@ -114,8 +114,10 @@
             return [Reject(request, 0.0)]
         self._credits.enqueue(request)
         self.state.pending.add(request)
+        request.pending_cause = None
         actions = self._advance(now)
         if request in self.state.pending:
+            request.pending_cause = self._live.pending_cause(request, now)
             self._credits.spend_credit(request, now)
             actions += self._live.reject_if_infeasible(request, now)
         return actions
--- a/cherrycove/tier/dataplane/admission_controller.py
+++ b/cherrycove/tier/dataplane/admission_controller.py
@@ -21,6 +21,7 @@
     StartAttempt,
 )
 from cherrycove.tier.dataplane.headers import InstanceLoad
+from cherrycove.tier.dataplane.loss_cause import RequestTimeline
 from cherrycove.tier.distribution.cluster_view import Broker, ClusterView
 
 
@@ -34,6 +35,7 @@
     controller: AdmissionController
     request: AdmissionRequest
     broker: Broker
+    timeline: RequestTimeline
     on_stalled: Callable[[], None] | None = None  # called at most once, if the broker seems to have stalled
 
     def response_started(self, load: InstanceLoad | None) -> None:
@@ -42,11 +44,19 @@
 
     def body_received(self) -> None:
         """Bytes of the response's body came."""
-        self.controller.body_received(self.request)
+        self.timeline.event_received(self.controller.body_received(self.request))
 
     def release(self, outcome: AttemptOutcome) -> None:
         """The attempt is over."""
-        self.controller.release(self.request, outcome)
+        self.timeline.attempt_ended(self.controller.release(self.request, outcome), outcome)
+
+
+@attrs.frozen(eq=False)
+class _Waiter:
+    """A task that waits for the decision on its request."""
+
+    decision: asyncio.Future[Permit | Reject]
+    timeline: RequestTimeline
 
 
 class AdmissionController:
@@ -61,7 +71,7 @@
         self._cluster_view = cluster_view
         self._rng = rng
         self._scheduler: AdmissionScheduler | None = None
-        self._pending: dict[AdmissionRequest, asyncio.Future[Permit | Reject]] = {}
+        self._pending: dict[AdmissionRequest, _Waiter] = {}
         self._permits: dict[AdmissionRequest, Permit] = {}
         self._timer: asyncio.TimerHandle | None = None
 
@@ -77,14 +87,17 @@
             self._timer.cancel()
             self._timer = None
 
-    async def acquire(self, request: AdmissionRequest) -> Permit | Reject:
-        """Wait until the request may be sent, or is rejected."""
+    async def acquire(self, request: AdmissionRequest, timeline: RequestTimeline) -> Permit | Reject:
+        """Wait until the request may be sent, or is rejected; ``timeline`` notes which, and what follows."""
         decision: asyncio.Future[Permit | Reject] = asyncio.get_running_loop().create_future()
-        self._pending[request] = decision
+        self._pending[request] = _Waiter(decision, timeline)
+        now = self._now()
+        timeline.waits(now)
         try:
-            self._execute(self._running_scheduler.request_arrived(self._now(), request))
+            self._execute(self._running_scheduler.request_arrived(now, request))
             return await decision
         except asyncio.CancelledError:
+            timeline.waited(self._now(), request.pending_cause)
             if decision.done() and not decision.cancelled() and isinstance(decision.result(), Permit):
                 self.release(request, AttemptOutcome.CANCELLED)
             raise
@@ -96,14 +109,18 @@
         """The head of a response came."""
         self._running_scheduler.response_started(self._now(), request, load)
 
-    def body_received(self, request: AdmissionRequest) -> None:
-        """Bytes of a response's body came."""
-        self._running_scheduler.body_received(self._now(), request)
+    def body_received(self, request: AdmissionRequest) -> float:
+        """Bytes of a response's body came; returns the monotonic time."""
+        now = self._now()
+        self._running_scheduler.body_received(now, request)
+        return now
 
-    def release(self, request: AdmissionRequest, outcome: AttemptOutcome) -> None:
-        """The attempt of this request is over."""
+    def release(self, request: AdmissionRequest, outcome: AttemptOutcome) -> float:
+        """The attempt of this request is over; returns the monotonic time."""
+        now = self._now()
         self._permits.pop(request, None)
-        self._execute(self._running_scheduler.attempt_ended(self._now(), request, outcome))
+        self._execute(self._running_scheduler.attempt_ended(now, request, outcome))
+        return now
 
     def limit_deadlines(self, at: float) -> None:
         """Every live request that is pending or in flight must be answered by then; for a drain."""
@@ -143,15 +160,30 @@
                 case StartAttempt():
                     self._grant(action)
                 case Reject():
-                    self._resolve(action.request, action)
+                    self._reject(action)
                 case CancelStalledAttempt():
                     self._cancel_stalled(action.request)
         self._schedule_wake()
 
     def _grant(self, action: StartAttempt) -> None:
-        broker = self._running_scheduler.state.brokers[action.instance_id].listing
-        permit = self._permits[action.request] = Permit(self, action.request, broker)
-        self._resolve(action.request, permit)
+        """Give the waiting task its permit; one that no task waits for any more is released soon."""
+        request = action.request
+        waiter = self._pending.pop(request, None)
+        if waiter is None or waiter.decision.done():
+            asyncio.get_running_loop().call_soon(self.release, request, AttemptOutcome.CANCELLED)
+            return
+        state = self._running_scheduler.state
+        prefill_s = state.latency(request.service).prefill_s(request.uncached_tokens)
+        waiter.timeline.attempt_started(self._now(), request, prefill_s)
+        broker = state.brokers[action.instance_id].listing
+        permit = self._permits[request] = Permit(self, request, broker, waiter.timeline)
+        waiter.decision.set_result(permit)
+
+    def _reject(self, action: Reject) -> None:
+        waiter = self._pending.pop(action.request, None)
+        if waiter is not None and not waiter.decision.done():
+            waiter.timeline.rejected(action.reason)
+            waiter.decision.set_result(action)
 
     def _cancel_stalled(self, request: AdmissionRequest) -> None:
         permit = self._permits.get(request)
@@ -160,14 +192,6 @@
             permit.on_stalled = None
             on_stalled()
 
-    def _resolve(self, request: AdmissionRequest, decision: Permit | Reject) -> None:
-        """Give the waiting task its decision; a permit that no task waits for any more is released soon."""
-        waiter = self._pending.pop(request, None)
-        if waiter is not None and not waiter.done():
-            waiter.set_result(decision)
-        elif isinstance(decision, Permit):
-            asyncio.get_running_loop().call_soon(self.release, request, AttemptOutcome.CANCELLED)
-
     def _schedule_wake(self) -> None:
         """Set the one timer to when the scheduler next wants to run."""
         when = self._running_scheduler.next_wake_at()
--- a/cherrycove/tier/dataplane/client_exchange.py
+++ b/cherrycove/tier/dataplane/client_exchange.py
@@ -15,6 +15,7 @@
 from cherrycove.tier.dataplane.attempt_outcomes import not_executed_outcome
 from cherrycove.tier.dataplane.draining import DrainDeadline
 from cherrycove.tier.dataplane.headers import EVENT_STREAM, EXPECT_VERSION, LAST_EVENT_ID, parse_unsigned
+from cherrycove.tier.dataplane.loss_cause import RequestTimeline
 from cherrycove.tier.dataplane.responses import buffered_response, proxy_response
 from cherrycove.tier.dataplane.stream_relay import StreamRelay
 from cherrycove.tier.dataplane.upstream import (
@@ -55,10 +56,12 @@
     upstream_request: UpstreamRequest
     route: Route
     admission_request: AdmissionRequest
+    timeline: RequestTimeline
     closes_connection: Callable[[], bool]
     drain: DrainDeadline
     _executions: int = attrs.field(default=0, init=False)  # brokers that may have run the request
     _is_undecided: bool = attrs.field(default=False, init=False)  # sent, and not known whether it runs
+    is_complete: bool = attrs.field(default=False, init=False)  # the client has a broker's whole response
     _relay: StreamRelay = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -80,7 +83,7 @@
 
     async def _attempt_until_final(self) -> web.StreamResponse:
         while True:
-            permit = await self.admission.acquire(self.admission_request)
+            permit = await self.admission.acquire(self.admission_request, self.timeline)
             if isinstance(permit, Reject):
                 if not self._relay.has_begun:
                     return self._failure_response(HTTPStatus.BAD_GATEWAY, permit.retry_after_s)
@@ -152,13 +155,18 @@
         """Forward a broker's response; None if the request may be retried instead."""
         permit.response_started(upstream.load)
         if upstream.is_success and upstream.media_type == EVENT_STREAM:
-            return await self._relay.feed(upstream, permit.body_received)
+            response = await self._relay.feed(upstream, permit.body_received)
+            self.is_complete = True
+            return response
         body = await upstream.read()
         permit.body_received()
         if self._relay.has_begun or (
             upstream.status == HTTPStatus.INTERNAL_SERVER_ERROR and self._may_retry()
         ):
             return None
+        self.is_complete = upstream.is_success
+        if not self.is_complete:
+            self.timeline.broker_failed()
         return buffered_response(upstream, body, close=self.closes_connection())
 
     def _failure_response(
--- a/cherrycove/tier/dataplane/data_plane.py
+++ b/cherrycove/tier/dataplane/data_plane.py
@@ -11,6 +11,7 @@
 from cherrycove.tier.dataplane.draining import NOTICE_S, DrainDeadline
 from cherrycove.tier.dataplane.ingress import BatchApi, Ingress
 from cherrycove.tier.dataplane.item_executor import BrokerItemExecutor
+from cherrycove.tier.dataplane.loss_record import LossRecord
 from cherrycove.tier.dataplane.readiness import ReadinessServer
 from cherrycove.tier.dataplane.request_forwarder import RequestForwarder
 from cherrycove.tier.dataplane.upstream import UpstreamClient
@@ -43,10 +44,15 @@
         self._upstream = UpstreamClient(self._max_connections)
         self._admission = AdmissionController(cluster_view, rng)
         self._drain = DrainDeadline()
-        forwarder = RequestForwarder(self._admission, self._upstream, rng, self._drain)
-        self._ingress = Ingress(settings, cluster_view, forwarder, self._drain)
-        self._readiness = ReadinessServer(settings.listen_addresses.readiness, self._is_ready)
-        self.executor: ItemExecutor = BrokerItemExecutor(cluster_view, self._admission, self._upstream, rng)
+        self._losses = LossRecord()
+        forwarder = RequestForwarder(self._admission, self._upstream, rng, self._drain, self._losses)
+        self._ingress = Ingress(settings, cluster_view, forwarder, self._drain, self._losses)
+        self._readiness = ReadinessServer(
+            settings.listen_addresses.readiness, self._is_ready, self._losses.totals_document
+        )
+        self.executor: ItemExecutor = BrokerItemExecutor(
+            cluster_view, self._admission, self._upstream, rng, self._losses
+        )
 
     def attach_batch(self, batch_api: BatchApi) -> None:
         """Let ``batch_api`` serve the calls for batch jobs; before ``start``."""
@@ -77,6 +83,7 @@
         await self._ingress.stop()
         self._admission.stop()
         await self._upstream.stop()
+        self._losses.stop()
 
     async def drain(self, grace_s: float | None = None, notice_s: float = NOTICE_S) -> None:
         """Shut down gracefully: unready at once; serve until the platform has noticed; finish open requests.
--- a/cherrycove/tier/dataplane/ingress.py
+++ b/cherrycove/tier/dataplane/ingress.py
@@ -20,6 +20,8 @@
 from cherrycove.tier.dataplane.client_request import ClientRequestError, read_request_body
 from cherrycove.tier.dataplane.draining import DrainDeadline
 from cherrycove.tier.dataplane.headers import REQUEST_ID
+from cherrycove.tier.dataplane.loss_cause import LossCause
+from cherrycove.tier.dataplane.loss_record import LossRecord
 from cherrycove.tier.dataplane.request_durations import RecentMaxDuration
 from cherrycove.tier.dataplane.request_forwarder import RequestForwarder, response_deadline
 from cherrycove.tier.dataplane.responses import proxy_response
@@ -49,12 +51,18 @@
     """
 
     def __init__(
-        self, settings: Settings, cluster_view: ClusterView, forwarder: RequestForwarder, drain: DrainDeadline
+        self,
+        settings: Settings,
+        cluster_view: ClusterView,
+        forwarder: RequestForwarder,
+        drain: DrainDeadline,
+        losses: LossRecord,
     ) -> None:
         self._settings = settings
         self._cluster_view = cluster_view
         self._forwarder = forwarder
         self._drain = drain
+        self._losses = losses
         self._durations = RecentMaxDuration()
         self.batch_api: BatchApi | None = None
         self.arrivals = ArrivalRates()
@@ -139,6 +147,7 @@
         self.arrivals.add(route.name, arrived_at)
         usual_s = self._durations.longest_s(route.name, arrived_at)
         if not self._drain.accepts(loop.time(), response_deadline(request, route, arrived_at), usual_s):
+            self._losses.count(route.name, LossCause.DRAINING)
             return self._draining_response(request)
         try:
             return await self._forwarder.forward(request, body, route, arrived_at, self.closes_connections)
@@ -157,6 +166,8 @@
                 response = await api.handle(request, body, route)
         except TimeoutError:
             return self._proxy_response(request, HTTPStatus.GATEWAY_TIMEOUT, "this proxy is leaving")
+        if response.status == HTTPStatus.SERVICE_UNAVAILABLE and route is not None:
+            self._losses.count(route.name, LossCause.STORE_UNREACHABLE)
         if self._closes_connections:
             response.force_close()
         return response
--- a/cherrycove/tier/dataplane/item_execution.py
+++ b/cherrycove/tier/dataplane/item_execution.py
@@ -15,6 +15,7 @@
 from cherrycove.tier.dataplane.attempt_outcomes import not_executed_outcome
 from cherrycove.tier.dataplane.event_stream import EventStreamParser, EventTooLongError, StreamEvent
 from cherrycove.tier.dataplane.headers import DEADLINE_MS, LAST_EVENT_ID, REQUEST_ID, end_to_end_headers
+from cherrycove.tier.dataplane.loss_cause import RequestTimeline
 from cherrycove.tier.dataplane.upstream import NotExecuted, PossiblyExecuted, UpstreamClient, UpstreamRequest
 from cherrycove.tier.dataplane.upstream_response import (
     IncompleteResponseError,
@@ -50,6 +51,7 @@
     admission: AdmissionController
     upstream: UpstreamClient
     item: LeasedItem
+    timeline: RequestTimeline
     failed_attempts: int  # responses of 500, earlier executions included
     record_failures: RecordFailures
     _last_id: int | None = attrs.field(default=None, init=False)
@@ -81,7 +83,7 @@
         ``is_served_by`` says whether the configuration in force, which may have changed while the item was
         pending, sends it to this service.
         """
-        permit = await self.admission.acquire(admission_request)
+        permit = await self.admission.acquire(admission_request, self.timeline)
         if isinstance(permit, Reject):
             return await self._back_off()
         failed_before = self.failed_attempts
--- a/cherrycove/tier/dataplane/item_executor.py
+++ b/cherrycove/tier/dataplane/item_executor.py
@@ -9,11 +9,13 @@
 
 from multidict import CIMultiDict
 
-from cherrycove.tier.batch.execution import ItemOutcome, RecordFailures
+from cherrycove.tier.batch.execution import ItemOutcome, ItemState, RecordFailures
 from cherrycove.tier.configuration import Route
 from cherrycove.tier.dataplane.admission import AdmissionRequest
 from cherrycove.tier.dataplane.admission_controller import AdmissionController
 from cherrycove.tier.dataplane.item_execution import ItemExecution
+from cherrycove.tier.dataplane.loss_cause import RequestTimeline
+from cherrycove.tier.dataplane.loss_record import LossRecord
 from cherrycove.tier.dataplane.prompt import parse_prompt
 from cherrycove.tier.dataplane.request_forwarder import choose_service
 from cherrycove.tier.dataplane.upstream import UpstreamClient
@@ -30,11 +32,13 @@
         admission: AdmissionController,
         upstream: UpstreamClient,
         rng: random.Random,
+        losses: LossRecord,
     ) -> None:
         self._cluster_view = cluster_view
         self._admission = admission
         self._upstream = upstream
         self._rng = rng
+        self._losses = losses
 
     def free_slots(self) -> int:
         """How many further items could be started now without harming live requests."""
@@ -44,10 +48,26 @@
         self, item: LeasedItem, may_send: Callable[[], bool], record_failures: RecordFailures
     ) -> ItemOutcome:
         """Run an item until its outcome is known, as ``ItemExecutor.run_item`` says."""
+        loop = asyncio.get_running_loop()
+        timeline = RequestTimeline(due_at=loop.time() + item.due_in_ms / 1000, is_batch=True)
+        outcome = await self._run(item, timeline, may_send, record_failures)
+        cause = timeline.loss(loop.time(), is_complete=outcome.state is ItemState.COMPLETED)
+        if cause is not None:
+            self._losses.count(item.route, cause)
+        return outcome
+
+    async def _run(
+        self,
+        item: LeasedItem,
+        timeline: RequestTimeline,
+        may_send: Callable[[], bool],
+        record_failures: RecordFailures,
+    ) -> ItemOutcome:
         execution = ItemExecution(
             admission=self._admission,
             upstream=self._upstream,
             item=item,
+            timeline=timeline,
             failed_attempts=item.failed_attempts,
             record_failures=record_failures,
         )
--- a/cherrycove/tier/dataplane/readiness.py
+++ b/cherrycove/tier/dataplane/readiness.py
@@ -1,4 +1,4 @@
-"""The platform's readiness probe: whether this machine should get new connections."""
+"""The platform's readiness probe: whether this machine should get new connections; and its losses."""
 
 from __future__ import annotations
 
@@ -7,6 +7,8 @@
 
 from aiohttp import web
 
+from cherrycove.tier.dataplane.loss_record import LOSSES_PATH
+
 READINESS_PATH = "/api/readiness"
 SHUTDOWN_TIMEOUT_S = 0.1
 
@@ -14,12 +16,15 @@
 class ReadinessServer:
     """Serves ``GET /api/readiness`` on its own address: 200 while ``is_ready`` says so, else 503.
 
+    ``GET /api/losses`` there answers the document of ``losses``, for the command line.
+
     Owned by the ``DataPlane``. The listener of its own answers also while the frontend address is saturated.
     """
 
-    def __init__(self, address: str, is_ready: Callable[[], bool]) -> None:
+    def __init__(self, address: str, is_ready: Callable[[], bool], losses: Callable[[], bytes]) -> None:
         self._address = address
         self._is_ready = is_ready
+        self._losses = losses
         self._runner: web.ServerRunner | None = None
 
     async def start(self) -> None:
@@ -38,6 +43,8 @@
             self._runner = None
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path == LOSSES_PATH:
+            return web.Response(body=self._losses(), content_type="application/json")
         if request.path != READINESS_PATH:
             return web.Response(status=HTTPStatus.NOT_FOUND)
         return web.Response(status=HTTPStatus.OK if self._is_ready() else HTTPStatus.SERVICE_UNAVAILABLE)
--- a/cherrycove/tier/dataplane/request_forwarder.py
+++ b/cherrycove/tier/dataplane/request_forwarder.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from collections.abc import Callable
+from math import inf
 
 from aiohttp import web
 
@@ -13,6 +15,8 @@
 from cherrycove.tier.dataplane.client_exchange import ClientExchange
 from cherrycove.tier.dataplane.draining import DrainDeadline
 from cherrycove.tier.dataplane.headers import DEADLINE_MS, REQUEST_ID, end_to_end_headers, parse_unsigned
+from cherrycove.tier.dataplane.loss_cause import RequestTimeline
+from cherrycove.tier.dataplane.loss_record import LossRecord
 from cherrycove.tier.dataplane.prompt import parse_prompt
 from cherrycove.tier.dataplane.upstream import UpstreamClient, UpstreamRequest
 
@@ -41,11 +45,13 @@
         upstream: UpstreamClient,
         rng: random.Random,
         drain: DrainDeadline,
+        losses: LossRecord,
     ) -> None:
         self._admission = admission
         self._upstream = upstream
         self._rng = rng
         self._drain = drain
+        self._losses = losses
 
     async def forward(
         self,
@@ -56,6 +62,10 @@
         closes_connection: Callable[[], bool],
     ) -> web.StreamResponse:
         """The response to a request; ``closes_connection`` says whether its connection ends with it."""
+        timeline = RequestTimeline(
+            due_at=arrived_at + route.target_latency_ms / 1000,
+            pause_target_s=route.gap_aim_ms / 1000 if route.gap_aim_ms else inf,
+        )
         exchange = ClientExchange(
             admission=self._admission,
             upstream=self._upstream,
@@ -63,10 +73,19 @@
             upstream_request=_upstream_request(request, body, route),
             route=route,
             admission_request=self._admission_request(request, route, arrived_at),
+            timeline=timeline,
             closes_connection=closes_connection,
             drain=self._drain,
         )
-        return await exchange.run()
+        try:
+            return await exchange.run()
+        except asyncio.CancelledError:
+            timeline.client_left()
+            raise
+        finally:
+            cause = timeline.loss(asyncio.get_running_loop().time(), is_complete=exchange.is_complete)
+            if cause is not None:
+                self._losses.count(route.name, cause)
 
     def _admission_request(
         self, request: web.BaseRequest, route: Route, arrived_at: float
--- a/tests/tier/dataplane_world.py
+++ b/tests/tier/dataplane_world.py
@@ -168,9 +168,16 @@
         return await (await self.client()).ask(target, body, **options)
 
     async def readiness(self) -> int:
+        return (await self._ask_readiness_address("/api/readiness")).status
+
+    async def losses(self) -> Any:
+        """The document of losses that the proxy serves."""
+        return json.loads((await self._ask_readiness_address("/api/losses")).body)
+
+    async def _ask_readiness_address(self, target: str) -> Reply:
         client = await Client.connect(self.settings.listen_addresses.readiness)
         self._clients.append(client)
-        return (await client.ask("/api/readiness", method="GET")).status
+        return await client.ask(target, method="GET")
 
 
 def entry(broker: ToyBroker, draining: bool = False) -> Broker:
--- a/tests/tier/golden_interfaces.py
+++ b/tests/tier/golden_interfaces.py
@@ -285,7 +285,7 @@
 async def readiness() -> list[str]:
     """What the platform asks a proxy: while it is ready, while it is not, and elsewhere."""
     ready, address = [True], free_address()
-    server = ReadinessServer(address, lambda: ready[0])
+    server = ReadinessServer(address, lambda: ready[0], lambda: b"{}")
     await server.start()
     answers = [await ask(address, request("GET /api/readiness"))]
     ready[0] = False
--- a/tests/tier/test_dataplane_parts.py
+++ b/tests/tier/test_dataplane_parts.py
@@ -6,8 +6,8 @@
 from hypothesis import strategies as st
 from multidict import CIMultiDict
 
-from cherrycove.tier.dataplane.admission import AdmissionRequest
-from cherrycove.tier.dataplane.admission._deadline_feasibility import LatencyForecast, rejection_retry_after_s
+from cherrycove.tier.dataplane.admission import AdmissionRequest, RejectionReason
+from cherrycove.tier.dataplane.admission._deadline_feasibility import LatencyForecast, rejection
 from cherrycove.tier.dataplane.admission._latency_estimate import LatencyEstimate
 from cherrycove.tier.dataplane.admission._load_estimate import LoadEstimate
 from cherrycove.tier.dataplane.admission._prefix_cache import (
@@ -145,15 +145,41 @@
     )  # type: ignore[arg-type]
 
 
+def retry_after_s(request: AdmissionRequest, now: float, forecast: LatencyForecast) -> float | None:
+    decision = rejection(request, now, forecast)
+    if decision is None:
+        return None
+    assert decision.request is request
+    return decision.retry_after_s
+
+
+def test_a_rejection_says_what_decided_it() -> None:
+    late = LatencyForecast(queue_wait_s=1.0, first_event_s=0.05, is_reachable=True, is_retry=False)
+    nowhere = LatencyForecast(queue_wait_s=0.0, first_event_s=0.05, is_reachable=False, is_retry=False)
+    reasons = [
+        decision and decision.reason
+        for decision in (
+            rejection(admission_request(), 10.0, late),
+            rejection(admission_request(), 10.1, nowhere),
+            rejection(admission_request(), 13.0, late),
+        )
+    ]
+    assert reasons == [
+        RejectionReason.FORECAST,
+        RejectionReason.NO_BROKER,
+        RejectionReason.WAITED_TOO_LONG,
+    ]
+
+
 def test_a_refusal_comes_at_once_or_not_at_all() -> None:
     late = LatencyForecast(queue_wait_s=1.0, first_event_s=0.05, is_reachable=True, is_retry=False)
-    assert rejection_retry_after_s(admission_request(), 10.0, late) == 0.3 * 6.0
-    assert rejection_retry_after_s(admission_request(), 10.1, late) is None
+    assert retry_after_s(admission_request(), 10.0, late) == 0.3 * 6.0
+    assert retry_after_s(admission_request(), 10.1, late) is None
     in_time = LatencyForecast(queue_wait_s=0.1, first_event_s=0.05, is_reachable=True, is_retry=False)
-    assert rejection_retry_after_s(admission_request(), 10.0, in_time) is None
+    assert retry_after_s(admission_request(), 10.0, in_time) is None
     returned = LatencyForecast(queue_wait_s=1.0, first_event_s=0.05, is_reachable=True, is_retry=True)
-    assert rejection_retry_after_s(admission_request(), 10.0, returned) is None
+    assert retry_after_s(admission_request(), 10.0, returned) is None
     hopeless = LatencyForecast(queue_wait_s=9.0, first_event_s=0.05, is_reachable=True, is_retry=True)
-    assert rejection_retry_after_s(admission_request(), 10.0, hopeless) == 0.3 * 6.0
-    assert rejection_retry_after_s(admission_request(), 13.0, in_time) is not None
-    assert rejection_retry_after_s(admission_request(attempts=1), 13.0, in_time) is None
+    assert retry_after_s(admission_request(), 10.0, hopeless) == 0.3 * 6.0
+    assert retry_after_s(admission_request(), 13.0, in_time) is not None
+    assert retry_after_s(admission_request(attempts=1), 13.0, in_time) is None
