Stores bound the leased items by the live load, and place each at a broker

Cause: 72 proxies each saw a slot free that the others had taken. Change: a lease request tells the brokers' slots, the proxy's live requests and the brokers that it could use. The primary of the stores leases no more items than 0.95 of the slots less the live requests (at least 0.1 of them) and places each at the broker with the smallest share of its slots taken by items. A proxy follows the placement where it has no fresh report; with one its own bounds decide as before. Older processes send and read nothing of this: no bound, no placement.

--- a/cherrycove/tier/batch/execution.py
+++ b/cherrycove/tier/batch/execution.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from enum import Enum
 from typing import Protocol
 
@@ -31,6 +31,15 @@
     failed_attempts: int = 0  # answers of 500 so far, earlier leases included
 
 
+@attrs.frozen
+class ExecutorLoad:
+    """What an executor knows of the brokers to which it could send items, and of what runs beside them."""
+
+    broker_slots: int  # of all these brokers together; 0: unknown
+    live_requests: int  # of this process, pending and in flight
+    usable_brokers: Mapping[str, int] = attrs.field(factory=dict)  # slots by id, of those with a connection
+
+
 RecordFailures = Callable[[int], Awaitable[None]]  # returns once the count outlives this process
 
 
@@ -40,6 +49,9 @@
     def free_slots(self) -> int:
         """How many further items could be started now without harming live requests."""
 
+    def load(self) -> ExecutorLoad:
+        """By which the stores decide how many items may run at once, of all proxies together."""
+
     async def run_item(
         self, item: LeasedItem, may_send: Callable[[], bool], record_failures: RecordFailures
     ) -> ItemOutcome:
--- a/cherrycove/tier/batch/leasing/lease_holders.py
+++ b/cherrycove/tier/batch/leasing/lease_holders.py
@@ -7,6 +7,7 @@
 import attrs
 
 from cherrycove.tier.batch.jobs.model import ItemKey
+from cherrycove.tier.batch.leasing.grant_policy import lease_limit
 from cherrycove.tier.batch.leasing.lease_types import LeaseCall
 
 MAX_SUPERSEDED = 8  # earlier incarnations remembered for each proxy
@@ -20,6 +21,8 @@
     expires_at_s: float
     sequence: int = -1  # of the newest request
     capacity: int = 0  # at that request
+    broker_slots: int = 0  # the same
+    live_requests: int = 0  # the same
     items: set[ItemKey] = attrs.field(factory=set)
 
 
@@ -39,6 +42,17 @@
         """How many processes could start further items at their last request."""
         return sum(holder.capacity > 0 for holder in self._holders.values())
 
+    def lease_limit(self) -> int | None:
+        """How many items all of them may hold together, by their last requests; None: unlimited."""
+        holders = self._holders.values()
+        return lease_limit(
+            [holder.broker_slots for holder in holders], sum(holder.live_requests for holder in holders)
+        )
+
+    def count_items(self) -> int:
+        """How many items all of them hold."""
+        return sum(len(holder.items) for holder in self._holders.values())
+
     def renew(self, call: LeaseCall, now: float) -> LeaseHolder | None:
         """Renew the lease of the caller, which is current; None for a request that a newer one overtook."""
         holder = self._holders.get(call.incarnation)
@@ -49,6 +63,8 @@
         holder.sequence = call.sequence
         holder.expires_at_s = now + self._lease_s
         holder.capacity = call.capacity
+        holder.broker_slots = call.broker_slots
+        holder.live_requests = call.live_requests
         return holder
 
     def is_superseded(self, call: LeaseCall) -> bool:
--- a/cherrycove/tier/batch/leasing/lease_table.py
+++ b/cherrycove/tier/batch/leasing/lease_table.py
@@ -22,6 +22,7 @@
     LeaseDecision,
     LeaseTimes,
 )
+from cherrycove.tier.batch.leasing.placement import Placements
 
 
 class LeaseTable:
@@ -37,6 +38,7 @@
         self._failed_attempts: Counter[ItemKey] = Counter()
         self._grant_order = GrantOrder()
         self._durations = ItemDurations()
+        self._placements = Placements()
 
     @property
     def lease_s(self) -> float:
@@ -138,21 +140,29 @@
     def _grant(self, call: LeaseCall, holder: LeaseHolder, now: float) -> Iterator[Grant]:
         share = fair_share(self._queue.waiting_count, self._holders.count_with_capacity())
         in_time, overdue = self._queue.offers(now + self._durations.mean_s, call.routes, now)
-        for _ in range(min(call.capacity, share)):
+        placement = self._placements.begin(call.usable_brokers)
+        for _ in range(min(call.capacity, share, self._room())):
             key = self._grant_order.next_item(in_time, overdue)
             if key is None:
                 return
+            broker = placement.place(key)
             queued = self._queue[key.job_id]
             self._queue.take(queued, key.item_id)
             queued.leased[key.item_id] = call.incarnation
             queued.granted_at_s[key.item_id] = now
             holder.items.add(key)
             job = queued.job
-            yield Grant(key, job.due_at_s, job.retained_until_s, self._failed_attempts[key])
+            yield Grant(key, job.due_at_s, job.retained_until_s, self._failed_attempts[key], broker)
+
+    def _room(self) -> int:
+        """How many further items may be leased now, beside the live requests."""
+        limit = self._holders.lease_limit()
+        return self._queue.waiting_count if limit is None else max(limit - self._holders.count_items(), 0)
 
     def _end_lease(self, queued: QueuedJob, key: ItemKey) -> None:
         incarnation = queued.leased.pop(key.item_id, None)
         queued.granted_at_s.pop(key.item_id, None)
+        self._placements.remove(key)
         if incarnation is not None:
             self._holders.release(incarnation, key)
 
--- a/cherrycove/tier/batch/leasing/lease_types.py
+++ b/cherrycove/tier/batch/leasing/lease_types.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 import attrs
 
@@ -42,6 +42,9 @@
     running: Sequence[ItemKey]
     capacity: int  # how many further items the proxy could start now
     routes: frozenset[str]  # batch routes in force at the proxy
+    broker_slots: int = 0  # of all brokers that the proxy could send items to; 0: not told
+    live_requests: int = 0  # pending and in flight at the proxy
+    usable_brokers: Mapping[str, int] = attrs.field(factory=dict)  # slots by id, of those with a connection
 
 
 @attrs.frozen
@@ -52,6 +55,7 @@
     due_at_s: float
     retained_until_s: float
     failed_attempts: int
+    broker: str = ""  # instance id at which it should run; empty: the caller chooses
 
 
 @attrs.frozen
--- a/cherrycove/tier/batch/store/call_handlers.py
+++ b/cherrycove/tier/batch/store/call_handlers.py
@@ -114,6 +114,9 @@
             running=[ItemKey.of(entry) for entry in request.running],
             capacity=request.capacity,
             routes=frozenset(request.routes),
+            broker_slots=request.broker_slots,
+            live_requests=request.live_requests,
+            usable_brokers={broker.instance_id: broker.slots for broker in request.brokers},
         )
         decision = table.exchange(call, now)
         return Ok(lease_reply(decision, self._state, table.epoch, table.lease_s, now))
--- a/cherrycove/tier/batch/store/replies.py
+++ b/cherrycove/tier/batch/store/replies.py
@@ -45,3 +45,4 @@
     leased.retained_ms = int(min(grant.retained_until_s - now, MAX_RETAINED_S) * 1000)
     leased.failed_attempts = max(item.failed_attempts, grant.failed_attempts)
     leased.max_attempts = job.submission.max_attempts
+    leased.broker = grant.broker
--- a/cherrycove/tier/batch/worker/batch_worker.py
+++ b/cherrycove/tier/batch/worker/batch_worker.py
@@ -153,13 +153,18 @@
                 self._runs.begin(item)
 
     def _request(self) -> pb.LeaseRequest:
+        load = self._executor.load()
         request = pb.LeaseRequest(
             proxy=self._proxy,
             incarnation=self._incarnation,
             sequence=self._sequence,
             capacity=self._capacity(),
             routes=self._batch_routes(),
+            broker_slots=load.broker_slots,
+            live_requests=load.live_requests,
         )
+        for instance_id, slots in load.usable_brokers.items():
+            request.brokers.add(instance_id=instance_id, slots=slots)
         for run in self._runs.active():
             if not run.revoked:
                 request.running.add(job_id=run.key.job_id, item_id=run.key.item_id)
--- a/cherrycove/tier/dataplane/admission/_batch_backfill.py
+++ b/cherrycove/tier/dataplane/admission/_batch_backfill.py
@@ -4,7 +4,8 @@
 
 from cherrycove.tier.dataplane.admission._admission_state import AdmissionState
 from cherrycove.tier.dataplane.admission._broker_selector import BrokerSelector
-from cherrycove.tier.dataplane.admission._interface import Action, Reject
+from cherrycove.tier.dataplane.admission._broker_state import BrokerState
+from cherrycove.tier.dataplane.admission._interface import Action, AdmissionRequest, Reject
 
 URGENT_S = 3.0  # before its due time, from which an item may use more of a broker and does not yield
 
@@ -22,24 +23,45 @@
             return []
         proxies = self._state.proxies
         brokers = self._state.brokers.values()
+        has_room = any(broker.batch_capacity(now, proxies, urgent=True) >= 1 for broker in brokers)
         actions: list[Action] = []
-        if not any(broker.batch_capacity(now, proxies, urgent=True) >= 1 for broker in brokers):
-            return actions
         for request in self._state.batch_queue.in_dispatch_order(now):
             is_urgent = request.due_at - now < URGENT_S
             if self._state.pending and not is_urgent:
                 break
-            candidates = [
-                broker
-                for broker in brokers
-                if broker.batch_capacity(now, proxies, urgent=is_urgent) >= 1 and broker.accepts(request, now)
-            ]
-            if candidates:
+            broker = self._placed_broker(request, now, is_urgent=is_urgent)
+            if broker is None and has_room:
+                broker = self._chosen_broker(request, now, is_urgent=is_urgent)
+            if broker is not None:
                 self._state.batch_queue.remove(request)
-                broker = self._selector.select(request, candidates, now)
                 actions.append(self._state.start_attempt(request, broker, now))
         return actions
 
+    def _placed_broker(self, request: AdmissionRequest, now: float, *, is_urgent: bool) -> BrokerState | None:
+        """The broker at which the stores placed the item, if it has room.
+
+        A fresh report tells that. Without one this proxy knows its own attempts only, while the stores count
+        the items of all proxies there: their choice stands.
+        """
+        broker = self._state.brokers.get(request.preferred_broker)
+        if broker is None or not broker.accepts(request, now):
+            return None
+        proxies = self._state.proxies
+        if broker.load.is_fresh(now):
+            return broker if broker.batch_capacity(now, proxies, urgent=is_urgent) >= 1 else None
+        is_free = now >= broker.load.full_until and broker.free_connections(proxies) > 0
+        return broker if is_free else None
+
+    def _chosen_broker(self, request: AdmissionRequest, now: float, *, is_urgent: bool) -> BrokerState | None:
+        """One that seems to have room; what others run there is known from its last response only."""
+        proxies = self._state.proxies
+        candidates = [
+            broker
+            for broker in self._state.brokers.values()
+            if broker.batch_capacity(now, proxies, urgent=is_urgent) >= 1 and broker.accepts(request, now)
+        ]
+        return self._selector.select(request, candidates, now) if candidates else None
+
     def reject_unserved(self, now: float) -> list[Action]:
         """Return items whose service has no broker left: their route may name another service by now."""
         actions: list[Action] = []
--- a/cherrycove/tier/dataplane/admission/_broker_health.py
+++ b/cherrycove/tier/dataplane/admission/_broker_health.py
@@ -29,6 +29,11 @@
     probe_in_flight: bool = False
     last_response_at: float = -inf
 
+    @property
+    def is_healthy(self) -> bool:
+        """Whether no failure is known since its last response."""
+        return self.consecutive_failures == 0
+
     def is_usable(self, now: float) -> bool:
         """Whether at least one request may be sent there: it is healthy, or may be probed."""
         return self.consecutive_failures == 0 or (now >= self.ejected_until and not self.probe_in_flight)
--- a/cherrycove/tier/dataplane/admission/_interface.py
+++ b/cherrycove/tier/dataplane/admission/_interface.py
@@ -50,6 +50,7 @@
     prompt: Prompt = NO_PROMPT
     is_batch: bool = False
     due_at: float = inf  # of a batch item set by the caller, of a live request the arrival plus the target
+    preferred_broker: str = ""  # instance id at which the stores placed a batch item; empty: any
     queue_key: float = inf  # order among pending live requests, smallest first
     attempts: int = 0  # started, also those that a broker rejected
     queued_at: float = 0.0  # when it last became pending
--- a/cherrycove/tier/dataplane/admission/_scheduler.py
+++ b/cherrycove/tier/dataplane/admission/_scheduler.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Iterator, Set
 from math import inf
 
 from cherrycove.tier.dataplane.admission._admission_state import AdmissionState
 from cherrycove.tier.dataplane.admission._attempt_feedback import AttemptFeedback
 from cherrycove.tier.dataplane.admission._batch_backfill import BatchBackfill
 from cherrycove.tier.dataplane.admission._broker_selector import BrokerSelector
+from cherrycove.tier.dataplane.admission._broker_state import BrokerState
 from cherrycove.tier.dataplane.admission._credit_policy import CreditPolicy
 from cherrycove.tier.dataplane.admission._interface import (
     Action,
@@ -103,6 +105,25 @@
         """How many batch items this proxy could start now, besides those that are queued here."""
         return self._batch.free_slots(now)
 
+    def usable_slots(self, services: Set[str]) -> int:
+        """The slots of the brokers of ``services`` that get requests: listed, not draining, healthy."""
+        return sum(broker.load.slots for broker in self._healthy_brokers(services))
+
+    def brokers_for_items(self, services: Set[str], now: float) -> dict[str, int]:
+        """The slots, by instance id, of those among them at which this proxy could start an item now."""
+        proxies = self.state.proxies
+        return {
+            broker.instance_id: broker.load.slots
+            for broker in self._healthy_brokers(services)
+            if broker.free_connections(proxies) and now >= broker.load.full_until
+        }
+
+    def _healthy_brokers(self, services: Set[str]) -> Iterator[BrokerState]:
+        for broker in self.state.brokers.values():
+            is_serving = broker.is_listed and not broker.listing.draining
+            if is_serving and broker.listing.service in services and broker.health.is_healthy:
+                yield broker
+
     def _batch_arrived(self, now: float, request: AdmissionRequest) -> list[Action]:
         if not self.state.serving(request):
             return [Reject(request, 0.0)]
--- a/cherrycove/tier/dataplane/admission_controller.py
+++ b/cherrycove/tier/dataplane/admission_controller.py
@@ -5,11 +5,12 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Set
 from math import inf
 
 import attrs
 
+from cherrycove.tier.batch.execution import ExecutorLoad
 from cherrycove.tier.dataplane.admission import (
     Action,
     AdmissionRequest,
@@ -132,6 +133,18 @@
         """How many batch items could be started now."""
         return self._scheduler.free_slots(self._now()) if self._scheduler is not None else 0
 
+    def load(self, services: Set[str]) -> ExecutorLoad:
+        """The slots of the usable brokers of ``services``, and the live requests at or for these."""
+        if self._scheduler is None:
+            return ExecutorLoad(0, 0)
+        slots = self._scheduler.usable_slots(services)
+        usable = self._scheduler.brokers_for_items(services, self._now())
+        live = sum(
+            not request.is_batch and request.service in services
+            for request in (*self._pending, *self._permits)
+        )
+        return ExecutorLoad(slots, live, usable)
+
     @property
     def _running_scheduler(self) -> AdmissionScheduler:
         assert self._scheduler is not None, "the controller has not been started"
--- a/cherrycove/tier/dataplane/item_executor.py
+++ b/cherrycove/tier/dataplane/item_executor.py
@@ -9,7 +9,7 @@
 
 from multidict import CIMultiDict
 
-from cherrycove.tier.batch.execution import ItemOutcome, ItemState, RecordFailures
+from cherrycove.tier.batch.execution import ExecutorLoad, ItemOutcome, ItemState, RecordFailures
 from cherrycove.tier.configuration import Route
 from cherrycove.tier.dataplane.admission import AdmissionRequest
 from cherrycove.tier.dataplane.admission_controller import AdmissionController
@@ -44,6 +44,17 @@
         """How many further items could be started now without harming live requests."""
         return self._admission.free_slots()
 
+    def load(self) -> ExecutorLoad:
+        """The slots of the brokers that serve batch routes, and this proxy's live requests there."""
+        configuration = self._cluster_view.configuration
+        if configuration is None:
+            return ExecutorLoad(0, 0)
+        services: set[str] = set()
+        for route in configuration.routes:
+            if route.is_batch:
+                services |= route.services
+        return self._admission.load(services)
+
     async def run_item(
         self, item: LeasedItem, may_send: Callable[[], bool], record_failures: RecordFailures
     ) -> ItemOutcome:
@@ -105,5 +116,6 @@
             client_timeout_s=inf,
             due_at=due_at,
             is_batch=True,
+            preferred_broker=item.broker,
             prompt=parse_prompt(CIMultiDict(item.item.headers)),
         )
--- a/cherrycove/tier/simulation/control/batch_execution.py
+++ b/cherrycove/tier/simulation/control/batch_execution.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from random import Random
 
-from cherrycove.tier.batch.execution import ItemOutcome, ItemState, RecordFailures
+from cherrycove.tier.batch.execution import ExecutorLoad, ItemOutcome, ItemState, RecordFailures
 from cherrycove.tier.protocol import batch_pb2 as pb
 from cherrycove.tier.simulation.control.environment import Environment
 
@@ -29,6 +29,10 @@
         """Return how many more items can run at once."""
         return SLOTS - self._running
 
+    def load(self) -> ExecutorLoad:
+        """Return that nothing is known of brokers: these items run without one."""
+        return ExecutorLoad(broker_slots=0, live_requests=0)
+
     async def run_item(
         self, item: pb.LeasedItem, may_send: Callable[[], bool], record_failures: RecordFailures
     ) -> ItemOutcome:
--- a/tests/tier/batch_support.py
+++ b/tests/tier/batch_support.py
@@ -13,7 +13,7 @@
 from result import Err, Ok, Result
 
 from cherrycove.tier.batch.client.batch_client import BatchClient
-from cherrycove.tier.batch.execution import ItemOutcome, RecordFailures
+from cherrycove.tier.batch.execution import ExecutorLoad, ItemOutcome, RecordFailures
 from cherrycove.tier.batch.frontend.http_api import BatchApi
 from cherrycove.tier.batch.jobs.model import ItemKey
 from cherrycove.tier.batch.jobs.state import JobsState
@@ -272,6 +272,9 @@
     def free_slots(self) -> int:
         return self.places - len(self.items)
 
+    def load(self) -> ExecutorLoad:
+        return ExecutorLoad(broker_slots=0, live_requests=0)
+
     async def run_item(
         self, item: pb.LeasedItem, may_send: Callable[[], bool], record_failures: RecordFailures
     ) -> ItemOutcome:
--- a/tests/tier/test_batch_leases.py
+++ b/tests/tier/test_batch_leases.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
+
+import attrs
 
 from cherrycove.tier.batch.jobs.model import ItemKey
+from cherrycove.tier.batch.leasing.grant_policy import lease_limit
 from cherrycove.tier.batch.leasing.lease_table import LeaseTable
 from cherrycove.tier.batch.leasing.lease_types import LeasableJob, LeaseCall, LeaseDecision, LeaseTimes
 
@@ -29,9 +32,23 @@
         self.table, self.name, self.life, self.sequence = table, name, f"{name}/{life}", 0
         self.running: list[ItemKey] = []
 
-    def ask(self, now: float, capacity: int = 0, routes: Sequence[str] = ("r",)) -> LeaseDecision:
+    def ask(
+        self,
+        now: float,
+        capacity: int = 0,
+        routes: Sequence[str] = ("r",),
+        slots: int = 0,
+        live: int = 0,
+        brokers: Mapping[str, int] | None = None,
+    ) -> LeaseDecision:
         self.sequence += 1
-        decision = self.table.exchange(self.call(self.sequence, capacity, routes), now)
+        call = attrs.evolve(
+            self.call(self.sequence, capacity, routes),
+            broker_slots=slots,
+            live_requests=live,
+            usable_brokers=brokers or {},
+        )
+        decision = self.table.exchange(call, now)
         self.running = [key for key in self.running if key not in decision.revoked]
         self.running += [grant.key for grant in decision.granted]
         return decision
@@ -222,3 +239,46 @@
         unfinished = table.past_retention(LONG)
         assert len(set(unfinished)) == len(unfinished) == 15 - len(resolved)
         assert 0 <= decision.waiting <= 15 - len(resolved)
+
+
+def test_all_proxies_together_hold_no_more_items_than_live_requests_leave_slots_for() -> None:
+    items = [f"i{number}" for number in range(100)]
+    table = table_with(terms("j", *items))
+    first, second = Proxy(table, "p1"), Proxy(table, "p2")
+    second.ask(0.0, capacity=0, slots=100, live=40)
+    granted = first.ask(0.0, capacity=100, slots=100, live=10).granted
+    assert len(granted) == 95 - 50
+    assert list(second.ask(0.1, capacity=100, slots=100, live=40).granted) == []
+    table.resolve(first.running.pop(), 0.2)
+    assert len(second.ask(0.2, capacity=100, slots=100, live=40).granted) == 1
+    first.ask(0.3, capacity=0, slots=100, live=10)
+    assert len(second.ask(0.3, capacity=100, slots=100, live=0).granted) == 40
+
+
+def test_items_run_on_however_many_live_requests_there_are() -> None:
+    table = table_with(terms("j", *(f"i{number}" for number in range(100))))
+    assert len(Proxy(table).ask(0.0, capacity=100, slots=100, live=500).granted) == 10
+
+
+def test_a_proxy_that_knows_few_brokers_does_not_bound_the_others() -> None:
+    assert lease_limit([100, 100, 10], 0) == lease_limit([100, 100], 0) == 95
+    assert lease_limit([0, 0], 0) is None
+    assert lease_limit([0, 100], 0) == 95
+
+
+def test_items_are_spread_over_the_brokers_by_what_all_proxies_run_there() -> None:
+    table = table_with(terms("j", *(f"i{number}" for number in range(100))))
+    first, second = Proxy(table, "p1"), Proxy(table, "p2")
+    brokers = {"a": 10, "b": 10, "c": 20}
+    assert [grant.broker for grant in first.ask(0.0, 2, brokers=brokers).granted] == ["a", "b"]
+    assert [grant.broker for grant in second.ask(0.0, 2, brokers=brokers).granted] == ["c", "a"]
+    table.resolve(second.running[1], 0.1)
+    assert [grant.broker for grant in second.ask(0.1, 1, brokers=brokers).granted] == ["c"]
+
+
+def test_a_proxy_gets_one_item_for_a_broker_at_a_time_and_none_for_one_it_cannot_use() -> None:
+    table = table_with(terms("j", *(f"i{number}" for number in range(100))))
+    proxy = Proxy(table)
+    assert [grant.broker for grant in proxy.ask(0.0, 3, brokers={"a": 10, "b": 10}).granted] == ["a", "b", ""]
+    assert [grant.broker for grant in proxy.ask(0.1, 1, brokers={"b": 10}).granted] == ["b"]
+    assert [grant.broker for grant in proxy.ask(0.2, 1).granted] == [""]
--- a/tests/tier/test_golden_messages.py
+++ b/tests/tier/test_golden_messages.py
@@ -12,7 +12,14 @@
 import golden_support as support
 import pytest
 
-SAMPLES: list[dict[str, Any]] = json.loads((support.DATA / "messages.json").read_text(encoding="utf-8"))
+SAMPLES: list[dict[str, Any]] = [
+    sample
+    for name in ("messages.json", "messages-added.json")
+    for sample in json.loads((support.DATA / name).read_text(encoding="utf-8"))
+]
+SCHEMA = "".join(
+    (support.DATA / name).read_text(encoding="utf-8") for name in ("schema.txt", "schema-added.txt")
+)
 
 
 def _id(sample: dict[str, Any]) -> str:
@@ -20,7 +27,7 @@
 
 
 def test_every_message_has_the_fields_that_it_had() -> None:
-    assert support.schema() == (support.DATA / "schema.txt").read_text(encoding="utf-8")
+    assert sorted(support.schema().splitlines()) == sorted(SCHEMA.splitlines())
 
 
 @pytest.mark.parametrize("sample", SAMPLES, ids=_id)
@@ -35,7 +42,7 @@
 
 def test_the_samples_set_every_field_of_every_message() -> None:
     named = {(sample["message"], field) for sample in SAMPLES for field in sample["fields"]}
-    lines = [line.split() for line in (support.DATA / "schema.txt").read_text(encoding="utf-8").splitlines()]
+    lines = [line.split() for line in SCHEMA.splitlines()]
     assert {
         (line[0], line[2]) for line in lines if len(line) > 3 and line[3] in ("single", "repeated")
     } == named
