--- /dev/null
+++ b/bench/admission/outcomes.py
@@ -0,0 +1,104 @@
+"""What became of the requests of a day, and the figures that follow from it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import attrs
+
+from bench.admission.site import RequestKind
+
+WINDOW_S = 2.0
+WORST_WINDOWS = 2
+MIN_WINDOW_WORTH = 1.0
+WEIGHTS = {"mean": 0.4, "kind": 0.3, "zone": 0.2, "window": 0.1}
+
+
+@attrs.define(eq=False)
+class Outcome:
+    """One live request or batch item over all its tries; times are seconds of the day."""
+
+    kind: RequestKind
+    zone: str
+    sent_at: float
+    first_event_at: float | None = None
+    last_event_at: float | None = None
+    longest_pause_s: float = 0.0
+    is_complete: bool = False
+    rejections: int = 0
+    loss: str = "unfinished"
+
+    @property
+    def latency_s(self) -> float | None:
+        """To the first event, or of an item to its end."""
+        until = self.last_event_at if self.kind.is_batch else self.first_event_at
+        return None if until is None or not self.is_complete else until - self.sent_at
+
+    @property
+    def is_in_time(self) -> bool:
+        """Whether it earns its full worth."""
+        if self.latency_s is None:
+            return False
+        is_smooth = self.kind.is_batch or self.longest_pause_s <= self.kind.pause_s
+        return self.latency_s <= self.kind.target_s and is_smooth
+
+    @property
+    def earned(self) -> float:
+        """Its worth, as far as it earned that."""
+        if not self.is_complete:
+            return 0.0
+        return self.kind.worth if self.is_in_time else self.kind.late_worth
+
+
+@attrs.frozen
+class Figures:
+    """One day in figures: earned worth as a share of what was owed."""
+
+    mean: float
+    by_kind: dict[str, float]
+    by_zone: dict[str, float]
+    worst_window: float
+    p50_ms: dict[str, float]
+    p99_ms: dict[str, float]
+
+    @property
+    def score(self) -> float:
+        """The parts that a site's goal weights, without prices."""
+        return (
+            WEIGHTS["mean"] * self.mean
+            + WEIGHTS["kind"] * min(self.by_kind.values(), default=0.0)
+            + WEIGHTS["zone"] * min(self.by_zone.values(), default=0.0)
+            + WEIGHTS["window"] * self.worst_window
+        )
+
+
+def figures(outcomes: list[Outcome]) -> Figures:
+    """Sum up a day."""
+    kinds = sorted({outcome.kind.name for outcome in outcomes})
+    zones = sorted({outcome.zone for outcome in outcomes})
+    windows: dict[int, list[Outcome]] = {}
+    for outcome in outcomes:
+        windows.setdefault(int(outcome.sent_at / WINDOW_S), []).append(outcome)
+    worst = sorted(_share(each) for each in windows.values())[:WORST_WINDOWS]
+    by_kind = {kind: [each for each in outcomes if each.kind.name == kind] for kind in kinds}
+    return Figures(
+        mean=_share(outcomes),
+        by_kind={kind: _share(each) for kind, each in by_kind.items()},
+        by_zone={zone: _share(each for each in outcomes if each.zone == zone) for zone in zones},
+        worst_window=sum(worst) / len(worst) if worst else 0.0,
+        p50_ms={kind: _quantile_ms(each, 0.5) for kind, each in by_kind.items()},
+        p99_ms={kind: _quantile_ms(each, 0.99) for kind, each in by_kind.items()},
+    )
+
+
+def _share(outcomes: Iterable[Outcome]) -> float:
+    owed = earned = 0.0
+    for outcome in outcomes:
+        owed += outcome.kind.worth
+        earned += outcome.earned
+    return earned / owed if owed >= MIN_WINDOW_WORTH else 1.0
+
+
+def _quantile_ms(outcomes: list[Outcome], quantile: float) -> float:
+    latencies = sorted(outcome.latency_s for outcome in outcomes if outcome.latency_s is not None)
+    return latencies[int(quantile * (len(latencies) - 1))] * 1000 if latencies else float("nan")
