A lease request offers at most 32 brokers

Cause: with hundreds of brokers a request that names all usable ones would grow to many kilobytes, four times a second from each proxy (docs/CAPACITY.md has 770 brokers and 330 proxies). Change: a random sample of 32; the stores still choose the least used of them. Tests of what a proxy tells the stores, and of when a placed item goes where it was placed.

--- a/cherrycove/tier/batch/execution.py
+++ b/cherrycove/tier/batch/execution.py
@@ -37,7 +37,9 @@
 
     broker_slots: int  # of all these brokers together; 0: unknown
     live_requests: int  # of this process, pending and in flight
-    usable_brokers: Mapping[str, int] = attrs.field(factory=dict)  # slots by id, of those with a connection
+    usable_brokers: Mapping[str, int] = attrs.field(
+        factory=dict
+    )  # slots by id; a sample where there are many
 
 
 RecordFailures = Callable[[int], Awaitable[None]]  # returns once the count outlives this process
--- a/cherrycove/tier/dataplane/admission_controller.py
+++ b/cherrycove/tier/dataplane/admission_controller.py
@@ -25,6 +25,8 @@
 from cherrycove.tier.dataplane.loss_cause import RequestTimeline
 from cherrycove.tier.distribution.cluster_view import Broker, ClusterView
 
+MAX_OFFERED_BROKERS = 32  # to the stores in one lease request, which bounds its size; drawn at random
+
 
 @attrs.define(eq=False)
 class Permit:
@@ -143,6 +145,9 @@
             not request.is_batch and request.service in services
             for request in (*self._pending, *self._permits)
         )
+        if len(usable) > MAX_OFFERED_BROKERS:
+            offered = self._rng.sample(sorted(usable), MAX_OFFERED_BROKERS)
+            usable = {instance_id: usable[instance_id] for instance_id in offered}
         return ExecutorLoad(slots, live, usable)
 
     @property
--- a/tests/tier/test_admission.py
+++ b/tests/tier/test_admission.py
@@ -75,8 +75,8 @@
         self._take(self.scheduler.request_arrived(self.now, request))
         return request
 
-    def item(self, due_in: float = 8.0) -> AdmissionRequest:
-        return self.arrive("lots", is_batch=True, due_at=self.now + due_in, client_timeout_s=1e9)
+    def item(self, due_in: float = 8.0, **fields: Any) -> AdmissionRequest:
+        return self.arrive("lots", is_batch=True, due_at=self.now + due_in, client_timeout_s=1e9, **fields)
 
     def again(self, request: AdmissionRequest) -> None:
         self._take(self.scheduler.request_arrived(self.now, request))
@@ -363,6 +363,27 @@
     assert proxy.scheduler.free_slots(proxy.now) == 0
 
 
+def test_a_placed_item_goes_where_it_was_placed_unless_a_fresh_report_says_that_it_is_full() -> None:
+    proxy = Proxy([broker("a", slots=10), broker("b", slots=10)], proxies=20)
+    first = proxy.item(preferred_broker="b")
+    assert proxy.sent[first] == "b"
+    # The other 19 proxies might run as many there: without a report, only the stores know that they do not.
+    second = proxy.item(preferred_broker="b")
+    assert proxy.sent[second] == "b"
+    proxy.report(first, running=10, slots=10)
+    third = proxy.item(preferred_broker="b")
+    assert proxy.sent[third] == "a"
+    proxy.wait(1.1, streaming=True)
+    fourth = proxy.item(preferred_broker="b")
+    assert proxy.sent[fourth] == "b"
+
+
+def test_a_placed_item_goes_elsewhere_if_its_broker_cannot_take_it() -> None:
+    proxy = Proxy([broker("a"), broker("b", draining=True)])
+    assert proxy.sent[proxy.item(preferred_broker="b")] == "a"
+    assert proxy.sent[proxy.item(preferred_broker="unknown")] == "a"
+
+
 def test_an_item_that_was_refused_by_a_broker_is_sent_once_more_not_twice() -> None:
     proxy = Proxy([broker("a"), broker("b")])
     item = proxy.item()
--- a/tests/tier/test_dataplane_items.py
+++ b/tests/tier/test_dataplane_items.py
@@ -9,8 +9,10 @@
 from aiohttp import web
 from dataplane_world import HOST, TIMEOUT_S, World, configuration_bytes, entry, route
 
-from cherrycove.tier.batch.execution import ItemOutcome, ItemState
+from cherrycove.tier.batch.execution import ExecutorLoad, ItemOutcome, ItemState
 from cherrycove.tier.configuration import Route, parse_configuration
+from cherrycove.tier.dataplane.admission_controller import MAX_OFFERED_BROKERS
+from cherrycove.tier.distribution.cluster_view import Broker
 from cherrycove.tier.protocol.batch_pb2 import Item, LeasedItem
 from examples.toy_broker import Received, Script, ToyBroker, Wire, echo, stream
 
@@ -249,3 +251,62 @@
             ]
 
     asyncio.run(story())
+
+
+def test_an_item_runs_at_the_broker_where_the_stores_placed_it() -> None:
+    async def story() -> None:
+        brokers = [ToyBroker(f"i-{number}", script=stream(3)) for number in range(6)]
+        async with World(brokers) as world, asyncio.timeout(TIMEOUT_S):
+            item = leased()
+            item.broker = "i-4"
+            await world.plane.executor.run_item(item, always, unrecorded)
+            assert [len(broker.received) for broker in brokers] == [0, 0, 0, 0, 1, 0]
+            item.broker = "i-gone"
+            outcome = await world.plane.executor.run_item(item, always, unrecorded)
+            assert outcome.state is ItemState.COMPLETED
+
+    asyncio.run(story())
+
+
+def test_the_stores_are_told_the_slots_the_usable_brokers_and_the_live_requests() -> None:
+    async def story() -> None:
+        held = asyncio.Event()
+
+        async def hold(request: Received, wire: Wire) -> None:
+            await held.wait()
+            await echo(request, wire)
+
+        brokers = [ToyBroker("i-0", script=hold), ToyBroker("i-1", script=hold)]
+        async with World(brokers) as world, asyncio.timeout(TIMEOUT_S):
+            executor = world.plane.executor
+            slots = {broker.instance_id: broker.slots for broker in brokers}
+            assert executor.load() == ExecutorLoad(sum(slots.values()), 0, slots)
+            client = asyncio.create_task(world.ask("/again/x"))
+            while not any(broker.received for broker in brokers):
+                await asyncio.sleep(0)
+            assert executor.load().live_requests == 1
+            held.set()
+            assert (await client).status == 200
+            world.views.brokers = (entry(brokers[0], draining=True), entry(brokers[1]))
+            world.views.changed()
+            assert executor.load() == ExecutorLoad(slots["i-1"], 0, {"i-1": slots["i-1"]})
+
+    asyncio.run(story())
+
+
+def test_a_lease_request_names_a_bounded_number_of_brokers() -> None:
+    async def story() -> None:
+        async with World([]) as world:
+            world.views.brokers = tuple(
+                Broker(
+                    instance_id=f"i-{number}", service="lm", address="127.0.0.1:9", zone="z",
+                    capacity_slots=8, draining=False,
+                )
+                for number in range(MAX_OFFERED_BROKERS + 9)
+            )  # fmt: skip
+            world.views.changed()
+            load = world.plane.executor.load()
+            assert load.broker_slots == 8 * (MAX_OFFERED_BROKERS + 9)
+            assert len(load.usable_brokers) == MAX_OFFERED_BROKERS
+
+    asyncio.run(story())
