--- a/cherrycove/tier/batch/execution.py
+++ b/cherrycove/tier/batch/execution.py
@@ -37,9 +37,7 @@
 
     broker_slots: int  # of all these brokers together; 0: unknown
     live_requests: int  # of this process, pending and in flight
-    usable_brokers: Mapping[str, int] = attrs.field(
-        factory=dict
-    )  # slots by id; a sample where there are many
+    usable_brokers: Mapping[str, int] = attrs.field(factory=dict)  # slots by id; of many only some
 
 
 RecordFailures = Callable[[int], Awaitable[None]]  # returns once the count outlives this process
