--- a/bench/admission/engine.py
+++ b/bench/admission/engine.py
@@ -61,7 +61,7 @@
         self._clock = clock
         self._model = model
         self._speed = speed
-        self._running: set[Run] = set()
+        self._running: dict[Run, None] = {}  # in the order of their start: a set's would differ by run
         self._waiting: deque[Run] = deque()
         self._stalled_s = 0.0  # the sum of all prefill so far
         self._prefill_until = 0.0
@@ -86,7 +86,7 @@
         """The caller closed the connection."""
         run.is_over = True
         if run in self._running:
-            self._running.discard(run)
+            self._running.pop(run, None)
             self._start_next()
         elif run in self._waiting:
             self._waiting.remove(run)
@@ -109,7 +109,7 @@
         self._cached_tokens = 0
 
     def _start(self, run: Run) -> None:
-        self._running.add(run)
+        self._running[run] = None
         tokens = self._uncached_tokens(run.prompt)
         prefill_s = self._prefill_s(tokens, run.prompt.input_tokens)
         self._prefill_until = max(self._prefill_until, self._clock.now) + prefill_s
@@ -131,7 +131,7 @@
             return
         run.on_event(self.load())
         run.is_over = True
-        self._running.discard(run)
+        self._running.pop(run, None)
         run.on_end(RunEnd.COMPLETE)
         self._start_next()
 
