--- a/cherrycove/tier/simulation/control/cluster.py
+++ b/cherrycove/tier/simulation/control/cluster.py
@@ -30,6 +30,7 @@
         self._placed = 0  # machines so far
         self._freed_addresses: dict[int, float] = {}  # number of the address, and when it became free
         self._past_hosts: list[tuple[float, list[str]]] = []  # time, and the hosts of the machines then
+        self._fixed_seeds: tuple[str, ...] = ()  # of all starts from now on; empty: drawn for each
 
     # Building
 
@@ -68,10 +69,22 @@
         while len(self._past_hosts) > 1 and self._past_hosts[1][0] <= now - SEED_LAG_S:
             self._past_hosts.pop(0)
 
+    def start_with_seeds(self, hosts: tuple[str, ...]) -> None:
+        """Give every start from now on ``hosts`` as its seeds."""
+        self._fixed_seeds = hosts
+
     def _draw_seeds(self) -> tuple[str, ...]:
+        if self._fixed_seeds:
+            return self._fixed_seeds
         hosts = self._past_hosts[0][1]
         return tuple(self._environment.random.sample(hosts, min(SEEDS, len(hosts))))
 
+    def _keeps_seeds(self) -> bool:
+        """Whether the next start has the seeds of the start before."""
+        if self._fixed_seeds:
+            return False
+        return self._environment.random.random() < STALE_SEEDS_SHARE
+
     # Power and processes
 
     def power_up(self, machine: Machine) -> None:
@@ -82,9 +95,7 @@
         self._start(machine)
 
     def _start(self, machine: Machine) -> None:
-        if not machine.first_start and (
-            not machine.seeds or self._environment.random.random() >= STALE_SEEDS_SHARE
-        ):
+        if not machine.first_start and (not machine.seeds or not self._keeps_seeds()):
             machine.seeds = self._draw_seeds()
         for program in machine.programs:
             process = PROCESS_TYPES[program](self._environment, machine)
