--- a/cherrycove/tier/distribution/cluster_view_updater.py
+++ b/cherrycove/tier/distribution/cluster_view_updater.py
@@ -74,7 +74,6 @@
             return False
         self._view.configuration = parsed.ok_value
         self._view.document = document
-        _log.info("configuration_in_force", extra={"version": version})
         return True
 
 
--- a/cherrycove/tier/distribution/puller.py
+++ b/cherrycove/tier/distribution/puller.py
@@ -11,6 +11,7 @@
 
 from cherrycove.tier.distribution.cluster_view import ClusterView
 from cherrycove.tier.distribution.cluster_view_updater import ClusterViewUpdater
+from cherrycove.tier.distribution.contact_log import ContactLog, VersionLog
 from cherrycove.tier.distribution.controller_selector import MAX_BACKOFF_S, ControllerSelector
 from cherrycove.tier.errors import ErrorKind, Failure
 from cherrycove.tier.program_names import CONTROLLER_PROGRAM
@@ -47,12 +48,15 @@
         self._announce = announce
         self._updater = ClusterViewUpdater(view)
         self._selector = ControllerSelector(_seeds(settings))
+        self._version_log = VersionLog()
+        self._contact_log: ContactLog | None = None  # from ``start`` on
         self._task: asyncio.Task[None] | None = None
         self._pull_task: asyncio.Task[None] | None = None
         self._pull_again = False
 
     async def start(self) -> None:
         """Start to pull."""
+        self._contact_log = ContactLog(asyncio.get_running_loop().time())
         self._task = asyncio.create_task(self._run(), name="puller")
 
     async def stop(self) -> None:
@@ -109,16 +113,35 @@
 
     def _handle_reply(self, target: str, reply: PullReply) -> float:
         """Apply ``reply``; return the pause before the next pull in s."""
+        now = asyncio.get_running_loop().time()
         self._selector.record_answer(target)
-        self._view.last_contact = asyncio.get_running_loop().time()
+        self._view.last_contact = now
         self._view.primary_address = target
+        if self._contact_log is not None:
+            self._contact_log.record_answer(target, now)
+        self._apply(reply, now)
+        return UNREADABLE_BACKOFF_S if self._updater.has_unreadable else 0.0
+
+    def _apply(self, reply: PullReply, now: float) -> None:
+        """Apply the updates of ``reply``, and log which configuration is in force."""
+        version_before = self._configuration_version()
         if self._updater.apply(reply.updates):
             self._selector.replace_discovered(self._controller_addresses())
-        return UNREADABLE_BACKOFF_S if self._updater.has_unreadable else 0.0
+        version = self._configuration_version()
+        if version != version_before:
+            self._version_log.record(version, now)
+        else:
+            self._version_log.flush(now)
+
+    def _configuration_version(self) -> int:
+        configuration = self._view.configuration
+        return 0 if configuration is None else configuration.version
 
     def _handle_failure(self, target: str, failure: Failure) -> float:
         """Note that ``target`` did not answer as the primary; return the pause before the next pull in s."""
         now = asyncio.get_running_loop().time()
+        if self._contact_log is not None:
+            self._contact_log.record_failure(target, failure.kind.value, now)
         if failure.kind is ErrorKind.NOT_PRIMARY:
             return self._selector.record_not_primary(target, failure.primary, now)
         if target == self._view.primary_address:
--- a/cherrycove/tier/replication/group.py
+++ b/cherrycove/tier/replication/group.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Callable, Sequence
 
 from result import Err, Result
@@ -20,6 +21,8 @@
 STOP_FLUSH_TIMEOUT_S = 0.5  # and so long for its last messages
 USABLE_DISK_SHARE = 0.9  # of the disk's limit, for commands; the rest is for entries of replication itself
 
+_log = logging.getLogger(__name__)
+
 
 class ReplicatedGroup:
     """The replica of a group in this process; implements ``replication.interface.Group``.
@@ -114,7 +117,9 @@
         """
         async with self._start_lock:
             if self._driver is None:
+                started_at = self._now()
                 recovered = await self._options.runtime.run_blocking(self._recovery.recover)
+                self._log_recovery(recovered, self._now() - started_at)
                 self._start_driver(recovered)
         if initial_members and self._driver is not None:
             self._driver.bootstrap(initial_members)
@@ -135,6 +140,20 @@
         await driver.stop_writer()
         self._components.proposals.abandon_all()
 
+    def _log_recovery(self, recovered: RecoveredReplica, took_s: float) -> None:
+        state = recovered.state
+        details = {
+            "group": self._options.name,
+            "member": self.identity.member_id,
+            "snapshot_index": state.snapshot.index if state.snapshot is not None else 0,
+            "last_index": state.last_index,
+            "commit_index": state.hard_state.commit_index,
+            "epoch": state.hard_state.epoch,
+            "stored_bytes": recovered.storage.size_bytes,
+            "took_s": round(took_s, 3),
+        }
+        _log.info("replica_recovered", extra=details)
+
     def _start_driver(self, recovered: RecoveredReplica) -> None:
         options = self._options
         machine = ReplicaMachine(
--- a/tests/tier/test_seeds_outside_group.py
+++ b/tests/tier/test_seeds_outside_group.py
@@ -76,7 +76,7 @@
         assert machine.host not in self.members()
 
     def restart_with_seeds(self, seeds: list[Machine], *, wiped: list[Machine], proxies: bool = True) -> None:
-        """All machines lose power, or all but the proxies; some lose their disks; all start with ``seeds``."""
+        """All machines, or all but the proxies, lose power, some their disks; all start with ``seeds``."""
         struck = [*self.cluster.machines, *(self.cluster.proxies if proxies else [])]
         names = {machine.name for machine in struck}
         self.world.environment.fault_budget.fault_began(names, disk=False)
