A primary introduces itself to controllers that do not pull from it

Cause: a started process knows its seeds alone, and a controller outside the group learns of the primary by its own pulls alone. Where all seeds of a start are standbys, removed members or emptied machines, all of them ask one another, for good: no proxy gets a configuration (RECOVER), no store is listed (LOST). Announcements of the primary that came to them were thrown away. A controller's puller also asks whom its own log names. The call is a pull, so nothing on the wire changes and releases mix.

--- a/cherrycove/tier/controlplane/controller.py
+++ b/cherrycove/tier/controlplane/controller.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from cherrycove.tier.controlplane.broker_discovery import BrokerReader
 from cherrycove.tier.controlplane.broker_watcher import BrokerWatcher
 from cherrycove.tier.controlplane.configuration_service import ConfigurationService
+from cherrycove.tier.controlplane.controller_contacts import ControllerContacts
 from cherrycove.tier.controlplane.controller_group import ControllerGroupMembership
 from cherrycove.tier.controlplane.leader_coordinator import LeaderCoordinator
 from cherrycove.tier.controlplane.leadership import Leadership
 from cherrycove.tier.controlplane.leadership_period import LeadershipPeriod, LeadershipPeriodAuthority
 from cherrycove.tier.controlplane.operator_api import OperatorApi
 from cherrycove.tier.controlplane.periodic_tasks import PeriodicTasks
+from cherrycove.tier.controlplane.primary_introduction import PrimaryIntroduction, introduction_in
 from cherrycove.tier.controlplane.process_directory import ProcessDirectory
 from cherrycove.tier.controlplane.retirement import RetirementService
 from cherrycove.tier.controlplane.state import ControlState
@@ -20,6 +24,7 @@
 from cherrycove.tier.distribution.cluster_view import ClusterView
 from cherrycove.tier.distribution.publisher import Publisher
 from cherrycove.tier.protocol.calls import Caller, CallRegistry
+from cherrycove.tier.protocol.control_pb2 import PullRequest
 from cherrycove.tier.protocol.controller_methods import STATUS
 from cherrycove.tier.replication.interface import Group
 from cherrycove.tier.replication.quorums import target_group_size
@@ -42,17 +47,21 @@
         client: Caller,
         cluster_view: ClusterView | None = None,
         reader: BrokerReader | None = None,
+        contacts: ControllerContacts | None = None,
     ) -> None:
         """Connect the parts and register the calls ``pull`` and ``status`` at ``server``.
 
         The caller starts and stops ``group``, ``server`` and ``client``. ``state`` is the group's state
         machine. ``cluster_view`` is what a ``Puller`` of this process receives from the primary while this
         controller does not lead. ``reader`` replaces the client of the platform's list of brokers.
+        ``contacts`` are the other controllers that this process knows; without them this controller
+        introduces itself to nobody.
         """
         self._settings = settings
         self._group = group
         self._state = state
         self._cluster_view = ClusterView() if cluster_view is None else cluster_view
+        self._contacts = contacts or ControllerContacts()
         self._leadership = Leadership(group, self._cluster_view)
         self._period = self._assemble_period()
         self._publisher = self._assemble_publisher()
@@ -68,6 +77,7 @@
 
         Raises ``OSError`` where the operators' address cannot be bound.
         """
+        self._share_group_knowledge()
         await self._coordinator.brokers.start()
         await self.operator_api.start(self._settings.listen_addresses.control_plane)
         self._tasks.start(
@@ -75,6 +85,7 @@
                 "watch": self._coordinator.step,
                 "stores": self._coordinator.stores.step,
                 "brokers": self._coordinator.brokers.step,
+                "introductions": self._coordinator.introduction.step,
             }
         )
 
@@ -98,8 +109,22 @@
         return Publisher(
             LeadershipPeriodAuthority(self._period, self._leadership),
             lambda request: self._coordinator.on_pull(request),
+            self._note_introduction,
         )
 
+    def _note_introduction(self, request: PullRequest) -> None:
+        """Keep what a rejected pull tells of the primary: it may be the only word of it that comes here."""
+        introduction = introduction_in(request, self._settings, asyncio.get_running_loop().time())
+        if introduction is not None:
+            self._leadership.record_introduction(introduction)
+            self._contacts.suggest_primary(introduction.address)
+
+    def _share_group_knowledge(self) -> None:
+        """Tell the puller whom the group's log names: the seeds may all be outside the group."""
+        self._contacts.remember([member.address for member in self._group.members])
+        if self._group.primary is not None and self._group.primary.address:
+            self._contacts.suggest_primary(self._group.primary.address)
+
     def _assemble_coordinator(self, client: Caller, reader: BrokerReader | None) -> LeaderCoordinator:
         settings, group, state = self._settings, self._group, self._state
         return LeaderCoordinator(
@@ -112,6 +137,9 @@
                 settings, group, state, self._period, client, self.directory.store_inventory
             ),
             brokers=BrokerWatcher(settings, self._period, self._topics, reader),
+            introduction=PrimaryIntroduction(
+                settings, state, self._period, self.directory, client, self._contacts
+            ),
             cluster_view=self._cluster_view,
         )
 
@@ -142,3 +170,4 @@
         server.register(STATUS, status.status)
         self._state.on_change(self._coordinator.on_state_change)
         self._group.on_change(self._coordinator.on_group_change)
+        self._group.on_change(self._share_group_knowledge)
--- a/cherrycove/tier/controlplane/leader_coordinator.py
+++ b/cherrycove/tier/controlplane/leader_coordinator.py
@@ -10,6 +10,7 @@
 from cherrycove.tier.controlplane.broker_watcher import BrokerWatcher
 from cherrycove.tier.controlplane.controller_group import ControllerGroupMembership
 from cherrycove.tier.controlplane.leadership_period import LeadershipPeriod
+from cherrycove.tier.controlplane.primary_introduction import PrimaryIntroduction
 from cherrycove.tier.controlplane.process_directory import ProcessDirectory
 from cherrycove.tier.controlplane.store_group_reconciler import StoreGroupReconciler
 from cherrycove.tier.controlplane.topics import ControlTopics
@@ -45,6 +46,7 @@
     membership: ControllerGroupMembership
     stores: StoreGroupReconciler
     brokers: BrokerWatcher
+    introduction: PrimaryIntroduction
     cluster_view: ClusterView  # what this process pulled from the primary while it did not lead itself
     _members_due_at: float = attrs.field(default=0.0, init=False)  # monotonic s; no member list before
 
@@ -59,6 +61,7 @@
             return
         self.directory.start_over(now)
         self.stores.on_started_leading()
+        self.introduction.on_started_leading()
         self.brokers.on_started_leading(self._inherit_published_lists(now), now)
         self.topics.begin_epoch(epoch)
 
--- a/cherrycove/tier/controlplane/leadership.py
+++ b/cherrycove/tier/controlplane/leadership.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+import attrs
 from result import Err, Ok, Result
 
 from cherrycove.tier.distribution.cluster_view import ClusterView
@@ -16,12 +17,22 @@
 HINT_FRESH_S = 3.0  # callers are not directed to a primary without a sign of life for so long
 
 
+@attrs.frozen
+class Introduction:
+    """A controller's own word that it leads: ``PrimaryIntroduction`` sends it, ``Leadership`` keeps one."""
+
+    address: str  # host:port of its internal calls
+    epoch: int
+    received_at: float  # monotonic s
+
+
 class Leadership:
     """The group's leadership as the publisher and the operator's interface need it.
 
     Owned by the ``Controller``; read-only for all others. It combines the heartbeats of the group with the
-    answers to this process's own pulls. Soft state: a crash loses it, and nothing safe depends on it. Only
-    ``is_confirmed_primary`` permits a decision; the address of another primary is a hint.
+    answers to this process's own pulls and with introductions by primaries. Soft state: a crash loses it, and
+    nothing safe depends on it. Only ``is_confirmed_primary`` permits a decision; the address of another
+    primary is a hint.
     """
 
     def __init__(self, group: Group, cluster_view: ClusterView) -> None:
@@ -30,6 +41,7 @@
         self._cluster_view = cluster_view
         self._primary_id = ""
         self._primary_since = float("-inf")
+        self._introduction: Introduction | None = None
         group.on_change(self._note_primary)
 
     @property
@@ -41,15 +53,36 @@
         """Whether this replica leads under a valid lease and has applied everything committed."""
         return self._group.is_confirmed_primary()
 
+    def record_introduction(self, introduction: Introduction) -> None:
+        """Keep ``introduction``, unless one of a newer epoch is known."""
+        known = self._introduction
+        if known is None or introduction.epoch >= known.epoch:
+            self._introduction = introduction
+
     def primary_address(self) -> str:
         """Return the RPC address (host:port) of the leading controller; empty while that is too uncertain.
 
         A member learns of its group's primary by heartbeats, and forgets it when they stay away. A controller
         outside the group receives none; neither does one that was removed and does not know. Those two learn
-        the primary only by answers to their own pulls, which go on long after the heartbeats.
+        the primary by answers to their own pulls, which go on long after the heartbeats, and before the first
+        answer by the primary's introduction.
         """
         self._note_primary()
         now = asyncio.get_running_loop().time()
+        return self._introduced_address(now) or self._address_of_contact(now)
+
+    def _introduced_address(self, now: float) -> str:
+        """Return who introduced itself lately, where nothing newer is known; else empty."""
+        introduction = self._introduction
+        if introduction is None or self._group.primary is not None:
+            return ""
+        is_outdated = introduction.epoch < self._group.epoch
+        if is_outdated or introduction.received_at <= self._cluster_view.last_contact:
+            return ""
+        return self._usable(introduction.address, introduction.received_at, now)
+
+    def _address_of_contact(self, now: float) -> str:
+        """Return the primary by heartbeats or by answers to this process's pulls, whichever is newer."""
         group, cluster_view = self._group, self._cluster_view
         primary = group.primary
         listed = group.identity.member_id in group.voting_member_ids()
@@ -62,7 +95,11 @@
         seen_at, address = cluster_view.last_contact, cluster_view.primary_address
         if primary is not None and self._primary_since >= seen_at:
             seen_at, address = self._primary_since, primary.address
-        if now - seen_at >= HINT_FRESH_S or address == group.identity.address:
+        return self._usable(address, seen_at, now)
+
+    def _usable(self, address: str, seen_at: float, now: float) -> str:
+        """Return ``address`` if it was seen lately and is another controller's, else empty."""
+        if now - seen_at >= HINT_FRESH_S or address == self._group.identity.address:
             return ""
         return address
 
--- a/cherrycove/tier/distribution/controller_selector.py
+++ b/cherrycove/tier/distribution/controller_selector.py
@@ -8,7 +8,7 @@
 MAX_BACKOFF_S = 0.3
 MAX_CONSECUTIVE_HINTS = 2  # further hints are followed after a backoff only
 HINT_IGNORED_S = 1.0  # a hint to a controller that has just failed is not followed for so long
-MAX_FORMER_CONTROLLERS = 16  # remembered of those that are no longer among the members
+MAX_FORMER_CONTROLLERS = 64  # remembered of those that are not among the members at present
 _MAX_DOUBLINGS = 8  # of the backoff; keeps the exponent small
 
 
@@ -17,7 +17,8 @@
 
     The controller that answered as the primary last is asked again; else the one that a backup named as the
     primary; else the next of the seeds and the discovered ones. Once all of these were asked in vain, the
-    former ones are asked as well: the members may all have been replaced while this process was cut off.
+    former ones are asked as well: the members may all have been replaced while this process was cut off, and
+    the seeds of a start may all be outside the group.
     """
 
     def __init__(self, seeds: Iterable[str]) -> None:
@@ -44,6 +45,20 @@
         self._discovered = list(dict.fromkeys(addresses))
         self._remember(before)
 
+    def remember(self, addresses: Iterable[str]) -> None:
+        """Ask ``addresses`` as well, once the seeds and the discovered ones were asked in vain."""
+        self._remember(list(addresses))
+
+    def known(self) -> list[str]:
+        """Return every address known: seeds, discovered and former ones."""
+        return list(dict.fromkeys([*self._seeds, *self._discovered, *self._former]))
+
+    def suggest(self, address: str, now: float) -> None:
+        """Ask ``address`` next, which is said to lead; ignored while another answers or if it just failed."""
+        self._remember([address])
+        if not self._answered_last and not self._has_failed_recently(address, now):
+            self._preferred = address
+
     def target(self) -> str:
         """Return the address to call now; empty when none is known."""
         if self._preferred:
--- a/cherrycove/tier/distribution/publisher.py
+++ b/cherrycove/tier/distribution/publisher.py
@@ -39,11 +39,20 @@
     It is answered NOT_PRIMARY, with a hint to the primary, while this controller is not the confirmed one.
     """
 
-    def __init__(self, authority: Authority, on_pull: Callable[[PullRequest], None]) -> None:
-        """``on_pull`` is called with each pull that is not rejected, before it is answered."""
+    def __init__(
+        self,
+        authority: Authority,
+        on_pull: Callable[[PullRequest], None],
+        on_rejected: Callable[[PullRequest], None] = lambda _: None,
+    ) -> None:
+        """``on_pull`` is called with each pull that is not rejected, before it is answered.
+
+        ``on_rejected`` is called with each other one: its announcement may tell of the primary.
+        """
         self._topics = PublishedTopics()
         self._authority = authority
         self._on_pull = on_pull
+        self._on_rejected = on_rejected
         self._changed = asyncio.Event()
         self._closed = False
 
@@ -73,6 +82,7 @@
     async def pull(self, request: PullRequest) -> Result[PullReply, Failure]:
         """Answer one pull."""
         if not self._leads():
+            self._on_rejected(request)
             return Err(self._not_primary())
         self._on_pull(request)
         vector = VersionVector(request.versions)
--- a/cherrycove/tier/distribution/puller.py
+++ b/cherrycove/tier/distribution/puller.py
@@ -72,6 +72,18 @@
         self._settings = settings
         self._selector.replace_seeds(_seeds(settings))
 
+    def suggest_primary(self, address: str) -> None:
+        """Ask the controller at ``address`` next: it is said to lead. No effect while another answers."""
+        self._selector.suggest(address, asyncio.get_running_loop().time())
+
+    def remember_controllers(self, addresses: Iterable[str]) -> None:
+        """Ask ``addresses`` as well when no other controller knows the primary."""
+        self._selector.remember(addresses)
+
+    def known_controllers(self) -> list[str]:
+        """Return the addresses of all controllers that this process has heard of."""
+        return self._selector.known()
+
     def announce_now(self) -> None:
         """Cancel the pull that waits and pull again at once, since the announcement changed."""
         if self._pull_task is not None:
--- a/cherrycove/tier/programs/controller.py
+++ b/cherrycove/tier/programs/controller.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 
 from cherrycove.tier.controlplane.controller import Controller
+from cherrycove.tier.controlplane.controller_contacts import PullerContacts
 from cherrycove.tier.controlplane.state import ControlState
 from cherrycove.tier.program_names import CONTROLLER_PROGRAM
 from cherrycove.tier.programs.replica_program import ReplicaProgram
@@ -22,7 +23,13 @@
 
     def _assemble_service(self) -> Controller:
         return Controller(
-            self._settings, self._group, self._state, self._server, self._client, self._cluster_view
+            self._settings,
+            self._group,
+            self._state,
+            self._server,
+            self._client,
+            self._cluster_view,
+            contacts=PullerContacts(self._puller, self._announce),
         )
 
     def _initial_members(self) -> Sequence[MemberIdentity]:
--- a/cherrycove/tier/programs/replica_program.py
+++ b/cherrycove/tier/programs/replica_program.py
@@ -52,12 +52,12 @@
         # Asked for at each call: a damaged disk gets another identity when the group starts.
         self._server.identify(lambda: self._group.identity.member_id)
         self._cluster_view = ClusterView()
-        self._service = self._assemble_service()
         self._puller = Puller(settings, self._client, self._cluster_view, self._announce)
+        self._service = self._assemble_service()
 
     @abstractmethod
     def _assemble_service(self) -> Service:
-        """Build the program's service; called once, when the group and the cluster view exist."""
+        """Build the program's service; called once, when group, cluster view and puller exist."""
 
     def _initial_members(self) -> Sequence[MemberIdentity]:
         """Return the members that begin the group at the first start of the deployment, if they are known."""
--- a/cherrycove/tier/simulation/control/processes.py
+++ b/cherrycove/tier/simulation/control/processes.py
@@ -14,6 +14,7 @@
 from cherrycove.tier.batch.worker.batch_worker import BatchWorker
 from cherrycove.tier.controlplane.configuration_state import AcceptOutcome
 from cherrycove.tier.controlplane.controller import Controller
+from cherrycove.tier.controlplane.controller_contacts import PullerContacts
 from cherrycove.tier.controlplane.state import Applied, ControlState
 from cherrycove.tier.distribution.cluster_view import ClusterView
 from cherrycove.tier.distribution.puller import Puller
@@ -132,6 +133,7 @@
         self.state = ObservedState(self)
         self.open_group(self.state)
         self.views = ClusterView()
+        self.puller = Puller(self.settings, self.client, self.views, self.announce)
         self.controller = Controller(
             self.settings,
             self.group,
@@ -140,8 +142,8 @@
             self.client,
             self.views,
             EmptyPlatform(),
+            PullerContacts(self.puller, self.announce),
         )
-        self.puller = Puller(self.settings, self.client, self.views, self.announce)
 
     async def start(self) -> None:
         """Start what the program consists of, in its order."""
