Soak: real processes under overlapping series of signals, restarts and changes

bench.soak plays a seed: machines with a controller and a store each, proxies, three toy brokers; series of SIGTERM, SIGKILL, SIGSTOP, SIGHUP, lost disks, kills of all controllers, all stores or all processes, and configuration changes, which overlap; each start gets other seeds. Clients use each connection until the proxy ends it. At the end as many disks as allowed are lost and all else is killed; every proxy has to serve, a new change has to apply, all accepted jobs and the configuration are read back, logs hold no unforeseen error.

--- /dev/null
+++ b/bench/soak/batch_clients.py
@@ -0,0 +1,147 @@
+"""Clients of batch jobs: hand jobs in at any proxy, read their results at any other, end some."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from random import Random
+from typing import Any
+
+import aiohttp
+import attrs
+
+from bench.soak import traffic
+from bench.soak.ledger import Ledger
+from bench.soak.tier import SoakTier
+from examples.tier_client import HOST, batch_item, new_id
+
+CALL_TIMEOUT_S = 5.0
+PAUSE_S = 1.5  # between two jobs of one client
+READ_PAUSE_S = 0.3
+END_SHARE = 0.2
+MOST_ITEMS = 8
+ITEM_TEXT = "\n".join(traffic.EVENT_TEXTS)
+
+
+@attrs.define
+class AcceptedJob:
+    """A job that was answered 202, with the results that were read of it."""
+
+    job_id: str
+    item_ids: list[str]
+    results: list[dict[str, Any]] = attrs.field(factory=list)
+    is_ended: bool = False
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether every item's result was read."""
+        return len(self.results) == len(self.item_ids)
+
+
+class BatchClients:
+    """All jobs of a run, and those who hand them in. ``stop`` ends the submissions."""
+
+    def __init__(self, tier: SoakTier, ledger: Ledger, random: Random) -> None:
+        self._tier = tier
+        self._ledger = ledger
+        self._random = random
+        self._session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S))
+        self._is_stopping = False
+        self.jobs: list[AcceptedJob] = []
+
+    async def close(self) -> None:
+        """End all connections."""
+        await self._session.close()
+
+    def stop(self) -> None:
+        """Hand in no further job."""
+        self._is_stopping = True
+
+    async def run(self) -> None:
+        """Hand jobs in one after the other, and read each for a while."""
+        while not self._is_stopping:
+            job = await self._submit()
+            if job is not None:
+                self.jobs.append(job)
+                await self._follow(job)
+            await asyncio.sleep(self._random.uniform(0.0, PAUSE_S))
+
+    async def _submit(self) -> AcceptedJob | None:
+        job_id = new_id()
+        item_ids = [new_id() for _ in range(self._random.randint(1, MOST_ITEMS))]
+        body = json.dumps({"requests": [batch_item(one, traffic.BATCH_PREFIX) for one in item_ids]})
+        status, _ = await self._call("POST", f"{traffic.BATCH_PREFIX}{job_id}", body, request_id=job_id)
+        self._ledger.counts[f"jobs answered {status}"] += 1
+        return AcceptedJob(job_id, item_ids) if status == 202 else None
+
+    async def _follow(self, job: AcceptedJob) -> None:
+        ends = self._random.random() < END_SHARE
+        for _ in range(self._random.randint(0, 5)):
+            await asyncio.sleep(READ_PAUSE_S)
+            await self.read(job)
+        if ends:
+            status, _ = await self._call("DELETE", f"/api/lots/{job.job_id}")
+            job.is_ended = job.is_ended or status == 200
+
+    async def read(self, job: AcceptedJob, at_proxy: str = "") -> bool:
+        """Read one page behind what was read; whether it came. Checks what must not change."""
+        position = self._random.randint(0, len(job.results))
+        status, text = await self._call("GET", f"/api/lots/{job.job_id}?pageCursor={position}", "", at_proxy)
+        if status != 200:
+            if status in (404, 410):
+                self._ledger.violate(f"job {job.job_id} was accepted and is answered {status}: {text[:200]}")
+            return False
+        page = json.loads(text)
+        self._check(job, position, page)
+        return True
+
+    def _check(self, job: AcceptedJob, position: int, page: dict[str, Any]) -> None:
+        results = page["results"]
+        require = self._ledger.require
+        total = int(page["total"])
+        require(holds=total == len(job.item_ids), detail=f"job {job.job_id}: total {total}")
+        known = job.results[position:]
+        require(
+            holds=results[: len(known)] == known[: len(results)],
+            detail=f"job {job.job_id}: results from {position} on differ from those read before",
+        )
+        job.results.extend(results[len(known) :])
+        for result in results[len(known) :]:
+            is_whole = result["state"] == "completed" and result["message"] == ITEM_TEXT
+            require(holds=is_whole, detail=f"job {job.job_id}: result {result}")
+        item_ids = [result["instanceId"] for result in job.results]
+        require(
+            holds=len(set(item_ids)) == len(item_ids) and set(item_ids) <= set(job.item_ids),
+            detail=f"job {job.job_id}: items {item_ids}",
+        )
+
+    async def read_back(self, deadline: float) -> None:
+        """Read all jobs to their ends at random proxies; those that were not ended have to be complete."""
+        unread = list(self.jobs)
+        while unread and time.monotonic() < deadline:
+            done = [job for job in unread if await self.read(job) and (job.is_ended or job.is_complete)]
+            unread = [job for job in unread if job not in done]
+            await asyncio.sleep(READ_PAUSE_S if unread else 0.0)
+        for job in unread:
+            got = f"{len(job.results)} of {len(job.item_ids)} results, ended: {job.is_ended}"
+            self._ledger.violate(f"job {job.job_id} is not whole at the end: {got}")
+
+    async def status_of(self, method: str, target: str, at_proxy: str) -> int:
+        """Status of one answer; 0: none came."""
+        status, _ = await self._call(method, target, "mark", at_proxy)
+        return status
+
+    async def _call(
+        self, method: str, target: str, body: str = "", at_proxy: str = "", request_id: str = ""
+    ) -> tuple[int, str]:
+        """Status and text of one answer; status 0: none came."""
+        frontend = at_proxy or self._random.choice(self._tier.all_of("proxy")).frontend
+        request_headers = {"Host": HOST, "Request-Id": request_id or new_id()}
+        try:
+            async with self._session.request(
+                method, f"http://{frontend}{target}", data=body or None, headers=request_headers
+            ) as response:
+                return response.status, await response.text()
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return 0, ""
--- /dev/null
+++ b/bench/soak/tier.py
@@ -0,0 +1,224 @@
+"""The tier of a soak: machines with a controller and a store each, proxies, and what is done to them."""
+
+from __future__ import annotations
+
+import asyncio
+import shutil
+import signal
+import time
+from collections.abc import Iterable, Sequence
+from random import Random
+
+import attrs
+import yaml
+
+from bench.soak.ledger import Ledger
+from examples.small_tier import SmallTier
+from examples.tier_processes import MOST_SEEDS, Daemon, settings_of
+
+CATCH_UP_S = 4.8  # a machine counts as lost for so long after its return
+FIRST_MACHINE = 100  # last number of the addresses of machines with disks
+SEED_LAG_S = 3.0
+GRACE_PERIOD_S = 8.0
+LONGEST_END_S = GRACE_PERIOD_S + 2.0  # a process that was told to end has to, within this time
+
+
+@attrs.define(eq=False)
+class SoakTier(SmallTier):
+    """``sizes.keepers`` machines run a controller and a store each."""
+
+    random: Random = attrs.field(factory=Random)
+    ledger: Ledger = attrs.field(factory=Ledger)
+    _lost_until: dict[str, float] = attrs.field(factory=dict)  # by machine; infinity while it is away
+    _log_bytes: dict[str, int] = attrs.field(factory=dict)  # by process: size of its log at its last start
+    _busy: set[str] = attrs.field(factory=set)  # names of processes that are being ended or started
+    _ending: set[str] = attrs.field(factory=set)  # of these: told to end, and not ended yet
+
+    def _lay_out(self) -> list[Daemon]:
+        daemons = [
+            self._daemon(program, number)
+            for program, count in (
+                ("keeper", self.sizes.keepers),
+                ("store", self.sizes.keepers),
+                ("proxy", self.sizes.proxies),
+            )
+            for number in range(1, count + 1)
+        ]
+        seeds = [daemon.control_plane for daemon in daemons if daemon.program == "keeper"][:MOST_SEEDS]
+        for daemon in daemons:
+            settings = settings_of(daemon, seeds, self.platform.address, self.sizes)
+            settings["bounds"]["gracePeriodS"] = GRACE_PERIOD_S
+            daemon.settings_path.write_text(yaml.safe_dump(settings, sort_keys=False))
+        return daemons
+
+    def _daemon(self, program: str, number: int) -> Daemon:
+        is_proxy = program == "proxy"
+        ip = f"{self.network}.{number if is_proxy else FIRST_MACHINE + number}"
+        machine = "" if is_proxy else f"machine-{number}"
+        return Daemon(program=program, number=number, ip=ip, directory=self.directory, machine=machine)
+
+    # What there is
+
+    @property
+    def machines(self) -> list[str]:
+        """Names of the machines with disks."""
+        return sorted({daemon.machine for daemon in self.daemons if daemon.machine})
+
+    def on_machine(self, machine: str) -> list[Daemon]:
+        """The processes of a machine with disks."""
+        return [daemon for daemon in self.daemons if daemon.machine == machine]
+
+    def all_of(self, program: str) -> list[Daemon]:
+        """The processes of one program, running or not."""
+        return [daemon for daemon in self.daemons if daemon.program == program]
+
+    # The bound on what may be lost at once
+
+    def may_lose(self, machine: str) -> bool:
+        """Whether ``machine`` may be lost now, beside those that are."""
+        now = time.monotonic()
+        lost = {name for name, until in self._lost_until.items() if until > now}
+        return len(lost | {machine}) <= self.sizes.machine_failures
+
+    def _lost(self, machine: str) -> None:
+        self._lost_until[machine] = float("inf")
+
+    def _returned(self, machine: str) -> None:
+        self._lost_until[machine] = time.monotonic() + CATCH_UP_S
+
+    # Seeds
+
+    def write_settings(self, daemon: Daemon) -> None:
+        """Give the next start, or the next SIGHUP, of ``daemon`` other seeds: any controllers."""
+        controllers = [each.control_plane for each in self.all_of("keeper")]
+        settings = yaml.safe_load(daemon.settings_path.read_text())
+        seeds = self.random.sample(controllers, min(MOST_SEEDS, len(controllers)))
+        changed = {**settings, "seedNodes": seeds, "firstStart": False}
+        daemon.settings_path.write_text(yaml.safe_dump(changed, sort_keys=False))
+
+    # Single strikes
+
+    async def start_again(self, daemon: Daemon) -> None:
+        """Start a process that has ended, with other seeds."""
+        self.write_settings(daemon)
+        self._log_bytes[daemon.name] = daemon.log_path.stat().st_size
+        await daemon.start()
+
+    async def kill(self, daemons: Iterable[Daemon]) -> None:
+        """SIGKILL, all at once; nothing for what is being restarted in order."""
+        struck = [daemon for daemon in daemons if daemon.running]
+        for daemon in struck:
+            self.ledger.note_fault(daemon.name)
+            daemon.send(signal.SIGKILL)
+        await asyncio.gather(*(daemon.ended() for daemon in struck))
+
+    async def restart_after_kill(self, daemons: Sequence[Daemon], away_s: float) -> None:
+        """SIGKILL, and start again after ``away_s``."""
+        await self.kill(daemon for daemon in daemons if daemon.name in self._ending)
+        free = [daemon for daemon in daemons if daemon.name not in self._busy]
+        self._busy |= {daemon.name for daemon in free}
+        try:
+            await self.kill(free)
+            await asyncio.sleep(away_s)
+            for daemon in free:
+                await self.start_again(daemon)
+                self.ledger.note_fault(daemon.name)
+        finally:
+            self._busy -= {daemon.name for daemon in free}
+
+    async def restart_in_order(self, daemon: Daemon) -> None:
+        """SIGTERM, and start again once it has ended; it has to end by itself, with 0."""
+        if daemon.name in self._busy or not daemon.running or daemon.process is None:
+            return
+        self._busy.add(daemon.name)
+        self._ending.add(daemon.name)
+        try:
+            process = daemon.process
+            log_bytes = self._log_bytes.get(daemon.name, 0)
+            daemon.send(signal.SIGTERM)
+            self.ledger.counts["stopped in order"] += 1
+            try:
+                async with asyncio.timeout(LONGEST_END_S):
+                    code = await process.wait()
+            except TimeoutError:
+                self.ledger.violate(f"{daemon.name} has not ended {LONGEST_END_S} s after SIGTERM")
+                self.ledger.note_fault(daemon.name)
+                code = await daemon.ended()
+            # The interpreter ends by the signal until the daemon handles it; nothing has begun by then.
+            has_begun = daemon.log_path.stat().st_size > log_bytes
+            is_in_order = code == 0 or (code == -signal.SIGTERM and not has_begun)
+            if not is_in_order and code != -signal.SIGKILL:
+                self.ledger.violate(f"{daemon.name} ended with {code} after SIGTERM")
+            self._ending.discard(daemon.name)
+            await self.start_again(daemon)
+        finally:
+            self._ending.discard(daemon.name)
+            self._busy.discard(daemon.name)
+
+    async def restart_machine_in_order(self, machine: str) -> None:
+        """SIGTERM to all processes of a machine; they start again as they end."""
+        daemons = self.on_machine(machine)
+        if not self.may_lose(machine) or any(daemon.name in self._busy for daemon in daemons):
+            return
+        self._lost(machine)
+        try:
+            await asyncio.gather(*(self.restart_in_order(daemon) for daemon in daemons))
+        finally:
+            self._returned(machine)
+
+    async def lose_machine(self, machine: str, away_s: float, *, wipe: bool = False) -> None:
+        """Kill a machine for ``away_s``; with ``wipe`` it comes back with empty disks."""
+        daemons = self.on_machine(machine)
+        if not self.may_lose(machine) or any(daemon.name in self._busy for daemon in daemons):
+            return
+        self._lost(machine)
+        self._busy |= {daemon.name for daemon in daemons}
+        try:
+            await self.kill(daemons)
+            if wipe:
+                self.wipe(daemons)
+            await asyncio.sleep(away_s)
+            for daemon in daemons:
+                await self.start_again(daemon)
+        finally:
+            self._busy -= {daemon.name for daemon in daemons}
+            self._returned(machine)
+
+    def wipe(self, daemons: Iterable[Daemon]) -> None:
+        """Empty the disks of processes that do not run."""
+        for daemon in daemons:
+            disk = daemon.directory / f"{daemon.name}.data"
+            shutil.rmtree(disk)
+            disk.mkdir()
+
+    async def freeze_machine(self, machine: str, for_s: float) -> None:
+        """SIGSTOP, and SIGCONT after ``for_s``."""
+        daemons = self.on_machine(machine)
+        if not self.may_lose(machine) or any(daemon.name in self._busy for daemon in daemons):
+            return
+        self._lost(machine)
+        self._busy |= {daemon.name for daemon in daemons}
+        try:
+            for daemon in daemons:
+                daemon.send(signal.SIGSTOP)
+            await asyncio.sleep(for_s)
+        finally:
+            for daemon in daemons:
+                daemon.send(signal.SIGCONT)
+            self._busy -= {daemon.name for daemon in daemons}
+            self._returned(machine)
+
+    def reload(self, daemon: Daemon) -> None:
+        """SIGHUP, with other seeds in the settings."""
+        if daemon.name in self._busy or not daemon.running:
+            return
+        self.write_settings(daemon)
+        daemon.send(signal.SIGHUP)
+        self.ledger.counts["reloaded"] += 1
+
+    def check_none_ended(self) -> None:
+        """Every process runs but those that are being restarted."""
+        for daemon in self.daemons:
+            if daemon.name not in self._busy and not daemon.running:
+                code = daemon.process.returncode if daemon.process is not None else None
+                self.ledger.violate(f"{daemon.name} has ended by itself with {code}")
