--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -251,18 +251,19 @@
     async def story() -> None:
         whole = settings(await Node().start())
         both = [Process(whole, tmp_path) for _ in range(2)]
-        await asyncio.gather(*(each.__aenter__() for each in both))
-        words = [await each.call("status") for each in both]
-        assert all(word.startswith("YES") for word in words)
-        lines = [asyncio.create_task(each.line("handover.successor_serves")) for each in both]
-        done, others = await asyncio.wait(lines, return_when=asyncio.FIRST_COMPLETED)
-        assert len(done) == 1  # just one of them was the other's elder
-        for each in others:
-            each.cancel()
-        elder = both[lines.index(done.pop())]
-        elder.process.send_signal(signal.SIGTERM)
-        assert await elder.process.wait() == 0
-        next(each for each in both if each is not elder).process.kill()
+        async with contextlib.AsyncExitStack() as stack:  # what is still running ends within this loop
+            await asyncio.gather(*(stack.enter_async_context(each) for each in both))
+            words = [await each.call("status") for each in both]
+            assert all(word.startswith("YES") for word in words)
+            lines = [asyncio.create_task(each.line("handover.successor_serves")) for each in both]
+            done, others = await asyncio.wait(lines, return_when=asyncio.FIRST_COMPLETED)
+            assert len(done) == 1  # just one of them was the other's elder
+            for each in others:
+                each.cancel()
+            await asyncio.gather(*others, return_exceptions=True)
+            elder = both[lines.index(done.pop())]
+            elder.process.send_signal(signal.SIGTERM)
+            assert await elder.process.wait() == 0
 
     run(story())
 
--- a/tests/tier/test_control_quota.py
+++ b/tests/tier/test_control_quota.py
@@ -1,6 +1,7 @@
 """A processor share that is a quota: full speed until it is spent, then nothing for the rest of its period.
 
-Periods are a tenth of a second. In virtual time: every process of every machine stands still in each period, each at its own offset.
+Periods are a tenth of a second. In virtual time: every process of every machine stands still in each period,
+each at its own offset.
 """
 
 from __future__ import annotations
