Soak: processes that start together get the same seeds, at the end often all outside the group

Hypothesis: with seeds drawn for each process the soak cannot show the incident, since some process always knows a member.

--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -29,6 +29,7 @@
 RECOVERY_S = 15.0  # behind the last strike, until every proxy has to serve
 APPLY_S = 2.5  # after the acknowledgement of a configuration, every proxy works by it
 READ_BACK_S = 20.0
+OUTSIDE_SEEDS_SHARE = 0.5  # of the runs whose last start has seeds outside the group, where there are any
 ERROR_EVENTS = {"pull_failed", "controller_step_failed", "batch_maintenance_failed", "batch_exchange_failed",
                 "batch_item_failed", "apply_failed", "disk_damaged"}  # fmt: skip
 
@@ -115,7 +116,9 @@
         await self._operator.change()
         tier = self._tier
         wiped = self._random.sample(tier.machines, tier.sizes.machine_failures)
+        outside = await tier.machines_outside()
         await tier.kill(tier.daemons)
+        tier.draw_seeds(outside if self._random.random() < OUTSIDE_SEEDS_SHARE else ())
         for machine in wiped:
             tier.wipe(tier.on_machine(machine))
         for daemon in tier.daemons:
--- a/bench/soak/tier.py
+++ b/bench/soak/tier.py
@@ -18,7 +18,7 @@
 
 CATCH_UP_S = 4.8  # a machine counts as lost for so long after its return
 FIRST_MACHINE = 100  # last number of the addresses of machines with disks
-SEED_LAG_S = 3.0
+SEED_PERIOD_S = 5.0  # all processes that start within it get the same seeds
 GRACE_PERIOD_S = 8.0
 LONGEST_END_S = GRACE_PERIOD_S + 2.0  # a process that was told to end has to, within this time
 
@@ -31,6 +31,8 @@
     ledger: Ledger = attrs.field(factory=Ledger)
     _lost_until: dict[str, float] = attrs.field(factory=dict)  # by machine; infinity while it is away
     _log_bytes: dict[str, int] = attrs.field(factory=dict)  # by process: size of its log at its last start
+    _seeds: list[str] = attrs.field(factory=list)
+    _seeds_until: float = 0.0  # monotonic s
     _busy: set[str] = attrs.field(factory=set)  # names of processes that are being ended or started
     _ending: set[str] = attrs.field(factory=set)  # of these: told to end, and not ended yet
 
@@ -88,14 +90,28 @@
 
     # Seeds
 
+    def draw_seeds(self, machines: Sequence[str] = ()) -> None:
+        """Draw new seeds, from the controllers of ``machines`` or from all."""
+        controllers = [
+            each.control_plane for each in self.all_of("keeper") if not machines or each.machine in machines
+        ]
+        self._seeds = self.random.sample(controllers, min(MOST_SEEDS, len(controllers)))
+        self._seeds_until = time.monotonic() + SEED_PERIOD_S
+
     def write_settings(self, daemon: Daemon) -> None:
-        """Give the next start, or the next SIGHUP, of ``daemon`` other seeds: any controllers."""
-        controllers = [each.control_plane for each in self.all_of("keeper")]
+        """Give the next start, or the next SIGHUP, of ``daemon`` the seeds that the platform names now."""
+        if time.monotonic() >= self._seeds_until:
+            self.draw_seeds()
         settings = yaml.safe_load(daemon.settings_path.read_text())
-        seeds = self.random.sample(controllers, min(MOST_SEEDS, len(controllers)))
-        changed = {**settings, "seedNodes": seeds, "firstStart": False}
+        changed = {**settings, "seedNodes": self._seeds, "firstStart": False}
         daemon.settings_path.write_text(yaml.safe_dump(changed, sort_keys=False))
 
+    async def machines_outside(self) -> list[str]:
+        """Return the machines whose controllers are not members of their group, as its primary says."""
+        status = await self.status()
+        members = {member["address"].partition(":")[0] for member in status["keepers"]}
+        return [each.machine for each in self.all_of("keeper") if each.ip not in members]
+
     # Single strikes
 
     async def start_again(self, daemon: Daemon) -> None:
