--- a/bench/soak/tier.py
+++ b/bench/soak/tier.py
@@ -104,7 +104,9 @@
             self.draw_seeds()
         settings = yaml.safe_load(daemon.settings_path.read_text())
         changed = {**settings, "seedNodes": self._seeds, "firstStart": False}
-        daemon.settings_path.write_text(yaml.safe_dump(changed, sort_keys=False))
+        written = daemon.settings_path.with_suffix(".next")
+        written.write_text(yaml.safe_dump(changed, sort_keys=False))
+        written.rename(daemon.settings_path)  # a process that starts at this moment reads a whole file
 
     async def machines_outside(self) -> list[str]:
         """Return the machines whose controllers are not members of their group, as its primary says."""
