--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,48 @@
+"""What CI passes over: failures of listed tests, and nothing else."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from support import ROOT
+
+SCRIPT = ROOT / ".ci" / "known_red.py"
+LISTED = "tests/test_a.py::test_flaky: a reason; issue 1\n"
+CASE = '<testcase classname="tests.{module}" name="{name}">{inside}</testcase>'
+
+
+def case(module: str, name: str, inside: str = "") -> str:
+    return CASE.format(module=module, name=name, inside=inside)
+
+
+def exit_code(folder: Path, cases: str | None, listed: str) -> int:
+    results, known_red = folder / "results.xml", folder / "KNOWN-RED.txt"
+    if cases is not None:
+        results.write_text(f"<testsuites><testsuite>{cases}</testsuite></testsuites>")
+    known_red.write_text(listed)
+    return subprocess.run([sys.executable, str(SCRIPT), str(results), str(known_red)], check=False).returncode
+
+
+FAILED = "<failure/>"
+
+
+@pytest.mark.parametrize(
+    ("cases", "listed", "code"),
+    [
+        (case("test_a", "test_flaky", FAILED), LISTED, 0),
+        (case("test_a", "test_flaky[one-2]", FAILED) + case("test_a", "test_other"), LISTED, 0),
+        (case("test_a", "test_flaky", FAILED) + case("test_b", "test_flaky", FAILED), LISTED, 1),
+        (case("test_a", "test_flaky_too", FAILED), LISTED, 1),
+        (case("test_a", "test_flaky", "<error/>"), "", 1),
+        (case("test_a", "test_flaky"), LISTED, 1),  # no test failed, and yet the run did
+        (None, LISTED, 1),
+    ],
+    ids=["listed", "with parameters", "another file", "another name", "empty list", "none", "no results"],
+)
+def test_only_failures_of_listed_tests_are_passed_over(
+    tmp_path: Path, cases: str | None, listed: str, code: int
+) -> None:
+    assert exit_code(tmp_path, cases, listed) == code
