--- a/bench/soak/tier.py
+++ b/bench/soak/tier.py
@@ -6,7 +6,8 @@
 import shutil
 import signal
 import time
-from collections.abc import Iterable, Sequence
+from collections.abc import AsyncIterator, Iterable, Sequence
+from contextlib import asynccontextmanager
 from random import Random
 
 import attrs
@@ -184,23 +185,32 @@
         finally:
             self._returned(machine)
 
-    async def lose_machine(self, machine: str, away_s: float, *, wipe: bool = False) -> None:
-        """Kill a machine for ``away_s``; with ``wipe`` it comes back with empty disks."""
+    @asynccontextmanager
+    async def _machine_lost(self, machine: str) -> AsyncIterator[list[Daemon]]:
+        """Count ``machine`` as lost within the block; yields its processes, or none if it may not."""
         daemons = self.on_machine(machine)
         if not self.may_lose(machine) or any(daemon.name in self._busy for daemon in daemons):
+            yield []
             return
         self._lost(machine)
         self._busy |= {daemon.name for daemon in daemons}
         try:
+            yield daemons
+        finally:
+            self._busy -= {daemon.name for daemon in daemons}
+            self._returned(machine)
+
+    async def lose_machine(self, machine: str, away_s: float, *, wipe: bool = False) -> None:
+        """Kill a machine for ``away_s``; with ``wipe`` it comes back with empty disks."""
+        async with self._machine_lost(machine) as daemons:
+            if not daemons:
+                return
             await self.kill(daemons)
             if wipe:
                 self.wipe(daemons)
             await asyncio.sleep(away_s)
             for daemon in daemons:
                 await self.start_again(daemon)
-        finally:
-            self._busy -= {daemon.name for daemon in daemons}
-            self._returned(machine)
 
     def wipe(self, daemons: Iterable[Daemon]) -> None:
         """Empty the disks of processes that do not run."""
@@ -211,20 +221,16 @@
 
     async def freeze_machine(self, machine: str, for_s: float) -> None:
         """SIGSTOP, and SIGCONT after ``for_s``."""
-        daemons = self.on_machine(machine)
-        if not self.may_lose(machine) or any(daemon.name in self._busy for daemon in daemons):
-            return
-        self._lost(machine)
-        self._busy |= {daemon.name for daemon in daemons}
-        try:
-            for daemon in daemons:
-                daemon.send(signal.SIGSTOP)
-            await asyncio.sleep(for_s)
-        finally:
-            for daemon in daemons:
-                daemon.send(signal.SIGCONT)
-            self._busy -= {daemon.name for daemon in daemons}
-            self._returned(machine)
+        async with self._machine_lost(machine) as daemons:
+            if not daemons:
+                return
+            try:
+                for daemon in daemons:
+                    daemon.send(signal.SIGSTOP)
+                await asyncio.sleep(for_s)
+            finally:
+                for daemon in daemons:
+                    daemon.send(signal.SIGCONT)
 
     def reload(self, daemon: Daemon) -> None:
         """SIGHUP, with other seeds in the settings."""
--- a/cherrycove/tier/simulation/control/run.py
+++ b/cherrycove/tier/simulation/control/run.py
@@ -91,12 +91,7 @@
 
     def close(self) -> None:
         """End all processes, so that no task of them is left pending."""
-        loop, cluster = self.world.environment.loop, self.world.cluster
-        for machine in (*cluster.machines, *cluster.proxies):
-            for process in machine.running.values():
-                loop.end(process.incarnation)
-        loop.end(self.operators.incarnation)
-        loop.end(self._clients.incarnation)
+        self.world.close(self.operators.incarnation, self._clients.incarnation)
 
     def _read_configuration(self) -> None:
         """The configuration can be read within the time that is promised without faults."""
--- a/cherrycove/tier/simulation/control/world.py
+++ b/cherrycove/tier/simulation/control/world.py
@@ -6,6 +6,7 @@
 from cherrycove.tier.simulation.control.deployment import Topology
 from cherrycove.tier.simulation.control.environment import Environment
 from cherrycove.tier.simulation.control.invariants import Invariants
+from cherrycove.tier.simulation.control.loop import Incarnation
 
 
 class World:
@@ -29,3 +30,12 @@
     def run_until(self, end: float) -> None:
         """Run up to virtual time ``end``; raises ``InvariantBrokenError`` if an invariant does not hold."""
         self.environment.run_until(end)
+
+    def close(self, *others: Incarnation) -> None:
+        """End all processes, and ``others``, so that no task of them is left pending."""
+        loop = self.environment.loop
+        for machine in (*self.cluster.machines, *self.cluster.proxies):
+            for process in machine.running.values():
+                loop.end(process.incarnation)
+        for incarnation in others:
+            loop.end(incarnation)
--- a/tests/tier/test_batch_unlisted.py
+++ b/tests/tier/test_batch_unlisted.py
@@ -66,12 +66,7 @@
 
     def close(self) -> None:
         """End all processes."""
-        loop = self.world.environment.loop
-        for machine in (*self.world.cluster.machines, *self.world.cluster.proxies):
-            for process in machine.running.values():
-                loop.end(process.incarnation)
-        loop.end(self.operators.incarnation)
-        loop.end(self.clients.incarnation)
+        self.world.close(self.operators.incarnation, self.clients.incarnation)
 
 
 @pytest.mark.parametrize("seed", [1, 2])
--- a/tests/tier/test_control_quota.py
+++ b/tests/tier/test_control_quota.py
@@ -6,23 +6,15 @@
 
 from __future__ import annotations
 
-import json
 from random import Random
 
 import pytest
+from control_worlds import acknowledge_change
 
 from cherrycove.tier.program_names import PROXY_PROGRAM
 from cherrycove.tier.simulation.control.deployment import ACKNOWLEDGE_S, CONFIG_APPLY_S, Topology
-from cherrycove.tier.simulation.control.history import Change, configuration_digest
 from cherrycove.tier.simulation.control.machines import Machine
-from cherrycove.tier.simulation.control.operator_orders import (
-    Order,
-    OrderKind,
-    Reply,
-    Request,
-    Workload,
-    document,
-)
+from cherrycove.tier.simulation.control.operator_orders import Workload
 from cherrycove.tier.simulation.control.operators import Operators
 from cherrycove.tier.simulation.control.processes import ProxyProcess
 from cherrycove.tier.simulation.control.world import World
@@ -31,7 +23,6 @@
 FORMATION_S = 4.0
 LENGTH_S = 20.0
 CHANGES = 10
-STEP_S = 0.02
 
 
 class QuotaWorld:
@@ -60,21 +51,8 @@
 
     def change(self, version: int) -> float:
         """Send one change; return the seconds to its acknowledgement."""
-        body = json.dumps(document(version, self.random, 4_000)).encode()
-        request = Request("PUT", "/api/configuration", body, {"If-Match": f'"{version - 1}"'})
-        order = Order(
-            OrderKind.CHANGE, request, Change(version, version - 1, configuration_digest(body) or b"")
-        )
-        replies: list[Reply | None] = []
-
-        async def send() -> None:
-            replies.append(await self.operators.send(order))
-
         began_at = self.world.now
-        self.world.environment.loop.spawn(self.operators.incarnation, send())
-        while not replies:
-            self.world.run_until(self.world.now + STEP_S)
-        assert replies[0] is not None and replies[0].status == 200
+        acknowledge_change(self.world, self.operators, version, self.random)
         return self.world.now - began_at
 
     def proxy_versions(self) -> set[int]:
@@ -84,11 +62,7 @@
 
     def close(self) -> None:
         """End all processes."""
-        loop = self.world.environment.loop
-        for machine in (*self.world.cluster.machines, *self.world.cluster.proxies):
-            for process in machine.running.values():
-                loop.end(process.incarnation)
-        loop.end(self.operators.incarnation)
+        self.world.close(self.operators.incarnation)
 
     def _stop(self, machine: Machine) -> None:
         if self.world.now < self._until:
--- a/tests/tier/test_control_read_back.py
+++ b/tests/tier/test_control_read_back.py
@@ -6,27 +6,17 @@
 from __future__ import annotations
 
 import asyncio
-import json
 from random import Random
 
 import pytest
+from control_worlds import acknowledge_change
 
 from cherrycove.tier.simulation.control.deployment import ACKNOWLEDGE_S, CONTACT_S, Topology
 from cherrycove.tier.simulation.control.fault_injector import FaultInjector
-from cherrycove.tier.simulation.control.history import Change, configuration_digest
-from cherrycove.tier.simulation.control.operator_orders import (
-    Order,
-    OrderKind,
-    Reply,
-    Request,
-    Workload,
-    document,
-    read_order,
-)
+from cherrycove.tier.simulation.control.operator_orders import Reply, Workload, read_order
 from cherrycove.tier.simulation.control.operators import Operators
 from cherrycove.tier.simulation.control.world import World
 
-STEP_S = 0.02
 READ_INTERVAL_S = 0.05
 CHANGES = 4
 
@@ -45,24 +35,7 @@
 
     def acknowledge_changes(self) -> None:
         for version in range(1, CHANGES + 1):
-            self._acknowledge(version)
-
-    def _acknowledge(self, version: int) -> None:
-        body = json.dumps(document(version, self.random, 4_000)).encode()
-        request = Request("PUT", "/api/configuration", body, {"If-Match": f'"{version - 1}"'})
-        change = Change(version, version - 1, configuration_digest(body) or b"")
-        order = Order(OrderKind.CHANGE, request, change)
-        acknowledged: list[Reply] = []
-
-        async def send() -> None:
-            reply = await self.operators.send(order)
-            assert reply is not None and reply.status == 200
-            acknowledged.append(reply)
-
-        self.world.environment.loop.spawn(self.operators.incarnation, send())
-        while not acknowledged:
-            self.world.run_until(self.world.now + STEP_S)
-        self.newest = body
+            self.newest = acknowledge_change(self.world, self.operators, version, self.random)
 
     def read_everywhere(self, duration_s: float) -> None:
         until = self.world.now + duration_s
@@ -79,11 +52,7 @@
         self.world.run_until(until)
 
     def close(self) -> None:
-        loop = self.world.environment.loop
-        for machine in self.world.cluster.machines:
-            for process in machine.running.values():
-                loop.end(process.incarnation)
-        loop.end(self.operators.incarnation)
+        self.world.close(self.operators.incarnation)
 
 
 @pytest.mark.parametrize("loss", ["power", "disks"])
--- a/tests/tier/test_seeds_outside_group.py
+++ b/tests/tier/test_seeds_outside_group.py
@@ -6,26 +6,18 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Callable, Iterator
 from random import Random
 
 import pytest
+from control_worlds import acknowledge_change
 
 from cherrycove.tier.distribution.cluster_view import ClusterView
 from cherrycove.tier.program_names import CONTROLLER_PROGRAM, STORE_PROGRAM
 from cherrycove.tier.simulation.control.cluster import SEEDS
 from cherrycove.tier.simulation.control.deployment import CATCH_UP_S, CONTACT_S, Topology
-from cherrycove.tier.simulation.control.history import Change, configuration_digest
 from cherrycove.tier.simulation.control.machines import Machine
-from cherrycove.tier.simulation.control.operator_orders import (
-    Order,
-    OrderKind,
-    Reply,
-    Request,
-    Workload,
-    document,
-)
+from cherrycove.tier.simulation.control.operator_orders import Workload
 from cherrycove.tier.simulation.control.operators import Operators
 from cherrycove.tier.simulation.control.processes import ProxyProcess, StoreProcess
 from cherrycove.tier.simulation.control.world import World
@@ -34,7 +26,6 @@
 MEMBERS = 2 * FAULTS + 1
 STANDBYS = 5
 PROXIES = 3
-STEP_S = 0.1
 FORMATION_S = 4.0
 MEMBERS_KNOWN_S = CATCH_UP_S + CONTACT_S  # behind a loss of power: elections, announcements, member list
 
@@ -49,7 +40,7 @@
         self.world.build()
         self.operators = Operators(self.world, Workload(lost_answers_share=0.0))
         self.world.run_until(FORMATION_S)
-        self._acknowledge_configuration(Random(seed))
+        acknowledge_change(self.world, self.operators, 1, Random(seed))
 
     def members(self) -> set[str]:
         """Hosts of the controllers' group, by its primary."""
@@ -114,25 +105,7 @@
 
     def close(self) -> None:
         """End all processes."""
-        loop = self.world.environment.loop
-        for machine in (*self.cluster.machines, *self.cluster.proxies):
-            for process in machine.running.values():
-                loop.end(process.incarnation)
-        loop.end(self.operators.incarnation)
-
-    def _acknowledge_configuration(self, random: Random) -> None:
-        body = json.dumps(document(1, random, 4_000)).encode()
-        request = Request("PUT", "/api/configuration", body, {"If-Match": '"0"'})
-        order = Order(OrderKind.CHANGE, request, Change(1, 0, configuration_digest(body) or b""))
-        replies: list[Reply | None] = []
-
-        async def send() -> None:
-            replies.append(await self.operators.send(order))
-
-        self.world.environment.loop.spawn(self.operators.incarnation, send())
-        while not replies:
-            self.world.run_until(self.world.now + STEP_S)
-        assert replies[0] is not None and replies[0].status == 200
+        self.world.close(self.operators.incarnation)
 
 
 @pytest.fixture
