--- a/tests/tier/test_dataplane_drain.py
+++ b/tests/tier/test_dataplane_drain.py
@@ -4,9 +4,12 @@
 
 import asyncio
 
+from aiohttp import web
 from dataplane_world import TIMEOUT_S, Reply, World, configuration_bytes, route
 from test_dataplane_items import RecordingBatchApi
 
+from cherrycove.tier.configuration import ClientLimits
+from cherrycove.tier.dataplane.client_connection import ClientServer
 from cherrycove.tier.dataplane.draining import END_RESERVE_S, DrainDeadline
 from cherrycove.tier.dataplane.request_durations import RecentMaxDuration
 from examples.toy_broker import Received, ToyBroker, Wire, stream
@@ -199,3 +202,40 @@
             await stopping
 
     asyncio.run(story())
+
+
+class RecordingTransport(asyncio.Transport):
+    """Takes what is written, and knows whether it was closed."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.written = b""
+        self._is_closed = False
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        self.written += bytes(data)
+
+    def is_closing(self) -> bool:
+        return self._is_closed
+
+    def close(self) -> None:
+        self._is_closed = True
+
+
+def test_a_connection_that_comes_as_the_listener_closes_is_closed_at_once() -> None:
+    """Its request was read, dropped, and cut without an answer when the time-out of the shutdown was over."""
+
+    async def handler(request: web.BaseRequest) -> web.Response:
+        raise AssertionError(request)
+
+    async def story() -> None:
+        server = ClientServer(handler, ClientLimits)
+        connection = server()
+        transport = RecordingTransport()
+        connection.connection_made(transport)
+        server.pre_shutdown()  # in the same turn of the loop, before the connection waits for a request
+        assert transport.is_closing()
+        connection.connection_lost(None)
+        await server.shutdown(0.0)
+
+    asyncio.run(story())
