A leaving proxy closes a connection without a request at once

Cause: aiohttp's RequestHandler.close() ends the wait for a request; a connection whose task has not begun to wait (accepted in the same turn of the loop) stays open, drops what it reads, and is closed when the shutdown's time-out is over. Change: ClientConnection closes its transport at once unless a request is in progress. Looked for elsewhere: the listeners of internal calls, of readiness and of operators stop the same way; their callers repeat a call that ends without an answer, and nothing there counts as taken before its answer.

--- a/cherrycove/tier/dataplane/client_connection.py
+++ b/cherrycove/tier/dataplane/client_connection.py
@@ -69,6 +69,16 @@
         """The request has been handled."""
         self._is_busy = False
 
+    def close(self) -> None:
+        """Close once the request in progress is answered, or at once where there is none.
+
+        The library leaves a connection open whose task has not begun to wait for a request, and drops what
+        comes until its shutdown is over. The client would wait for an answer that never comes.
+        """
+        super().close()
+        if not self._is_busy:
+            self.force_close()
+
     def _cancel_head_timer(self) -> None:
         if self._head_timer is not None:
             self._head_timer.cancel()
