Ingress: a connection is busy until its response is written

The end of a request was noted when its handler returned; a buffered response may still be on its way to a slow client then, and a closing proxy would cut it. The library's finish_response marks the end now. Tests of the data plane, hostile peers, batch HTTP and process life pass.

--- a/cherrycove/tier/dataplane/client_connection.py
+++ b/cherrycove/tier/dataplane/client_connection.py
@@ -65,9 +65,14 @@
         self._is_busy = True
         self._cancel_head_timer()
 
-    def request_ended(self) -> None:
-        """The request has been handled."""
-        self._is_busy = False
+    async def finish_response(
+        self, request: web.BaseRequest, resp: web.StreamResponse, start_time: float | None
+    ) -> tuple[web.StreamResponse, bool]:
+        """Write what is left of the response; called by the library, and the end of a request."""
+        try:
+            return await super().finish_response(request, resp, start_time)
+        finally:
+            self._is_busy = False
 
     def close(self) -> None:
         """Close once the request in progress is answered, or at once where there is none.
--- a/cherrycove/tier/dataplane/ingress.py
+++ b/cherrycove/tier/dataplane/ingress.py
@@ -16,7 +16,7 @@
     find_batch_route,
     is_batch_api_request,
 )
-from cherrycove.tier.dataplane.client_connection import ClientConnection, ClientServer
+from cherrycove.tier.dataplane.client_connection import ClientServer
 from cherrycove.tier.dataplane.client_request import ClientRequestError, read_request_body
 from cherrycove.tier.dataplane.draining import DrainDeadline
 from cherrycove.tier.dataplane.headers import REQUEST_ID
@@ -109,8 +109,6 @@
         finally:
             self.open_requests -= 1
             self.last_active_at = loop.time()
-            if isinstance(request.protocol, ClientConnection):
-                request.protocol.request_ended()
 
     async def _read_and_route(self, request: web.BaseRequest, arrived_at: float) -> web.StreamResponse:
         try:
