--- a/cherrycove/tier/controlplane/leadership.py
+++ b/cherrycove/tier/controlplane/leadership.py
@@ -54,9 +54,10 @@
         return self._group.is_confirmed_primary()
 
     def record_introduction(self, introduction: Introduction) -> None:
-        """Keep ``introduction``, unless one of a newer epoch is known."""
+        """Keep ``introduction``, unless one of a newer epoch came lately."""
         known = self._introduction
-        if known is None or introduction.epoch >= known.epoch:
+        is_outdated = known is not None and introduction.epoch < known.epoch
+        if known is None or not is_outdated or introduction.received_at - known.received_at >= HINT_FRESH_S:
             self._introduction = introduction
 
     def primary_address(self) -> str:
--- a/cherrycove/tier/distribution/controller_selector.py
+++ b/cherrycove/tier/distribution/controller_selector.py
@@ -8,7 +8,7 @@
 MAX_BACKOFF_S = 0.3
 MAX_CONSECUTIVE_HINTS = 2  # further hints are followed after a backoff only
 HINT_IGNORED_S = 1.0  # a hint to a controller that has just failed is not followed for so long
-MAX_FORMER_CONTROLLERS = 64  # remembered of those that are not among the members at present
+MAX_FORMER_CONTROLLERS = 16  # remembered of those that are not among the members at present
 _MAX_DOUBLINGS = 8  # of the backoff; keeps the exponent small
 
 
--- a/tests/tier/test_control_introduction.py
+++ b/tests/tier/test_control_introduction.py
@@ -179,8 +179,11 @@
         assert leadership.primary_address() == STANDBY
         replicas.lead(other)
         assert leadership.primary_address() == "10.0.0.4:7000"  # heard by the group's own heartbeats
-        leadership.record_introduction(Introduction(SELF, 9, now))
+        leadership.record_introduction(Introduction(SELF, 99, now))
         replicas.lead(None)
         assert leadership.primary_address() == ""  # nobody is pointed to itself
+        await asyncio.sleep(HINT_FRESH_S)
+        leadership.record_introduction(Introduction(OTHER, 8, now + HINT_FRESH_S))
+        assert leadership.primary_address() == OTHER  # an epoch that nobody leads blocks no later word
 
     run(story())
