Soak: a job whose end was asked may be ended, whatever the answer

Traced on the kept disks: all members of the stores' group have it as ended; the answer to its DELETE was lost with a killed proxy. A fault of the harness.

--- a/bench/soak/batch_clients.py
+++ b/bench/soak/batch_clients.py
@@ -31,7 +31,7 @@
     job_id: str
     item_ids: list[str]
     results: list[dict[str, Any]] = attrs.field(factory=list)
-    is_ended: bool = False
+    may_be_ended: bool = False  # its end was asked
 
     @property
     def is_complete(self) -> bool:
@@ -81,8 +81,8 @@
             await asyncio.sleep(READ_PAUSE_S)
             await self.read(job)
         if ends:
-            status, _ = await self._call("DELETE", f"/api/lots/{job.job_id}")
-            job.is_ended = job.is_ended or status == 200
+            job.may_be_ended = True  # also where the answer is lost
+            await self._call("DELETE", f"/api/lots/{job.job_id}")
 
     async def read(self, job: AcceptedJob, at_proxy: str = "") -> bool:
         """Read one page behind what was read; whether it came. Checks what must not change."""
@@ -117,14 +117,14 @@
         )
 
     async def read_back(self, deadline: float) -> None:
-        """Read all jobs to their ends at random proxies; those that were not ended have to be complete."""
+        """Read all jobs to their ends at random proxies; those whose end was never asked have to be complete."""
         unread = list(self.jobs)
         while unread and time.monotonic() < deadline:
-            done = [job for job in unread if await self.read(job) and (job.is_ended or job.is_complete)]
+            done = [job for job in unread if await self.read(job) and (job.may_be_ended or job.is_complete)]
             unread = [job for job in unread if job not in done]
             await asyncio.sleep(READ_PAUSE_S if unread else 0.0)
         for job in unread:
-            got = f"{len(job.results)} of {len(job.item_ids)} results, ended: {job.is_ended}"
+            got = f"{len(job.results)} of {len(job.item_ids)} results, end asked: {job.may_be_ended}"
             self._ledger.violate(f"job {job.job_id} is not whole at the end: {got}")
 
     async def status_of(self, method: str, target: str, at_proxy: str) -> int:
