--- a/bench/soak/batch_clients.py
+++ b/bench/soak/batch_clients.py
@@ -117,7 +117,7 @@
         )
 
     async def read_back(self, deadline: float) -> None:
-        """Read all jobs to their ends at random proxies; those whose end was not asked have to be complete."""
+        """Read all jobs to their ends; those whose end was not asked have to be complete."""
         unread = list(self.jobs)
         while unread and time.monotonic() < deadline:
             done = [job for job in unread if await self.read(job) and (job.may_be_ended or job.is_complete)]
