--- a/cherrycove/broker/core/facade.py
+++ b/cherrycove/broker/core/facade.py
@@ -267,10 +267,21 @@
         own = Own.LAST_RESORT if self._given_up is None else Own.ENDING
         if own is Own.LAST_RESORT:
             log.warning("request.undecided")
+        self._report_expired_attempt(ticket)
         self._driver.push(api.ClientDeparture(ticket.id))
         verdict = Verdict.FAILED if ticket.attempts else Verdict.REFUSED  # nothing of it was sent
         return Answer(verdict, cause=ticket.cause, retry_after=self.settings.retry_advice, own=own)
 
+    def _report_expired_attempt(self, ticket: Ticket) -> None:
+        """Report the attempt that is under way if its own time-out has passed as well.
+
+        On a loop that is late both time-outs pass in one turn. The attempt's comes first, but asyncio then
+        passes the cancellation on to the outer one, and ``_carry_out`` does not see it.
+        """
+        attempt = ticket.current
+        if attempt is not None and attempt.scope is not None and attempt.scope.expired():
+            self._requests.report(attempt, _expired_reply(attempt))
+
     async def _carry_out(self, attempt: Attempt, backend: Backend) -> Reply:
         try:
             until = min(attempt.expires, attempt.write_by)
@@ -278,9 +289,7 @@
                 with bound(attempt=attempt.number + 1, node=attempt.node):
                     return await backend.attempt(attempt)
         except TimeoutError:
-            if not (attempt.written or attempt.begun):
-                return Reply(Ending.EXPIRED)
-            return Reply(Ending.GIVEN_UP if attempt.given_up else Ending.TIMED_OUT)
+            return _expired_reply(attempt)
         except Exception:
             log.exception("attempt.unforeseen", attempt=attempt.number + 1, node=attempt.node)
             return Reply(Ending.BROKEN)
@@ -330,3 +339,10 @@
 
 def _borrow_nothing(_node: str, _units: float) -> None:
     """Borrow no capacity: it is not pooled."""
+
+
+def _expired_reply(attempt: Attempt) -> Reply:
+    """How an attempt ended whose time-out has passed."""
+    if not (attempt.written or attempt.begun):
+        return Reply(Ending.EXPIRED)
+    return Reply(Ending.GIVEN_UP if attempt.given_up else Ending.TIMED_OUT)
--- a/cherrycove/broker/http1/server.py
+++ b/cherrycove/broker/http1/server.py
@@ -250,6 +250,7 @@
         self._names = DeploymentNames(core.settings)
         self._draining = self._parting = False
         self._server: asyncio.Server | None = None
+        self._further_servers: list[asyncio.Server] = []  # on sockets of a process that answered late
         self.listener: socket.socket
         self._web = ClientConnections(self._handle, most_connections, crowd)
         self.room = BodyMemory(most_bytes)
@@ -278,9 +279,19 @@
         bound: int = given.getsockname()[1]
         return bound
 
+    async def accept_also(self, given: socket.socket) -> None:
+        """Accept from a further socket until this process hands over or closes."""
+        self._further_servers.append(
+            await asyncio.get_running_loop().create_server(
+                self._web, sock=given, backlog=MAX_ACCEPTED_PER_TURN
+            )
+        )
+        given.listen(LISTEN_BACKLOG)
+
     def hand_over(self) -> socket.socket:
         """Stop accepting in favour of another process; a duplicate of the socket, to accept from again."""
         kept = self.listener.dup()
+        self._close_further_servers()
         if self._server is not None:
             self._server.close()
         self.drain()
@@ -330,9 +341,15 @@
             if not waiting.expired():
                 waiting.reschedule(asyncio.get_running_loop().time())
 
+    def _close_further_servers(self) -> None:
+        for further in self._further_servers:
+            further.close()
+        self._further_servers.clear()
+
     async def close(self) -> None:
         """Stop accepting, answer all requests in flight or unread, then close the connections."""
         loop = asyncio.get_running_loop()
+        self._close_further_servers()
         if self._server is not None and self._server.is_serving():
             with self.listener.dup() as rest:  # closing the last would reset connections not yet accepted
                 self._server.close()
--- a/cherrycove/broker/lifecycle/coordinator.py
+++ b/cherrycove/broker/lifecycle/coordinator.py
@@ -13,7 +13,7 @@
 
 from cherrycove.broker.core import Core, NodeList
 from cherrycove.broker.event_log import Log
-from cherrycove.broker.lifecycle.handover import Grant, HandoverEndpoint
+from cherrycove.broker.lifecycle.handover import BusyError, Grant, HandoverEndpoint, PendingTakeover
 from cherrycove.broker.lifecycle.link import Link
 from cherrycove.broker.lifecycle.maintenance import MaintenanceController
 from cherrycove.broker.lifecycle.messages import (
@@ -47,6 +47,9 @@
     async def accept(self, given: list[socket.socket]) -> None:
         """Accept from these sockets again."""
 
+    async def accept_also(self, given: list[socket.socket]) -> None:
+        """Accept from these sockets beside the own ones; ``listeners`` does not name them."""
+
     def resize(self, clients: int, nodes: int, most_bytes: int) -> None:
         """Apply new limits: descriptors for clients and for nodes, bytes of bodies and answers."""
 
@@ -112,18 +115,47 @@
     async def meet(self) -> list[socket.socket] | None:
         """Ask the process in service for the handover; return its listening sockets, None without one."""
         await self.endpoint.enter()
-        takeover = await self.endpoint.meet({"hello": 1})
+        takeover = await self.endpoint.meet({"hello": 1}, self._predecessor_stalled)
         if takeover is None:
             return None
         log.info("handover.taking_over")
         self.life.predecessor_found()
         self._take_over(takeover.state)
-        # Ends with the predecessor's process.
-        following = asyncio.create_task(self._follow(takeover.link, is_successor=False))
-        self._following.add(following)
-        following.add_done_callback(self._following.discard)
+        self._own(asyncio.create_task(self._follow(takeover.link, is_successor=False)))
         return takeover.listeners
 
+    def _predecessor_stalled(self, pending: PendingTakeover) -> None:
+        """Share the budgets with a process that is alive but does not answer, until it does or ends.
+
+        This process serves meanwhile, from sockets of its own: it has to within 6 s of its start.
+        """
+        self.life.predecessor_found()
+        self.apply_budget()
+        self._own(asyncio.create_task(self._await_stalled(pending)))
+
+    async def _await_stalled(self, pending: PendingTakeover) -> None:
+        try:
+            takeover = await pending
+        except BusyError:
+            takeover = None  # it has another beside it, which it takes for the one in service
+        if takeover is None:
+            self.life.predecessor_gone()
+            self.apply_budget()
+            log.info("handover.other_ended")
+            return
+        log.info("handover.taking_over")
+        self._take_over(takeover.state)
+        # The predecessor's sockets share the address: what it stops to accept has to be accepted here.
+        await self._listeners.accept_also(takeover.listeners)
+        self._own(asyncio.create_task(self._follow(takeover.link, is_successor=False)))
+        if self.life.is_accepting:
+            await self._announce_serving(takeover.link)
+
+    def _own(self, task: asyncio.Task[None]) -> None:
+        """Keep a task that ends with the predecessor's process, or with this one."""
+        self._following.add(task)
+        task.add_done_callback(self._following.discard)
+
     def _take_over(self, state: Message) -> None:
         """Apply the predecessor's state, as far as it is usable."""
         try:
@@ -146,11 +178,14 @@
         """Record that this process accepts clients, and have the predecessor stop."""
         self.life.serving_started()
         for link in list(self.links):
-            if not await link.request({"serving": True}):
-                log.warning("handover.unconfirmed", told="serving")
+            await self._announce_serving(link)
         if self.life.is_alone:
             self.apply_budget()
 
+    async def _announce_serving(self, link: Link) -> None:
+        if not await link.request({"serving": True}):
+            log.warning("handover.unconfirmed", told="serving")
+
     async def await_successor(self) -> None:
         """Listen for the next process."""
         await self.endpoint.await_successor(
--- a/cherrycove/broker/lifecycle/handover.py
+++ b/cherrycove/broker/lifecycle/handover.py
@@ -47,11 +47,14 @@
 MAX_LISTENERS = 4
 
 
+TAKEOVER_ERRORS = (OSError, EOFError, HandoverError, asyncio.LimitOverrunError, ValueError)
+
+
 class TwoLiveError(OSError):
     """Two processes of this broker are alive already, and neither has ended in ``BUSY_TIMEOUT_S``."""
 
 
-class _BusyError(Exception):
+class BusyError(Exception):
     """The process in service has another beside it."""
 
 
@@ -70,6 +73,14 @@
     listeners: list[socket.socket]
 
 
+PendingTakeover = asyncio.Task[Takeover | None]  # ends with None where the process in service has ended
+
+
+def cancel_takeover(pending: PendingTakeover) -> None:
+    """Await a handover no longer, and close its connection."""
+    pending.cancel()
+
+
 class HandoverEndpoint:
     """One process's end of a handover, and the broker's directory. The coordinator owns it.
 
@@ -157,8 +168,13 @@
 
     # The successor's side.
 
-    async def meet(self, hello: Message) -> Takeover | None:
-        """Ask the process in service for the handover; None if there is none.
+    async def meet(
+        self, hello: Message, on_stalled: Callable[[PendingTakeover], None] = cancel_takeover
+    ) -> Takeover | None:
+        """Ask the process in service for the handover; None if there is none, or it does not answer.
+
+        ``on_stalled`` gets the handover that is still awaited where a process has taken the connection, and
+        so is alive, but has not answered in ``ANSWER_TIMEOUT_S``.
 
         Raises:
             TwoLiveError: it has had another beside it for ``BUSY_TIMEOUT_S``. A third that served at once
@@ -168,34 +184,47 @@
         deadline = loop.time() + BUSY_TIMEOUT_S
         while True:
             try:
-                return await self._request_takeover(hello)
-            except _BusyError as error:
+                return await self._request_takeover(hello, on_stalled)
+            except BusyError as error:
                 if loop.time() >= deadline:
                     raise TwoLiveError("two processes of this broker live already") from error
                 await asyncio.sleep(BUSY_RETRY_S)
 
-    async def _request_takeover(self, hello: Message) -> Takeover | None:
+    async def _request_takeover(
+        self, hello: Message, on_stalled: Callable[[PendingTakeover], None]
+    ) -> Takeover | None:
+        pending = asyncio.create_task(self._receive_takeover(hello))
+        try:
+            done, _ = await asyncio.wait((pending,), timeout=ANSWER_TIMEOUT_S)
+        except asyncio.CancelledError:
+            pending.cancel()
+            raise
+        if done:
+            return await pending
+        log.warning("handover.nobody", why="TimeoutError")
+        on_stalled(pending)
+        return None
+
+    async def _receive_takeover(self, hello: Message) -> Takeover | None:
         peer = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
         peer.setblocking(False)
         descriptors: list[int] = []
         try:
-            async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                await self._send_hello(peer, hello)
-                descriptors = await _receive_descriptors(peer)
-                reader, writer = await asyncio.open_connection(sock=peer, limit=MAX_MESSAGE_BYTES)
-                state = parse_message(await reader.readline())
-                listeners = [socket.socket(fileno=number) for number in descriptors]
-                return Takeover(Link(reader, writer), state, listeners)
-        except (OSError, EOFError, HandoverError, asyncio.LimitOverrunError, ValueError) as error:
-            if not isinstance(error, FileNotFoundError | ConnectionRefusedError):
-                log.warning("handover.nobody", why=str(error) or type(error).__name__)
+            await self._send_hello(peer, hello)
+            descriptors = await _receive_descriptors(peer)
+            reader, writer = await asyncio.open_connection(sock=peer, limit=MAX_MESSAGE_BYTES)
+            state = parse_message(await reader.readline())
+            listeners = [socket.socket(fileno=number) for number in descriptors]
+            return Takeover(Link(reader, writer), state, listeners)
+        except BaseException as error:
             for number in descriptors:
                 os.close(number)
             peer.close()
+            if not isinstance(error, TAKEOVER_ERRORS):
+                raise  # it is busy, or this process ends
+            if not isinstance(error, FileNotFoundError | ConnectionRefusedError):
+                log.warning("handover.nobody", why=str(error) or type(error).__name__)
             return None
-        except _BusyError:
-            peer.close()
-            raise
 
     async def _send_hello(self, peer: socket.socket, hello: Message) -> None:
         loop = asyncio.get_running_loop()
@@ -308,7 +337,7 @@
 
 
 async def _receive_descriptors(peer: socket.socket) -> list[int]:
-    """Receive the listening sockets; _BusyError if the other has to be asked again."""
+    """Receive the listening sockets; BusyError if the other has to be asked again."""
     loop = asyncio.get_running_loop()
     readable = loop.create_future()
     loop.add_reader(peer, _wake, readable)
@@ -319,7 +348,7 @@
     # One byte and no more: the descriptors come with it, and the state behind it is read as a stream.
     first, descriptors, _, _ = socket.recv_fds(peer, 1, MAX_LISTENERS)
     if first == BUSY:
-        raise _BusyError
+        raise BusyError
     if not first or not descriptors:
         raise HandoverError("it hands nothing over")
     return descriptors
--- a/cherrycove/broker/nbd/server.py
+++ b/cherrycove/broker/nbd/server.py
@@ -41,6 +41,7 @@
         self._is_draining = False
         self._closed_exports: set[str] = set()
         self._server: asyncio.Server | None = None
+        self._further_servers: list[asyncio.Server] = []  # on sockets of a process that answered late
 
     async def listen(self, given: socket.socket | None = None) -> int:
         """Start to accept, on a socket opened by another process if ``given``; the port."""
@@ -51,9 +52,18 @@
         port: int = self.listener.getsockname()[1]
         return port
 
+    async def accept_also(self, given: socket.socket) -> None:
+        """Accept from a further socket until this process hands over or closes."""
+        self._further_servers.append(
+            await asyncio.get_running_loop().create_server(
+                lambda: ClientProtocol(self._serve_client), sock=given
+            )
+        )
+
     def hand_over(self) -> socket.socket:
         """Stop accepting in favour of another process; a duplicate of the socket, to accept from again."""
         duplicate = self.listener.dup()
+        self._close_further_servers()
         if self._server is not None:
             self._server.close()
         return duplicate
@@ -70,8 +80,14 @@
         """Allow mounts of an export again."""
         self._closed_exports.discard(name)
 
+    def _close_further_servers(self) -> None:
+        for further in self._further_servers:
+            further.close()
+        self._further_servers.clear()
+
     async def close(self) -> None:
         """Read no more commands, answer those in flight, then close all connections."""
+        self._close_further_servers()
         if self._server is not None:
             self._server.close()
         for task in self._tasks:
--- a/cherrycove/broker/process.py
+++ b/cherrycove/broker/process.py
@@ -247,6 +247,12 @@
         if self._nbd is not None:
             await self._nbd.listen(given[1])
 
+    async def accept_also(self, given: list[socket.socket]) -> None:
+        """Accept from these sockets beside the own ones, in the order of ``listeners``."""
+        await self.front.accept_also(given[0])
+        if self._nbd is not None and len(given) > 1:
+            await self._nbd.accept_also(given[1])
+
     def resize(self, clients: int, nodes: int, most_bytes: int) -> None:
         """Apply new limits: descriptors for clients and for nodes, bytes of bodies and answers."""
         self.pool.resize(nodes)
--- a/tests/golden_broker.py
+++ b/tests/golden_broker.py
@@ -659,6 +659,9 @@
     async def accept(self, given: list[socket.socket]) -> None:
         pass
 
+    async def accept_also(self, given: list[socket.socket]) -> None:
+        pass
+
     def resize(self, clients: int, nodes: int, most_bytes: int) -> None:
         pass
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -77,6 +77,17 @@
         await asyncio.sleep(0.001)
 
 
+async def received_at(listener: socket.socket) -> bytes:
+    """All that comes over the next connection in the queue of ``listener``, up to its end."""
+    connection, _ = listener.accept()
+    with connection:
+        connection.setblocking(False)
+        received = b""
+        while piece := await asyncio.get_running_loop().sock_recv(connection, 1 << 16):
+            received += piece
+        return received
+
+
 async def leave(writer: asyncio.StreamWriter, how: str) -> None:
     if how == "reset":
         writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
@@ -329,14 +340,11 @@
             )
             await leave(writer, "close")
             await until(lambda: world.core.counts["client gone"])
-            connection, _ = listener.accept()
-            connection.setblocking(False)
-            got = b""
-            while piece := await asyncio.get_running_loop().sock_recv(connection, 1 << 16):
-                got += piece
-            assert got.startswith(b"PUT /claim-write") and got.count(b"x") < 60_000
-            connection.close()
+            received = [await received_at(listener) for _ in range(dials)]
             listener.close()
+            assert dials == late_dials + 1 and not any(received[:-1])  # one that is given up carries nothing
+            got = received[-1]
+            assert got.startswith(b"PUT /claim-write") and got.count(b"x") < 60_000
 
     run(story())
 
