--- a/bench/tier_catch_up.py
+++ b/bench/tier_catch_up.py
@@ -50,8 +50,8 @@
     def snapshot(self) -> bytes:
         return bytes(self.content)
 
-    def restore(self, data: bytes) -> None:
-        self.content = bytearray(data)
+    def restore(self, state: SnapshotState) -> None:
+        self.content = bytearray(bytes(state))
 
 
 @attrs.define(eq=False)
--- a/cherrycove/tier/batch/jobs/recent_bodies.py
+++ b/cherrycove/tier/batch/jobs/recent_bodies.py
@@ -1,4 +1,4 @@
-"""Which items with a result still have their bodies.
+"""The bodies of items that have just got their results.
 
 A client may read the body of an item that its last page of results did not show yet, so the newest bodies
 are kept; the oldest ones over the bounds are dropped.
@@ -6,46 +6,46 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Container, Iterator
 
-from cherrycove.tier.batch.jobs.model import ItemKey, StoredItem
+from cherrycove.tier.batch.jobs.model import ItemKey
 
-MAX_RECENT_BYTES = 8 * 1024 * 1024
+MAX_RECENT_BYTES = 1024 * 1024
 MAX_RECENT_COUNT = 4096
 
 
 class RecentBodies:
-    """The items with a result whose bodies are kept, oldest first. Part of the replicated state."""
+    """The bodies that are kept of items with a result, oldest first. Part of the replicated state."""
 
     def __init__(self) -> None:
-        self._items: deque[tuple[ItemKey, StoredItem]] = deque()
-        self._size_bytes = 0
+        self._encoded: dict[ItemKey, bytes] = {}  # serialized Items
+        self.size_bytes = 0
 
     def __iter__(self) -> Iterator[ItemKey]:
-        return (key for key, _ in self._items)
-
-    def restore(self, key: ItemKey, item: StoredItem) -> None:
-        """Add an item of a snapshot, which is within the bounds."""
-        self._items.append((key, item))
-        self._size_bytes += len(item.encoded)
-
-    def add(self, key: ItemKey, item: StoredItem) -> int:
-        """Add an item that has just got its result; returns how many bytes of older bodies were dropped."""
-        self.restore(key, item)
-        dropped_bytes = 0
-        while self._size_bytes > MAX_RECENT_BYTES or len(self._items) > MAX_RECENT_COUNT:
-            dropped_bytes += self._drop_oldest()
-        return dropped_bytes
-
-    def keep_only(self, job_ids: Container[str]) -> None:
-        """Forget the items of all other jobs."""
-        self._items = deque((key, item) for key, item in self._items if key.job_id in job_ids)
-        self._size_bytes = sum(len(item.encoded) for _, item in self._items)
-
-    def _drop_oldest(self) -> int:
-        _, item = self._items.popleft()
-        dropped_bytes = len(item.encoded)
-        self._size_bytes -= dropped_bytes
-        item.encoded = b""
-        return dropped_bytes
+        return iter(self._encoded)
+
+    def by_job(self) -> dict[str, dict[str, bytes]]:
+        """The serialized items by job id and item id."""
+        jobs: dict[str, dict[str, bytes]] = {}
+        for key, encoded in self._encoded.items():
+            jobs.setdefault(key.job_id, {})[key.item_id] = encoded
+        return jobs
+
+    def get(self, key: ItemKey) -> bytes | None:
+        """The serialized item, if it is kept."""
+        return self._encoded.get(key)
+
+    def add(self, key: ItemKey, encoded: bytes) -> None:
+        """Add an item that has just got its result; drop the oldest ones over the bounds."""
+        self._encoded[key] = encoded
+        self.size_bytes += len(encoded)
+        while self.size_bytes > MAX_RECENT_BYTES or len(self._encoded) > MAX_RECENT_COUNT:
+            self._drop(next(iter(self._encoded)))
+
+    def drop_jobs(self, job_ids: Container[str]) -> None:
+        """Forget the items of these jobs."""
+        for key in [key for key in self._encoded if key.job_id in job_ids]:
+            self._drop(key)
+
+    def _drop(self, key: ItemKey) -> None:
+        self.size_bytes -= len(self._encoded.pop(key))
--- a/cherrycove/tier/batch/store/call_handlers.py
+++ b/cherrycove/tier/batch/store/call_handlers.py
@@ -9,13 +9,16 @@
 from result import Err, Ok, Result
 
 from cherrycove.tier.batch.jobs.commands import accept_command, end_command, failures_command, item_result
-from cherrycove.tier.batch.jobs.model import ItemKey, StoredItem
+from cherrycove.tier.batch.jobs.model import FinishedJob, ItemKey, StoredItem
 from cherrycove.tier.batch.jobs.state import EndOutcome
+from cherrycove.tier.batch.leasing.lease_table import LeaseTable
 from cherrycove.tier.batch.leasing.lease_types import LeaseCall
 from cherrycove.tier.batch.store.context import StoreContext
+from cherrycove.tier.batch.store.job_capacity import demand_of
 from cherrycove.tier.batch.store.proposals import PROPOSE_TIMEOUT_S, SingleFlightProposals
 from cherrycove.tier.batch.store.replies import lease_reply, read_reply
 from cherrycove.tier.batch.store.result_waiters import ResultWaiters
+from cherrycove.tier.batch.store.room_forecast import seconds_until_room
 from cherrycove.tier.errors import ErrorKind, Failure
 from cherrycove.tier.protocol import batch_methods
 from cherrycove.tier.protocol import batch_pb2 as pb
@@ -56,8 +59,9 @@
             return Ok(pb.SubmitReply())
         if len({item.item_id for item in request.items}) != len(request.items):
             return Err(Failure(ErrorKind.INVALID, "two items have the same id"))
-        if not self._capacity.has_room(self._state.stored_bytes, request.ByteSize()):
-            return Err(Failure(ErrorKind.OVERLOADED, "no room for further jobs"))
+        excess_bytes = self._capacity.excess_bytes(demand_of(self._state, request))
+        if excess_bytes:
+            return self._no_room(excess_bytes)
         received_unix_ms = int(self._clocks.unix_s() * 1000)
         outcome = await self._submissions.propose(
             request.job_id, lambda: accept_command(request, received_unix_ms)
@@ -74,7 +78,7 @@
             if job is None:
                 return _unknown_job()
             remaining_s = deadline - self._clocks.now()
-            if request.cursor < len(job.results) or job.is_done or remaining_s <= 0:
+            if request.cursor < job.result_count or job.is_done or remaining_s <= 0:
                 return Ok(read_reply(job, request.cursor))
             await self._waiters.wait(request.job_id, remaining_s)
 
@@ -128,11 +132,18 @@
             return self._not_primary()
         key = ItemKey.of(request.reference)
         job = self._state.jobs.get(key.job_id)
+        if isinstance(job, FinishedJob):
+            return Ok(pb.ReportReply())
         item = job.items.get(key.item_id) if job is not None else None
-        if job is None or item is None:
+        if item is None:
             return _unknown_job()
-        if job.ended or item.has_result:
+        if item.has_result:
             return Ok(pb.ReportReply())
+        return await self._record_report(request, key, item, table)
+
+    async def _record_report(
+        self, request: pb.ReportRequest, key: ItemKey, item: StoredItem, table: LeaseTable
+    ) -> Result[pb.ReportReply, Failure]:
         match request.WhichOneof("outcome"):
             case "completed_text":
                 return await self._record(key, request.completed_text, completed=True)
@@ -161,6 +172,13 @@
                 return outcome
         return Ok(pb.ReportReply())
 
+    def _no_room(self, excess_bytes: float) -> Err[Failure]:
+        releases = self._leases.releases(self._clocks.now())
+        retry_after_s = seconds_until_room(excess_bytes, releases)
+        return Err(
+            Failure(ErrorKind.OVERLOADED, "no room for further jobs", advised_retry_after_s=retry_after_s)
+        )
+
     def _not_primary(self) -> Err[Failure]:
         return Err(not_primary_failure(self._group, "this store does not lead"))
 
--- a/cherrycove/tier/batch/store/epoch_leases.py
+++ b/cherrycove/tier/batch/store/epoch_leases.py
@@ -8,15 +8,21 @@
 
 import attrs
 
-from cherrycove.tier.batch.jobs.model import ItemKey, Job
+from cherrycove.tier.batch.jobs.model import ItemKey, Job, OpenJob
 from cherrycove.tier.batch.jobs.state import JobsObserver, JobsState
-from cherrycove.tier.batch.leasing.job_ages import JobAges
+from cherrycove.tier.batch.leasing.job_ages import JobAges, target_s
 from cherrycove.tier.batch.leasing.lease_table import LeaseTable
 from cherrycove.tier.batch.leasing.lease_types import LeasableJob, LeaseTimes
+from cherrycove.tier.batch.store.job_capacity import OPEN_COPIES, mean_result_bytes
+from cherrycove.tier.batch.store.room_forecast import Release
 from cherrycove.tier.replication.interface import Group
 
 _log = logging.getLogger(__name__)
 
+FORGET_MARGIN_S = (
+    2.0  # beyond the time for which clients may ask for the status of a job, for reads under way
+)
+
 
 @attrs.frozen
 class Clocks:
@@ -32,11 +38,15 @@
     Leases and ages are soft state: they are lost with the process, and built anew from the replicated jobs.
     """
 
-    def __init__(self, group: Group, state: JobsState, times: LeaseTimes, clocks: Clocks) -> None:
+    def __init__(
+        self, group: Group, state: JobsState, times: LeaseTimes, clocks: Clocks, status_s: float
+    ) -> None:
+        """``status_s`` is how long clients may ask for the status of a job."""
         self._group = group
         self._state = state
         self._times = times
         self._clocks = clocks
+        self._kept_s = status_s + FORGET_MARGIN_S
         self._table: LeaseTable | None = None
         self._ages = JobAges()
         self.state_restored()
@@ -50,17 +60,29 @@
             self._table = self._new_table()
         return self._table
 
-    def jobs_older_than(self, age_s: float, now: float) -> list[Job]:
-        """Jobs that this process has known for longer than ``age_s``."""
+    def jobs_past_status(self, now: float) -> list[Job]:
+        """Jobs that this process has known for longer than clients may ask for their status."""
         jobs = self._state.jobs
-        return [jobs[job_id] for job_id in self._ages.older_than(age_s, now) if job_id in jobs]
+        return [jobs[job_id] for job_id in self._ages.older_than(self._kept_s, now) if job_id in jobs]
+
+    def releases(self, now: float) -> list[Release]:
+        """When the jobs that are known give back their room: open ones as they finish, others for good."""
+        result_bytes = mean_result_bytes(self._state)
+        return [self._release(job, now, result_bytes) for job in self._state.jobs.values()]
+
+    def _release(self, job: Job, now: float, result_bytes: float) -> Release:
+        if isinstance(job, OpenJob):
+            due_at_s = self._ages.first_seen_s(job.job_id, now) + target_s(job)
+            return Release(max(due_at_s - now, 0.0), job.total * result_bytes * (OPEN_COPIES - 1.0))
+        forgotten_in_s = self._ages.first_seen_s(job.job_id, now) + self._kept_s - now
+        return Release(max(forgotten_in_s, 0.0), job.size_bytes)
 
     # JobsObserver
 
     def job_accepted(self, job: Job) -> None:
         """Offer the items of a new job."""
         self._ages.add(job.job_id, self._clocks.now())
-        if self._table is not None:
+        if self._table is not None and isinstance(job, OpenJob):
             self._table.add_job(self._leasable(job), from_earlier_epoch=False)
 
     def result_recorded(self, job: Job, item_id: str) -> None:
@@ -91,10 +113,10 @@
     def _new_table(self) -> LeaseTable:
         table = LeaseTable(self._group.epoch, self._clocks.now(), self._times)
         for job in self._state.jobs.values():
-            if not job.is_done:
+            if isinstance(job, OpenJob):
                 table.add_job(self._leasable(job), from_earlier_epoch=True)
         _log.info("batch_leases_begun", extra={"epoch": table.epoch, "jobs": len(self._state.jobs)})
         return table
 
-    def _leasable(self, job: Job) -> LeasableJob:
+    def _leasable(self, job: OpenJob) -> LeasableJob:
         return self._ages.leasable(job, self._clocks.now(), self._clocks.unix_s() * 1000.0)
--- a/cherrycove/tier/batch/store/maintenance.py
+++ b/cherrycove/tier/batch/store/maintenance.py
@@ -11,6 +11,7 @@
 from cherrycove.tier.batch.jobs.model import ItemKey
 from cherrycove.tier.batch.leasing.lease_table import LeaseTable
 from cherrycove.tier.batch.store.context import StoreContext
+from cherrycove.tier.batch.store.job_capacity import demand_of
 from cherrycove.tier.batch.store.proposals import PROPOSE_TIMEOUT_S
 from cherrycove.tier.batch.store.removed_routes import jobs_of_removed_routes
 from cherrycove.tier.distribution.cluster_view import ClusterView
@@ -18,7 +19,6 @@
 _log = logging.getLogger(__name__)
 
 MAINTENANCE_INTERVAL_S = 0.5
-FORGET_MARGIN_S = 30.0  # beyond the time for which clients may ask for the status of a job
 EXPIRED = "expired"  # reason for which an item is dead-lettered
 MAX_DEAD_LETTERED = 64  # items in one run, for each reason
 
@@ -26,8 +26,7 @@
 class BatchMaintenance:
     """Owns the task of the periodic work. It does nothing while this store is not the confirmed primary."""
 
-    def __init__(self, context: StoreContext, cluster_view: ClusterView, status_s: float) -> None:
-        """``status_s`` is how long clients may ask for the status of a job."""
+    def __init__(self, context: StoreContext, cluster_view: ClusterView) -> None:
         self._group = context.group
         self._state = context.state
         self._leases = context.leases
@@ -35,7 +34,6 @@
         self._recorder = context.recorder
         self._clocks = context.clocks
         self._cluster_view = cluster_view
-        self._status_s = status_s
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -62,8 +60,8 @@
 
     async def forget_old_jobs(self, now: float) -> None:
         """Forget old jobs that were ended, and when crowded also those that are complete."""
-        old = self._leases.jobs_older_than(self._status_s + FORGET_MARGIN_S, now)
-        crowded = self._capacity.is_crowded(self._state.stored_bytes)
+        old = self._leases.jobs_past_status(now)
+        crowded = self._capacity.is_crowded(demand_of(self._state))
         forgotten = [job.job_id for job in old if job.ended or (crowded and job.is_done)]
         if forgotten and self._group.is_confirmed_primary():
             await self._group.propose(forget_command(forgotten), PROPOSE_TIMEOUT_S)
--- a/cherrycove/tier/batch/store/removed_routes.py
+++ b/cherrycove/tier/batch/store/removed_routes.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from cherrycove.tier.batch.jobs.model import Job
+from cherrycove.tier.batch.jobs.model import Job, OpenJob
 from cherrycove.tier.configuration import Configuration
 
 
@@ -19,7 +19,7 @@
     routes = {route.name for route in configuration.routes if route.is_batch}
     return [
         job.job_id for job in jobs
-        if not job.is_done
+        if isinstance(job, OpenJob)
         and 0 < job.submission.configuration_version <= configuration.version
         and job.submission.route not in routes
     ]  # fmt: skip
--- a/cherrycove/tier/batch/store/replies.py
+++ b/cherrycove/tier/batch/store/replies.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from cherrycove.tier.batch.jobs.model import Job
+from cherrycove.tier.batch.jobs.model import Job, OpenJob
 from cherrycove.tier.batch.jobs.state import JobsState
 from cherrycove.tier.batch.leasing.lease_types import Grant, LeaseDecision
 from cherrycove.tier.protocol import batch_pb2 as pb
@@ -15,7 +15,8 @@
     """Results from ``cursor`` on, as many as fit one read, and at least one if there is one."""
     reply = pb.ReadReply(total=job.total)
     text_bytes = 0
-    for result in job.results[cursor:]:
+    results = job.results[cursor:] if cursor < job.result_count else []
+    for result in results:
         text_bytes += len(result.text)
         if reply.results and text_bytes > MAX_READ_BYTES:
             break
@@ -31,11 +32,13 @@
     for key in decision.revoked:
         reply.revoked.add(job_id=key.job_id, item_id=key.item_id)
     for grant in decision.granted:
-        _write_grant(reply.items.add(), state.jobs[grant.key.job_id], grant, now)
+        job = state.open_job(grant.key.job_id)
+        if job is not None:
+            _write_grant(reply.items.add(), job, grant, now)
     return reply
 
 
-def _write_grant(leased: pb.LeasedItem, job: Job, grant: Grant, now: float) -> None:
+def _write_grant(leased: pb.LeasedItem, job: OpenJob, grant: Grant, now: float) -> None:
     leased.job_id = job.job_id
     item = job.items[grant.key.item_id]
     leased.item.MergeFromString(item.encoded)
--- a/cherrycove/tier/batch/store/service.py
+++ b/cherrycove/tier/batch/store/service.py
@@ -44,8 +44,8 @@
         context = StoreContext(
             group=group,
             state=state,
-            leases=EpochLeases(group, state, times or LeaseTimes(), clocks),
-            capacity=JobCapacity(settings.limits),
+            leases=EpochLeases(group, state, times or LeaseTimes(), clocks, settings.bounds.status_s),
+            capacity=JobCapacity.of(settings.limits, settings.bounds.catch_up_s),
             recorder=ResultRecorder(group),
             clocks=clocks,
         )
@@ -54,7 +54,7 @@
         group.on_change(waiters.wake_all)
         self._handlers = BatchCallHandlers(context, waiters)
         self._handlers.register_at(server)
-        self._maintenance = BatchMaintenance(context, cluster_view or ClusterView(), settings.bounds.status_s)
+        self._maintenance = BatchMaintenance(context, cluster_view or ClusterView())
 
     async def start(self) -> None:
         """Begin the periodic work."""
--- a/cherrycove/tier/controlplane/state.py
+++ b/cherrycove/tier/controlplane/state.py
@@ -16,6 +16,7 @@
     Snapshot,
     StoreMachine,
 )
+from cherrycove.tier.storage.snapshot_state import SnapshotState
 
 
 @attrs.frozen
@@ -106,9 +107,9 @@
         )
         return snapshot.SerializeToString()
 
-    def restore(self, data: bytes) -> None:
+    def restore(self, state: bytes | SnapshotState) -> None:
         """Replace the state by that of a snapshot."""
-        snapshot = Snapshot.FromString(data)
+        snapshot = Snapshot.FromString(bytes(state))
         self._configuration.restore(snapshot.configuration, snapshot.accepted, snapshot.forgotten_version)
         self._store_group.restore(
             snapshot.store_group_revision, snapshot.initial, snapshot.machines, snapshot.retire_orders
--- a/cherrycove/tier/errors.py
+++ b/cherrycove/tier/errors.py
@@ -89,11 +89,15 @@
     kind: ErrorKind
     detail: str = ""
     primary: str = ""  # with NOT_PRIMARY: RPC address (host:port) of the primary, "" while unknown
+    advised_retry_after_s: float | None = None  # in place of that of the answer, where it is known
 
     @property
     def answer(self) -> Answer:
         """How the failure is answered over HTTP."""
-        return ANSWERS[self.kind]
+        answer = ANSWERS[self.kind]
+        if answer.retry_after_s is None or self.advised_retry_after_s is None:
+            return answer
+        return Answer(answer.status, self.advised_retry_after_s)
 
     @property
     def is_certain(self) -> bool:
--- a/cherrycove/tier/programs/replica.py
+++ b/cherrycove/tier/programs/replica.py
@@ -16,7 +16,7 @@
 from cherrycove.tier.settings import Settings
 from cherrycove.tier.storage.identity import open_identity
 
-DISK_FRACTION = 0.8  # of the disk that a group may use
+DISK_FRACTION = 0.8  # of the disk that a group may use, unless its program says otherwise
 BYTES_PER_MB = 1_000_000
 
 
@@ -29,7 +29,12 @@
 
 
 def open_group(
-    program: str, settings: Settings, machine: StateMachine, server: CallRegistry, client: Caller
+    program: str,
+    settings: Settings,
+    machine: StateMachine,
+    server: CallRegistry,
+    client: Caller,
+    disk_fraction: float = DISK_FRACTION,
 ) -> OpenedGroup:
     """Open the group of ``program`` (a name of ``program_names``) in the data directory of ``settings``.
 
@@ -50,7 +55,7 @@
         state_machine=machine,
         server=server,
         client=client,
-        disk_limit_bytes=int(settings.limits.disk_mb * BYTES_PER_MB * DISK_FRACTION),
+        disk_limit_bytes=int(settings.limits.disk_mb * BYTES_PER_MB * disk_fraction),
         timing=Timing.for_catch_up(settings.bounds.catch_up_s),
     )
     return OpenedGroup(create_group(options), fresh)
--- a/cherrycove/tier/programs/replica_program.py
+++ b/cherrycove/tier/programs/replica_program.py
@@ -9,7 +9,7 @@
 from cherrycove.tier.distribution.cluster_view import ClusterView
 from cherrycove.tier.distribution.puller import Puller
 from cherrycove.tier.programs.process import new_incarnation
-from cherrycove.tier.programs.replica import open_group, replica_announcement
+from cherrycove.tier.programs.replica import DISK_FRACTION, open_group, replica_announcement
 from cherrycove.tier.protocol.control_pb2 import Announcement
 from cherrycove.tier.protocol.rpc import RpcClient, RpcServer
 from cherrycove.tier.replication.interface import MemberIdentity, StateMachine
@@ -35,10 +35,13 @@
     disk (identity, log, snapshots) survives a crash; everything else is learned anew.
     """
 
-    def __init__(self, program: str, settings: Settings, state: StateMachine) -> None:
+    def __init__(
+        self, program: str, settings: Settings, state: StateMachine, disk_fraction: float = DISK_FRACTION
+    ) -> None:
         """``program`` is a name of ``program_names``; ``state`` is the state machine of its group.
 
-        Opens the disk and raises ``OSError`` where it cannot be used.
+        The group may use ``disk_fraction`` of the disk. Opens the disk and raises ``OSError`` where it cannot
+        be used.
         """
         self._program = program
         self._settings = settings
@@ -46,7 +49,7 @@
         self._client = RpcClient()
         self._incarnation = new_incarnation()
         self._leaving = False
-        opened = open_group(program, settings, state, self._server, self._client)
+        opened = open_group(program, settings, state, self._server, self._client, disk_fraction)
         self._group = opened.group
         self._fresh = opened.fresh
         # Asked for at each call: a damaged disk gets another identity when the group starts.
--- a/cherrycove/tier/programs/store.py
+++ b/cherrycove/tier/programs/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from cherrycove.tier.batch.jobs.state import JobsState
+from cherrycove.tier.batch.store.job_capacity import STORE_DISK_FRACTION
 from cherrycove.tier.batch.store.service import BatchStoreService
 from cherrycove.tier.program_names import STORE_PROGRAM
 from cherrycove.tier.programs.replica_program import ReplicaProgram
@@ -19,7 +20,7 @@
     def __init__(self, settings: Settings) -> None:
         """Open the disk that ``settings`` names; raises ``OSError`` where it cannot be used."""
         self._state = JobsState()
-        super().__init__(STORE_PROGRAM, settings, self._state)
+        super().__init__(STORE_PROGRAM, settings, self._state, STORE_DISK_FRACTION)
         self._membership = StoreMembership(settings, self._group, self._cluster_view, self._server)
 
     def _assemble_service(self) -> BatchStoreService:
--- a/cherrycove/tier/protocol/_rpc_wire.py
+++ b/cherrycove/tier/protocol/_rpc_wire.py
@@ -1,11 +1,13 @@
 """How an internal call is written in HTTP: header fields, paths and failures.
 
 A call is ``POST /rpc/NAME``. A 200 carries the serialized reply; any other status carries a failure: its kind
-in ``X-Error-Kind``, a sentence as body and, for NOT_PRIMARY, the address of the primary in ``X-Primary``.
+in ``X-Error-Kind``, a sentence as body, for NOT_PRIMARY the address of the primary in ``X-Primary``, and in
+``Retry-After`` (RFC 9110, 10.2.3; with a fraction) the pause that the receiver advises, if it does.
 """
 
 from __future__ import annotations
 
+import re
 from collections.abc import Mapping
 
 from aiohttp import web
@@ -13,8 +15,10 @@
 from cherrycove.tier.errors import ErrorKind, Failure
 
 PATH_PREFIX = "/rpc/"
+_SECONDS = re.compile(r"\d{1,6}(\.\d{1,6})?")
 KIND_HEADER = "X-Error-Kind"
 PRIMARY_HEADER = "X-Primary"
+RETRY_AFTER_HEADER = "Retry-After"
 CALL_HEADER = "X-Call"  # incarnation of the caller, and number of the call in it
 RECEIVER_HEADER = "X-Receiver"  # member id that the call is meant for
 IDENTITY_HEADERS = (CALL_HEADER, RECEIVER_HEADER)  # of a call, repeated by its reply
@@ -25,6 +29,8 @@
     headers = {KIND_HEADER: failure.kind.value}
     if failure.primary:
         headers[PRIMARY_HEADER] = failure.primary
+    if failure.advised_retry_after_s is not None:
+        headers[RETRY_AFTER_HEADER] = f"{failure.advised_retry_after_s:.3f}"
     return web.Response(status=failure.answer.status, text=failure.detail, headers=headers)
 
 
@@ -34,4 +40,10 @@
         kind = ErrorKind(headers.get(KIND_HEADER, ""))
     except ValueError:
         kind = ErrorKind.UNCERTAIN
-    return Failure(kind, body.decode("utf-8", "replace"), headers.get(PRIMARY_HEADER, ""))
+    detail = body.decode("utf-8", "replace")
+    return Failure(kind, detail, headers.get(PRIMARY_HEADER, ""), _advised_retry_after_s(headers))
+
+
+def _advised_retry_after_s(headers: Mapping[str, str]) -> float | None:
+    text = headers.get(RETRY_AFTER_HEADER, "")
+    return float(text) if _SECONDS.fullmatch(text) else None
--- a/cherrycove/tier/replication/applier.py
+++ b/cherrycove/tier/replication/applier.py
@@ -8,6 +8,7 @@
 from cherrycove.tier.replication.pending_proposals import PendingProposals
 from cherrycove.tier.replication.snapshot_policy import SnapshotPolicy
 from cherrycove.tier.storage.entries import Entry, EntryKind
+from cherrycove.tier.storage.snapshot_state import SnapshotState
 
 _log = logging.getLogger(__name__)
 
@@ -28,10 +29,10 @@
         self._proposals = proposals
         self._snapshot_policy = snapshot_policy
 
-    def restore(self, state: bytes) -> None:
+    def restore(self, state: SnapshotState) -> None:
         """Replace the state by that of a snapshot."""
         self._state_machine.restore(state)
-        self._snapshot_policy.snapshot_in_place(len(state))
+        self._snapshot_policy.snapshot_in_place(state.rewritten_bytes)
 
     def apply(self, entry: Entry) -> None:
         """Apply a committed entry and resolve the proposal that waits for it, if there is one."""
@@ -45,12 +46,12 @@
                 self._proposals.fail(entry.index)
         self._proposals.resolve(entry.index, entry.epoch, outcome)
 
-    def take_due_snapshot(self) -> bytes | None:
+    def take_due_snapshot(self) -> SnapshotState | None:
         """Return the complete state if a snapshot is due, else None."""
         if not self._snapshot_policy.is_due:
             return None
-        state = self._state_machine.snapshot()
-        self._snapshot_policy.snapshot_in_place(len(state))
+        state = SnapshotState.of(self._state_machine.snapshot())
+        self._snapshot_policy.snapshot_in_place(state.rewritten_bytes)
         return state
 
     def snapshot_write_started(self, ticket: int) -> None:
--- a/cherrycove/tier/replication/backup.py
+++ b/cherrycove/tier/replication/backup.py
@@ -17,6 +17,7 @@
 from cherrycove.tier.replication.interface import MemberIdentity
 from cherrycove.tier.replication.membership import encode_members, member_from_message
 from cherrycove.tier.storage.entries import Entry, EntryKind
+from cherrycove.tier.storage.snapshot_state import SnapshotState
 from cherrycove.tier.storage.snapshots import Snapshot
 
 
@@ -26,8 +27,17 @@
 
     index: int
     entry_epoch: int
+    is_encoded: bool = False
     data: BytesIO = attrs.field(factory=BytesIO)  # returns its content without another copy of it
 
+    def is_of(self, chunk: SnapshotChunk) -> bool:
+        """Whether ``chunk`` is of the same snapshot, in the same form."""
+        return (self.index, self.entry_epoch, self.is_encoded) == (
+            chunk.index,
+            chunk.entry_epoch,
+            chunk.encoded,
+        )
+
 
 class Backup:
     """Follows the primary of the newest epoch.
@@ -126,7 +136,12 @@
         self._newest_sent_us = max(self._newest_sent_us, chunk.sent_us)
         received = self._collect(chunk, now)
         if self._core.is_hard_state_durable:
-            reply = SnapshotReply(sent_us=chunk.sent_us, index=chunk.index, received=received)
+            reply = SnapshotReply(
+                sent_us=chunk.sent_us,
+                index=chunk.index,
+                received=received,
+                takes_encoded=chunk.offers_encoded,
+            )
             self._core.send(sender, Message(snapshot_reply=reply))
 
     def _collect(self, chunk: SnapshotChunk, now: float) -> int:
@@ -135,17 +150,19 @@
             self._verified_index = max(self._verified_index, chunk.index)
             return chunk.size
         incoming = self._incoming
-        if incoming is None or (incoming.index, incoming.entry_epoch) != (chunk.index, chunk.entry_epoch):
-            incoming = self._incoming = IncomingSnapshot(chunk.index, chunk.entry_epoch)
+        if incoming is None or not incoming.is_of(chunk):
+            incoming = IncomingSnapshot(chunk.index, chunk.entry_epoch, chunk.encoded)
+            self._incoming = incoming
         if chunk.offset == incoming.data.tell():
             incoming.data.write(chunk.data)
         received = incoming.data.tell()
         if received == chunk.size:
             self._incoming = None
-            self._install(chunk, incoming.data.getvalue(), now)
+            data = incoming.data.getvalue()
+            self._install(chunk, SnapshotState.decode(data) if chunk.encoded else data, now)
         return received
 
-    def _install(self, chunk: SnapshotChunk, state: bytes, now: float) -> None:
+    def _install(self, chunk: SnapshotChunk, state: bytes | SnapshotState, now: float) -> None:
         core = self._core
         self._verified_index = max(self._verified_index, chunk.index)
         if core.log.epoch_at(chunk.index) == chunk.entry_epoch:
--- a/cherrycove/tier/replication/disk_interface.py
+++ b/cherrycove/tier/replication/disk_interface.py
@@ -35,8 +35,11 @@
     def save_snapshot(self, snapshot: Snapshot, tail: Sequence[Entry]) -> None:
         """Replace the log by ``snapshot`` and the entries behind it."""
 
-    def read_state(self, index: int, offset: int, size: int) -> bytes:
-        """Read ``size`` bytes of the state in the snapshot of entry ``index``; empty if not available."""
+    def read_state(self, index: int, offset: int, size: int, *, encoded: bool = False) -> bytes:
+        """Read ``size`` bytes of the state in the snapshot of entry ``index``; empty if not available.
+
+        ``encoded``: of the state's encoded form.
+        """
 
     def close(self) -> None:
         """Release the files."""
--- a/cherrycove/tier/replication/interface.py
+++ b/cherrycove/tier/replication/interface.py
@@ -9,6 +9,7 @@
 from result import Result
 
 from cherrycove.tier.errors import ErrorKind, Failure
+from cherrycove.tier.storage.snapshot_state import SnapshotState
 
 
 @attrs.frozen
@@ -44,10 +45,10 @@
     def apply(self, index: int, command: bytes) -> object:
         """Apply one committed command; what it returns is the outcome of its ``propose`` at the primary."""
 
-    def snapshot(self) -> bytes:
-        """Return the complete state."""
+    def snapshot(self) -> bytes | SnapshotState:
+        """Return the complete state; final blocks are the same objects as in the snapshot before."""
 
-    def restore(self, data: bytes) -> None:
+    def restore(self, state: SnapshotState) -> None:
         """Replace the state by that of a snapshot."""
 
 
--- a/cherrycove/tier/replication/machine.py
+++ b/cherrycove/tier/replication/machine.py
@@ -23,6 +23,7 @@
 from cherrycove.tier.replication.timing import Timing
 from cherrycove.tier.storage.entries import Entry, EntryKind
 from cherrycove.tier.storage.replica_storage import RecoveredState
+from cherrycove.tier.storage.snapshot_state import SnapshotState
 from cherrycove.tier.storage.snapshots import Snapshot
 
 
@@ -203,7 +204,7 @@
         self._core.is_disk_failing = True
         self.transfer_leadership(now)
 
-    def save_snapshot(self, state: bytes, now: float) -> int:
+    def save_snapshot(self, state: bytes | SnapshotState, now: float) -> int:
         """Store ``state``, that after all committed entries, as a snapshot; return the write's ticket."""
         log = self._core.log
         membership = log.membership_at(log.commit_index).membership
--- a/cherrycove/tier/replication/pending_writes.py
+++ b/cherrycove/tier/replication/pending_writes.py
@@ -18,11 +18,14 @@
     epoch: int
     members: bytes
     state_bytes: int
+    encoded_bytes: int = 0  # length of the state's encoded form; 0 where it is not divided
 
     @staticmethod
     def of(snapshot: Snapshot) -> SnapshotHeader:
         """Return the header of ``snapshot``."""
-        return SnapshotHeader(snapshot.index, snapshot.epoch, snapshot.members, len(snapshot.state))
+        state = snapshot.state
+        encoded_bytes = sum(state.encoded_lengths) if state.is_divided else 0
+        return SnapshotHeader(snapshot.index, snapshot.epoch, snapshot.members, len(state), encoded_bytes)
 
 
 @attrs.define
--- a/cherrycove/tier/replication/snapshot_policy.py
+++ b/cherrycove/tier/replication/snapshot_policy.py
@@ -9,29 +9,32 @@
     """Decides when a snapshot is due.
 
     One is due when the entries applied since the last one are larger than ``min_log_bytes`` and than half of
-    the last snapshot, so that a large state is not written again for a few entries. Only one is written at a
-    time.
+    what each snapshot writes again, so that a large state is not written for a few entries. Final blocks do
+    not count: they are written once. Only one snapshot is written at a time.
     """
 
     def __init__(self, min_log_bytes: int) -> None:
         self._min_log_bytes = min_log_bytes
         self._log_bytes = 0  # applied since the last snapshot
-        self._snapshot_bytes = 0  # of the last snapshot's state
+        self._rewritten_bytes = 0  # of the last snapshot's state: its plain blocks
         self._pending_ticket = 0  # of the snapshot that is being written; 0: none
 
     @property
     def is_due(self) -> bool:
         """Whether a snapshot should be taken now."""
-        threshold_bytes = max(self._min_log_bytes, self._snapshot_bytes // 2)
+        threshold_bytes = max(self._min_log_bytes, self._rewritten_bytes // 2)
         return not self._pending_ticket and self._log_bytes > threshold_bytes
 
     def entry_applied(self, size_bytes: int) -> None:
         """Count an entry that was applied."""
         self._log_bytes += size_bytes
 
-    def snapshot_in_place(self, state_bytes: int) -> None:
-        """Start to count anew behind a snapshot that was taken or restored."""
-        self._snapshot_bytes = state_bytes
+    def snapshot_in_place(self, rewritten_bytes: int) -> None:
+        """Start to count anew behind a snapshot that was taken or restored.
+
+        ``rewritten_bytes``: how much of its state the next one writes again.
+        """
+        self._rewritten_bytes = rewritten_bytes
         self._log_bytes = 0
 
     def write_started(self, ticket: int) -> None:
--- a/cherrycove/tier/replication/snapshot_sender.py
+++ b/cherrycove/tier/replication/snapshot_sender.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from typing import Protocol
 
 import attrs
@@ -17,27 +18,46 @@
 class SnapshotSource(Protocol):
     """Reads the stored snapshot."""
 
-    def read_state(self, index: int, offset: int, size: int) -> bytes:
+    def read_state(self, index: int, offset: int, size: int, *, encoded: bool = False) -> bytes:
         """Return ``size`` bytes of the state at entry ``index`` from ``offset`` on, fewer at its end.
 
-        Empty if another snapshot is stored by now.
+        ``encoded``: of its encoded form. Empty if another snapshot is stored by now.
         """
 
 
+class StateForm(Enum):
+    """The form in which a state is sent."""
+
+    OFFERED = "offered"  # the receiver was asked whether it takes the encoded form, and has not answered
+    PLAIN = "plain"
+    ENCODED = "encoded"
+
+
 @attrs.define
 class SnapshotTransfer:
     """A snapshot in transit: ``offset`` bytes have arrived, and the next chunk was sent at ``sent_at``."""
 
-    index: int
+    header: SnapshotHeader
+    form: StateForm
     offset: int = 0
     sent_at: float = NEVER
 
+    @property
+    def size_bytes(self) -> int:
+        """Length of the state in the form in which it is sent."""
+        if self.form is StateForm.ENCODED:
+            return self.header.encoded_bytes
+        return self.header.state_bytes
+
 
 class SnapshotSender:
     """Transfers of the newest snapshot to one replica.
 
     Owned by ``PeerReplicator``. One chunk is in flight at a time and is sent again after chunk_resend_s. A
     transfer is superseded when a newer snapshot is stored, and ends when the replica has it completely.
+
+    A state with final blocks is sent in its encoded form, which is shorter, if the replica takes that: the
+    first chunk of the transfer is empty and asks. A replica of an older release ignores the question.
     """
 
     def __init__(self, core: ReplicaCore, receiver: MemberIdentity, source: SnapshotSource) -> None:
@@ -57,34 +77,49 @@
         if header is None:
             return
         transfer = self._transfer
-        if transfer is None or transfer.index != header.index:
-            transfer = self._transfer = SnapshotTransfer(header.index)
+        if transfer is None or transfer.header.index != header.index:
+            form = StateForm.OFFERED if header.encoded_bytes else StateForm.PLAIN
+            transfer = self._transfer = SnapshotTransfer(header, form)
         if now - transfer.sent_at < self._core.timing.chunk_resend_s:
             return
-        data = self._source.read_state(header.index, transfer.offset, self._core.chunk_bytes)
-        if not data and header.state_bytes > transfer.offset:
+        data = self._read(transfer)
+        if not data and transfer.size_bytes > transfer.offset and transfer.form is not StateForm.OFFERED:
             return
         transfer.sent_at = now
-        chunk = _make_chunk(header, transfer.offset, data, now)
+        chunk = _make_chunk(transfer, data, now)
         self._core.send(self._receiver, Message(snapshot_chunk=chunk))
 
+    def _read(self, transfer: SnapshotTransfer) -> bytes:
+        if transfer.form is StateForm.OFFERED:
+            return b""
+        return self._source.read_state(
+            transfer.header.index,
+            transfer.offset,
+            self._core.chunk_bytes,
+            encoded=transfer.form is StateForm.ENCODED,
+        )
+
     def record_reply(self, reply: SnapshotReply) -> bool:
         """Whether ``reply`` answers the active transfer, so that the next chunk is due or it is over."""
         transfer = self._transfer
         header = self._core.snapshot
-        if transfer is None or transfer.index != reply.index or reply.received < transfer.offset:
+        if transfer is None or transfer.header.index != reply.index or reply.received < transfer.offset:
             return False
-        if header is None or header.index != transfer.index:
+        if header is None or header.index != transfer.header.index:
             return False
-        if reply.received >= header.state_bytes:
+        if reply.received >= transfer.size_bytes:
             self._transfer = None
+        elif transfer.form is StateForm.OFFERED:
+            transfer.form = StateForm.ENCODED if reply.takes_encoded else StateForm.PLAIN
+            transfer.sent_at = NEVER
         else:
             transfer.offset = reply.received
             transfer.sent_at = NEVER
         return True
 
 
-def _make_chunk(header: SnapshotHeader, offset: int, data: bytes, now: float) -> SnapshotChunk:
+def _make_chunk(transfer: SnapshotTransfer, data: bytes, now: float) -> SnapshotChunk:
+    header = transfer.header
     membership = decode_members(header.members)
     return SnapshotChunk(
         sent_us=microseconds(now),
@@ -92,7 +127,9 @@
         entry_epoch=header.epoch,
         members=[member_to_message(member) for member in membership.members],
         excluded=membership.excluded,
-        size=header.state_bytes,
-        offset=offset,
+        size=transfer.size_bytes,
+        offset=transfer.offset,
         data=data,
+        offers_encoded=transfer.form is StateForm.OFFERED,
+        encoded=transfer.form is StateForm.ENCODED,
     )
--- a/cherrycove/tier/simulation/control/job_history.py
+++ b/cherrycove/tier/simulation/control/job_history.py
@@ -30,7 +30,7 @@
 
 def holds_job(disk: MachineDisk, job_id: str) -> bool:
     """Whether the job is synced on ``disk``."""
-    if disk.snapshot is not None and job_id in _jobs_in(disk.snapshot.state):
+    if disk.snapshot is not None and job_id in _jobs_in(bytes(disk.snapshot.state)):
         return True
     entries = reversed(disk.entries)
     return any(entry.kind is EntryKind.COMMAND and _job_in(entry.payload) == job_id for entry in entries)
--- a/cherrycove/tier/simulation/control/machine_disk.py
+++ b/cherrycove/tier/simulation/control/machine_disk.py
@@ -64,9 +64,9 @@
         """Not in use."""
         raise NotImplementedError("the simulated writer performs the writes")
 
-    def read_state(self, index: int, offset: int, size: int) -> bytes:
+    def read_state(self, index: int, offset: int, size: int, *, encoded: bool = False) -> bytes:
         """Read ``size`` bytes of the state in the snapshot of entry ``index``; empty if it is not there."""
-        return self.disk.read_state(index, offset, size)
+        return self.disk.read_state(index, offset, size, encoded=encoded)
 
     def close(self) -> None:
         """Do nothing: the disk stays as it is."""
--- a/cherrycove/tier/simulation/disk.py
+++ b/cherrycove/tier/simulation/disk.py
@@ -49,12 +49,12 @@
             return True
         return position < len(self.entries) and self.entries[position].epoch == epoch
 
-    def read_state(self, index: int, offset: int, size: int) -> bytes:
+    def read_state(self, index: int, offset: int, size: int, *, encoded: bool = False) -> bytes:
         """Read ``size`` bytes of the state in the snapshot of entry ``index``; empty if it is not there."""
         snapshot = self.snapshot
         if snapshot is None or snapshot.index != index:
             return b""
-        return snapshot.state[offset : offset + size]
+        return snapshot.state.read(offset, size, encoded=encoded)
 
     def perform(self, write: Write) -> None:
         """Make ``write`` durable."""
--- a/cherrycove/tier/simulation/effects_runner.py
+++ b/cherrycove/tier/simulation/effects_runner.py
@@ -64,7 +64,7 @@
 
     def _apply(self, replica: Replica, effects: Effects) -> None:
         if effects.restore is not None:
-            replica.state = State.decode(effects.restore.state)
+            replica.state = State.decode(bytes(effects.restore.state))
             replica.entries_since_snapshot = 0
             self._invariants.applied(replica)
         for entry in effects.committed:
--- a/cherrycove/tier/storage/replica_storage.py
+++ b/cherrycove/tier/storage/replica_storage.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from cherrycove.tier.storage.block_packs import BlockPacks
 from cherrycove.tier.storage.entries import ENTRY_OVERHEAD_BYTES, Entry
 from cherrycove.tier.storage.errors import DamagedStorageError, DiskLimitError
 from cherrycove.tier.storage.files import sync_directory
@@ -67,12 +68,14 @@
         self._limit_bytes = limit_bytes - RESERVED_BYTES if limit_bytes else 0
         self._hard_state_file = HardStateFile(directory)
         self._log = SegmentLog(directory, segment_bytes)
+        self._packs = BlockPacks(directory)
         self._snapshot: StoredSnapshot | None = None
 
     @property
     def size_bytes(self) -> int:
-        """Size of log and snapshot."""
-        return self._log.size_bytes + (self._snapshot.size_bytes if self._snapshot is not None else 0)
+        """Size of log, snapshot and packs."""
+        snapshot_bytes = self._snapshot.size_bytes if self._snapshot is not None else 0
+        return self._log.size_bytes + snapshot_bytes + self._packs.size_bytes
 
     @property
     def damaged_hard_state_copies(self) -> int:
@@ -93,6 +96,8 @@
         may_create = not snapshots and not list_segments(self._directory)
         hard_state = self._hard_state_file.open(may_create=may_create)
         snapshot, first_segment_number = self._recover_snapshot(snapshots[-1]) if snapshots else (None, 1)
+        if snapshot is None:
+            self._packs.recover([])
         entries = self._log.recover(snapshot.index if snapshot else 0, first_segment_number)
         recovered = RecoveredState(hard_state, snapshot, entries)
         _check_log_not_older(recovered)
@@ -112,29 +117,33 @@
 
         The tail goes into a new segment before the snapshot gets its name. A crash before that leaves the
         former snapshot and all segments, in which the tail stands twice; that is read as the same log.
+        Final blocks are durable before the snapshot that names them, and removed after the one that does not.
         """
+        plan = self._packs.plan(snapshot.state)
         tail_bytes = sum(entry.size_bytes for entry in tail)
-        self._check_limit(snapshot.size_bytes + tail_bytes + ENTRY_OVERHEAD_BYTES)
+        self._check_limit(plan.size_bytes + snapshot.size_bytes + tail_bytes + ENTRY_OVERHEAD_BYTES)
         self._log.roll()
         first_segment_number = self._log.next_segment_number
         if tail:
             self._log.append(tail)
-        path = write_snapshot(self._directory, snapshot, first_segment_number)
-        self._snapshot = StoredSnapshot.of(path, snapshot)
+        self._packs.write(plan)
+        self._snapshot = write_snapshot(self._directory, snapshot, first_segment_number, self._packs.location)
         with contextlib.suppress(OSError):  # the next snapshot, or a start, removes what is left
             self._log.remove_segments_below(first_segment_number)
-            remove_other_snapshots(path)
+            remove_other_snapshots(self._snapshot.path)
+            self._packs.keep_only(snapshot.state)
 
-    def read_state(self, index: int, offset: int, size: int) -> bytes:
+    def read_state(self, index: int, offset: int, size: int, *, encoded: bool = False) -> bytes:
         """Return ``size`` bytes of the state in the stored snapshot of entry ``index``, from ``offset`` on.
 
-        Returns nothing if the snapshot was replaced, or cannot be read or is damaged, which is logged.
+        ``encoded``: of the state's encoded form. Returns nothing if the snapshot was replaced, or cannot be
+        read or is damaged, which is logged.
         """
         snapshot = self._snapshot
         if snapshot is None or snapshot.index != index:
             return b""
         try:
-            return snapshot.read(offset, size)
+            return snapshot.read_encoded(offset, size) if encoded else snapshot.read(offset, size)
         except FileNotFoundError:
             return b""  # the writer replaced it meanwhile
         except (OSError, DamagedStorageError) as error:
@@ -149,8 +158,9 @@
     def _recover_snapshot(self, path: Path) -> tuple[Snapshot, int]:
         """Read the newest snapshot and the number of its first segment; remove the older snapshots."""
         file = read_snapshot(path)
-        self._snapshot = StoredSnapshot.of(path, file.snapshot)
+        self._snapshot = StoredSnapshot.of(path, file.snapshot, file.locations)
         remove_other_snapshots(path)
+        self._packs.recover(file.final_blocks())
         return file.snapshot, file.first_segment_number
 
     def _check_limit(self, additional_bytes: int) -> None:
