--- a/bench/tier_catch_up.py
+++ b/bench/tier_catch_up.py
@@ -26,6 +26,7 @@
 from cherrycove.tier.replication.interface import MemberIdentity
 from cherrycove.tier.replication.options import GroupOptions
 from cherrycove.tier.storage.identity import first_member_id, open_identity
+from cherrycove.tier.storage.snapshot_state import SnapshotState
 
 MEGABYTE = 1024 * 1024
 COMMAND_BYTES = MEGABYTE // 4
--- a/cherrycove/tier/batch/store/epoch_leases.py
+++ b/cherrycove/tier/batch/store/epoch_leases.py
@@ -14,15 +14,12 @@
 from cherrycove.tier.batch.leasing.lease_table import LeaseTable
 from cherrycove.tier.batch.leasing.lease_types import LeasableJob, LeaseTimes
 from cherrycove.tier.batch.store.job_capacity import OPEN_COPIES, mean_result_bytes
+from cherrycove.tier.batch.store.periods import FORGET_MARGIN_S, MAINTENANCE_INTERVAL_S
 from cherrycove.tier.batch.store.room_forecast import Release
 from cherrycove.tier.replication.interface import Group
 
 _log = logging.getLogger(__name__)
 
-FORGET_MARGIN_S = (
-    2.0  # beyond the time for which clients may ask for the status of a job, for reads under way
-)
-
 
 @attrs.frozen
 class Clocks:
@@ -75,7 +72,7 @@
             due_at_s = self._ages.first_seen_s(job.job_id, now) + target_s(job)
             return Release(max(due_at_s - now, 0.0), job.total * result_bytes * (OPEN_COPIES - 1.0))
         forgotten_in_s = self._ages.first_seen_s(job.job_id, now) + self._kept_s - now
-        return Release(max(forgotten_in_s, 0.0), job.size_bytes)
+        return Release(max(forgotten_in_s, 0.0) + MAINTENANCE_INTERVAL_S, job.size_bytes)
 
     # JobsObserver
 
--- a/cherrycove/tier/batch/store/maintenance.py
+++ b/cherrycove/tier/batch/store/maintenance.py
@@ -12,13 +12,13 @@
 from cherrycove.tier.batch.leasing.lease_table import LeaseTable
 from cherrycove.tier.batch.store.context import StoreContext
 from cherrycove.tier.batch.store.job_capacity import demand_of
+from cherrycove.tier.batch.store.periods import MAINTENANCE_INTERVAL_S
 from cherrycove.tier.batch.store.proposals import PROPOSE_TIMEOUT_S
 from cherrycove.tier.batch.store.removed_routes import jobs_of_removed_routes
 from cherrycove.tier.distribution.cluster_view import ClusterView
 
 _log = logging.getLogger(__name__)
 
-MAINTENANCE_INTERVAL_S = 0.5
 EXPIRED = "expired"  # reason for which an item is dead-lettered
 MAX_DEAD_LETTERED = 64  # items in one run, for each reason
 
--- a/tests/tier/full_store.py
+++ b/tests/tier/full_store.py
@@ -7,29 +7,40 @@
 
 import heapq
 from collections.abc import Awaitable, Callable
+from pathlib import Path
 from random import Random
 from typing import Any
 
 import attrs
-from batch_support import HOST, ROUTE, Clock, Cluster
+from batch_support import HOST, ROUTE, Clock, Cluster, PretendedGroup
 from result import Err, Ok, Result
 
 from cherrycove.tier.batch.jobs.commands import item_result, results_command
 from cherrycove.tier.batch.jobs.model import ItemKey
 from cherrycove.tier.batch.jobs.state import JobsState
+from cherrycove.tier.batch.store.job_capacity import BYTES_PER_MB, STORE_DISK_FRACTION
 from cherrycove.tier.batch.store.service import BatchStoreService
 from cherrycove.tier.errors import ErrorKind, Failure
 from cherrycove.tier.protocol import batch_methods
 from cherrycove.tier.protocol import batch_pb2 as pb
+from cherrycove.tier.replication.core import CHUNK_BYTES
 from cherrycove.tier.replication.interface import MemberIdentity
+from cherrycove.tier.replication.pending_writes import SnapshotHeader
+from cherrycove.tier.replication.snapshot_policy import SNAPSHOT_LOG_BYTES, SnapshotPolicy
 from cherrycove.tier.settings import Bounds, ProcessLimits, Settings
+from cherrycove.tier.storage.entries import Entry, EntryKind
+from cherrycove.tier.storage.hard_state import HardState
+from cherrycove.tier.storage.replica_storage import ReplicaStorage
+from cherrycove.tier.storage.snapshot_state import SnapshotState
+from cherrycove.tier.storage.snapshots import Snapshot
 
+EPOCH = 3
 ITEMS = 29  # of one job, at the mean
 BODY_BYTES = 1_400
 EVENTS = 30  # in the text of an item
 EVENT_BYTES = 120
 RUN_S = 8.0  # from the acceptance of a job to the results of its items
-LETTERS = b"abcdefghijklmnopqrstuvwxyz"
+TO_LETTERS = bytes(ord("a") + value % 26 for value in range(256))
 
 
 class Calls:
@@ -45,7 +56,8 @@
 def text_of(random: Random, events: int = EVENTS) -> bytes:
     """As model brokers send it: letters without a pattern."""
     lines = [
-        b"7.111.%d.%016x.%b" % (n, random.getrandbits(64), bytes(random.choices(LETTERS, k=EVENT_BYTES - 26)))
+        b"7.111.%d.%016x.%b"
+        % (n, random.getrandbits(64), random.randbytes(EVENT_BYTES - 26).translate(TO_LETTERS))
         for n in range(events)
     ]
     return b"\n".join(lines)
@@ -71,6 +83,89 @@
     return request
 
 
+class RecordingCluster(Cluster):
+    """Hands each command to ``record`` once it is applied."""
+
+    def __init__(self, record: Callable[[bytes], None]) -> None:
+        super().__init__()
+        self._record = record
+
+    def commit(self, proposer: PretendedGroup, command: bytes) -> object:
+        outcome = super().commit(proposer, command)
+        self._record(command)
+        return outcome
+
+
+class ReplicaDisk:
+    """The disk of the replica: what its group writes there, without the group. A full disk fails the test."""
+
+    def __init__(self, directory: Path, disk_mb: float) -> None:
+        directory.mkdir(exist_ok=True)
+        self.directory = directory
+        self.limit_bytes = int(disk_mb * BYTES_PER_MB * STORE_DISK_FRACTION)
+        self.storage = self._open()
+        self.storage.recover()
+        self.storage.write_hard_state(HardState(EPOCH, "disk-1"))
+        self.index = 0
+        self.policy = SnapshotPolicy(SNAPSHOT_LOG_BYTES)
+        self.snapshots = 0
+        self.peak_bytes = 0
+
+    def _open(self) -> ReplicaStorage:
+        return ReplicaStorage(self.directory, self.limit_bytes)
+
+    def commit(self, state: JobsState, command: bytes) -> None:
+        """Write an entry that was applied to ``state``, and a snapshot if one is due."""
+        self.index += 1
+        entry = Entry(self.index, EPOCH, EntryKind.COMMAND, command)
+        self.storage.append([entry])
+        self.policy.entry_applied(entry.size_bytes)
+        if self.policy.is_due:
+            self.save(state)
+        self.peak_bytes = max(self.peak_bytes, self.used_bytes)
+
+    def save(self, state: JobsState) -> None:
+        """Take a snapshot. Before the files that it replaces are gone both are on the disk."""
+        before_bytes = self.used_bytes
+        snapshot = Snapshot(self.index, EPOCH, b"members", state.snapshot())
+        plan = self.storage._packs.plan(snapshot.state)
+        self.peak_bytes = max(self.peak_bytes, before_bytes + plan.size_bytes + snapshot.size_bytes)
+        self.storage.save_snapshot(snapshot, [])
+        self.policy.snapshot_in_place(snapshot.state.rewritten_bytes)
+        self.snapshots += 1
+
+    @property
+    def used_bytes(self) -> int:
+        """What the files take."""
+        return sum(path.stat().st_size for path in self.directory.iterdir())
+
+    def lose_power(self) -> JobsState:
+        """Start again from what is on the disk; the state that the replica has then."""
+        self.storage.close()
+        self.storage = self._open()
+        recovered = self.storage.recover()
+        state = JobsState()
+        if recovered.snapshot is not None:
+            state.restore(recovered.snapshot.state)
+        for entry in recovered.entries:
+            state.apply(entry.index, entry.payload)
+        return state
+
+    def send_to(self, other: ReplicaDisk) -> JobsState:
+        """A new member gets the snapshot, chunk by chunk, and the entries behind it; its state then."""
+        recovered = self.storage.recover()
+        assert recovered.snapshot is not None
+        header = SnapshotHeader.of(recovered.snapshot)
+        chunks: list[bytes] = []
+        while sum(map(len, chunks)) < header.encoded_bytes:
+            offset = sum(map(len, chunks))
+            chunks.append(self.storage.read_state(header.index, offset, CHUNK_BYTES, encoded=True))
+        received = SnapshotState.decode(b"".join(chunks))
+        other.storage.save_snapshot(Snapshot(header.index, header.epoch, header.members, received), [])
+        other.storage.append(recovered.entries)
+        return other.lose_power()
+
+
 @attrs.define(order=True)
 class _Finish:
     at_s: float
@@ -81,11 +176,18 @@
 class StoreDay:
     """One store that leads, and the jobs that it is sent."""
 
-    def __init__(self, limits: ProcessLimits, seed: int = 1, bounds: Bounds | None = None) -> None:
+    def __init__(
+        self,
+        limits: ProcessLimits,
+        seed: int = 1,
+        bounds: Bounds | None = None,
+        disk: ReplicaDisk | None = None,
+    ) -> None:
         self.random = Random(seed)
         self.clock = Clock()
         self.state = JobsState()
-        cluster = Cluster()
+        self.disk = disk
+        cluster = RecordingCluster(lambda command: disk.commit(self.state, command) if disk else None)
         identity = MemberIdentity("disk-1", "storage-1", "127.0.0.1:7701")
         self.group = cluster.add(identity, self.state)
         cluster.lead(identity)
--- a/tests/tier/test_golden_disk.py
+++ b/tests/tier/test_golden_disk.py
@@ -19,8 +19,8 @@
 PROGRAMS = ("keeper", "store")
 KINDS = ("log", "snapshot")
 CASES = [(program, kind) for program in PROGRAMS for kind in KINDS]
-# The bodies of listed items stand behind their job in a snapshot, before they stood with the items. This version
-# and the one that wrote the older folder read both.
+# The bodies of listed items stand behind their job in a snapshot; before, each stood with its item. This
+# version and the one that wrote the older folder read both.
 CASES.append(("store", "snapshot-with-finished-jobs"))
 WRITTEN = {("store", "snapshot"): "snapshot-with-finished-jobs"}
 
