--- a/tests/tier/storage_crashes.py
+++ b/tests/tier/storage_crashes.py
@@ -17,6 +17,7 @@
 from cherrycove.tier.storage.hard_state import HardState
 from cherrycove.tier.storage.identity import open_identity
 from cherrycove.tier.storage.replica_storage import RecoveredState, ReplicaStorage
+from cherrycove.tier.storage.snapshot_state import SnapshotState, StateBlock
 from cherrycove.tier.storage.snapshots import Snapshot
 
 IP = "10.0.0.1"
@@ -73,7 +74,31 @@
     )
 
 
+FINAL_BLOCKS = [StateBlock.final(b"final block %d" % number) for number in range(2)]
+
+
+def divided(index: int, last: int, *numbers: int) -> Step:
+    """A snapshot of a state with these final blocks, with the entries up to ``last`` behind it."""
+    return snapshot_of(index, 0, [FINAL_BLOCKS[number] for number in numbers], entries(index + 1, last, 0))
+
+
+def snapshot_of(
+    index: int, epoch: int, final: list[StateBlock], tail: list[Entry], required: bool = False
+) -> Step:
+    """Of a state with ``final`` blocks between two that are not."""
+    blocks = [StateBlock.plain(b"at %d" % index), *final, StateBlock.plain(b"end")]
+    new = Snapshot(index, epoch, b"members", SnapshotState(blocks))
+    return Step(
+        lambda storage: storage.save_snapshot(new, tail),
+        lambda state: RecoveredState(state.hard_state, new, tail),
+        skipped_on_failure=not required,
+    )
+
+
 HISTORIES = {
+    "blocks": [append(1, 2, 0), divided(1, 2, 0, 1)],
+    "more blocks": [append(1, 2, 0), divided(1, 2, 0), divided(2, 2, 0, 1)],
+    "blocks rewritten": [append(1, 2, 0), divided(1, 2, 0, 1), divided(2, 2, 1)],
     "append": [promise(1, "a"), append(1, 2), append(3, 3)],
     "promises": [promise(1, "a"), promise(2, "b"), append(1, 1, 2), promise(2, "b", 1), promise(3, "c", 1)],
     "replaced entries": [promise(1, "a"), append(1, 4), promise(2, "b"), append(3, 3, 2), append(4, 5, 2)],
--- a/tests/tier/test_replication_machine.py
+++ b/tests/tier/test_replication_machine.py
@@ -7,18 +7,30 @@
 
 import pytest
 
-from cherrycove.tier.protocol.replication_pb2 import Append, Message, VoteReply, VoteRequest
+from cherrycove.tier.protocol.replication_pb2 import (
+    Append,
+    Message,
+    SnapshotChunk,
+    SnapshotReply,
+    VoteReply,
+    VoteRequest,
+)
 from cherrycove.tier.replication.core import Role
-from cherrycove.tier.replication.effects import Effects, WriteHardState
+from cherrycove.tier.replication.effects import Effects, WriteHardState, WriteSnapshot
 from cherrycove.tier.replication.interface import MemberIdentity
 from cherrycove.tier.replication.machine import ReplicaMachine
 from cherrycove.tier.replication.membership import encode_members
+from cherrycove.tier.replication.pending_writes import SnapshotHeader
+from cherrycove.tier.replication.snapshot_sender import SnapshotSender
 from cherrycove.tier.simulation.disk import BufferedDisk
 from cherrycove.tier.simulation.fault_injector import FaultInjector
 from cherrycove.tier.simulation.network import NetworkConditions
 from cherrycove.tier.simulation.replica import Replica
 from cherrycove.tier.simulation.world import World
+from cherrycove.tier.storage import snapshot_state
 from cherrycove.tier.storage.entries import EntryKind
+from cherrycove.tier.storage.snapshot_state import SnapshotState, StateBlock
+from cherrycove.tier.storage.snapshots import Snapshot
 
 STEP_S = 0.01
 
@@ -709,3 +721,122 @@
     wait(world, lambda: world.confirmed_primary() in unaware, 6.0)
     assert confirmed
     assert not any(confirmed)
+
+
+# Snapshots of a divided state
+
+
+@pytest.fixture
+def small_states(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The smallest state with final blocks is divided."""
+    monkeypatch.setattr(snapshot_state, "MIN_DIVIDED_BYTES", 0)
+
+
+def divided_state() -> SnapshotState:
+    random = Random(7)
+    final = [StateBlock.final(random.randbytes(3000).hex().encode()) for _ in range(5)]
+    return SnapshotState([StateBlock.plain(b"first"), *final, StateBlock.plain(b"last")])
+
+
+class Transfer:
+    """A sender with a stored snapshot of ``divided_state``, and a receiver that lacks it."""
+
+    def __init__(self) -> None:
+        self.state = divided_state()
+        self.source, disk = single(0)
+        disk.snapshot = Snapshot(1, 0, encode_members(GROUP), self.state)
+        core = self.source._core
+        core.snapshot = SnapshotHeader.of(disk.snapshot)
+        core.chunk_bytes = 2000
+        self.core = core
+        self.sender = SnapshotSender(core, identity(1), disk)
+        self.chunks: list[SnapshotChunk] = []
+
+    def next_chunk(self, now: float) -> SnapshotChunk | None:
+        self.sender.send_chunk(now)
+        messages = self.core.take_effects().messages
+        if not messages:
+            return None
+        chunk = messages[0].message.snapshot_chunk
+        self.chunks.append(chunk)
+        return chunk
+
+
+def receive_all(transfer: Transfer, answer: Callable[[SnapshotChunk], SnapshotReply]) -> None:
+    now = 0.0
+    for _ in range(200):
+        chunk = transfer.next_chunk(now)
+        if chunk is not None:
+            transfer.sender.record_reply(answer(chunk))
+            if not transfer.sender.is_active:
+                return
+        now += 0.01
+    pytest.fail("the transfer does not end")
+
+
+@pytest.mark.usefixtures("small_states")
+def test_a_replica_that_takes_it_gets_a_divided_state_as_it_is_stored() -> None:
+    transfer = Transfer()
+    receiver = ReplicaMachine(
+        identity(1), 1, BufferedDisk("m1").recovered(), BufferedDisk("m1"), Random(1), 0.0
+    )
+    backup = receiver._roles.backup
+
+    def answer(chunk: SnapshotChunk) -> SnapshotReply:
+        backup.receive_chunk(identity(0), chunk, 0.0)
+        effects = receiver._core.take_effects()
+        for write in effects.writes:
+            if isinstance(write, WriteSnapshot):
+                installed.append(write.snapshot.state)
+        replies = [each.message.snapshot_reply for each in effects.messages]
+        return replies[-1]
+
+    installed: list[SnapshotState] = []
+    receive_all(transfer, answer)
+    assert transfer.chunks[0].offers_encoded and not transfer.chunks[0].data
+    assert all(chunk.encoded and not chunk.offers_encoded for chunk in transfer.chunks[1:])
+    assert sum(len(chunk.data) for chunk in transfer.chunks) < len(transfer.state) * 0.7
+    assert installed == [transfer.state]
+    assert [block.is_final for block in installed[0].blocks] == [
+        block.is_final for block in transfer.state.blocks
+    ]
+
+
+@pytest.mark.usefixtures("small_states")
+def test_a_replica_of_a_release_that_knows_no_blocks_gets_the_state_as_before() -> None:
+    """It takes the question for a chunk without data, and answers how much it has."""
+    transfer = Transfer()
+    received = b""
+
+    def answer(chunk: SnapshotChunk) -> SnapshotReply:
+        nonlocal received
+        if chunk.offset == len(received):
+            received += chunk.data
+        return SnapshotReply(index=chunk.index, received=len(received))
+
+    receive_all(transfer, answer)
+    assert received == bytes(transfer.state)
+    assert not any(chunk.encoded for chunk in transfer.chunks)
+    assert {chunk.size for chunk in transfer.chunks} == {len(transfer.state)}
+
+
+@pytest.mark.usefixtures("small_states")
+def test_an_offer_whose_answer_is_lost_is_made_again() -> None:
+    transfer = Transfer()
+    first = transfer.next_chunk(0.0)
+    assert first is not None and first.offers_encoded
+    assert transfer.next_chunk(0.0) is None, "one chunk is in flight at a time"
+    again = transfer.next_chunk(transfer.core.timing.chunk_resend_s + 0.01)
+    assert again is not None and again.offers_encoded
+    reply = SnapshotReply(index=1, received=0, takes_encoded=True)
+    assert transfer.sender.record_reply(reply)
+    chunk = transfer.next_chunk(1.0)
+    assert chunk is not None and chunk.encoded and len(chunk.data) == transfer.core.chunk_bytes
+
+
+def test_a_plain_state_is_sent_without_a_question() -> None:
+    transfer = Transfer()
+    plain = Snapshot(1, 0, encode_members(GROUP), b"state")
+    transfer.core.snapshot = SnapshotHeader.of(plain)
+    chunk = transfer.next_chunk(0.0)
+    assert chunk is not None and not (chunk.offers_encoded or chunk.encoded)
--- a/tests/tier/test_storage_crashes.py
+++ b/tests/tier/test_storage_crashes.py
@@ -21,10 +21,25 @@
 )
 
 from cherrycove.tier import storage
+from cherrycove.tier.storage import block_packs, snapshot_state
 from cherrycove.tier.storage.errors import DamagedStorageError
 from cherrycove.tier.storage.identity import open_identity, renew_identity
 
-FAILING = ["replaced entries", "snapshots in a row", "snapshot from the primary"]
+FAILING = [
+    "replaced entries",
+    "snapshots in a row",
+    "snapshot from the primary",
+    "more blocks",
+    "blocks rewritten",
+]
+
+
+@pytest.fixture(autouse=True)
+def small_packs(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Final blocks of the smallest state go into packs, and garbage of any size is rewritten."""
+    monkeypatch.setattr(snapshot_state, "MIN_DIVIDED_BYTES", 0)
+    monkeypatch.setattr(block_packs, "GARBAGE_BYTES", 0)
+    monkeypatch.setattr(block_packs, "MAX_PACKS", 2)
 
 
 @pytest.mark.parametrize("name", HISTORIES)
--- a/tests/tier/test_storage_lives.py
+++ b/tests/tier/test_storage_lives.py
@@ -20,16 +20,19 @@
     open_storage,
     perform,
     promise,
-    snapshot_before,
+    snapshot_of,
 )
 
+from cherrycove.tier.storage import block_packs, snapshot_state
 from cherrycove.tier.storage.entries import Entry
 from cherrycove.tier.storage.replica_storage import RecoveredState
+from cherrycove.tier.storage.snapshot_state import StateBlock
 
 SEEDS = range(8)
 LIVES = 25
 MOST_STEPS = 16  # in one life
 MOST_ENTRIES = 6  # in one write
+MOST_BLOCKS = 4  # that are new in one snapshot
 MOST_CALLS_BEFORE_A_FULL_DISK = 60
 MOST_CALLS_ON_A_FULL_DISK = 12
 
@@ -53,13 +56,17 @@
     base: int  # entries up to here are in a snapshot
     base_epoch: int
     log: list[Entry]
+    final: list[StateBlock]  # of the newest snapshot
 
     @staticmethod
     def of(state: RecoveredState, committed: int, random: Random) -> Replica:
         snapshot = state.snapshot
         base, base_epoch = (snapshot.index, snapshot.epoch) if snapshot is not None else (0, 0)
         committed = max(committed, base, state.hard_state.commit_index)
-        return Replica(random, state.hard_state.epoch, committed, base, base_epoch, list(state.entries))
+        final = [block for block in snapshot.state.blocks if block.is_final] if snapshot is not None else []
+        return Replica(
+            random, state.hard_state.epoch, committed, base, base_epoch, list(state.entries), final
+        )
 
     @property
     def last(self) -> int:
@@ -99,13 +106,18 @@
         epoch = self.log[index - self.base - 1].epoch
         del self.log[: index - self.base]
         self.base, self.base_epoch = index, epoch
-        return snapshot_before(index, epoch, list(self.log))
+        self.final = [block for block in self.final if self.random.random() < 0.7]
+        self.final += [
+            StateBlock.final(self.random.randbytes(20)) for _ in range(self.random.randrange(MOST_BLOCKS))
+        ]
+        return snapshot_of(index, epoch, list(self.final), list(self.log))
 
     def _receive_snapshot(self) -> Step:
         self.base = self.committed = self.last + self.random.randint(1, 9)
         self.base_epoch = self.epoch
         self.log.clear()
-        return snapshot_before(self.base, self.epoch, [], required=True)
+        self.final = [StateBlock.final(b"received %d" % self.base)]
+        return snapshot_of(self.base, self.epoch, list(self.final), [], required=True)
 
 
 def live(disk: RecordedDisk, before: Moment, random: Random) -> list[Moment]:
@@ -142,6 +154,14 @@
     return attrs.evolve(moment, disk=lost)
 
 
+@pytest.fixture(autouse=True)
+def small_packs(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Final blocks of the smallest state go into packs, and garbage of any size is rewritten."""
+    monkeypatch.setattr(snapshot_state, "MIN_DIVIDED_BYTES", 0)
+    monkeypatch.setattr(block_packs, "GARBAGE_BYTES", 0)
+    monkeypatch.setattr(block_packs, "MAX_PACKS", 3)
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_each_life_finds_what_the_one_before_reported(seed: int, tmp_path: Path) -> None:
     random = Random(seed)
