--- a/cherrycove/tier/cli/__init__.py
+++ b/cherrycove/tier/cli/__init__.py
@@ -20,12 +20,14 @@
     from cherrycove.tier.cli.configuration import ConfigDiffCommand, ConfigGetCommand, ConfigPutCommand
     from cherrycove.tier.cli.losses import LossesCommand
     from cherrycove.tier.cli.retire import RetireCommand
+    from cherrycove.tier.cli.room import CheckRoomCommand
     from cherrycove.tier.cli.status import StatusCommand
     from cherrycove.tier.cli.storage import StorageInspectCommand, StorageVerifyCommand
 
     commands = (
         CheckSettingsCommand,
         CheckConfigurationCommand,
+        CheckRoomCommand,
         ConfigGetCommand,
         ConfigPutCommand,
         ConfigDiffCommand,
--- /dev/null
+++ b/cherrycove/tier/cli/room.py
@@ -0,0 +1,127 @@
+"""``check room``: whether a store of these settings has room for a traffic of batch jobs."""
+
+from __future__ import annotations
+
+import attrs
+from cleo.helpers import argument, option
+
+from cherrycove.tier.batch.store.job_capacity import JobCapacity
+from cherrycove.tier.batch.store.traffic_estimate import BatchTraffic, bounds_in_use
+from cherrycove.tier.cli.check import parse_problems
+from cherrycove.tier.cli.command import CommandError, ExitCode, Outcome, Problem, TierCommand
+from cherrycove.tier.settings import Settings, SettingsError, load_settings
+
+DEFAULTS = {
+    "jobs-per-s": 1.0,
+    "items": 30.0,
+    "body-bytes": 2000.0,
+    "result-bytes": 4000.0,
+    "run-s": 10.0,
+    "compressed": 0.7,  # of letters without a pattern; prose has about 0.4
+}
+
+
+@attrs.frozen
+class RoomDocument:
+    """What ``check room`` prints: the fraction of each bound that the traffic takes, 1 being full."""
+
+    file: str
+    fits: bool
+    disk: float
+    memory: float
+    link: float
+    jobs_per_s_at_most: float
+
+
+class CheckRoomCommand(TierCommand):
+    """Works out the room that batch jobs take at a store, before the store serves them."""
+
+    name = "check room"
+    description = "Tells whether a store has room for a steady traffic of batch jobs."
+    arguments = [argument("file", "The settings file of a store (YAML).")]
+    options = [
+        *TierCommand.options,
+        option("jobs-per-s", None, f"Jobs a second [{DEFAULTS['jobs-per-s']:g}].", flag=False),
+        option("items", None, f"Items of one job [{DEFAULTS['items']:g}].", flag=False),
+        option("body-bytes", None, f"Bytes of an item's body [{DEFAULTS['body-bytes']:g}].", flag=False),
+        option("result-bytes", None, f"Bytes of its result [{DEFAULTS['result-bytes']:g}].", flag=False),
+        option("run-s", None, f"Seconds until all results are there [{DEFAULTS['run-s']:g}].", flag=False),
+        option(
+            "compressed",
+            None,
+            f"Results after compression, as a fraction [{DEFAULTS['compressed']:g}].",
+            flag=False,
+        ),
+    ]
+
+    def perform(self) -> Outcome:
+        """Return the room; exit code 1 where the traffic does not fit. CommandError for invalid input."""
+        path = self.argument("file")
+        try:
+            settings = load_settings(path)
+        except SettingsError as error:
+            raise CommandError(ExitCode.INVALID, *parse_problems(str(error), path)) from error
+        traffic = BatchTraffic(
+            jobs_per_s=self._number("jobs-per-s"),
+            items=self._number("items"),
+            body_bytes=self._number("body-bytes"),
+            result_bytes=self._number("result-bytes"),
+            run_s=self._number("run-s"),
+            compressed=self._number("compressed"),
+        )
+        document = room_for(settings, traffic, path)
+        exit_code = ExitCode.DONE if document.fits else ExitCode.FAILED
+        return Outcome(document, [_describe(document)], exit_code)
+
+    def _number(self, name: str) -> float:
+        text = self.option(name)
+        if text is None:
+            return DEFAULTS[name]
+        try:
+            number = float(text)
+        except ValueError as error:
+            raise CommandError(ExitCode.INVALID, Problem("must be a number", key=f"--{name}")) from error
+        if not 0 < number < float("inf"):
+            raise CommandError(ExitCode.INVALID, Problem("must be above 0", key=f"--{name}"))
+        return number
+
+
+def room_for(settings: Settings, traffic: BatchTraffic, file: str) -> RoomDocument:
+    """How much of the capacity of a store with ``settings`` the ``traffic`` takes."""
+    capacity = JobCapacity.of(settings.limits, settings.bounds.catch_up_s)
+    in_use = bounds_in_use(capacity, traffic.demand(settings.bounds.status_s))
+    return RoomDocument(
+        file=file,
+        fits=max(in_use.values()) <= 1.0,
+        disk=round(in_use["disk"], 3),
+        memory=round(in_use["memory"], 3),
+        link=round(in_use["link"], 3),
+        jobs_per_s_at_most=round(_most_jobs_per_s(capacity, traffic, settings.bounds.status_s), 2),
+    )
+
+
+def _most_jobs_per_s(capacity: JobCapacity, traffic: BatchTraffic, status_s: float) -> float:
+    """The highest rate that fits, found by halving; the demand only rises with the rate."""
+    low, high = 0.0, 1.0
+    while _fits(capacity, traffic, high, status_s):
+        low, high = high, 2 * high
+    for _ in range(30):
+        middle = (low + high) / 2
+        if _fits(capacity, traffic, middle, status_s):
+            low = middle
+        else:
+            high = middle
+    return low
+
+
+def _fits(capacity: JobCapacity, traffic: BatchTraffic, jobs_per_s: float, status_s: float) -> bool:
+    demand = attrs.evolve(traffic, jobs_per_s=jobs_per_s).demand(status_s)
+    return capacity.excess_bytes(demand) == 0
+
+
+def _describe(document: RoomDocument) -> str:
+    verdict = "fits" if document.fits else "does not fit"
+    return (
+        f"{document.file}: {verdict}; disk {document.disk:.2f}, memory {document.memory:.2f}, "
+        f"link {document.link:.2f} of the room; at most {document.jobs_per_s_at_most:g} jobs a second"
+    )
--- a/tests/tier/test_tier_cli.py
+++ b/tests/tier/test_tier_cli.py
@@ -124,7 +124,35 @@
     assert "zone" in error["key"] + error["reason"]
 
 
+STORE_LIMITS = "limits: {memoryMb: 330, diskMb: 69, linkMbps: 120}\nbounds: {catchUpS: 7, statusS: 120}\n"
+TRAFFIC = "--items 29 --body-bytes 1400 --result-bytes 3700 --run-s 8 --compressed 0.66"
+
+
+def test_the_room_of_a_store_for_a_traffic(tmp_path: Path) -> None:
+    path = tmp_path / "boot.yaml"
+    path.write_text(SETTINGS + STORE_LIMITS)
+    outcome = run("check room", f"{path} --jobs-per-s 3.53 {TRAFFIC} --json")
+    most = outcome.document["jobsPerSAtMost"]
+    assert (outcome.exit_code, outcome.document["fits"]) == (DONE, True)
+    assert 3.53 < most < 6.0
+    assert max(outcome.document[bound] for bound in ("disk", "memory", "link")) < 1.0
+    at_most = run("check room", f"{path} --jobs-per-s {most - 0.01} {TRAFFIC}")
+    assert at_most.exit_code == DONE and f"{path}: fits; disk " in at_most.output
+    above = run("check room", f"{path} --jobs-per-s {most + 0.02} {TRAFFIC}")
+    assert above.exit_code == FAILED and f"{path}: does not fit; disk 1.00" in above.output
+
+
+@pytest.mark.parametrize("value", ["0", "-1", "many", "nan", "inf"])
+def test_a_traffic_that_is_none_is_refused(value: str, tmp_path: Path) -> None:
+    path = tmp_path / "boot.yaml"
+    path.write_text(SETTINGS + STORE_LIMITS)
+    outcome = run("check room", f"{path} --jobs-per-s={value}")
+    assert outcome.exit_code == INVALID
+    assert outcome.errors.startswith("--jobs-per-s: must be ")
+
+
 def test_a_file_that_is_not_there() -> None:
+    assert run("check room", "/nowhere/boot.yaml").exit_code == INVALID
     outcome = run("check settings", "/nowhere/boot.yaml")
     assert outcome == Run(INVALID, "", "/nowhere/boot.yaml: No such file or directory\n")
 
