--- a/cherrycove/tier/storage/block_packs.py
+++ b/cherrycove/tier/storage/block_packs.py
@@ -69,9 +69,10 @@
 
 
 class BlockPacks:
-    """The packs of one replica, and where each block that it knows is stored. One thread at a time uses it.
+    """The packs of one replica, and where each block that it knows is stored.
 
-    ``ReplicaStorage`` owns it. A number is used once: a write that failed may have left a file.
+    ``ReplicaStorage`` owns it. One thread at a time uses it, but for ``size_bytes``. A number is used once:
+    a write that failed may have left a file.
     """
 
     def __init__(self, directory: Path) -> None:
@@ -79,11 +80,7 @@
         self._locations: dict[StateBlock, BlockLocation] = {}
         self._sizes: dict[int, int] = {}  # bytes of each pack that may be in use
         self._last_number = 0
-
-    @property
-    def size_bytes(self) -> int:
-        """Size of all packs."""
-        return sum(self._sizes.values())
+        self.size_bytes = 0  # of all packs; other threads may read it
 
     def location(self, block: StateBlock) -> BlockLocation:
         """Where a final block is stored that was recovered or written."""
@@ -94,6 +91,7 @@
         self._locations = dict(blocks)
         used = {location.pack for location in self._locations.values()}
         self._sizes = {number: pack_path(self._directory, number).stat().st_size for number in used}
+        self.size_bytes = sum(self._sizes.values())
         self._last_number = max(_pack_numbers(self._directory), default=0)
         self._remove_unused(used)
 
@@ -125,12 +123,14 @@
             )
             offset += len(block.content)
         self._sizes[number] = offset
+        self.size_bytes += offset
 
     def keep_only(self, state: SnapshotState) -> None:
         """Forget all blocks that are not in ``state``, whose snapshot is durable, and remove unused packs."""
         self._locations = {block: self._locations[block] for block in _final_blocks(state)}
         used = {location.pack for location in self._locations.values()}
         self._sizes = {number: size for number, size in self._sizes.items() if number in used}
+        self.size_bytes = sum(self._sizes.values())
         self._remove_unused(used)
 
     def _packs_to_rewrite(self, stored: Sequence[BlockLocation]) -> set[int]:
