Simulated control side: worlds as large as the deployments in service

Scenario in-service: f = 2, 10, 12 and 14 machines with stores, 5 to 8 proxies, the same seeds for all that start at a time (the first machine of each zone); cuts into halves; a final loss of as many disks as allowed with the power of all others, the proxies too. Scenario long-life: ten machines, hundreds of changes, members replaced and emptied in a row. Before, no scenario had more than five machines.

--- a/cherrycove/tier/simulation/control/cluster.py
+++ b/cherrycove/tier/simulation/control/cluster.py
@@ -12,12 +12,26 @@
 
 START_S = 0.3  # the machines of a new deployment start within this time of each other
 SEEDS = 3
+ZONES = 3
 SEED_LAG_S = 3.0  # age of the list of machines that the seeds of a start are drawn from
 STALE_SEEDS_SHARE = 0.1  # of the starts, which have the seeds of the start before
 ADDRESS_REUSE_S = 2.0  # an address is given to another machine only after this time
 ADDRESS_REUSE_SHARE = 0.5
 
 
+def zone_of(address_number: int) -> str:
+    """The zone of the machine at an address."""
+    return f"zone-{address_number % ZONES}"
+
+
+def first_of_each_zone(hosts: Iterable[str]) -> tuple[str, ...]:
+    """The first host of each zone, in the order of ``hosts``."""
+    first: dict[str, str] = {}
+    for host in hosts:
+        first.setdefault(zone_of(int(host.rpartition(".")[2])), host)
+    return tuple(first.values())
+
+
 class Cluster:
     """Owns the machines of one world. ``machines`` can be members of groups; ``proxies`` cannot."""
 
@@ -41,6 +55,8 @@
         self.machines = [self.place("storage", programs) for _ in range(topology.machines)]
         self.proxies = [self.place("frontend", (PROXY_PROGRAM,)) for _ in range(topology.proxies)]
         seeds = tuple(machine.host for machine in self.machines[: max(SEEDS, 2 * topology.faults + 1)])
+        if topology.dealt_seeds:
+            seeds = first_of_each_zone([machine.host for machine in self.machines])
         for machine in (*self.machines, *self.proxies):
             machine.seeds = seeds
             machine.first_start = True
@@ -51,7 +67,7 @@
         """Return a new machine that has not started yet, at an address that no other machine has."""
         number = self._free_address()
         self._placed += 1
-        return Machine(f"{kind}-{self._placed}", f"10.0.0.{number}", f"zone-{number % 3}", programs)
+        return Machine(f"{kind}-{self._placed}", f"10.0.0.{number}", zone_of(number), programs)
 
     def _free_address(self) -> int:
         now, random = self._environment.now, self._environment.random
@@ -77,6 +93,8 @@
         if self._fixed_seeds:
             return self._fixed_seeds
         hosts = self._past_hosts[0][1]
+        if self._environment.topology.dealt_seeds:
+            return first_of_each_zone(hosts)
         return tuple(self._environment.random.sample(hosts, min(SEEDS, len(hosts))))
 
     def _keeps_seeds(self) -> bool:
--- a/cherrycove/tier/simulation/control/deployment.py
+++ b/cherrycove/tier/simulation/control/deployment.py
@@ -19,9 +19,14 @@
 
 @attrs.frozen
 class Topology:
-    """Size of a deployment; ``faults`` of its ``machines``, which run controllers, may be lost at once."""
+    """Size of a deployment; ``faults`` of its ``machines``, which run controllers, may be lost at once.
+
+    ``dealt_seeds``: all processes that start at a time get the same seeds, the first machine of each zone, as
+    the platform deals them. Otherwise each start draws its own among all machines.
+    """
 
     faults: int = 1
     machines: int = 3
     proxies: int = 2
     stores: bool = False
+    dealt_seeds: bool = False
--- a/cherrycove/tier/simulation/control/fault_injector.py
+++ b/cherrycove/tier/simulation/control/fault_injector.py
@@ -123,6 +123,29 @@
         self._environment.after(self._random.uniform(*SECOND_PARTITION_S), cut_rest)
         self._begin("cut in steps", machine, duration_s, undo)
 
+    def cut_in_halves(self, duration_s: float) -> None:
+        """Cut the links between two halves of the machines; proxies and operators reach both."""
+        hosts = [machine.host for machine in self._cluster.machines]
+        self._random.shuffle(hosts)
+        first, second = hosts[: len(hosts) // 2], hosts[len(hosts) // 2 :]
+        links: Links = set()
+        for host in first:
+            links |= _both_ways(host, second)
+        environment = self._environment
+        names = {machine.name for machine in self._cluster.machines if machine.host in first}
+        self._network.cut(links)
+        environment.history.note(f"halves for {duration_s:.2f} s: {sorted(names)} alone")
+        self.count("halves")
+        environment.fault_budget.fault_began(names)
+        self._cluster.update_contacts()
+
+        def end() -> None:
+            self._network.join(links)
+            environment.fault_budget.fault_ended(names)
+            self._cluster.update_contacts()
+
+        self._end_later(duration_s, end)
+
     def storm(self, duration_s: float) -> None:
         """Lose packets and reset connections on all links; no machine counts as lost by it."""
         environment = self._environment
@@ -254,6 +277,13 @@
                 self._cluster.kill(machine, power=True)
                 self._begin("power", machine, restart_s, partial(self._cluster.power_up, machine))
 
+    def lose_proxies(self) -> None:
+        """Cut the power of all proxies; they are back within a second."""
+        for proxy in self._cluster.proxies:
+            self._cluster.kill(proxy, power=True)
+            restart_s = self._random.uniform(*RESTART_S)
+            self._environment.after(restart_s, partial(self._cluster.power_up, proxy))
+
 
 def _both_ways(host: str, others: list[str]) -> Links:
     return {(host, other) for other in others} | {(other, host) for other in others}
--- a/cherrycove/tier/simulation/control/fault_schedule.py
+++ b/cherrycove/tier/simulation/control/fault_schedule.py
@@ -20,6 +20,7 @@
 AFTER_RETIREMENT_SHARE = 0.7  # of the retired machines, which a loss follows at once
 PARTITION_S = (1.0, 25.0)
 BLINK_S = (1.2, 2.2)  # partitions after which another leads, while orders wait at the one that was cut off
+HALVES_S = (1.0, 8.0)
 STEPS_S = (2.0, 6.0)
 SLOW_S = (1.0, 8.0)
 STORM_S = (1.0, 5.0)
@@ -90,6 +91,8 @@
             self._injector.storm(self._random.uniform(*STORM_S))
         elif kind == "all":
             self._injector.kill_all()
+        elif kind == "halves":
+            self._injector.cut_in_halves(self._random.uniform(*HALVES_S))
         elif kind == "add":
             self._add()
         elif kind == "retire":
@@ -189,3 +192,7 @@
         holders = self._cluster.present(self._invariants.holders(change))
         self._random.shuffle(holders)
         self._injector.lose_most(holders)
+
+    def lose_proxies(self) -> None:
+        """Cut the power of all proxies; they are back within a second."""
+        self._injector.lose_proxies()
--- a/cherrycove/tier/simulation/control/run.py
+++ b/cherrycove/tier/simulation/control/run.py
@@ -69,6 +69,8 @@
         newest = environment.history.newest
         if random.random() < self._scenario.final_loss_share and newest is not None:
             self._schedule.lose_holders(newest)
+            if self._scenario.final_loss_of_proxies:
+                self._schedule.lose_proxies()
         world.run_until(world.now + FINAL_RECOVERY_S)
         self._read_configuration()
         self._read_jobs()
--- a/cherrycove/tier/simulation/control/scenarios.py
+++ b/cherrycove/tier/simulation/control/scenarios.py
@@ -12,6 +12,10 @@
 LARGE = Topology(faults=2, machines=5, proxies=1)
 WITH_STORES = Topology(faults=1, machines=4, proxies=1, stores=True)
 MANY_WITH_STORES = Topology(faults=1, machines=5, proxies=1, stores=True)
+# Sizes of deployments in service: a group of five among ten machines and more, seeds as the platform deals them.
+TEN_MACHINES = Topology(faults=2, machines=10, proxies=5, stores=True, dealt_seeds=True)
+TWELVE_MACHINES = Topology(faults=2, machines=12, proxies=6, stores=True, dealt_seeds=True)
+FOURTEEN_MACHINES = Topology(faults=2, machines=14, proxies=8, stores=True, dealt_seeds=True)
 
 
 @attrs.frozen(kw_only=True)
@@ -22,7 +26,8 @@
     faults, at least and at most. A fault comes as early as the fault budget allows with the probability
     ``immediate_share``, or else after ``pause_s`` at most; it strikes the primary on purpose with
     ``primary_share``. An acknowledgement is followed by a fault at once with ``after_acknowledgement_share``.
-    ``final_loss_share`` of the worlds end with the loss of as many disks as allowed.
+    ``final_loss_share`` of the worlds end with the loss of as many disks as allowed. With
+    ``final_loss_of_proxies`` the proxies lose their power then as well.
     """
 
     weights: dict[str, int]
@@ -34,6 +39,7 @@
     primary_share: float = 0.4
     after_acknowledgement_share: float = 0.02
     final_loss_share: float = 0.5
+    final_loss_of_proxies: bool = False
 
 
 SCENARIOS: dict[str, Scenario] = {
@@ -66,6 +72,25 @@
         workload=Workload(document_bytes=(400, 4_000)),
         immediate_share=0.8,
     ),
+    "in-service": Scenario(
+        weights={
+            "cut": 3, "freeze": 1, "kill": 3, "all": 1, "disk": 2, "wipe": 3,
+            "replace": 3, "halves": 2, "retire": 1,
+        },
+        topologies=(TEN_MACHINES, TWELVE_MACHINES, FOURTEEN_MACHINES),
+        immediate_share=0.8,
+        final_loss_share=1.0,
+        final_loss_of_proxies=True,
+    ),
+    "long-life": Scenario(
+        weights={"wipe": 4, "replace": 5, "kill": 3, "all": 1, "halves": 1},
+        topologies=(TEN_MACHINES,),
+        duration_s=(150.0, 200.0),
+        workload=Workload(operators=4, pause_s=0.3, document_bytes=(4_000, 16_000), reads_share=0.1),
+        immediate_share=1.0,
+        final_loss_share=1.0,
+        final_loss_of_proxies=True,
+    ),
     "mix": Scenario(
         weights={
             "cut": 4, "steps": 1, "freeze": 2, "slow": 1, "kill": 3, "stop": 1, "all": 1,
--- a/tests/tier/test_control_simulation.py
+++ b/tests/tier/test_control_simulation.py
@@ -16,6 +16,7 @@
 from cherrycove.tier.replication.effects import WriteEntries
 from cherrycove.tier.simulation.control.deployment import CATCH_UP_S, Topology
 from cherrycove.tier.simulation.control.fault_budget import FaultBudget
+from cherrycove.tier.simulation.control.fault_injector import FaultInjector
 from cherrycove.tier.simulation.control.loop import Incarnation, VirtualLoop
 from cherrycove.tier.simulation.control.machine_disk import MachineDisk
 from cherrycove.tier.simulation.control.machines import Machine
@@ -24,7 +25,7 @@
 from cherrycove.tier.simulation.control.operator_orders import Workload, read_order
 from cherrycove.tier.simulation.control.operators import Operators
 from cherrycove.tier.simulation.control.run import Run, run_world
-from cherrycove.tier.simulation.control.scenarios import NAMES
+from cherrycove.tier.simulation.control.scenarios import NAMES, SCENARIOS
 from cherrycove.tier.simulation.control.world import World
 from cherrycove.tier.simulation.invariants import InvariantBrokenError
 from cherrycove.tier.storage.entries import Entry, EntryKind
@@ -199,7 +200,13 @@
 # Worlds
 
 
-WITH_STORES = {"second-loss": 2, "misdelivery": 2, "mix": 1}  # seeds whose worlds have batch jobs
+WITH_STORES = {  # seeds whose worlds have batch jobs
+    "second-loss": 2,
+    "misdelivery": 2,
+    "mix": 1,
+    "in-service": 1,
+    "long-life": 1,
+}
 
 
 @pytest.mark.parametrize("name", NAMES)
@@ -209,6 +216,40 @@
     assert (outcome.jobs > 5) == (name in WITH_STORES)
 
 
+@pytest.mark.parametrize("name", ["in-service", "long-life"])
+def test_worlds_as_large_as_what_is_in_service(name: str) -> None:
+    """Ten machines and more with stores, a group of five, standbys, and the same seeds for all that start."""
+    for topology in SCENARIOS[name].topologies:
+        assert topology.machines >= 10 and topology.proxies >= 5 and topology.faults == 2 and topology.stores
+    run = Run(name, 4)
+    try:
+        run.begin()
+        run.world.run_until(6.0)
+        machines = [*run.world.cluster.machines, *run.world.cluster.proxies]
+        assert len({machine.seeds for machine in machines if machine.first_start}) == 1
+        zones = {machine.zone for machine in run.world.cluster.machines}
+        assert len(machines[0].seeds) == len(zones) == 3
+    finally:
+        run.close()
+
+
+def test_halves_are_cut_from_one_another_and_reached_by_all_others() -> None:
+    world = World(5, Topology(faults=1, machines=4, proxies=1))
+    world.build()
+    injector = FaultInjector(world, Random(5))
+    world.run_until(3.0)
+    injector.cut_in_halves(2.0)
+    network = world.environment.network
+    hosts = [machine.host for machine in world.cluster.machines]
+    alone = {host for host in hosts[1:] if network.is_cut(hosts[0], host) and network.is_cut(host, hosts[0])}
+    assert len(alone) == 2
+    proxy = world.cluster.proxies[0].host
+    assert not any(network.is_cut(proxy, host) or network.is_cut(host, proxy) for host in hosts)
+    world.run_until(5.5)
+    assert not any(network.is_cut(hosts[0], host) for host in hosts[1:])
+    world.close()
+
+
 def test_a_world_is_a_function_of_its_seed() -> None:
     counts = []
     for _ in range(2):
