--- a/cherrycove/tier/cli/check.py
+++ b/cherrycove/tier/cli/check.py
@@ -10,7 +10,7 @@
 
 from cherrycove.tier.cli.command import CommandError, ExitCode, Outcome, Problem, TierCommand
 from cherrycove.tier.configuration import Configuration, parse_configuration
-from cherrycove.tier.settings import SettingsError, load_settings
+from cherrycove.tier.settings import Settings, SettingsError, load_settings
 
 KEY_SEPARATOR = " @ $"  # between reason and key in the reports of cattrs
 PROBLEM_SEPARATOR = "; "
@@ -48,10 +48,7 @@
     def perform(self) -> Outcome:
         """Return a summary of the settings; raises CommandError with each problem of the file."""
         path = self.argument("file")
-        try:
-            settings = load_settings(path)
-        except SettingsError as error:
-            raise CommandError(ExitCode.INVALID, *parse_problems(str(error), path)) from error
+        settings = read_settings(path)
         document = SettingsDocument(
             file=path,
             valid=True,
@@ -92,6 +89,14 @@
         raise CommandError(ExitCode.INVALID, Problem(error.strerror or str(error), path)) from error
 
 
+def read_settings(path: str) -> Settings:
+    """Return the settings in the file ``path``; raises CommandError with each problem of the file."""
+    try:
+        return load_settings(path)
+    except SettingsError as error:
+        raise CommandError(ExitCode.INVALID, *parse_problems(str(error), path)) from error
+
+
 def check_configuration(body: bytes, source: str) -> Configuration:
     """Return the configuration in ``body``; raises CommandError with each problem where it is invalid."""
     parsed = parse_configuration(body, source)
--- a/cherrycove/tier/cli/room.py
+++ b/cherrycove/tier/cli/room.py
@@ -7,9 +7,9 @@
 
 from cherrycove.tier.batch.store.job_capacity import JobCapacity
 from cherrycove.tier.batch.store.traffic_estimate import BatchTraffic, bounds_in_use
-from cherrycove.tier.cli.check import parse_problems
+from cherrycove.tier.cli.check import read_settings
 from cherrycove.tier.cli.command import CommandError, ExitCode, Outcome, Problem, TierCommand
-from cherrycove.tier.settings import Settings, SettingsError, load_settings
+from cherrycove.tier.settings import Settings
 
 DEFAULTS = {
     "jobs-per-s": 1.0,
@@ -57,10 +57,7 @@
     def perform(self) -> Outcome:
         """Return the room; exit code 1 where the traffic does not fit. CommandError for invalid input."""
         path = self.argument("file")
-        try:
-            settings = load_settings(path)
-        except SettingsError as error:
-            raise CommandError(ExitCode.INVALID, *parse_problems(str(error), path)) from error
+        settings = read_settings(path)
         traffic = BatchTraffic(
             jobs_per_s=self._number("jobs-per-s"),
             items=self._number("items"),
