--- a/cherrycove/tier/storage/block_packs.py
+++ b/cherrycove/tier/storage/block_packs.py
@@ -19,7 +19,7 @@
 from cherrycove.tier.storage.snapshot_state import SnapshotState, StateBlock
 
 GARBAGE_FRACTION = 0.0625  # of the blocks in use that packs may hold beside them, before some are rewritten
-GARBAGE_BYTES = 256 * 1024  # that are never worth it
+GARBAGE_BYTES = 256 * 1024  # that are never rewritten
 MAX_PACKS = 64  # beyond which small ones are joined: a start opens each
 MAX_REWRITTEN_BYTES = 4 * 1024 * 1024  # of blocks in use, with one snapshot
 _PACK_NAME = re.compile(r"blocks-(\d{16})")
