Broker connections: a module of their own

Cause: connection_pool.py held the pool and what one connection accepts; both are about to grow a record of unexpected responses. Change: BrokerConnection and its time limits move, no change of behaviour.

--- /dev/null
+++ b/cherrycove/tier/dataplane/broker_connection.py
@@ -0,0 +1,92 @@
+"""One connection to a model broker: accepts only the response to the request that was sent over it.
+
+The owner is the pool of ``connection_pool``, which asks each connection whether it may be reused.
+"""
+
+from __future__ import annotations
+
+from math import inf
+from time import monotonic
+from typing import Any
+
+from aiohttp import StreamReader
+from aiohttp.http import RawResponseMessage
+
+from cherrycove.broker.http1.upstream import NodeConnection
+from cherrycove.tier.dataplane.headers import REQUEST_ID, parse_keep_alive_s
+
+IDLE_TIMEOUT_S = 4.0  # of a connection whose broker announces no keep-alive timeout
+SINGLE_EXECUTION_IDLE_TIMEOUT_S = 1.0  # the same, for a request that must not be executed twice
+KEEP_ALIVE_FRACTION = 0.7  # of the broker's keep-alive timeout; the rest allows for network latency
+
+
+class BrokerConnection(NodeConnection):
+    """One connection, owned by the pool; accepts only the response with the id of the request that was sent.
+
+    A response with another id is a late duplicate response to an earlier request: its body is skipped, and
+    the connection is closed after the expected response.
+    """
+
+    def __init__(self, loop: Any) -> None:
+        super().__init__(loop)
+        self._expected_id = ""
+        self._idle_timeout_s = IDLE_TIMEOUT_S
+        self._has_keep_alive = False  # the broker announced a keep-alive timeout
+        self._response_ended_at = inf
+        self._unexpected_body: StreamReader | None = None  # of a response with another id
+
+    def expect(self, request_id: str) -> None:
+        """Accept only the response to this request from now on."""
+        self._expected_id = request_id
+        self._response_ended_at = inf
+
+    @property
+    def should_close(self) -> bool:
+        """Whether the connection must not be reused.
+
+        This includes the case that a response arrived before its request was sent completely (RFC 9112, 9.5):
+        the broker may go on reading, and would take further bytes for the rest of that request.
+        """
+        return super().should_close or self._has_unsent_bytes()
+
+    def _has_unsent_bytes(self) -> bool:
+        return self.transport is not None and self.transport.get_write_buffer_size() > 0
+
+    def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
+        """Handle parsed response headers; called by aiohttp."""
+        message, body = data
+        request_id = message.headers.get(REQUEST_ID)
+        if self._response_body is None and request_id != self._expected_id:
+            self._should_close = True
+            if request_id is not None:
+                self._unexpected_body = body
+                return
+        keep_alive_s = parse_keep_alive_s(message.headers)
+        if keep_alive_s is not None:
+            self._idle_timeout_s = keep_alive_s * KEEP_ALIVE_FRACTION
+            self._has_keep_alive = True
+        super().feed_data(data, size)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes, and note the end of the response; called by the event loop."""
+        if self._unexpected_body is not None and not self._unexpected_body.is_eof():
+            # These bytes belong to a body, so the limit on header bytes does not apply.
+            self._header_bytes = 0
+        super().data_received(data)
+        if self._unexpected_body is not None and self._unexpected_body.exception() is None:
+            self._unexpected_body.read_nowait()  # otherwise aiohttp stops reading at its buffer limit
+        if self._response_body is not None and self._response_body.is_eof():
+            self._response_ended_at = min(self._response_ended_at, monotonic())
+
+    def is_connected(self) -> bool:
+        """Whether the connection can be reused for a request that may be executed more than once."""
+        return super().is_connected() and self._idle_s() < self._idle_timeout_s
+
+    def is_fit_for_single_execution(self) -> bool:
+        """Whether the connection can be reused for a request that must not be executed twice."""
+        if not self.is_connected():
+            return False
+        return self._has_keep_alive or self._idle_s() < SINGLE_EXECUTION_IDLE_TIMEOUT_S
+
+    def _idle_s(self) -> float:
+        return monotonic() - self._response_ended_at
--- a/tests/tier/test_dataplane_wire.py
+++ b/tests/tier/test_dataplane_wire.py
@@ -14,8 +14,8 @@
 from wire_support import reset
 
 from cherrycove.broker.http1 import upstream as broker_upstream
-from cherrycove.tier.dataplane import connection_pool, upstream
-from cherrycove.tier.dataplane.connection_pool import BrokerConnection
+from cherrycove.tier.dataplane import broker_connection, connection_pool, upstream
+from cherrycove.tier.dataplane.broker_connection import BrokerConnection
 from examples.toy_broker import SIGNATURE, Received, Script, ToyBroker, Wire, stream
 
 LONG_BODY = bytes(range(256)) * 32 * 1024  # 8 MiB: exceeds the socket buffers between a proxy and a broker
@@ -517,7 +517,7 @@
 def offset_clock(monkeypatch: pytest.MonkeyPatch) -> list[float]:
     """Offset the clock of the connections by the item of the returned list, in seconds."""
     offset_s = [0.0]
-    for module in (connection_pool, broker_upstream, aiohttp.connector):
+    for module in (broker_connection, broker_upstream, aiohttp.connector):
         monkeypatch.setattr(module, "monotonic", lambda: time.monotonic() + offset_s[0])
     return offset_s
 
