Count unexpected broker responses, log errors with their request

Cause: nothing told a second copy of a response from the response to the next attempt, nor which request an error of our own hit. Change: counts by broker and kind (responses_unexpected, once a second, by the same counter as requests_lost); broker_connection_failed and request_failed name the request and what is known of it. No change of logic.

--- a/cherrycove/tier/dataplane/broker_connection.py
+++ b/cherrycove/tier/dataplane/broker_connection.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import logging
 from math import inf
 from time import monotonic
 from typing import Any
@@ -14,11 +15,14 @@
 
 from cherrycove.broker.http1.upstream import NodeConnection
 from cherrycove.tier.dataplane.headers import REQUEST_ID, parse_keep_alive_s
+from cherrycove.tier.dataplane.response_anomalies import AnomalyRecord, ResponseAnomaly
 
 IDLE_TIMEOUT_S = 4.0  # of a connection whose broker announces no keep-alive timeout
 SINGLE_EXECUTION_IDLE_TIMEOUT_S = 1.0  # the same, for a request that must not be executed twice
 KEEP_ALIVE_FRACTION = 0.7  # of the broker's keep-alive timeout; the rest allows for network latency
 
+_log = logging.getLogger(__name__)
+
 
 class BrokerConnection(NodeConnection):
     """One connection, owned by the pool; accepts only the response with the id of the request that was sent.
@@ -27,9 +31,12 @@
     the connection is closed after the expected response.
     """
 
-    def __init__(self, loop: Any) -> None:
+    def __init__(self, loop: Any, anomalies: AnomalyRecord | None = None) -> None:
         super().__init__(loop)
+        self._anomalies = anomalies or AnomalyRecord()
         self._expected_id = ""
+        self._carried_ids: set[str] = set()  # of all requests that were sent over this connection
+        self._is_ambiguous = False  # the connection has carried the expected id before
         self._idle_timeout_s = IDLE_TIMEOUT_S
         self._has_keep_alive = False  # the broker announced a keep-alive timeout
         self._response_ended_at = inf
@@ -37,6 +44,8 @@
 
     def expect(self, request_id: str) -> None:
         """Accept only the response to this request from now on."""
+        self._is_ambiguous = request_id in self._carried_ids
+        self._carried_ids.add(request_id)
         self._expected_id = request_id
         self._response_ended_at = inf
 
@@ -56,6 +65,7 @@
         """Handle parsed response headers; called by aiohttp."""
         message, body = data
         request_id = message.headers.get(REQUEST_ID)
+        self._count_anomaly(request_id)
         if self._response_body is None and request_id != self._expected_id:
             self._should_close = True
             if request_id is not None:
@@ -69,6 +79,15 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, and note the end of the response; called by the event loop."""
+        try:
+            self._receive(data)
+        except Exception:
+            _log.exception("broker_connection_failed", extra=self._failure_details())
+            raise
+
+    def _receive(self, data: bytes) -> None:
+        if data and self._response_body is not None and self._response_body.is_eof():
+            self._anomalies.count(self._address(), ResponseAnomaly.UNREQUESTED)
         if self._unexpected_body is not None and not self._unexpected_body.is_eof():
             # These bytes belong to a body, so the limit on header bytes does not apply.
             self._header_bytes = 0
@@ -90,3 +109,27 @@
 
     def _idle_s(self) -> float:
         return monotonic() - self._response_ended_at
+
+    def _count_anomaly(self, request_id: str | None) -> None:
+        """Count the response whose headers were received, unless it can only be the expected one."""
+        if request_id is None:
+            self._anomalies.count(self._address(), ResponseAnomaly.WITHOUT_ID)
+        elif request_id != self._expected_id:
+            self._anomalies.count(self._address(), ResponseAnomaly.OTHER_REQUEST)
+        elif self._is_ambiguous:
+            self._anomalies.count(self._address(), ResponseAnomaly.AMBIGUOUS)
+
+    def _address(self) -> str:
+        """The broker's address (host:port); empty once the connection is closed."""
+        peer = self.transport.get_extra_info("peername") if self.transport is not None else None
+        return f"{peer[0]}:{peer[1]}" if peer else ""
+
+    def _failure_details(self) -> dict[str, Any]:
+        """The fields of a log line about an unforeseen error on this connection."""
+        is_answered = self._response_body is not None and self._response_body.is_eof()
+        return {
+            "broker": self._address(),
+            "request_id": self._expected_id,
+            "requests_sent": len(self._carried_ids),
+            "execution": "answered" if is_answered else "possible",
+        }
--- a/cherrycove/tier/dataplane/connection_pool.py
+++ b/cherrycove/tier/dataplane/connection_pool.py
@@ -21,6 +21,7 @@
 from cherrycove.broker.http1.upstream import Connector
 from cherrycove.tier.dataplane.broker_connection import IDLE_TIMEOUT_S, BrokerConnection
 from cherrycove.tier.dataplane.headers import DEADLINE_MS, REQUEST_ID, parse_unsigned
+from cherrycove.tier.dataplane.response_anomalies import AnomalyRecord
 
 REUSE_DELAY_S = 0.008  # after a response; a duplicate response arrives a few ms later
 POOL_IDLE_FACTOR = 4  # the pool closes any connection that is idle for this multiple of IDLE_TIMEOUT_S
@@ -69,12 +70,14 @@
 class BrokerConnector(Connector):
     """The pool; ``set_limit`` changes its limit per broker. Owned by the ``UpstreamClient`` session."""
 
-    def __init__(self, max_connections: int, max_per_broker: int) -> None:
+    def __init__(self, max_connections: int, max_per_broker: int, anomalies: AnomalyRecord) -> None:
         super().__init__(
             REUSE_DELAY_S, IDLE_TIMEOUT_S * POOL_IDLE_FACTOR, limit=max_connections,
             limit_per_host=max_per_broker, happy_eyeballs_delay=None, use_dns_cache=False,
         )  # fmt: skip
-        self._factory = partial(BrokerConnection, loop=self._loop)  # type: ignore[assignment]
+        self._factory = partial(  # type: ignore[assignment]
+            BrokerConnection, loop=self._loop, anomalies=anomalies
+        )
 
     def set_limit(self, max_per_broker: int) -> None:
         """Limit the connections per broker; open connections are kept."""
--- a/cherrycove/tier/dataplane/ingress.py
+++ b/cherrycove/tier/dataplane/ingress.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from http import HTTPStatus
 from typing import Protocol
 
 from aiohttp import web
+from aiohttp.http import HttpProcessingError
 
 from cherrycove.tier.batch.frontend.http_api import MAX_BATCH_CALL_S
 from cherrycove.tier.configuration import ClientLimits, Route
@@ -33,6 +35,8 @@
 DRAINING_RETRY_AFTER_S = 0.05  # another proxy can serve it at once
 SHUTDOWN_TIMEOUT_S = 0.3
 
+_log = logging.getLogger(__name__)
+
 
 class BatchApi(Protocol):
     """Handles calls of the batch API."""
@@ -106,6 +110,11 @@
         self.last_active_at = arrived_at = loop.time()
         try:
             return await self._read_and_route(request, arrived_at)
+        except (ConnectionError, HttpProcessingError):
+            raise  # the client's doing; it gets no response
+        except Exception:
+            _log.exception("request_failed", extra={"request_id": request.headers.get(REQUEST_ID, "")})
+            raise
         finally:
             self.open_requests -= 1
             self.last_active_at = loop.time()
--- a/cherrycove/tier/dataplane/loss_record.py
+++ b/cherrycove/tier/dataplane/loss_record.py
@@ -2,55 +2,27 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
 import logging
-from collections import Counter
-from collections.abc import Mapping
 
 from cherrycove.tier.dataplane.loss_cause import LossCause
+from cherrycove.tier.dataplane.periodic_counts import Counts, PeriodicCounts
 
-LOG_INTERVAL_S = 1.0  # between two log lines
 LOSSES_PATH = "/api/losses"  # served at the readiness address
 
 _log = logging.getLogger(__name__)
 
-LossCounts = Mapping[str, Mapping[str, int]]  # by route, then by cause
 
-
-class LossRecord:
-    """Counts losses in memory since the start of the process; owned by the ``DataPlane``.
-
-    While losses occur, it logs one event ``requests_lost`` per second with the counts since the previous one.
-    """
-
-    def __init__(self) -> None:
-        self._totals: dict[str, Counter[str]] = {}
-        self._unlogged: dict[str, Counter[str]] = {}
-        self._timer: asyncio.TimerHandle | None = None
+class LossRecord(PeriodicCounts):
+    """Counts losses by route and cause; owned by the ``DataPlane``. Logs the event ``requests_lost``."""
 
     def count(self, route: str, cause: LossCause) -> None:
         """Count one lost request of ``route``. Must be called within the event loop."""
-        for counts in (self._totals, self._unlogged):
-            counts.setdefault(route, Counter())[cause.value] += 1
-        if self._timer is None:
-            self._timer = asyncio.get_running_loop().call_later(LOG_INTERVAL_S, self._flush)
-
-    def totals(self) -> LossCounts:
-        """All losses since the start of the process."""
-        return self._totals
+        self._add(route, cause.value)
 
     def totals_document(self) -> bytes:
         """Encode ``totals`` as a JSON object: ``{"losses": {route: {cause: count}}}``."""
         return json.dumps({"losses": self._totals}).encode()
 
-    def stop(self) -> None:
-        """Log the counts that are not logged yet."""
-        if self._timer is not None:
-            self._timer.cancel()
-            self._flush()
-
-    def _flush(self) -> None:
-        self._timer = None
-        _log.info("requests_lost", extra={"losses": self._unlogged})
-        self._unlogged = {}
+    def _log_counts(self, counts: Counts) -> None:
+        _log.info("requests_lost", extra={"losses": counts})
--- a/cherrycove/tier/dataplane/upstream.py
+++ b/cherrycove/tier/dataplane/upstream.py
@@ -22,6 +22,7 @@
     RESPONSE_SIGNATURE,
     InstanceLoad,
 )
+from cherrycove.tier.dataplane.response_anomalies import AnomalyRecord
 from cherrycove.tier.dataplane.upstream_response import ResponseFault, UpstreamResponse
 from cherrycove.tier.distribution.cluster_view import Broker
 from cherrycove.tier.protocol.sessions import client_session
@@ -90,12 +91,13 @@
         self._max_connections = max_connections
         self._connector: BrokerConnector | None = None
         self._session: aiohttp.ClientSession | None = None
+        self.anomalies = AnomalyRecord()
 
     async def start(self) -> None:
         """Open the connection pool."""
         trace = aiohttp.TraceConfig()
         trace.on_request_headers_sent.append(_mark_sent)
-        self._connector = BrokerConnector(self._max_connections, self._max_connections)
+        self._connector = BrokerConnector(self._max_connections, self._max_connections, self.anomalies)
         self._session = client_session(
             connector=self._connector,
             request_class=BrokerRequest,
@@ -111,6 +113,7 @@
         if self._session is not None:
             await self._session.close()
             self._session = None
+        self.anomalies.stop()
 
     def limit_connections(self, max_per_broker: int) -> None:
         """Limit the connections per broker from now on."""
