A broker connection carries a request once

Callers saw: requests that must run once ran twice, a 503 for a request that ran, batch items given up after fewer answers of 500 than maxAttempts. Cause: a response names its request, and all attempts of a request have one id. Where a broker rejects an attempt and the next one goes over the same connection, a late second copy of the rejection is taken for the answer to that next attempt, which the broker has begun: it is sent a third time. Only a pause of 8 ms stood between. Change: the pool gives a request no connection that has carried its id, so a response on a connection belongs to one attempt, however late. Other requests go on using it. A connection is closed after 256 requests, which bounds what it remembers. The requirements of a request are one typed value. A redundant override is gone, and an emptied queue is taken out of the pool.

--- a/cherrycove/tier/dataplane/broker_connection.py
+++ b/cherrycove/tier/dataplane/broker_connection.py
@@ -1,5 +1,8 @@
 """One connection to a model broker: accepts only the response to the request that was sent over it.
 
+A response names its request, not the attempt, and can come a second time, late. A connection therefore
+carries a request once: a response to it on this connection belongs to that one attempt, however late it is.
+
 The owner is the pool of ``connection_pool``, which asks each connection whether it may be reused.
 """
 
@@ -20,6 +23,7 @@
 IDLE_TIMEOUT_S = 4.0  # of a connection whose broker announces no keep-alive timeout
 SINGLE_EXECUTION_IDLE_TIMEOUT_S = 1.0  # the same, for a request that must not be executed twice
 KEEP_ALIVE_FRACTION = 0.7  # of the broker's keep-alive timeout; the rest allows for network latency
+MAX_REQUESTS_PER_CONNECTION = 256  # bounds the ids that a connection remembers
 
 _log = logging.getLogger(__name__)
 
@@ -49,6 +53,10 @@
         self._expected_id = request_id
         self._response_ended_at = inf
 
+    def has_carried(self, request_id: str) -> bool:
+        """Whether this request was sent over this connection, or one with the same id."""
+        return request_id in self._carried_ids
+
     @property
     def should_close(self) -> bool:
         """Whether the connection must not be reused.
@@ -56,7 +64,8 @@
         This includes the case that a response arrived before its request was sent completely (RFC 9112, 9.5):
         the broker may go on reading, and would take further bytes for the rest of that request.
         """
-        return super().should_close or self._has_unsent_bytes()
+        is_used_up = len(self._carried_ids) >= MAX_REQUESTS_PER_CONNECTION
+        return super().should_close or self._has_unsent_bytes() or is_used_up
 
     def _has_unsent_bytes(self) -> bool:
         return self.transport is not None and self.transport.get_write_buffer_size() > 0
--- a/cherrycove/tier/dataplane/connection_pool.py
+++ b/cherrycove/tier/dataplane/connection_pool.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 from collections.abc import Iterator
 from contextlib import contextmanager
 from contextvars import ContextVar
@@ -15,7 +16,7 @@
 from typing import Any
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
+import attrs
 from aiohttp.connector import Connection
 
 from cherrycove.broker.http1.upstream import Connector
@@ -26,21 +27,40 @@
 REUSE_DELAY_S = 0.008  # after a response; a duplicate response arrives a few ms later
 POOL_IDLE_FACTOR = 4  # the pool closes any connection that is idle for this multiple of IDLE_TIMEOUT_S
 
-_single_execution: ContextVar[bool] = ContextVar("single_execution", default=False)
 
+@attrs.frozen
+class ConnectionRequirements:
+    """What a request requires of a pooled connection.
 
-@contextmanager
-def single_execution(*, enabled: bool) -> Iterator[None]:
-    """Send requests within the block only over connections that are certainly alive, if ``enabled``.
-
-    If a request is sent on a connection that the broker has closed, the proxy cannot tell whether it was
-    executed; one that must not be executed twice could then not be retried (RFC 9112, 9.3.1).
+    No connection carries a request twice: a late second response to the first attempt would be taken for the
+    response to the second. And if a request is sent on a connection that the broker has closed, the proxy
+    cannot tell whether it was executed; one that must not be executed twice could then not be retried
+    (RFC 9112, 9.3.1), so it is sent only over connections that are certainly alive.
     """
-    token = _single_execution.set(enabled)
+
+    request_id: str
+    is_idempotent: bool
+
+    def are_met_by(self, connection: BrokerConnection) -> bool:
+        """Whether the request may be sent over this pooled connection."""
+        if connection.has_carried(self.request_id):
+            return False
+        if self.is_idempotent:
+            return connection.is_connected()
+        return connection.is_fit_for_single_execution()
+
+
+_requirements: ContextVar[ConnectionRequirements | None] = ContextVar("connection_requirements", default=None)
+
+
+@contextmanager
+def connection_requirements(requirements: ConnectionRequirements) -> Iterator[None]:
+    """Send requests within the block only over connections that meet ``requirements``."""
+    token = _requirements.set(requirements)
     try:
         yield
     finally:
-        _single_execution.reset(token)
+        _requirements.reset(token)
 
 
 class BrokerRequest(aiohttp.ClientRequest):
@@ -84,17 +104,32 @@
         self._limit_per_host = max_per_broker
 
     async def _get(self, key: Any, traces: Any) -> Any:
-        """A pooled connection that is fit for the request, or None if a new one should be opened."""
-        while _single_execution.get() and (pooled := self._conns.get(key)):
-            connection = pooled[0][0]
-            if not isinstance(connection, BrokerConnection) or connection.is_fit_for_single_execution():
-                break
-            pooled.popleft()
-            connection.close()
-        return await super()._get(key, traces)
-
-    async def _create_connection(self, *request: Any) -> ResponseHandler:
-        protocol = await super()._create_connection(*request)
-        if isinstance(protocol, BrokerConnection):
-            protocol.expect("")
-        return protocol
+        """A pooled connection that meets the requirements of the request, or None if a new one is needed."""
+        requirements = _requirements.get()
+        if requirements is None:
+            return await super()._get(key, traces)
+        while self._move_usable_to_front(key, requirements):
+            connection = await super()._get(key, traces)  # may wait, while others take and return connections
+            if connection is None or requirements.are_met_by(connection.protocol):
+                return connection
+            connection.release()
+        return None
+
+    def _move_usable_to_front(self, key: Any, requirements: ConnectionRequirements) -> bool:
+        """Move the usable connection that has been idle for the longest time to the front.
+
+        Returns whether there is one. Closes connections that can serve no request like this one any more.
+        """
+        pooled = self._conns.get(key, deque())
+        for entry in tuple(pooled):
+            connection = entry[0]
+            if not isinstance(connection, BrokerConnection) or requirements.are_met_by(connection):
+                pooled.remove(entry)
+                pooled.appendleft(entry)
+                return True
+            if not connection.has_carried(requirements.request_id):
+                pooled.remove(entry)
+                connection.close()
+        if not pooled:
+            self._conns.pop(key, None)
+        return False
--- a/cherrycove/tier/dataplane/upstream.py
+++ b/cherrycove/tier/dataplane/upstream.py
@@ -13,7 +13,12 @@
 from yarl import URL
 
 from cherrycove.broker.http1.upstream import READ_CHUNK_BYTES
-from cherrycove.tier.dataplane.connection_pool import BrokerConnector, BrokerRequest, single_execution
+from cherrycove.tier.dataplane.connection_pool import (
+    BrokerConnector,
+    BrokerRequest,
+    ConnectionRequirements,
+    connection_requirements,
+)
 from cherrycove.tier.dataplane.headers import (
     DEADLINE_MS,
     EXPECTED_INSTANCE,
@@ -134,8 +139,9 @@
         if remaining_s is not None:
             headers[DEADLINE_MS] = str(max(int(remaining_s * 1000), 1))
         sent = SimpleNamespace(begun=False)
+        requirements = ConnectionRequirements(request.request_id, request.is_idempotent)
         try:
-            with single_execution(enabled=not request.is_idempotent):
+            with connection_requirements(requirements):
                 response = await self._request(broker, request, headers, sent)
         except aiohttp.ClientResponseError:
             return _failed(sent, ResponseFault.MALFORMED)
--- a/tests/tier/test_dataplane_attempt_identity.py
+++ b/tests/tier/test_dataplane_attempt_identity.py
@@ -1,6 +1,6 @@
 """Which attempt a response belongs to: late second copies of responses, and errors while one is received.
 
-A scripted broker sends a second copy of its first response to a request once a later attempt of the same request
+A scripted broker sends a second copy of its first response to a request once a later attempt of it
 has arrived, before it answers that attempt. Where both attempts use one connection, the copy stands where the
 response to the later attempt is due.
 """
@@ -106,6 +106,32 @@
     asyncio.run(scenario())
 
 
+def test_connection_carries_a_request_id_once_and_other_requests_meanwhile() -> None:
+    async def scenario() -> None:
+        async with DataPlaneHarness([ToyBroker()]) as harness, asyncio.timeout(TIMEOUT_S):
+            broker = harness.brokers[0]
+            for request_id, connections in (("r1", 1), ("r2", 1), ("r1", 2), ("r3", 2), ("r3", 2), ("r2", 2)):
+                assert (await harness.request("/once/x", headers={"Request-Id": request_id})).status == 200
+                assert broker.connections == connections
+
+    asyncio.run(scenario())
+
+
+def test_connection_is_closed_when_it_has_carried_its_maximum_of_requests(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(broker_connection, "MAX_REQUESTS_PER_CONNECTION", 3)
+
+    async def scenario() -> None:
+        async with DataPlaneHarness([ToyBroker()]) as harness, asyncio.timeout(TIMEOUT_S):
+            for number in range(7):
+                reply = await harness.request("/once/x", headers={"Request-Id": f"r{number}"})
+                assert reply.status == 200
+            assert harness.brokers[0].connections == 3
+
+    asyncio.run(scenario())
+
+
 # A proxy whose event loop is late
 
 
@@ -253,7 +279,7 @@
     assert [line.getMessage() for line in caplog.records if line.levelno >= logging.ERROR] == []
 
 
-@pytest.mark.parametrize("chunks", (1, 2, 40, 800))
+@pytest.mark.parametrize("chunks", (1, 2, 40, 800, 3000))
 def test_late_streamed_response_of_several_chunks_does_not_fail_the_request_in_flight(
     chunks: int, caplog: pytest.LogCaptureFixture
 ) -> None:
--- a/tests/tier/test_dataplane_wire.py
+++ b/tests/tier/test_dataplane_wire.py
@@ -545,7 +545,7 @@
             assert (await harness.request(target)).status == 200
             (((first, _),),) = connector._conns.values()
             offset_s[0] += idle_s
-            assert (await harness.request(target)).status == 200
+            assert (await harness.request(target, headers={"Request-Id": "r2"})).status == 200
             assert harness.brokers[0].connections == connections_used
             assert (first.transport is None) == (connections_used == 2)  # closed if it is not reused
 
