An error of our own on a broker connection fails its attempt, typed

Callers saw: a bare 500 without Request-Id; batch items returned; fatal errors in the log that name no request. Cause: the body of a late streamed response was read within data_received; aiohttp resumes its parser there, which calls data_received again, and that call emptied the buffer that the outer one was counting: IndexError, for any late response of two chunks or more in one read. What leaves that callback reaches whoever waits, who expects errors of connections alone. Change: late bodies are discarded without re-entry. GuardedConnection, base of all pooled client connections of tier and broker, turns an unforeseen error into a typed one, logs it with the request, and closes: the attempt may have been executed. An exchange that fails otherwise answers by what is known of its attempts (503, 502 or an aborted stream), and the handler with an id.

--- a/cherrycove/broker/http1/upstream.py
+++ b/cherrycove/broker/http1/upstream.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable
+from contextvars import Context
 from dataclasses import replace
 from functools import partial
 from time import monotonic
@@ -23,7 +24,9 @@
 from yarl import URL
 
 from cherrycove.broker.core import Attempt, Ending, Reply
+from cherrycove.broker.event_log import Log
 from cherrycove.broker.http1.body import MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES, StreamedBody
+from cherrycove.broker.http1.guarded_connection import GuardedConnection
 from cherrycove.broker.http1.parse import BodyError, parse_load, parse_other_hosts, parse_volume_load
 from cherrycove.broker.sockets import has_unread_input
 
@@ -33,12 +36,14 @@
 STALL_TIMEOUT_S = 10.0  # within which a node must accept or send some bytes of a streamed body
 REUSE_DELAY_S = 0.006  # between a response and the next request: duplicate responses are up to 4 ms late
 
+log = Log("cherrycove.upstream")
+
 
 class InvalidResponseError(aiohttp.ClientPayloadError):
     """A node's response is not valid; the message says why."""
 
 
-class NodeConnection(ResponseHandler):
+class NodeConnection(GuardedConnection):
     """aiohttp's connection to a node, restricted to one response for each request.
 
     aiohttp puts all received bytes into one queue, so bytes after a response would count towards the next
@@ -85,11 +90,11 @@
         self._response_body, self._remaining = body, int(length) if length is not None else None
         super().feed_data(data, size)
 
-    def data_received(self, data: bytes) -> None:
+    def _receive(self, data: bytes) -> None:
         is_complete = self._response_body is not None and self._response_body.is_eof()
         if not data:  # aiohttp resumes a parser that it had paused
             if not is_complete:
-                super().data_received(data)
+                super()._receive(data)
         elif self._parser is None or is_complete:
             return self._close_connection()  # no request is in flight, or its response is complete
         elif self._response_body is None:
@@ -102,18 +107,18 @@
             self._header_bytes += len(head)
             if self._header_bytes > MAX_HEADERS_BYTES:
                 return self._fail_response()
-            super().data_received(head)
+            super()._receive(head)
             if rest and self.transport is not None and not self.transport.is_closing():
-                return self.data_received(rest)
+                return self._receive(rest)
         elif self._remaining is not None:
             # Set before the end of the body releases the connection.
             self._should_close |= len(data) > self._remaining
             body_bytes, self._remaining = data[: self._remaining], max(self._remaining - len(data), 0)
-            super().data_received(body_bytes)
+            super()._receive(body_bytes)
         else:
             end = (self._last_bytes + data)[-4:]
             self._last_bytes, self._may_end = end[-3:], end == b"\r\n\r\n"
-            super().data_received(data)
+            super()._receive(data)
         if not self._may_end and self._response_body is not None and self._response_body.is_eof():
             self._close_connection()
         if self.transport is None or self.transport.is_closing():
@@ -130,6 +135,14 @@
             self._parser = None
         super().connection_lost(exc)
 
+    def _log_unforeseen_error(self, error: Exception) -> None:
+        # In an empty context: callbacks run in that of the request that opened the connection.
+        Context().run(self._write_log_line, error)
+
+    def _write_log_line(self, error: Exception) -> None:
+        peer = self.transport.get_extra_info("peername") if self.transport is not None else None
+        log.exception("upstream.receive_failed", node=peer, why=error)
+
     def close(self) -> None:
         """Abort the connection: a graceful close would go on sending the rest of a cancelled request."""
         self.abort()
--- a/cherrycove/tier/dataplane/broker_connection.py
+++ b/cherrycove/tier/dataplane/broker_connection.py
@@ -45,6 +45,7 @@
         self._has_keep_alive = False  # the broker announced a keep-alive timeout
         self._response_ended_at = inf
         self._unexpected_body: StreamReader | None = None  # of a response with another id
+        self._is_discarding = False  # whether that body is being read now
 
     def expect(self, request_id: str) -> None:
         """Accept only the response to this request from now on."""
@@ -86,26 +87,33 @@
             self._has_keep_alive = True
         super().feed_data(data, size)
 
-    def data_received(self, data: bytes) -> None:
-        """Parse received bytes, and note the end of the response; called by the event loop."""
-        try:
-            self._receive(data)
-        except Exception:
-            _log.exception("broker_connection_failed", extra=self._failure_details())
-            raise
-
     def _receive(self, data: bytes) -> None:
+        """Parse received bytes, and note the end of the response."""
         if data and self._response_body is not None and self._response_body.is_eof():
             self._anomalies.count(self._address(), ResponseAnomaly.UNREQUESTED)
+        self._discard_unexpected_body()
         if self._unexpected_body is not None and not self._unexpected_body.is_eof():
             # These bytes belong to a body, so the limit on header bytes does not apply.
             self._header_bytes = 0
-        super().data_received(data)
-        if self._unexpected_body is not None and self._unexpected_body.exception() is None:
-            self._unexpected_body.read_nowait()  # otherwise aiohttp stops reading at its buffer limit
+        super()._receive(data)
+        self._discard_unexpected_body()
         if self._response_body is not None and self._response_body.is_eof():
             self._response_ended_at = min(self._response_ended_at, monotonic())
 
+    def _discard_unexpected_body(self) -> None:
+        """Discard what was received of it; otherwise aiohttp stops reading at its buffer limit.
+
+        Reading makes aiohttp resume its parser, which calls ``data_received`` within this method.
+        """
+        if self._is_discarding:
+            return
+        self._is_discarding = True
+        try:
+            while _read_available(self._unexpected_body):
+                pass
+        finally:
+            self._is_discarding = False
+
     def is_connected(self) -> bool:
         """Whether the connection can be reused for a request that may be executed more than once."""
         return super().is_connected() and self._idle_s() < self._idle_timeout_s
@@ -133,12 +141,17 @@
         peer = self.transport.get_extra_info("peername") if self.transport is not None else None
         return f"{peer[0]}:{peer[1]}" if peer else ""
 
-    def _failure_details(self) -> dict[str, Any]:
-        """The fields of a log line about an unforeseen error on this connection."""
+    def _log_unforeseen_error(self, error: Exception) -> None:
         is_answered = self._response_body is not None and self._response_body.is_eof()
-        return {
+        details = {
             "broker": self._address(),
             "request_id": self._expected_id,
             "requests_sent": len(self._carried_ids),
             "execution": "answered" if is_answered else "possible",
         }
+        _log.error("broker_connection_failed", exc_info=error, extra=details)
+
+
+def _read_available(body: StreamReader | None) -> bytes:
+    """What was received of ``body`` and not read yet; empty if there is no such body or it has failed."""
+    return body.read_nowait() if body is not None and body.exception() is None else b""
--- a/cherrycove/tier/dataplane/client_exchange.py
+++ b/cherrycove/tier/dataplane/client_exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Callable
 from http import HTTPStatus
 
@@ -26,6 +27,8 @@
 )
 from cherrycove.tier.dataplane.upstream_response import IncompleteResponseError, UpstreamResponse
 
+_log = logging.getLogger(__name__)
+
 MAX_ATTEMPTS_STARTED = 24  # per request, including attempts that brokers rejected
 DEFAULT_RETRY_AFTER_S = 0.3
 RESUME_BACKOFF_S = 0.1  # before admission is requested again for a stream that has begun
@@ -80,6 +83,20 @@
                 return await self._attempt_until_final()
         except TimeoutError:
             return self._failure_response(HTTPStatus.GATEWAY_TIMEOUT)
+        except ConnectionError:
+            raise  # the client's connection was lost
+        except Exception:  # noqa: BLE001  # what is known of the request's attempts decides the response
+            self._log_unforeseen_error()
+            return self._failure_response(HTTPStatus.BAD_GATEWAY)
+
+    def _log_unforeseen_error(self) -> None:
+        details = {
+            "request_id": self.upstream_request.request_id,
+            "route": self.route.name,
+            "attempts": self.admission_request.attempts,
+            "executions": self._executions + self._is_execution_unknown,
+        }
+        _log.exception("request_failed", extra=details)
 
     async def _attempt_until_final(self) -> web.StreamResponse:
         while True:
--- a/cherrycove/tier/dataplane/ingress.py
+++ b/cherrycove/tier/dataplane/ingress.py
@@ -111,10 +111,12 @@
         try:
             return await self._read_and_route(request, arrived_at)
         except (ConnectionError, HttpProcessingError):
-            raise  # the client's doing; it gets no response
-        except Exception:
+            raise  # caused by the client, which gets no response
+        except Exception:  # noqa: BLE001  # top level of the handler
             _log.exception("request_failed", extra={"request_id": request.headers.get(REQUEST_ID, "")})
-            raise
+            return self._proxy_response(
+                request, HTTPStatus.INTERNAL_SERVER_ERROR, "internal error", is_request_read=False
+            )
         finally:
             self.open_requests -= 1
             self.last_active_at = loop.time()
--- a/cherrycove/tier/dataplane/upstream_response.py
+++ b/cherrycove/tier/dataplane/upstream_response.py
@@ -61,7 +61,8 @@
         """Return the next bytes of the body; empty only at its end. Raises ``IncompleteResponseError``."""
         try:
             return await self._response.content.readany()
-        except (aiohttp.ClientError, OSError) as error:
+        except (aiohttp.ClientError, OSError, RuntimeError) as error:
+            # aiohttp raises RuntimeError if the connection was closed by this process.
             raise IncompleteResponseError(ResponseFault.CLOSED, str(error)) from error
 
     async def read(self) -> bytes:
--- a/cherrycove/tier/protocol/sessions.py
+++ b/cherrycove/tier/protocol/sessions.py
@@ -10,19 +10,23 @@
 
 from __future__ import annotations
 
+import logging
 from functools import partial
 from typing import Any
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 
+from cherrycove.broker.http1.guarded_connection import GuardedConnection
 from cherrycove.broker.sockets import has_unread_input
 from cherrycove.tier.protocol.errors import UnsupportedLibraryError
 
 _RETRY_ATTRIBUTE = "_retry_connection"  # private attribute of a session; there is no public option
 
 
-class NoRetryConnection(ResponseHandler):
+_log = logging.getLogger(__name__)
+
+
+class NoRetryConnection(GuardedConnection):
     """A connection that is not reused after it has received unexpected data."""
 
     def is_connected(self) -> bool:
@@ -35,6 +39,10 @@
             return False
         return not self.should_close and not has_unread_input(self.transport)
 
+    def _log_unforeseen_error(self, error: Exception) -> None:
+        peer = self.transport.get_extra_info("peername") if self.transport is not None else None
+        _log.error("connection_failed", exc_info=error, extra={"peer": peer})
+
 
 class NoRetryConnector(aiohttp.TCPConnector):
     """A connection pool whose connections are of a given class."""
