--- a/cherrycove/tier/protocol/_rpc_client.py
+++ b/cherrycove/tier/protocol/_rpc_client.py
@@ -107,7 +107,8 @@
                 return Err(parse_failure(response.headers, body))
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Err(Failure(ErrorKind.UNREACHABLE, f"{target}: {error}"))
-        except (TimeoutError, aiohttp.ClientError, OSError, DecodeError) as error:
+        except (TimeoutError, aiohttp.ClientError, OSError, RuntimeError, DecodeError) as error:
+            # aiohttp raises RuntimeError if the connection was closed by this process.
             return Err(Failure(ErrorKind.UNCERTAIN, f"{target}: {type(error).__name__} {error}"))
 
     def _identity_headers(self, receiver: str) -> dict[str, str]:
--- a/cherrycove/tier/protocol/_rpc_server.py
+++ b/cherrycove/tier/protocol/_rpc_server.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Callable
 from typing import Any
 
 from aiohttp import web
+from aiohttp.http import HttpProcessingError
 from result import Err
 
 from cherrycove.tier.errors import ErrorKind, Failure
 from cherrycove.tier.protocol._rpc_wire import (
+    CALL_HEADER,
     IDENTITY_HEADERS,
     PATH_PREFIX,
     RECEIVER_HEADER,
@@ -21,6 +24,8 @@
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 SHUTDOWN_TIMEOUT_S = 0.2
 
+_log = logging.getLogger(__name__)
+
 
 class RpcServer(HandlerTable):
     """Serves the registered calls on one address.
@@ -61,7 +66,14 @@
             self._runner = None
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        response = await self._respond(request)
+        try:
+            response = await self._respond(request)
+        except (ConnectionError, HttpProcessingError):
+            raise  # caused by the caller, which gets no reply
+        except Exception:  # noqa: BLE001  # top level of the handler; the call may have had an effect
+            details = {"call": request.path, "call_id": request.headers.get(CALL_HEADER, "")}
+            _log.exception("call_failed", extra=details)
+            response = failure_response(Failure(ErrorKind.UNCERTAIN, "internal error"))
         for name in IDENTITY_HEADERS:
             if name in request.headers:
                 response.headers[name] = request.headers[name]
