Soak: brokers reject requests and repeat responses late; no error is excused

Cause: the brokers of the soak gave one response to each request, and its check of logs knew a list of events, so fatal errors of the event loop passed it. Any line at level error is a violation.

--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -30,8 +30,6 @@
 APPLY_TIMEOUT_S = 2.5  # time limit for every proxy to apply an acknowledged configuration
 READ_BACK_TIMEOUT_S = 20.0
 NON_MEMBER_SEEDS_SHARE = 0.5  # share of the runs whose last start uses seeds outside the group, if any
-ERROR_EVENTS = {"pull_failed", "controller_step_failed", "batch_maintenance_failed", "batch_exchange_failed",
-                "batch_item_failed", "apply_failed", "disk_damaged"}  # fmt: skip
 
 
 @attrs.frozen(kw_only=True)
@@ -57,10 +55,10 @@
     """Carry out ``plan`` with all files in ``directory``."""
     ledger = Ledger()
     random = Random(f"soak run/{plan.seed}")
-    brokers = traffic.make_brokers(BROKERS)
-    tier = SoakTier(directory, brokers, plan.sizes, random=Random(random.random()), ledger=ledger)
+    brokers = traffic.make_brokers(BROKERS, Random(f"soak brokers/{plan.seed}"))
+    tier = SoakTier(directory, list(brokers), plan.sizes, random=Random(random.random()), ledger=ledger)
     async with tier:
-        run = _Run(plan, tier, ledger, RunCounter(brokers), random)
+        run = _Run(plan, tier, ledger, RunCounter(list(brokers)), random)
         stall_watch = asyncio.create_task(ledger.watch_stalls())
         try:
             await run.run()
@@ -68,6 +66,8 @@
             stall_watch.cancel()
             await run.close()
     _check_logs(tier.daemons, ledger)
+    ledger.counts["attempts rejected"] = sum(broker.rejected for broker in brokers)
+    ledger.counts["responses repeated"] = sum(broker.copies_sent for broker in brokers)
     return Outcome(seed=plan.seed, violations=ledger.violations, counts=ledger.summary())
 
 
@@ -175,19 +175,18 @@
 
 
 def _check_logs(daemons: list[Daemon], ledger: Ledger) -> None:
-    """Record a violation for each log line that reports an unexpected error."""
+    """Record a violation for each log line that reports an error, and for each that is no event."""
     for daemon in daemons:
         if not daemon.log_path.exists():
             continue
         for line in daemon.log_path.read_text(errors="replace").splitlines():
-            event = _event(line)
-            if event is None or event in ERROR_EVENTS:
+            if _level(line) in (None, "error", "critical"):
                 ledger.record_violation(f"{daemon.name} logged {line[:500]}")
 
 
-def _event(line: str) -> str | None:
-    """Return the event of a log line; None for a line of another form, such as a traceback."""
+def _level(line: str) -> str | None:
+    """Return the level of a log line; None for a line of another form, such as a traceback."""
     try:
-        return str(json.loads(line)["event"])
+        return str(json.loads(line)["level"])
     except (ValueError, KeyError, TypeError):
         return None
--- a/bench/soak/traffic.py
+++ b/bench/soak/traffic.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import json
+from random import Random
 from typing import Any
 
+from bench.soak.unreliable_broker import UnreliableBroker
 from examples.small_tier import CONFIGURATION_PATH
 from examples.tier_client import HOST
-from examples.toy_broker import Received, ToyBroker, Wire
+from examples.toy_broker import Received, Wire
 
 EVENTS = 6  # events of a stream and of a batch item
 EVENT_PAUSE_S = 0.03
@@ -35,10 +37,15 @@
     await wire.end_stream()
 
 
-def make_brokers(count: int) -> list[ToyBroker]:
+def make_brokers(count: int, random: Random) -> list[UnreliableBroker]:
     """Create brokers without starting them."""
     return [
-        ToyBroker(instance_id=f"broker-{number}", slots=SLOTS, script=respond_with_pauses)
+        UnreliableBroker(
+            instance_id=f"broker-{number}",
+            slots=SLOTS,
+            script=respond_with_pauses,
+            random=Random(random.random()),
+        )
         for number in range(1, count + 1)
     ]
 
