Golden list of log events: the error while a response is read

Cause: the event of GuardedConnection in the storage broker is new, and its logger had a name of its own.

--- a/cherrycove/broker/http1/upstream.py
+++ b/cherrycove/broker/http1/upstream.py
@@ -36,7 +36,7 @@
 STALL_TIMEOUT_S = 10.0  # within which a node must accept or send some bytes of a streamed body
 REUSE_DELAY_S = 0.006  # between a response and the next request: duplicate responses are up to 4 ms late
 
-log = Log("cherrycove.upstream")
+log = Log("cherrycove.http1")
 
 
 class InvalidResponseError(aiohttp.ClientPayloadError):
