Decision log: whole milliseconds are rounded, everywhere alike

Callers saw: an end of 4108.565 s was shown as 4108.564 s. Cause: int(seconds * 1000) truncates what a float holds a little below. Change: whole_ms rounds; the stored end, the time at which a record is decoded, the marks of the ring and the search for retries all use it, since an end that lies after 'now' would be taken for one 49 days older.

--- a/cherrycove/broker/decision_log/codec.py
+++ b/cherrycove/broker/decision_log/codec.py
@@ -78,6 +78,11 @@
     object_hash: int = 0  # CRC-32 of the key of its object; not stored if it was served
 
 
+def whole_ms(seconds: float) -> int:
+    """The time in whole milliseconds; all times that are compared with stored ones are rounded alike."""
+    return round(seconds * 1000)
+
+
 def _to_ms(seconds: float, maximum: int = 0xFFFF) -> int:
     if not isfinite(seconds):
         return maximum if seconds > 0 else 0
@@ -122,7 +127,7 @@
         len(attempts),
         0,
         0,
-        int(record.ended_at * 1000) & U32_MASK,
+        whole_ms(record.ended_at) & U32_MASK,
         _to_ms(record.duration),
         record.code,
         cls,
@@ -151,7 +156,7 @@
                 min(reason.queued, 255),
                 _clamp_half(reason.credits),
                 _to_ms(reason.wait),
-                max(-32768, min(int(reason.left * 1000), 32767)),
+                max(-32768, min(whole_ms(reason.left), 32767)),
                 _to_ms(reason.refill),
                 reason.epoch & U32_MASK,
                 record.object_hash & U32_MASK,
@@ -192,7 +197,7 @@
             1,
             0,
             0,
-            int(ended_at * 1000) & U32_MASK,
+            whole_ms(ended_at) & U32_MASK,
             int(duration * 1000 + 0.5),
             64,
             cls,
@@ -245,7 +250,7 @@
             0,
             0,
             0,
-            int(ended_at * 1000) & U32_MASK,
+            whole_ms(ended_at) & U32_MASK,
             int(duration * 1000 + 0.5),
             code,
             cls,
@@ -261,7 +266,7 @@
             queued,
             credits,
             int(wait * 1000 + 0.5) if wait > 0 else 0,
-            int(left * 1000),
+            whole_ms(left),
             int(refill * 1000 + 0.5) if refill > 0 else 0,
             epoch & U32_MASK,
             object_hash,
@@ -335,7 +340,7 @@
     def node(number: int) -> str:
         return nodes[number] if number < len(nodes) else ""
 
-    now_ms = int(now * 1000)
+    now_ms = whole_ms(now)
     record = RequestRecord(
         name(flags & 4),
         name(flags & 64),
--- a/cherrycove/broker/decision_log/log.py
+++ b/cherrycove/broker/decision_log/log.py
@@ -29,6 +29,7 @@
     pack_served,
     pack_unsent,
     unpack,
+    whole_ms,
 )
 from cherrycove.broker.decision_log.ring_buffer import RingBuffer
 from cherrycove.broker.decision_log.sketches import OPEN_MINUTE_BYTES, Sketches
@@ -74,7 +75,7 @@
         """Assign a number to a name unless it has one."""
         if name in self.numbers or not name:
             return
-        now = int(now * 1000) / 1000  # whole ms, as a record stores its end
+        now = whole_ms(now) / 1000  # as a record stores its end
         if len(self.names) < MAX_NODES:
             self.names.append(name[:MAX_NODE_NAME])
             self._since.append(now)
--- a/cherrycove/broker/decision_log/retries.py
+++ b/cherrycove/broker/decision_log/retries.py
@@ -15,6 +15,7 @@
     U32_MASK,
     end_reason_offset,
     unpack,
+    whole_ms,
 )
 from cherrycove.broker.decision_log.ring_buffer import RingBuffer
 
@@ -31,8 +32,8 @@
         The id of the original request and the number of candidates; ``("", 0)`` if there is none. If the
         claimed request is itself a correlated retry, the id is that of its own original.
     """
-    oldest, found, candidates = int((now - window) * 1000), -1, 0
-    data, now_ms = ring.data, int(now * 1000)
+    oldest, found, candidates = whole_ms(now - window), -1, 0
+    data, now_ms = ring.data, whole_ms(now)
     for steps, at in enumerate(ring.by_volume(hash(volume)), 1):
         _, flags, _, _, _, ended_ms, _, _, record_class, _, _, _ = HEADER.unpack_from(data, at)
         if now_ms - ((now_ms - ended_ms) & U32_MASK) < oldest or steps > MAX_EXAMINED:
--- a/cherrycove/broker/decision_log/ring_buffer.py
+++ b/cherrycove/broker/decision_log/ring_buffer.py
@@ -12,7 +12,7 @@
 from array import array
 from collections.abc import Iterator
 
-from cherrycove.broker.decision_log.codec import ENDED_OFFSET, HEADER, LINKS, LINKS_OFFSET, U32_MASK
+from cherrycove.broker.decision_log.codec import ENDED_OFFSET, HEADER, LINKS, LINKS_OFFSET, U32_MASK, whole_ms
 
 MARK_INTERVAL = 64  # records between two time marks
 MIN_CAPACITY = 4096  # bytes
@@ -77,14 +77,14 @@
         ids[by_id] = volumes[by_volume] = position & U32_MASK
         if not self._since_mark:
             slot = self._next_mark % len(self._mark_positions)
-            self._mark_positions[slot], self._mark_ms[slot] = position, int(ended_at * 1000)
+            self._mark_positions[slot], self._mark_ms[slot] = position, whole_ms(ended_at)
             self._next_mark += 1
             self._first_mark = max(self._first_mark, self._next_mark - len(self._mark_positions))
         self._since_mark = (self._since_mark + 1) % MARK_INTERVAL
         self.head += size
         self.count += 1
         self.added += 1
-        self._last_ms = int(ended_at * 1000)
+        self._last_ms = whole_ms(ended_at)
         return position
 
     def _evict(self, needed: int) -> None:
@@ -141,7 +141,7 @@
 
         A few earlier records come before them, as marks are ``MARK_INTERVAL`` records apart.
         """
-        position, wanted = self.tail, int(when * 1000)
+        position, wanted = self.tail, whole_ms(when)
         low, high = self._first_mark, self._next_mark
         while low < high:
             middle = (low + high) // 2
--- a/tests/test_why.py
+++ b/tests/test_why.py
@@ -135,6 +135,20 @@
     assert is_notable(back) == is_notable(record)
 
 
+@pytest.mark.parametrize("ended_at", (0.001, 1.005, 8.041, 4108.565))
+@pytest.mark.parametrize("verdict", ("served", "refused"))
+def test_an_end_is_restored_to_the_millisecond_also_at_that_very_moment(
+    ended_at: float, verdict: str
+) -> None:
+    record = pack(make_record(ended_at=ended_at, verdict=verdict), NODES)
+    assert unpack(b"xx" + record, 2, ended_at, list(NODES)).ended_at == ended_at
+    ring = RingBuffer(6000)
+    ring.add(record, 1, 1, ended_at)
+    assert [unpack(ring.data, at, ended_at, list(NODES)).ended_at for at in ring.since(ended_at)] == [
+        ended_at
+    ]
+
+
 @fuzz
 @given(corrupted(pack(make_record("an id that is no hex", original_id="b"), NODES)))
 def test_malformed_records_are_rejected_or_decoded_within_their_bytes(data: bytes) -> None:
