Servers of the control side: a client that resets within a body is no error

Cause: what reading a body raises left the handlers of the operator's interface and of internal calls; only the data plane's server kept what a client caused out of the log. Change: both handlers answer typed; one logger for the servers of the tier drops malformed requests and lost connections, as the data plane's did. Evidence: test_interrupted_requests fails without the change for both servers and passes with it.

--- a/cherrycove/tier/controlplane/operator_api.py
+++ b/cherrycove/tier/controlplane/operator_api.py
@@ -10,6 +10,7 @@
 import re
 
 from aiohttp import web
+from aiohttp.http import HttpProcessingError
 from result import Err, Ok, Result
 
 from cherrycove.tier.controlplane.configuration_service import MAX_VERSION, ConfigurationService
@@ -24,6 +25,7 @@
 )
 from cherrycove.tier.controlplane.retirement import RetirementService
 from cherrycove.tier.errors import ErrorKind, Failure
+from cherrycove.tier.protocol.server_log import server_logger
 
 CONFIGURATION_PATH = "/api/configuration"
 RETIRE_PATH = "/api/retire/{node}"
@@ -64,7 +66,9 @@
         application.router.add_get(CONFIGURATION_PATH, self._get_configuration, allow_head=False)
         application.router.add_post(RETIRE_PATH, self._post_retire)
         application.router.add_get(RETIRE_PATH, self._get_retire, allow_head=False)
-        self._runner = web.AppRunner(application, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
+        self._runner = web.AppRunner(
+            application, access_log=None, logger=server_logger(), shutdown_timeout=SHUTDOWN_TIMEOUT_S
+        )
         await self._runner.setup()
         await web.TCPSite(self._runner, host, self._port).start()
 
@@ -142,6 +146,10 @@
         return Ok(await asyncio.wait_for(request.read(), BODY_TIMEOUT_S))
     except TimeoutError:
         return Err(Failure(ErrorKind.UNAVAILABLE, "the body did not arrive in time"))
+    except ConnectionError as error:  # nobody receives the response
+        return Err(Failure(ErrorKind.UNAVAILABLE, f"the body did not arrive: {error}"))
+    except (web.RequestPayloadError, HttpProcessingError) as error:
+        return Err(Failure(ErrorKind.INVALID, f"the body is malformed: {error}"))
     except web.HTTPRequestEntityTooLarge as error:
         return Err(Failure(ErrorKind.TOO_LARGE, str(error.text)))
 
--- a/cherrycove/tier/dataplane/client_connection.py
+++ b/cherrycove/tier/dataplane/client_connection.py
@@ -3,17 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 from aiohttp import web
 from aiohttp.abc import AbstractStreamWriter
-from aiohttp.http import HttpProcessingError, RawRequestMessage
+from aiohttp.http import RawRequestMessage
 from aiohttp.streams import StreamReader
 
 from cherrycove.tier.configuration import ClientLimits
+from cherrycove.tier.protocol.server_log import server_logger
 
 MAX_PARSER_LINE_BYTES = 256 * 1024  # limit of aiohttp's parser; the configured limit is lower
 MIN_FIELD_BYTES = len("n:\r\n")  # the shortest header field; aiohttp limits the number of fields, not bytes
@@ -21,17 +21,6 @@
 READ_BUFFER_BYTES = 32 * 1024
 UNACKNOWLEDGED_TIMEOUT_MS = 20_000  # TCP_USER_TIMEOUT: closes connections whose client acknowledges no data
 
-_log = logging.getLogger(__name__)
-_log.addFilter(lambda record: not _is_client_fault(record))
-
-
-def _is_client_fault(record: logging.LogRecord) -> bool:
-    """Whether the record reports a malformed request or a lost connection.
-
-    Such records are dropped, since any client could flood the log with them.
-    """
-    return bool(record.exc_info and isinstance(record.exc_info[1], HttpProcessingError | ConnectionError))
-
 
 class ClientConnection(web.RequestHandler):
     """One client's connection; closed if request headers or TCP acknowledgements do not arrive in time.
@@ -111,7 +100,7 @@
         """Create the protocol of a new connection; called by the event loop."""
         limits = self._limits()
         return ClientConnection(
-            self, logger=_log, header_timeout_s=limits.header_timeout_ms / 1000,
+            self, logger=server_logger(), header_timeout_s=limits.header_timeout_ms / 1000,
             loop=asyncio.get_running_loop(), access_log=None,
             keepalive_timeout=limits.idle_timeout_ms / 1000, auto_decompress=False,
             max_line_size=MAX_PARSER_LINE_BYTES, max_field_size=MAX_PARSER_LINE_BYTES,
--- a/cherrycove/tier/dataplane/readiness.py
+++ b/cherrycove/tier/dataplane/readiness.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from cherrycove.tier.dataplane.loss_record import LOSSES_PATH
+from cherrycove.tier.protocol.server_log import server_logger
 
 READINESS_PATH = "/api/readiness"
 SHUTDOWN_TIMEOUT_S = 0.1
@@ -31,7 +32,8 @@
         """Listen on the readiness address. Raises ``OSError`` if it is in use."""
         host, _, port = self._address.rpartition(":")
         self._runner = web.ServerRunner(
-            web.Server(self._handle, access_log=None), shutdown_timeout=SHUTDOWN_TIMEOUT_S
+            web.Server(self._handle, access_log=None, logger=server_logger()),
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         )
         await self._runner.setup()
         await web.TCPSite(self._runner, host, int(port)).start()
--- a/cherrycove/tier/protocol/_rpc_server.py
+++ b/cherrycove/tier/protocol/_rpc_server.py
@@ -20,6 +20,7 @@
     failure_response,
 )
 from cherrycove.tier.protocol.calls import HandlerTable
+from cherrycove.tier.protocol.server_log import server_logger
 
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 SHUTDOWN_TIMEOUT_S = 0.2
@@ -54,7 +55,9 @@
     async def start(self, address: str) -> None:
         """Listen on ``address`` (host:port). Raises ``OSError`` if it cannot be bound."""
         host, _, port = address.rpartition(":")
-        server = web.Server(self._handle, request_factory=_request_factory(), access_log=None)
+        server = web.Server(
+            self._handle, request_factory=_request_factory(), access_log=None, logger=server_logger()
+        )
         self._runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         await self._runner.setup()
         await web.TCPSite(self._runner, host, int(port)).start()
@@ -68,8 +71,6 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         try:
             response = await self._respond(request)
-        except (ConnectionError, HttpProcessingError):
-            raise  # caused by the caller, which gets no reply
         except Exception:  # noqa: BLE001  # top level of the handler; the call may have had an effect
             details = {"call": request.path, "call_id": request.headers.get(CALL_HEADER, "")}
             _log.exception("call_failed", extra=details)
@@ -89,8 +90,10 @@
             return failure_response(Failure(ErrorKind.MISDIRECTED, detail))
         try:
             body = await request.read()
-        except web.HTTPRequestEntityTooLarge as error:
+        except (web.HTTPRequestEntityTooLarge, web.RequestPayloadError, HttpProcessingError) as error:
             return failure_response(Failure(ErrorKind.INVALID, f"{name}: {error}"))
+        except ConnectionError as error:  # nobody receives the reply
+            return failure_response(Failure(ErrorKind.UNAVAILABLE, f"{name} did not arrive: {error}"))
         outcome = await self.serve(name, body)
         if isinstance(outcome, Err):
             return failure_response(outcome.err_value)
