Broker: an answer in place of the scheduler follows the scheduler's rule

Cause: where the event loop is so late that the scheduler decides nothing in time, the core answered 'failed' to anything that had been attempted; the scheduler refuses what may be repeated anywhere. Change: both ask may_refuse. Evidence: the new case of test_core silences the scheduler after the attempt was sent: a read got 'failed', now 'refused'; a write gets 'failed' before and after.

--- a/cherrycove/broker/core/facade.py
+++ b/cherrycove/broker/core/facade.py
@@ -20,6 +20,7 @@
 from cherrycove.broker.event_log import Log, bound
 from cherrycove.broker.local_codes import LocalCode
 from cherrycove.scheduling import interface as api
+from cherrycove.scheduling.retry_safety import may_refuse
 
 log = Log("cherrycove.core")
 
@@ -279,7 +280,9 @@
             log.warning("request.undecided")
         self._report_expired_attempt(ticket)
         self._driver.push(api.ClientDeparture(ticket.id))
-        verdict = Verdict.FAILED if ticket.attempt_count else Verdict.REFUSED  # refused: nothing was sent
+        cls = self.settings.classes[ticket.request.cls]
+        is_refused = may_refuse(cls, may_have_run=ticket.attempt_count > 0)  # the scheduler's rule
+        verdict = Verdict.REFUSED if is_refused else Verdict.FAILED
         return Answer(
             verdict,
             last_ending=ticket.last_ending,
--- a/cherrycove/scheduling/request_completion.py
+++ b/cherrycove/scheduling/request_completion.py
@@ -33,7 +33,7 @@
             code or request.waiting_code(node, is_cold=self._state.is_cold(node)),
             max(wait, self._latency.lower_bound(node)),
         )
-        if may_refuse(request.cls, request.possible_run):
+        if may_refuse(request.cls, may_have_run=request.possible_run is not None):
             retry_after = self._retry_after(request, code, wait)
             self._state.actions.append(api.Refuse(request.id, retry_after, why))
         else:
--- a/cherrycove/scheduling/retry_safety.py
+++ b/cherrycove/scheduling/retry_safety.py
@@ -59,6 +59,8 @@
     return None if ran is None or cls.effect is not Effect.KEYED else ran.until - now
 
 
-def may_refuse(cls: RequestClass, ran: PossibleRun | None) -> bool:
+def may_refuse(cls: RequestClass, *, may_have_run: bool) -> bool:
     """Return whether the client may safely retry: its new request may go to any node, at any time."""
-    return ran is None or cls.effect is Effect.SAFE or (cls.effect is Effect.KEYED and cls.group is Group.ALL)
+    if not may_have_run or cls.effect is Effect.SAFE:
+        return True
+    return cls.effect is Effect.KEYED and cls.group is Group.ALL
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -30,6 +30,7 @@
 from cherrycove.broker.core.endings import OUTCOMES
 from cherrycove.broker.core.request_table import MARGIN_FRACTION, MARGIN_S
 from cherrycove.broker.lifecycle import shutdown_timetable
+from cherrycove.broker.local_codes import LocalCode
 from cherrycove.broker.process import Broker
 from cherrycove.broker.request_limit import RequestLimit
 from cherrycove.scheduling import interface as api
@@ -139,6 +140,27 @@
     run(scenario())
 
 
+@pytest.mark.parametrize(("cls", "verdict"), ((READ, Verdict.REFUSED), (WRITE, Verdict.FAILED)))
+def test_an_answer_in_place_of_the_scheduler_follows_the_same_rule_on_repeats(
+    cls: int, verdict: Verdict
+) -> None:
+    """A read that timed out got 504 when the event loop was late, and 503 from the scheduler."""
+
+    async def scenario() -> None:
+        core = core_with()
+
+        class LastBackend(ScriptedBackend):
+            async def attempt(self, attempt: Attempt) -> Reply:
+                core._driver.scheduler.handle = lambda now, events: []  # type: ignore[method-assign, assignment]
+                return await super().attempt(attempt)
+
+        found = await core.serve(request(cls, 0.3), LastBackend(core, Ending.TIMED_OUT))
+        assert (found.verdict, found.local_code) == (verdict, LocalCode.LAST_RESORT)
+        assert core.endings == {Ending.TIMED_OUT: 1}
+
+    run(scenario())
+
+
 @pytest.mark.parametrize("wait", [0.055, 0.4, 0.75])
 def test_the_margin_leaves_most_of_a_short_waiting_time(wait: float) -> None:
     """With a margin of 50 ms, a client that waits 55 ms left the scheduler 5 ms; it refused all of them."""
