A time-out of a call does not swallow a cancellation

Cause: aiohttp's limit on a whole call is entered twice for one request and uncancels its task twice, so a cancellation in the same turn of the event loop is lost. A report of a batch item is repeated until it is cancelled, which the worker does once, at the end of its grace: it goes on, and the proxy with it. Change: internal calls, reads of the broker list, the operators' commands and Consul's calls limit their time with asyncio.timeout. Evidence: the new test of test_rpc makes both fall into one turn; it fails every time without the change and passes with it. Changed test: test_consul sets the renamed limit to none, as before.

--- a/cherrycove/broker/consul.py
+++ b/cherrycove/broker/consul.py
@@ -30,7 +30,7 @@
 _MIN_BACKOFF_S, _MAX_BACKOFF_S = 0.1, 10.0  # delay after failed queries, doubled by each failure
 _REGISTRATION_RETRY_S = 1.0
 _RENEWALS_PER_TTL = 3
-CALL_TIMEOUT = aiohttp.ClientTimeout(total=2.0)  # for non-blocking calls to the agent
+CALL_TIMEOUT_S = 2.0  # for non-blocking calls to the agent
 _DEREGISTER_CRITICAL_AFTER = "10m"
 
 _CHECK_STATES = ("passing", "warning", "critical", "maintenance")
@@ -192,9 +192,8 @@
         self._registration_lock = asyncio.Lock()  # held during calls that change the broker's registration
         self._session = aiohttp.ClientSession(
             cookie_jar=aiohttp.DummyCookieJar(),
-            timeout=aiohttp.ClientTimeout(
-                total=config.wait_s * _WAIT_JITTER + _QUERY_SLACK_S, sock_connect=_QUERY_SLACK_S
-            ),
+            # aiohttp's limit on the whole call can swallow a cancellation, so the calls set their own.
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=_QUERY_SLACK_S),
         )
 
     async def close(self) -> None:
@@ -230,7 +229,10 @@
 
     async def _query_health(self, url: URL, index: int, version: int) -> _HealthResult:
         """Run one query; its node list gets this version, and ``index`` is the index in the URL."""
-        async with self._session.get(url, allow_redirects=False) as response:
+        async with (
+            asyncio.timeout(self._config.wait_s * _WAIT_JITTER + _QUERY_SLACK_S),
+            self._session.get(url, allow_redirects=False) as response,
+        ):
             if response.status != 200:
                 raise HealthError(f"agent responded with status {response.status} to the health query")
             known_members = {member.name: member for member in self._core.members}
@@ -296,6 +298,6 @@
 
     async def _put(self, path: str, body: Any) -> None:
         url = URL(self._base_url + path, encoded=True)
-        async with self._session.put(url, json=body, timeout=CALL_TIMEOUT) as response:
+        async with asyncio.timeout(CALL_TIMEOUT_S), self._session.put(url, json=body) as response:
             if response.status != 200:
                 raise HealthError(f"agent responded with status {response.status} to {path}")
--- a/cherrycove/tier/cli/http_client.py
+++ b/cherrycove/tier/cli/http_client.py
@@ -13,7 +13,7 @@
 import attrs
 
 from cherrycove.tier.cli.command import CommandError, ExitCode, Problem
-from cherrycove.tier.protocol.sessions import client_session
+from cherrycove.tier.protocol.sessions import client_session, connect_timeout
 
 MAX_REDIRECTS = 2
 ATTEMPT_TIMEOUT_S = 2.0
@@ -58,7 +58,7 @@
     url = f"http://{address}{request.path}"
     try:
         for _ in range(MAX_REDIRECTS + 1):
-            async with _open(session, url, request) as response:
+            async with asyncio.timeout(ATTEMPT_TIMEOUT_S), _open(session, url, request) as response:
                 body = await response.read()
                 if _is_redirect(response):
                     url = response.headers["Location"]
@@ -108,7 +108,7 @@
         url,
         data=request.body,
         headers=request.headers,
-        timeout=aiohttp.ClientTimeout(total=ATTEMPT_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S),
+        timeout=connect_timeout(CONNECT_TIMEOUT_S),
         allow_redirects=False,
     )
 
--- a/cherrycove/tier/controlplane/broker_discovery.py
+++ b/cherrycove/tier/controlplane/broker_discovery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import logging
 from http import HTTPStatus
@@ -16,7 +17,7 @@
 
 from cherrycove.tier.errors import ErrorKind, Failure
 from cherrycove.tier.protocol.control_pb2 import BrokerEntry, BrokerList
-from cherrycove.tier.protocol.sessions import NoRetryConnector, client_session
+from cherrycove.tier.protocol.sessions import NoRetryConnector, client_session, connect_timeout
 from cherrycove.tier.settings import Settings
 
 READS_PER_DRAIN = 5.0  # target number of reads within bounds.drain_ms
@@ -165,9 +166,8 @@
 
     async def start(self) -> None:
         """Open the HTTP session, which uses at most one connection."""
-        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
         connector = NoRetryConnector(limit=1, keepalive_timeout=10.0)
-        self._session = client_session(connector, timeout=timeout)
+        self._session = client_session(connector, timeout=connect_timeout(CALL_TIMEOUT_S))
 
     async def stop(self) -> None:
         """Close the session."""
@@ -210,7 +210,10 @@
         self.calls += 1
         parameters = {"pageToken": token} if token else {}
         try:
-            async with self._session.get(self._url, params=parameters) as response:
+            async with (
+                asyncio.timeout(CALL_TIMEOUT_S),
+                self._session.get(self._url, params=parameters) as response,
+            ):
                 body = await response.read()
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
             return Err(
--- a/cherrycove/tier/dataplane/connection_pool.py
+++ b/cherrycove/tier/dataplane/connection_pool.py
@@ -121,15 +121,18 @@
         Returns whether there is one. Closes connections that can serve no request like this one any more.
         """
         pooled = self._conns.get(key, deque())
-        for entry in tuple(pooled):
-            connection = entry[0]
+        carriers = []  # of this request; other requests may use them
+        while pooled:
+            connection = pooled[0][0]
             if not isinstance(connection, BrokerConnection) or requirements.are_met_by(connection):
-                pooled.remove(entry)
-                pooled.appendleft(entry)
-                return True
-            if not connection.has_carried(requirements.request_id):
-                pooled.remove(entry)
+                break
+            entry = pooled.popleft()
+            if connection.has_carried(requirements.request_id):
+                carriers.append(entry)
+            else:
                 connection.close()
+        has_usable = bool(pooled)
+        pooled.extend(carriers)
         if not pooled:
             self._conns.pop(key, None)
-        return False
+        return has_usable
--- a/cherrycove/tier/protocol/_rpc_client.py
+++ b/cherrycove/tier/protocol/_rpc_client.py
@@ -24,7 +24,12 @@
 )
 from cherrycove.tier.protocol.calls import Caller, OutgoingCall, ReplyT, RequestT
 from cherrycove.tier.protocol.errors import StrayReplyError
-from cherrycove.tier.protocol.sessions import NoRetryConnection, NoRetryConnector, client_session
+from cherrycove.tier.protocol.sessions import (
+    NoRetryConnection,
+    NoRetryConnector,
+    client_session,
+    connect_timeout,
+)
 
 INCARNATION_BYTES = 6
 CONNECT_TIMEOUT_S = 0.5
@@ -94,13 +99,16 @@
             return Err(Failure(ErrorKind.UNREACHABLE, "client is not started"))
         target = f"{call.address} {call.method.name}"
         try:
-            async with self._session.post(
-                f"http://{call.address}{PATH_PREFIX}{call.method.name}",
-                data=call.request.SerializeToString(),
-                headers=self._identity_headers(call.receiver),
-                timeout=_timeout(call.timeout_s),
-                allow_redirects=False,
-            ) as response:
+            async with (
+                asyncio.timeout(call.timeout_s),
+                self._session.post(
+                    f"http://{call.address}{PATH_PREFIX}{call.method.name}",
+                    data=call.request.SerializeToString(),
+                    headers=self._identity_headers(call.receiver),
+                    timeout=connect_timeout(min(CONNECT_TIMEOUT_S, call.timeout_s)),
+                    allow_redirects=False,
+                ) as response,
+            ):
                 body = await response.read()
                 if response.status == 200:
                     return Ok(call.method.reply_type.FromString(body))
@@ -116,7 +124,3 @@
         if receiver:
             identity[RECEIVER_HEADER] = receiver
         return identity
-
-
-def _timeout(timeout_s: float) -> aiohttp.ClientTimeout:
-    return aiohttp.ClientTimeout(total=timeout_s, sock_connect=min(CONNECT_TIMEOUT_S, timeout_s))
--- a/cherrycove/tier/protocol/sessions.py
+++ b/cherrycove/tier/protocol/sessions.py
@@ -4,6 +4,9 @@
 connection turns out to be closed, although the first attempt may have run; this is disabled here for all
 methods. Callers, who know which requests are idempotent, decide whether to retry.
 
+Callers limit the time of a call with ``asyncio.timeout``, not with the library's ``total``: that one swallows
+a cancellation of the task which comes in the same turn of the event loop, as it uncancels the task twice.
+
 A keep-alive connection that received data after the last response is not reused either: aiohttp would take a
 duplicate or late response for the response to the next request.
 """
@@ -53,6 +56,11 @@
         self._factory = partial(connection, loop=self._loop)  # type: ignore[assignment]
 
 
+def connect_timeout(seconds: float) -> aiohttp.ClientTimeout:
+    """Limit the time for connecting; the caller limits that of the whole call."""
+    return aiohttp.ClientTimeout(total=None, sock_connect=seconds)
+
+
 def client_session(connector: aiohttp.TCPConnector | None = None, **settings: Any) -> aiohttp.ClientSession:
     """Return a session that stores no cookies and never retries a request automatically.
 
--- a/tests/test_consul.py
+++ b/tests/test_consul.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 import pytest
-from aiohttp import ClientTimeout, web
+from aiohttp import web
 from hypothesis import given
 from support import PLATFORM, World, corrupted, fuzz, raw, run
 
@@ -194,7 +194,7 @@
 
 def test_an_unresponsive_agent_does_not_delay_shutdown(monkeypatch: pytest.MonkeyPatch) -> None:
     """The shutdown proceeds while the deregistration still waits for the agent's response."""
-    monkeypatch.setattr(consul, "CALL_TIMEOUT", ClientTimeout(total=None))
+    monkeypatch.setattr(consul, "CALL_TIMEOUT_S", None)
 
     async def scenario() -> None:
         agent = Agent()
--- a/tests/tier/test_rpc.py
+++ b/tests/tier/test_rpc.py
@@ -223,6 +223,31 @@
     asyncio.run(scenario())
 
 
+def test_a_cancellation_in_the_same_turn_as_the_time_out_of_a_call_is_not_lost() -> None:
+    """A caller that repeats its call until it is cancelled would go on for good."""
+
+    async def run() -> None:
+        loop, received = asyncio.get_running_loop(), asyncio.Event()
+
+        async def never_reply(connection: ServerConnection, arrival: ReceivedRequest) -> None:
+            received.set()
+
+        client = RpcClient()
+        await client.start()
+        async with ScriptedServer(never_reply) as server, asyncio.timeout(TIMEOUT_S):
+            call = asyncio.create_task(client.call(server.address, ECHO, BodyRequest(job_id="j"), 0.05))
+            await received.wait()
+            loop.call_later(0.05, call.cancel)  # later than the time-out, which the call has begun before
+            until = loop.time() + 0.1
+            while loop.time() < until:
+                pass  # the event loop is late: both are due in its next turn
+            with pytest.raises(asyncio.CancelledError):
+                await call
+        await client.stop()
+
+    asyncio.run(run())
+
+
 def test_a_connection_closed_while_idle_fails_no_call() -> None:
     closed = asyncio.Event()
 
