--- a/bench/rules/mutants.py
+++ b/bench/rules/mutants.py
@@ -55,8 +55,8 @@
     Mutant(
         "no refusal if an attempt may have run",
         "retry_safety.py",
-        "return ran is None or cls.effect is Effect.SAFE or (",
-        "return True or (",
+        "if not may_have_run or cls.effect is Effect.SAFE:",
+        "if True:",
         "refusal",
         0,
     ),
