Examples: two tiers on a machine never share a network

Each tier draws one of 65,024 loopback networks at random, all tiers use the same ports, and a second tier in the same network starts its client before its own keepers have failed to bind, so that the other tier answers.

Change: a tier reserves its network by a bound socket as long as it is up.

--- a/examples/small_tier.py
+++ b/examples/small_tier.py
@@ -14,7 +14,7 @@
 import aiohttp
 import attrs
 
-from examples.tier_processes import ROOT, Daemon, Sizes, create_daemons, random_network
+from examples.tier_processes import ROOT, Daemon, NetworkReservation, Sizes, create_daemons, reserve_network
 from examples.toy_broker import ToyBroker
 from examples.toy_platform import ToyPlatform
 
@@ -58,7 +58,7 @@
     directory: Path
     brokers: list[ToyBroker]
     sizes: Sizes = attrs.field(factory=Sizes)
-    network: str = attrs.field(factory=random_network)
+    _reservation: NetworkReservation | None = attrs.field(init=False, default=None)
     daemons: list[Daemon] = attrs.field(init=False, factory=list)
     platform: ToyPlatform = attrs.field(init=False)
 
@@ -77,8 +77,16 @@
     def proxies(self) -> list[Daemon]:
         return self.running_daemons("proxy")
 
+    @property
+    def network(self) -> str:
+        """The first three octets of the addresses of its processes, reserved while the tier is up."""
+        if self._reservation is None:
+            raise TierError("the tier is not started")
+        return self._reservation.network
+
     async def __aenter__(self) -> SmallTier:
         self.platform = ToyPlatform(service=SERVICE, brokers=self.brokers)
+        self._reservation = reserve_network()
         try:
             for broker in self.brokers:
                 await broker.start()
@@ -120,6 +128,9 @@
         for broker in self.brokers:
             await broker.stop()
         await self.platform.stop()
+        if self._reservation is not None:
+            self._reservation.release()
+            self._reservation = None
 
     # The command line
 
--- a/examples/tier_processes.py
+++ b/examples/tier_processes.py
@@ -9,6 +9,7 @@
 import os
 import secrets
 import signal
+import socket
 import sys
 from pathlib import Path
 from typing import Any
@@ -26,15 +27,50 @@
 LAUNCHER = ("-m", "cherrycove.tier")  # arguments of the interpreter before the program's name
 GRACE_PERIOD_S = 2.0
 SHUTDOWN_MARGIN_S = 5.0  # added to the grace period before a process is killed
+RESERVATION_HOST = 254  # last octet of an address that no process of a tier uses
+RESERVATION_ATTEMPTS = 16
 MAX_SEEDS = 3
 LOG_TAIL_BYTES = 4000
 
 
+class NoFreeNetworkError(Exception):
+    """Every network that was tried is reserved by another tier."""
+
+
 def random_network() -> str:
-    """Return the first three octets of addresses that are probably unused by other tiers on this machine."""
+    """Return the first three octets of a random loopback network."""
     return f"127.{secrets.randbelow(254) + 1}.{secrets.randbelow(256)}"
 
 
+@attrs.frozen(eq=False)
+class NetworkReservation:
+    """Keeps a loopback network for one tier: all processes on this machine see the bound socket.
+
+    Two tiers in the same network would answer each other's clients, as all tiers use the same ports.
+    """
+
+    network: str  # first three octets of the addresses
+    _bound: socket.socket
+
+    def release(self) -> None:
+        """Let other tiers use the network."""
+        self._bound.close()
+
+
+def reserve_network() -> NetworkReservation:
+    """Reserve a random loopback network; raises ``NoFreeNetworkError`` if none of several is free."""
+    for _ in range(RESERVATION_ATTEMPTS):
+        network = random_network()
+        bound = socket.socket()
+        try:
+            bound.bind((f"{network}.{RESERVATION_HOST}", CONTROL_PORT))
+        except OSError:
+            bound.close()
+            continue
+        return NetworkReservation(network, bound)
+    raise NoFreeNetworkError(f"no free network after {RESERVATION_ATTEMPTS} attempts")
+
+
 @attrs.define(eq=False, kw_only=True)
 class Daemon:
     """A process of the tier with its own address."""
