Time limits that a late event loop does not shorten

Cause: an event loop that was kept busy finds an expired timer and a readable socket in the same turn, and asyncio.timeout then ends the wait. A connection that came up in time was given up: the broker counted as unreachable, one more connection was made. The deadline of a live request likewise answered before a rejection that had arrived was read (504), and before the scheduler, with a Retry-After of its own. An attempt that was still connecting counted as one that may have run.

Change: ArrivalTimeout (cherrycove/broker/timeouts.py) sets its timer in two steps, so that the loop polls its sockets in between; it limits connecting in both programs (PatientConnector, base of all three pools) and the deadline (DrainDeadline.limit). SendProgress tells whether a byte of an attempt was sent.

Changed check: test_the_rest_of_a_request_is_not_sent_after_its_client_disconnects expected a late loop to abandon a good connection. That case now expects one connection, and a third case, a connection that does not come up, stands for the abandoned one.

Run: test_late_event_loop.py, 16 cases; on the code before, of the 10 cases of behaviour that existed then, 6 failed. Mutations: asyncio.timeout in place 6 fail, every attempt counted as sent 2, catch-all removed 1, its count removed 1, re-entry flag removed 5. test_dataplane_*, test_admission*, test_crossings, test_interrupted_requests (305), and docs, rules, goldens, events, sessions, rpc, consul, hostile peers: passed.

--- a/cherrycove/broker/http1/server.py
+++ b/cherrycove/broker/http1/server.py
@@ -29,6 +29,7 @@
     read_body,
     required_memory_bytes,
 )
+from cherrycove.broker.http1.node_connection import READ_CHUNK_BYTES, InvalidResponseError
 from cherrycove.broker.http1.parse import (
     BodyError,
     DeploymentNames,
@@ -39,9 +40,7 @@
     to_origin_form,
 )
 from cherrycove.broker.http1.upstream import (
-    READ_CHUNK_BYTES,
     ConnectionPool,
-    InvalidResponseError,
     ResponseStream,
     UpstreamRequest,
 )
--- a/cherrycove/broker/http1/upstream.py
+++ b/cherrycove/broker/http1/upstream.py
@@ -9,29 +9,21 @@
 
 import asyncio
 from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable
-from contextvars import Context
 from dataclasses import replace
 from functools import partial
-from time import monotonic
 from types import SimpleNamespace
 from typing import Any
 
 import aiohttp
-from aiohttp import StreamReader
-from aiohttp.client_proto import ResponseHandler
-from aiohttp.connector import _TransportPlaceholder
-from aiohttp.http import RawResponseMessage
 from yarl import URL
 
 from cherrycove.broker.core import Attempt, Ending, Reply
 from cherrycove.broker.event_log import Log
 from cherrycove.broker.http1.body import MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES, StreamedBody
-from cherrycove.broker.http1.guarded_connection import GuardedConnection
+from cherrycove.broker.http1.connector import Connector
+from cherrycove.broker.http1.node_connection import READ_CHUNK_BYTES, InvalidResponseError
 from cherrycove.broker.http1.parse import BodyError, parse_load, parse_other_hosts, parse_volume_load
-from cherrycove.broker.sockets import has_unread_input
 
-READ_CHUNK_BYTES = 32 * 1024  # read from a connection at once; each of its buffers holds about as much
-MAX_HEADERS_BYTES = 32 * 1024  # of a response's head and all interim responses (RFC 9110, section 15.2)
 FIRST_CHUNK_WAIT_S = 0.02  # how long a response of unknown length is buffered before it is streamed
 STALL_TIMEOUT_S = 10.0  # within which a node must accept or send some bytes of a streamed body
 REUSE_DELAY_S = 0.006  # between a response and the next request: duplicate responses are up to 4 ms late
@@ -39,174 +31,6 @@
 log = Log("cherrycove.http1")
 
 
-class InvalidResponseError(aiohttp.ClientPayloadError):
-    """A node's response is not valid; the message says why."""
-
-
-class NodeConnection(GuardedConnection):
-    """aiohttp's connection to a node, restricted to one response for each request.
-
-    aiohttp puts all received bytes into one queue, so bytes after a response would count towards the next
-    request's; and it loses a complete response if garbage follows in the same read. This class passes only
-    the bytes of the expected response to its parser.
-    """
-
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        super().__init__(loop)
-        self._reset_response()
-
-    def _reset_response(self) -> None:
-        self._response_body: StreamReader | None = None  # once the head has been received
-        self._remaining: int | None = None  # bytes of that body still to come, if its length is known
-        self._may_end = True  # whether a chunked body may end with the bytes received so far
-        # Up to 3 bytes, to find a delimiter that is split between two reads; the size of all heads so far.
-        self._last_bytes, self._header_bytes = b"", 0
-
-    def set_response_params(self, **params: Any) -> None:
-        self._reset_response()
-        super().set_response_params(**params)
-
-    def is_connected(self) -> bool:
-        """Whether the connection can be reused.
-
-        It cannot if unread input, an end or a second response, has arrived while it was idle.
-        """
-        if self.transport is None or not super().is_connected():
-            return False
-        return (
-            self._response_body is None
-            or not self._response_body.is_eof()
-            or not has_unread_input(self.transport)
-        )
-
-    def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
-        """Handle a complete head and the body to come; called by aiohttp's parser."""
-        message, body = data
-        if 100 <= message.code < 200 and message.code != 101:
-            return  # an interim response
-        if self._response_body is not None:
-            return self._close_connection()  # a second response, after a chunked body
-        length = message.headers.get("Content-Length")
-        self._response_body, self._remaining = body, int(length) if length is not None else None
-        super().feed_data(data, size)
-
-    def _receive(self, data: bytes) -> None:
-        is_complete = self._response_body is not None and self._response_body.is_eof()
-        if not data:  # aiohttp resumes a parser that it had paused
-            if not is_complete:
-                super()._receive(data)
-        elif self._parser is None or is_complete:
-            return self._close_connection()  # no request is in flight, or its response is complete
-        elif self._response_body is None:
-            end_at = (self._last_bytes + data).find(b"\r\n\r\n")
-            size = end_at + 4 - len(self._last_bytes) if end_at >= 0 else len(data)
-            # The parser rejects a NUL, which a load report may contain; RFC 9110, section 5.5, lets a
-            # recipient replace it by a space.
-            head, rest = data[:size].replace(b"\0", b" "), data[size:]
-            self._last_bytes = (self._last_bytes + head)[-3:] if end_at < 0 else b""
-            self._header_bytes += len(head)
-            if self._header_bytes > MAX_HEADERS_BYTES:
-                return self._fail_response()
-            super()._receive(head)
-            if rest and self.transport is not None and not self.transport.is_closing():
-                return self._receive(rest)
-        elif self._remaining is not None:
-            # Set before the end of the body releases the connection.
-            self._should_close |= len(data) > self._remaining
-            body_bytes, self._remaining = data[: self._remaining], max(self._remaining - len(data), 0)
-            super()._receive(body_bytes)
-        else:
-            end = (self._last_bytes + data)[-4:]
-            self._last_bytes, self._may_end = end[-3:], end == b"\r\n\r\n"
-            super()._receive(data)
-        if not self._may_end and self._response_body is not None and self._response_body.is_eof():
-            self._close_connection()
-        if self.transport is None or self.transport.is_closing():
-            self._fail_response()
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        super().connection_made(transport)
-        transport.max_size = READ_CHUNK_BYTES  # type: ignore[attr-defined]
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        if exc is not None and self._response_body is not None and not self._response_body.is_eof():
-            # aiohttp would take a reset for the end of a response that ends with its connection.
-            self._response_body.set_exception(aiohttp.ClientPayloadError("the connection was reset"))
-            self._parser = None
-        super().connection_lost(exc)
-
-    def _log_unforeseen_error(self, error: Exception) -> None:
-        # In an empty context: callbacks run in that of the request that opened the connection.
-        Context().run(self._write_log_line, error)
-
-    def _write_log_line(self, error: Exception) -> None:
-        peer = self.transport.get_extra_info("peername") if self.transport is not None else None
-        log.exception("upstream.receive_failed", node=peer, why=error)
-
-    def close(self) -> None:
-        """Abort the connection: a graceful close would go on sending the rest of a cancelled request."""
-        self.abort()
-
-    def _close_connection(self) -> None:
-        """Close the connection without failing a response that is complete."""
-        self._should_close = True
-        if self.transport is not None:
-            self.transport.close()
-
-    def _fail_response(self) -> None:
-        """Close and fail the response: aiohttp alone would leave the reader of its body waiting for ever."""
-        self._close_connection()
-        if self._response_body is None and self._exception is None:
-            self.set_exception(InvalidResponseError("the response's head is invalid or too long"))
-        elif self._response_body is not None and not self._response_body.is_eof():
-            self._response_body.set_exception(InvalidResponseError("the response's body is malformed"))
-
-
-class Connector(aiohttp.TCPConnector):
-    """aiohttp's connection pool, with ``NodeConnection``, a delay before reuse and a limit on idle ones."""
-
-    def __init__(self, reuse_delay_s: float, idle_timeout_s: float, **settings: Any) -> None:
-        super().__init__(keepalive_timeout=idle_timeout_s, **settings)
-        self._factory = partial(NodeConnection, loop=self._loop)  # type: ignore[assignment]
-        self._reuse_delay_s, self._idle_timeout_s = reuse_delay_s, idle_timeout_s
-
-    async def _get(self, key: Any, traces: Any) -> Any:
-        # A duplicate response that arrives a little late would be taken for that to the next request on the
-        # connection. During the delay it belongs to no request and closes the connection. Waiting for the
-        # delay costs the node and the request less than another connection.
-        while pooled := self._conns.get(key):
-            connection, idle_since = pooled[0]  # the first has been idle for the longest time
-            idle_s = monotonic() - idle_since
-            if not connection.is_connected() or idle_s > self._idle_timeout_s:
-                pooled.popleft()[0].close()
-            elif idle_s < self._reuse_delay_s:
-                # A placeholder keeps the request's slot during the delay and passes it on if the request is
-                # cancelled; otherwise the next waiter would not be woken.
-                slot: Any = _TransportPlaceholder(self._placeholder_future)
-                self._acquired.add(slot)
-                try:
-                    await self._wait_for_reuse(self._reuse_delay_s - idle_s)
-                finally:
-                    self._release_acquired(key, slot)
-            else:
-                break
-        return await super()._get(key, traces)
-
-    async def _wait_for_reuse(self, delay_s: float) -> None:
-        await asyncio.sleep(delay_s)
-
-    async def _create_connection(self, *request: Any) -> ResponseHandler:
-        # aiohttp's limit counts only connections in use; idle ones beyond it would take all descriptors, so
-        # the one that has been idle for the longest time is closed.
-        while sum(map(len, self._conns.values())) + len(self._acquired) > self._limit and self._conns:
-            key = min(self._conns, key=lambda each: self._conns[each][0][1])
-            protocol, _ = self._conns[key].popleft()
-            if not self._conns[key]:
-                del self._conns[key]
-            protocol.close()
-        return await super()._create_connection(*request)
-
-
 class ConnectionPool:
     """Performs exchanges with disk nodes over pooled connections, and maps how each ended to an ``Ending``.
 
--- a/cherrycove/tier/dataplane/admission/__init__.py
+++ b/cherrycove/tier/dataplane/admission/__init__.py
@@ -6,6 +6,7 @@
 the reasons for the design.
 """
 
+from cherrycove.tier.dataplane.admission._deadline_feasibility import advised_retry_after_s
 from cherrycove.tier.dataplane.admission._interface import (
     Action,
     AdmissionRequest,
@@ -30,4 +31,5 @@
     "Reject",
     "RejectionReason",
     "StartAttempt",
+    "advised_retry_after_s",
 ]
--- a/cherrycove/tier/dataplane/admission/_deadline_feasibility.py
+++ b/cherrycove/tier/dataplane/admission/_deadline_feasibility.py
@@ -18,6 +18,7 @@
 # Fraction of the remaining time that is sent as Retry-After. Clients wait for at most a third of that time.
 RETRY_AFTER_FRACTION = 0.3
 MAX_NO_BROKER_RETRY_AFTER_S = 0.5
+MAX_RETRY_AFTER_S = 0.3  # after attempts that came to nothing, or at the deadline
 MIN_SLOT_HOLD_S = 0.001  # lower bound of the slot hold time by which the forecast divides
 
 
@@ -70,6 +71,12 @@
     return None
 
 
+def advised_retry_after_s(request: AdmissionRequest, now: float) -> float:
+    """Return the ``Retry-After`` for a request that was not executed and that no rejection has ended."""
+    left_s = max(request.arrived_at + request.client_timeout_s - now, 0.0)
+    return min(RETRY_AFTER_FRACTION * left_s, MAX_RETRY_AFTER_S)
+
+
 def _is_too_late(
     request: AdmissionRequest, now: float, forecast: LatencyForecast, *, is_last_chance: bool
 ) -> bool:
--- a/cherrycove/tier/dataplane/broker_connection.py
+++ b/cherrycove/tier/dataplane/broker_connection.py
@@ -16,7 +16,7 @@
 from aiohttp import StreamReader
 from aiohttp.http import RawResponseMessage
 
-from cherrycove.broker.http1.upstream import NodeConnection
+from cherrycove.broker.http1.node_connection import NodeConnection
 from cherrycove.tier.dataplane.headers import REQUEST_ID, parse_keep_alive_s
 from cherrycove.tier.dataplane.response_anomalies import AnomalyRecord, ResponseAnomaly
 
--- a/cherrycove/tier/dataplane/client_exchange.py
+++ b/cherrycove/tier/dataplane/client_exchange.py
@@ -11,7 +11,12 @@
 from aiohttp import web
 
 from cherrycove.tier.configuration import Route
-from cherrycove.tier.dataplane.admission import AdmissionRequest, AttemptOutcome, Reject
+from cherrycove.tier.dataplane.admission import (
+    AdmissionRequest,
+    AttemptOutcome,
+    Reject,
+    advised_retry_after_s,
+)
 from cherrycove.tier.dataplane.admission_controller import AdmissionController, Permit
 from cherrycove.tier.dataplane.attempt_outcomes import not_executed_outcome
 from cherrycove.tier.dataplane.draining import DrainDeadline
@@ -22,6 +27,7 @@
 from cherrycove.tier.dataplane.upstream import (
     NotExecuted,
     PossiblyExecuted,
+    SendProgress,
     UpstreamClient,
     UpstreamRequest,
 )
@@ -30,7 +36,7 @@
 _log = logging.getLogger(__name__)
 
 MAX_ATTEMPTS_STARTED = 24  # per request, including attempts that brokers rejected
-DEFAULT_RETRY_AFTER_S = 0.3
+MIN_RETRY_AFTER_S = 0.01
 RESUME_BACKOFF_S = 0.1  # before admission is requested again for a stream that has begun
 
 
@@ -63,7 +69,7 @@
     closes_connection: Callable[[], bool]
     drain: DrainDeadline
     _executions: int = attrs.field(default=0, init=False)  # brokers that may have executed the request
-    _is_execution_unknown: bool = attrs.field(default=False, init=False)  # for the latest attempt sent
+    _progress: SendProgress | None = attrs.field(default=None, init=False)  # of an attempt not counted there
     is_complete: bool = attrs.field(default=False, init=False)  # a success response was forwarded in full
     _relay: StreamRelay = attrs.field(init=False)
 
@@ -87,6 +93,8 @@
             raise  # the client's connection was lost
         except Exception:  # noqa: BLE001  # what is known of the request's attempts decides the response
             self._log_unforeseen_error()
+            if self._progress is not None:
+                self._count_execution()  # the error may have come before the progress was recorded
             return self._failure_response(HTTPStatus.BAD_GATEWAY)
 
     def _log_unforeseen_error(self) -> None:
@@ -94,7 +102,7 @@
             "request_id": self.upstream_request.request_id,
             "route": self.route.name,
             "attempts": self.admission_request.attempts,
-            "executions": self._executions + self._is_execution_unknown,
+            "executions": self._executions + (self._progress is not None),
         }
         _log.exception("request_failed", extra=details)
 
@@ -131,7 +139,8 @@
                 return result.response
         except TimeoutError:
             outcome = AttemptOutcome.STALLED
-            self._count_execution()
+            if self._has_begun_sending():
+                self._count_execution()
             return None
         except IncompleteResponseError:
             outcome = AttemptOutcome.INCOMPLETE
@@ -141,10 +150,10 @@
 
     async def _send(self, permit: Permit) -> _AttemptResult:
         remaining_s = self.admission_request.deadline - asyncio.get_running_loop().time()
-        self._is_execution_unknown = True
-        result = await self.upstream.send(permit.broker, self._next_request(), remaining_s)
+        self._progress = SendProgress()
+        result = await self.upstream.send(permit.broker, self._next_request(), remaining_s, self._progress)
         if isinstance(result, NotExecuted):
-            self._is_execution_unknown = False
+            self._progress = None
             expects_version = EXPECT_VERSION in self.upstream_request.headers
             return _AttemptResult(None, not_executed_outcome(result.reason, expects_version=expects_version))
         self._count_execution()
@@ -156,9 +165,13 @@
             result.response.close()
 
     def _count_execution(self) -> None:
-        if self._is_execution_unknown:
-            self._is_execution_unknown = False
-            self._executions += 1
+        """Count the current attempt, whose broker may have executed the request."""
+        self._progress = None
+        self._executions += 1
+
+    def _has_begun_sending(self) -> bool:
+        """Whether there is an attempt that is not counted yet and whose broker may have the request."""
+        return self._progress is not None and self._progress.has_begun
 
     def _next_request(self) -> UpstreamRequest:
         """The request to send; for a stream that has begun, it resumes after the client's last event."""
@@ -186,20 +199,20 @@
             self.timeline.broker_failed()
         return buffered_response(upstream, body, close=self.closes_connection())
 
-    def _failure_response(
-        self, status: HTTPStatus, retry_after_s: float = DEFAULT_RETRY_AFTER_S
-    ) -> web.StreamResponse:
+    def _failure_response(self, status: HTTPStatus, retry_after_s: float | None = None) -> web.StreamResponse:
         """The final response if no broker gave one: ``status`` if one may have run the request, else 503."""
         if self._relay.has_begun:
             return self._relay.abort()
+        if retry_after_s is None:
+            retry_after_s = advised_retry_after_s(self.admission_request, asyncio.get_running_loop().time())
         request_id = self.upstream_request.request_id
         close = self.closes_connection()
-        if self._executions or self._is_execution_unknown:
+        if self._executions or self._has_begun_sending():
             return proxy_response(status, "no whole answer came", request_id, close=close)
         return proxy_response(
             HTTPStatus.SERVICE_UNAVAILABLE,
             "no broker has room",
             request_id,
             close=close,
-            retry_after_s=retry_after_s,
+            retry_after_s=max(retry_after_s, MIN_RETRY_AFTER_S),
         )
--- a/cherrycove/tier/dataplane/connection_pool.py
+++ b/cherrycove/tier/dataplane/connection_pool.py
@@ -19,7 +19,7 @@
 import attrs
 from aiohttp.connector import Connection
 
-from cherrycove.broker.http1.upstream import Connector
+from cherrycove.broker.http1.connector import Connector
 from cherrycove.tier.dataplane.broker_connection import IDLE_TIMEOUT_S, BrokerConnection
 from cherrycove.tier.dataplane.headers import DEADLINE_MS, REQUEST_ID, parse_unsigned
 from cherrycove.tier.dataplane.response_anomalies import AnomalyRecord
--- a/cherrycove/tier/dataplane/draining.py
+++ b/cherrycove/tier/dataplane/draining.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from math import inf
 
+from cherrycove.broker.timeouts import ArrivalTimeout
+
 UNREADY_PROPAGATION_S = 2.5  # until the platform has seen the unready proxy and sends it no new connections
 EXIT_RESERVE_S = 0.7  # of the grace period, reserved for the exit of the process
 
@@ -23,7 +24,7 @@
         self.at = inf  # when every request must have been answered
         self._unready_propagated_at = inf
         self._closed = False
-        self._limits: set[asyncio.Timeout] = set()
+        self._limits: set[ArrivalTimeout] = set()
 
     def begin(self, now: float, grace_s: float, unready_propagation_s: float = UNREADY_PROPAGATION_S) -> None:
         """Begin a drain of a process that must have ended after ``grace_s``.
@@ -34,7 +35,7 @@
         self._unready_propagated_at = min(now + unready_propagation_s, self.at)
         for limit in self._limits:
             if not limit.expired():
-                limit.reschedule(min(_expiry(limit), self.at))
+                limit.reschedule(min(limit.when(), self.at))
 
     def close(self) -> None:
         """Accept no further requests."""
@@ -55,17 +56,12 @@
         return not self._closed and expected <= self.at
 
     @asynccontextmanager
-    async def limit(self, deadline: float = inf) -> AsyncIterator[asyncio.Timeout]:
+    async def limit(self, deadline: float = inf) -> AsyncIterator[ArrivalTimeout]:
         """Raise ``TimeoutError`` within the block at ``deadline``, or at the end of a drain if earlier."""
         when = min(deadline, self.at)
-        async with asyncio.timeout_at(when if when < inf else None) as limit:
+        async with ArrivalTimeout(when) as limit:
             self._limits.add(limit)
             try:
                 yield limit
             finally:
                 self._limits.discard(limit)
-
-
-def _expiry(limit: asyncio.Timeout) -> float:
-    when = limit.when()
-    return inf if when is None else when
--- a/cherrycove/tier/dataplane/upstream.py
+++ b/cherrycove/tier/dataplane/upstream.py
@@ -4,7 +4,6 @@
 
 from enum import Enum
 from http import HTTPStatus
-from types import SimpleNamespace
 from typing import Any
 
 import aiohttp
@@ -12,7 +11,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
-from cherrycove.broker.http1.upstream import READ_CHUNK_BYTES
+from cherrycove.broker.http1.node_connection import READ_CHUNK_BYTES
 from cherrycove.tier.dataplane.connection_pool import (
     BrokerConnector,
     BrokerRequest,
@@ -85,6 +84,13 @@
 UpstreamResult = NotExecuted | ResponseStarted | PossiblyExecuted
 
 
+@attrs.define(eq=False)
+class SendProgress:
+    """How far an attempt has come; tells the caller of ``UpstreamClient.send`` also if it is cancelled."""
+
+    has_begun: bool = False  # bytes of the request may have been sent, so that it may have been executed
+
+
 class UpstreamClient:
     """Sends requests to brokers over pooled connections; owned by the ``DataPlane``.
 
@@ -126,31 +132,36 @@
             self._connector.set_limit(max_per_broker)
 
     async def send(
-        self, broker: Broker, request: UpstreamRequest, remaining_s: float | None
+        self,
+        broker: Broker,
+        request: UpstreamRequest,
+        remaining_s: float | None,
+        progress: SendProgress | None = None,
     ) -> UpstreamResult:
         """Send once and wait for the response headers; the caller limits the wait.
 
         ``remaining_s`` is the time left until the client's deadline; if None, ``Deadline-Ms`` is not set.
+        ``progress`` is new for each attempt.
         """
+        progress = progress or SendProgress()
         if self._session is None:
             return NotExecuted(NotExecutedReason.UNREACHABLE)
         headers = request.headers.copy()
         headers[EXPECTED_INSTANCE] = broker.instance_id
         if remaining_s is not None:
             headers[DEADLINE_MS] = str(max(int(remaining_s * 1000), 1))
-        sent = SimpleNamespace(begun=False)
         requirements = ConnectionRequirements(request.request_id, request.is_idempotent)
         try:
             with connection_requirements(requirements):
-                response = await self._request(broker, request, headers, sent)
+                response = await self._request(broker, request, headers, progress)
         except aiohttp.ClientResponseError:
-            return _failed(sent, ResponseFault.MALFORMED)
+            return _failed(progress, ResponseFault.MALFORMED)
         except (aiohttp.ClientError, OSError, ValueError):
-            return _failed(sent, ResponseFault.CLOSED)
+            return _failed(progress, ResponseFault.CLOSED)
         return await _classify(response, request.request_id)
 
     async def _request(
-        self, broker: Broker, request: UpstreamRequest, headers: CIMultiDict[str], sent: SimpleNamespace
+        self, broker: Broker, request: UpstreamRequest, headers: CIMultiDict[str], progress: SendProgress
     ) -> aiohttp.ClientResponse:
         assert self._session is not None
         host, _, port = broker.address.rpartition(":")
@@ -158,16 +169,16 @@
         url = URL.build(scheme="http", host=host, port=int(port), path=request.target, encoded=True)
         return await self._session.request(
             request.method, url, headers=headers, data=request.body or None,
-            allow_redirects=False, trace_request_ctx=sent,
+            allow_redirects=False, trace_request_ctx=progress,
         )  # fmt: skip
 
 
-async def _mark_sent(session: Any, context: SimpleNamespace, params: Any) -> None:  # noqa: ARG001 (aiohttp's signature)
-    context.trace_request_ctx.begun = True
+async def _mark_sent(session: Any, context: Any, params: Any) -> None:  # noqa: ARG001 (aiohttp's signature)
+    context.trace_request_ctx.has_begun = True
 
 
-def _failed(sent: SimpleNamespace, fault: ResponseFault) -> UpstreamResult:
-    return PossiblyExecuted(fault) if sent.begun else NotExecuted(NotExecutedReason.UNREACHABLE)
+def _failed(progress: SendProgress, fault: ResponseFault) -> UpstreamResult:
+    return PossiblyExecuted(fault) if progress.has_begun else NotExecuted(NotExecutedReason.UNREACHABLE)
 
 
 async def _classify(response: aiohttp.ClientResponse, request_id: str) -> UpstreamResult:
--- a/cherrycove/tier/protocol/sessions.py
+++ b/cherrycove/tier/protocol/sessions.py
@@ -19,6 +19,7 @@
 
 import aiohttp
 
+from cherrycove.broker.http1.connector import PatientConnector
 from cherrycove.broker.http1.guarded_connection import GuardedConnection
 from cherrycove.broker.sockets import has_unread_input
 from cherrycove.tier.protocol.errors import UnsupportedLibraryError
@@ -47,7 +48,7 @@
         _log.error("connection_failed", exc_info=error, extra={"peer": peer})
 
 
-class NoRetryConnector(aiohttp.TCPConnector):
+class NoRetryConnector(PatientConnector):
     """A connection pool whose connections are of a given class."""
 
     def __init__(self, connection: type[NoRetryConnection] = NoRetryConnection, **settings: Any) -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -31,7 +31,8 @@
 from bench.many.rig import _end_with_parent
 from cherrycove.broker import config, nbd
 from cherrycove.broker.core import Attempt, Ending, Member, NodeList
-from cherrycove.broker.http1 import body, server, upstream, watch
+from cherrycove.broker.http1 import body, node_connection, server, upstream, watch
+from cherrycove.broker.http1 import connector as node_connector
 from cherrycove.broker.lifecycle import announcement
 from cherrycove.broker.lifecycle.handover import LOCK_FILE
 from cherrycove.broker.lifecycle.shutdown_timetable import ShutdownTimetable
@@ -300,22 +301,22 @@
     run(scenario())
 
 
-@pytest.mark.parametrize("late_dials", [0, 1])
+@pytest.mark.parametrize(("first_dial", "expected_dials"), [("prompt", 1), ("late loop", 1), ("stuck", 2)])
 def test_the_rest_of_a_request_is_not_sent_after_its_client_disconnects(
-    late_dials: int, monkeypatch: pytest.MonkeyPatch
+    first_dial: str, expected_dials: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Closed normally, a connection still delivers buffered data whenever the node reads it.
 
-    An event loop that runs late abandons a connection that the node's kernel has already accepted, and
-    connects again.
+    An event loop that runs late uses a connection that came up in time. One that does not come up in time is
+    abandoned, although the node's kernel has already accepted it, and the pool connects again.
     """
-    made = upstream.NodeConnection.connection_made
+    made = node_connection.NodeConnection.connection_made
 
-    def narrow(self: upstream.NodeConnection, transport: Any) -> None:
+    def narrow(self: node_connection.NodeConnection, transport: Any) -> None:
         transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
         made(self, transport)
 
-    monkeypatch.setattr(upstream.NodeConnection, "connection_made", narrow)
+    monkeypatch.setattr(node_connection.NodeConnection, "connection_made", narrow)
 
     async def scenario() -> None:
         loop = asyncio.get_running_loop()
@@ -324,9 +325,11 @@
         async def dial_late(sock: socket.socket, address: Any) -> None:
             nonlocal dials, shift_s
             dials += 1
-            if dials <= late_dials:
+            if dials == 1 and first_dial == "late loop":
                 shift_s += 2 * PLATFORM.dial_timeout_s  # connected and timed out in the same iteration
             await dial(sock, address)
+            if dials == 1 and first_dial == "stuck":
+                await asyncio.sleep(3600)
 
         listener = socket.socket()
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
@@ -349,7 +352,7 @@
             await until(lambda: world.core.counts["client gone"])
             received = [await received_at(listener) for _ in range(dials)]
             listener.close()
-            assert dials == late_dials + 1 and not any(received[:-1])  # abandoned: they carry no data
+            assert dials == expected_dials and not any(received[:-1])  # abandoned: they carry no data
             got = received[-1]
             assert got.startswith(b"PUT /claim-write") and got.count(b"x") < 60_000
 
@@ -818,11 +821,11 @@
 ) -> None:
     """It crossed with the next request if that was sent immediately over the same connection."""
     clock, delays = [100.0], []  # type: list[float], list[float]
-    for module in (upstream, connector):
+    for module in (node_connector, connector):
         monkeypatch.setattr(module, "monotonic", lambda: clock[0])
     node = DuplicatingNode()
 
-    async def delay_reuse(pool: upstream.Connector, time: float) -> None:
+    async def delay_reuse(pool: node_connector.Connector, time: float) -> None:
         delays.append(time)
         clock[0] += time
         if second:
@@ -833,7 +836,7 @@
         else:
             node.last = b""
 
-    monkeypatch.setattr(upstream.Connector, "_wait_for_reuse", delay_reuse)
+    monkeypatch.setattr(node_connector.Connector, "_wait_for_reuse", delay_reuse)
 
     async def scenario() -> None:
         port = await node.start()
@@ -861,7 +864,7 @@
         delays.set()
         await asyncio.Event().wait()
 
-    monkeypatch.setattr(upstream.Connector, "_wait_for_reuse", delay_reuse)
+    monkeypatch.setattr(node_connector.Connector, "_wait_for_reuse", delay_reuse)
 
     async def scenario() -> None:
         busy, node = await Node("held ok").start(), await Node().start()
--- a/tests/tier/test_dataplane_wire.py
+++ b/tests/tier/test_dataplane_wire.py
@@ -13,7 +13,7 @@
 from multidict import CIMultiDict
 from wire_support import reset
 
-from cherrycove.broker.http1 import upstream as broker_upstream
+from cherrycove.broker.http1 import connector as broker_connector
 from cherrycove.tier.dataplane import broker_connection, connection_pool, upstream
 from cherrycove.tier.dataplane.broker_connection import BrokerConnection
 from examples.toy_broker import SIGNATURE, Received, Script, ToyBroker, Wire, stream
@@ -517,7 +517,7 @@
 def offset_clock(monkeypatch: pytest.MonkeyPatch) -> list[float]:
     """Offset the clock of the connections by the item of the returned list, in seconds."""
     offset_s = [0.0]
-    for module in (broker_connection, broker_upstream, aiohttp.connector):
+    for module in (broker_connection, broker_connector, aiohttp.connector):
         monkeypatch.setattr(module, "monotonic", lambda: time.monotonic() + offset_s[0])
     return offset_s
 
