Test of a begun stream: waits for a rejection, not for a moment

Change: the test records the rejections of admission, and waits for the first one; what it asserts is unchanged.

--- a/tests/tier/test_dataplane_bounds.py
+++ b/tests/tier/test_dataplane_bounds.py
@@ -4,12 +4,14 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Any
 
 import pytest
 from dataplane_harness import HOST, TIMEOUT_S, DataPlaneHarness, configuration_bytes, route
 from test_dataplane_exchanges import events
 from test_dataplane_items import RecordingBatchApi
 
+from cherrycove.tier.dataplane.admission import Reject
 from examples.toy_broker import Received, Script, ToyBroker, Wire, stream
 
 TIMEOUT_MS = 3000
@@ -179,7 +181,22 @@
     asyncio.run(scenario())
 
 
-def test_begun_stream_waits_for_a_broker_until_its_deadline() -> None:
+def record_rejections(harness: DataPlaneHarness, monkeypatch: pytest.MonkeyPatch) -> list[Reject]:
+    """Return a list to which every rejection by the proxy's admission is added from now on."""
+    admission = harness.data_plane._admission
+    acquire, rejections = admission.acquire, []  # type: Any, list[Reject]
+
+    async def acquire_and_record(*arguments: Any) -> Any:
+        decision = await acquire(*arguments)
+        if isinstance(decision, Reject):
+            rejections.append(decision)
+        return decision
+
+    monkeypatch.setattr(admission, "acquire", acquire_and_record)
+    return rejections
+
+
+def test_begun_stream_waits_for_a_broker_until_its_deadline(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scenario() -> None:
         advance, unlisted = adjustable_clock(), asyncio.Event()
 
@@ -197,11 +214,12 @@
             await client.head()
             text = await client.chunk()
             harness.update_cluster_view(listed=[])
+            rejections = record_rejections(harness, monkeypatch)
             unlisted.set()
-            while not harness.data_plane._admission._pending:
+            while not (harness.data_plane._admission._pending or rejections):
                 await asyncio.sleep(0)
             advance(0.5)  # longer than a request is held while no broker is reachable
-            while harness.data_plane._admission._pending:
+            while not rejections:
                 await harness.readiness()
             harness.update_cluster_view(listed=[second])
             while chunk := await client.chunk():
--- a/tests/tier/test_late_event_loop.py
+++ b/tests/tier/test_late_event_loop.py
@@ -17,7 +17,7 @@
 from examples.toy_broker import Received, ToyBroker, Wire
 
 DEADLINE_S = 0.6  # of the client in tests of the deadline
-STANDSTILL_S = 0.2  # beyond that deadline, from every moment tested
+STANDSTILL_S = 0.2  # of the event loop, from a moment before that deadline
 
 
 def stand_still(seconds: float) -> None:
