Soak: brokers also answer 500 and 421, and reset, with late copies

Cause: the soak's brokers only rejected. The other ways in which an attempt ends (500 after an execution, 421, a reset before or after an execution), which the incident's list of evidence names, never occurred.

Change: UnreliableBroker draws one of five faults for 6 % of the requests; a request, also a batch item, is answered with 500 once among all brokers, so that an item that a copy of it fails for good shows. Checks of the soak are unchanged.

--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -68,7 +68,7 @@
             await run.close()
     _check_logs(tier.daemons, ledger)
     ledger.counts["brokers"] = len(brokers)
-    ledger.counts["attempts rejected"] = sum(broker.rejected for broker in brokers)
+    ledger.counts["attempts failed"] = sum(broker.faults for broker in brokers)
     ledger.counts["responses repeated"] = sum(broker.copies_sent for broker in brokers)
     return Outcome(seed=plan.seed, violations=ledger.violations, counts=ledger.summary())
 
--- a/bench/soak/traffic.py
+++ b/bench/soak/traffic.py
@@ -39,12 +39,14 @@
 
 def make_brokers(count: int, random: Random) -> list[UnreliableBroker]:
     """Create brokers without starting them."""
+    failed_ids: set[str] = set()
     return [
         UnreliableBroker(
             instance_id=f"broker-{number}",
             slots=SLOTS,
             script=respond_with_pauses,
             random=Random(random.random()),
+            failed_ids=failed_ids,
         )
         for number in range(1, count + 1)
     ]
--- a/bench/soak/unreliable_broker.py
+++ b/bench/soak/unreliable_broker.py
@@ -1,4 +1,4 @@
-"""A broker that rejects some requests and sends second copies of its responses, late.
+"""A broker that fails some requests and sends second copies of its responses, late.
 
 A copy comes in the place of the next response on its connection, or while the connection is idle.
 """
@@ -6,37 +6,87 @@
 from __future__ import annotations
 
 import asyncio
+from enum import Enum
 from random import Random
 
 import attrs
 
 from examples.toy_broker import SIGNATURE, Received, ToyBroker, Wire
 
-REJECTED_SHARE = 0.04  # of the requests
-REPEATED_REJECTIONS_SHARE = 0.9  # of the rejections
+REPEATED_FAULTS_SHARE = 0.9  # of the responses that report a fault
 REPEATED_RESPONSES_SHARE = 0.2  # of the other responses
 IDLE_COPY_SHARE = 0.3  # of the copies; the others wait for the next request on their connection
 MAX_COPY_DELAY_S = 0.03  # of a copy that comes while its connection is idle
 LATE_EVENTS = 12
 
 
+class Fault(Enum):
+    """How an attempt fails at a broker."""
+
+    REJECTED = "503 Full"  # without executing the request
+    MISDIRECTED = "421 Misdirected Request"  # without executing it
+    FAILED = "500 Internal Server Error"  # after executing it
+    RESET = "reset"  # of the connection, without executing the request
+    RESET_AFTER_EXECUTION = "reset after execution"
+
+
+FAULT_SHARES = {  # of the requests
+    Fault.REJECTED: 0.04,
+    Fault.MISDIRECTED: 0.002,
+    Fault.FAILED: 0.01,
+    Fault.RESET: 0.005,
+    Fault.RESET_AFTER_EXECUTION: 0.005,
+}
+EXECUTED = frozenset({Fault.FAILED, Fault.RESET_AFTER_EXECUTION})
+RESETS = frozenset({Fault.RESET, Fault.RESET_AFTER_EXECUTION})
+
+
 @attrs.define(eq=False, slots=False)
 class UnreliableBroker(ToyBroker):
-    """Executes what it does not reject; ``received`` has the executed requests only."""
+    """Records the requests that it has executed, including those that then failed, in ``received``.
+
+    ``failed_ids`` is shared by all brokers: a request is answered with 500 once, which no batch item may take
+    for more than one failed attempt.
+    """
 
     random: Random = attrs.field(factory=Random)
+    failed_ids: set[str] = attrs.field(factory=set)
     copies_sent: int = 0
+    faults: int = 0
     _copies: dict[Wire, bytes] = attrs.field(factory=dict)  # that will be sent on a connection
 
     async def _handle(self, wire: Wire, request: Received) -> None:
         self._send_copy(wire)
-        if self.random.random() < REJECTED_SHARE:
-            self.rejected += 1
-            rejection = rejection_bytes(request)
-            self._repeat_later(wire, rejection, REPEATED_REJECTIONS_SHARE)
-            return await wire.write(rejection)
-        await super()._handle(wire, request)
-        self._repeat_later(wire, stream_bytes(request), REPEATED_RESPONSES_SHARE)
+        fault = self._choose_fault(request)
+        if fault is None:
+            await super()._handle(wire, request)
+            self._repeat_later(wire, stream_bytes(request), REPEATED_RESPONSES_SHARE)
+            return
+        self.faults += 1
+        if fault in EXECUTED:
+            self.received.append(request)
+        if fault in RESETS:
+            wire.reset()
+            return
+        response = fault_bytes(request, fault)
+        self._repeat_later(wire, response, REPEATED_FAULTS_SHARE)
+        await wire.write(response)
+
+    def _choose_fault(self, request: Received) -> Fault | None:
+        drawn = self.random.random()
+        for fault, share in FAULT_SHARES.items():
+            drawn -= share
+            if drawn < 0.0:
+                return None if fault is Fault.FAILED and self._has_failed(request) else fault
+        return None
+
+    def _has_failed(self, request: Received) -> bool:
+        """Whether the request was answered with 500 before; from now on, it was."""
+        request_id = request.headers["request-id"]
+        if request_id in self.failed_ids:
+            return True
+        self.failed_ids.add(request_id)
+        return False
 
     def _repeat_later(self, wire: Wire, response: bytes, share: float) -> None:
         if self.random.random() >= share:
@@ -54,12 +104,12 @@
             wire.writer.write(copy)
 
 
-def rejection_bytes(request: Received) -> bytes:
-    """The response that says that the request was not executed."""
-    return (
-        f"HTTP/1.1 503 Full\r\nRequest-Id: {request.headers['request-id']}\r\nNot-Executed: 1\r\n"
-        "Content-Length: 0\r\n\r\n"
-    ).encode()
+def fault_bytes(request: Received, fault: Fault) -> bytes:
+    """The response that reports a fault."""
+    head = f"HTTP/1.1 {fault.value}\r\nRequest-Id: {request.headers['request-id']}\r\n"
+    if fault is Fault.REJECTED:
+        head += "Not-Executed: 1\r\n"
+    return f"{head}Content-Length: 0\r\n\r\n".encode()
 
 
 def stream_bytes(request: Received) -> bytes:
