client_connections.py split off http1/server.py; a test that load failed

Cause: server.py of 640 lines held the connections of clients and the responses to their requests. test_idle_keep_alive_clients_do_not_exhaust_connections failed beside load: where its 30 requests take more than 0.2 s, the longest idle connection is closed for the next request (MIN_IDLE_S), and no response needs to close its own.

--- a/cherrycove/broker/http1/server.py
+++ b/cherrycove/broker/http1/server.py
@@ -1,18 +1,16 @@
 """Serves clients over HTTP/1.1: accepts their connections and sends one response to each request.
 
-This module owns the limit on clients' connections and the text of responses. It must never decide anything
-about a well-formed request, and never respond 200 with anything but a node's complete 200 body.
+This module owns the text of responses. It must never decide anything about a well-formed request, and never
+respond 200 with anything but a node's complete 200 body.
 """
 
 from __future__ import annotations
 
 import asyncio
-import logging
 import socket
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator
 from contextlib import aclosing, asynccontextmanager, suppress
 from functools import partial
-from itertools import chain
 from math import inf
 
 import aiohttp
@@ -29,7 +27,8 @@
     read_body,
     required_memory_bytes,
 )
-from cherrycove.broker.http1.node_connection import READ_CHUNK_BYTES, InvalidResponseError
+from cherrycove.broker.http1.client_connections import NEW_CONNECTION_WAIT_S, ClientConnections
+from cherrycove.broker.http1.node_connection import InvalidResponseError
 from cherrycove.broker.http1.parse import (
     BodyError,
     DeploymentNames,
@@ -47,201 +46,21 @@
 from cherrycove.broker.lifecycle.listening_socket import bind_listening_socket
 from cherrycove.broker.lifecycle.shutdown_timetable import ShutdownTimetable
 from cherrycove.broker.local_codes import BY_STATUS, LocalCode
-from cherrycove.broker.sockets import POLL_INTERVAL_S, DisconnectWatcher, has_unread_input
 
-# Used by aiohttp, which logs requests that it could not parse.
-clients_log = logging.getLogger("cherrycove.http1.clients")
-
-IDLE_TIMEOUT_S = 2.4  # until a complete head is received, on a new connection or after a response
-MIN_IDLE_S = 0.2  # after which an idle connection may be closed in favour of another client
 LINGER_TIMEOUT_S = 3.0  # how long the input of a client that is still sending is read after its response
 TCP_USER_TIMEOUT_S = 10.0  # after which a client that acknowledges no data is disconnected
 ACCEPT_TURNS = 3  # turns of the loop between accepting a connection and its ``connection_made``
 LISTEN_BACKLOG = 1024  # connections that are not accepted yet
 MAX_ACCEPTED_PER_TURN = 4  # connections per turn of the loop; closing others for them takes some turns
 MEMORY_TIMEOUT_FRACTION = 0.45  # of its deadline; the longest time that a request waits for memory
-NEW_CONNECTION_WAIT_S = 0.1  # for a new connection to send its request, or the rest of its head
 CLOSE_TIMEOUT_S = 1.0  # for clients to read their responses when the broker shuts down
 
 
-def _is_not_caused_by_client(record: logging.LogRecord) -> bool:
-    """Filter out the traces that aiohttp logs for malformed requests: any client could fill the log."""
-    return not (record.exc_info and isinstance(record.exc_info[1], HttpProcessingError | ConnectionError))
-
-
-clients_log.addFilter(_is_not_caused_by_client)
-
-
 def _request_id(request: web.BaseRequest) -> str:
     """Return the request's id as the client sent it, valid or not, cut to 128 characters."""
     return request.headers.get("X-Request-Id", "")[:128]
 
 
-class ClientConnection(web.RequestHandler):
-    """aiohttp's connection to a client, which notifies its owner of received data."""
-
-    _disconnect_watcher: DisconnectWatcher | None = None  # created when reading is first paused
-
-    def data_received(self, data: bytes) -> None:
-        if isinstance(self._manager, ClientConnections):
-            self._manager.input_received(self)
-        super().data_received(data)
-
-    def _pause_transport_reading(self) -> None:
-        super()._pause_transport_reading()
-        if self.transport is not None:
-            self._disconnect_watcher = self._disconnect_watcher or DisconnectWatcher(
-                self.transport, self.transport.abort
-            )
-            self._disconnect_watcher.on_reading_paused()
-
-    def _process_keepalive(self) -> None:
-        if isinstance(self._manager, ClientConnections) and self._manager.is_idle(self):
-            self._next_keepalive_close_time = max(
-                self._next_keepalive_close_time, self._manager.keep_idle_until
-            )
-        if self.transport is not None and has_unread_input(self.transport):
-            # Unread input may be a request, which would get no response if the connection were closed.
-            self._next_keepalive_close_time = max(
-                self._next_keepalive_close_time, self._loop.time() + POLL_INTERVAL_S
-            )
-        super()._process_keepalive()
-
-
-class ClientConnections(web.Server):
-    """aiohttp's server with a limit on connections: above it, one without a request is closed for a new one.
-
-    Connections that have sent nothing or are idle are closed first, then those that have sent a part of a
-    head; within each group the oldest goes first. One with a request in flight is never closed.
-    """
-
-    def __init__(
-        self,
-        handle: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
-        max_connections: int,
-        soft_limit: int,
-    ) -> None:
-        # By default aiohttp waits an hour for a head, and goes on reading for ten seconds after an error.
-        super().__init__(
-            handle,
-            handler_cancellation=True,
-            access_log=None,
-            tcp_keepalive=False,
-            auto_decompress=False,
-            keepalive_timeout=IDLE_TIMEOUT_S,
-            lingering_time=0.0,
-            logger=clients_log,
-            read_bufsize=READ_CHUNK_BYTES // 2,
-        )
-        self._max_connections, self._soft_limit = max_connections, soft_limit
-        # The connections in each state, in the order of entering it, with that time.
-        self._new: dict[web.RequestHandler, float] = {}  # nothing received yet
-        self._partial: dict[web.RequestHandler, float] = {}  # a part of a head, or input after a response
-        self._idle: dict[web.RequestHandler, float] = {}  # between requests
-        self._busy: dict[
-            web.RequestHandler, float
-        ] = {}  # a request is in flight, or its body is still being received
-        self._states = self._new, self._partial, self._idle, self._busy
-        self.keep_idle_until = 0.0  # on the loop's clock: until then idle connections stay open
-        self.all_closed = asyncio.Event()  # set when the last connection has closed
-        self.state_changed = asyncio.Event()  # set when a connection has changed its state
-
-    def __call__(self) -> web.RequestHandler:
-        return ClientConnection(self, loop=self._loop, **self._kwargs)
-
-    def _move(self, handler: web.RequestHandler, to: dict[web.RequestHandler, float]) -> None:
-        for state in self._states:
-            state.pop(handler, None)
-        to[handler] = self._loop.time()
-        self.state_changed.set()
-
-    def connection_made(self, handler: web.RequestHandler, transport: asyncio.Transport) -> None:
-        super().connection_made(handler, transport)
-        transport.max_size = READ_CHUNK_BYTES  # type: ignore[attr-defined]
-        transport.set_write_buffer_limits(READ_CHUNK_BYTES)
-        self._move(handler, self._new)
-        self.resize(self._max_connections)
-
-    def resize(self, max_connections: int) -> None:
-        self._max_connections = max_connections
-        while sum(map(len, self._states)) > max_connections:
-            # Without free descriptors no client could be accepted.
-            state = self._new if len(self._new) >= len(self._idle) else self._idle
-            first = next(chain(state, self._partial), None)
-            victim = next(
-                (each for each in chain(state, self._partial) if not self._may_have_request(each)), first
-            )
-            if victim is None:
-                return
-            state.pop(victim, None)
-            self._partial.pop(victim, None)
-            self._connections[victim].abort()
-
-    def _may_have_request(self, handler: web.RequestHandler) -> bool:
-        """Whether there may be a request that the loop has not read yet and that must get a response."""
-        return handler in self._connections and has_unread_input(self._connections[handler])
-
-    def is_idle(self, handler: web.RequestHandler) -> bool:
-        return handler in self._idle
-
-    def input_received(self, handler: web.RequestHandler) -> None:
-        if handler not in self._busy and handler not in self._partial:
-            self._move(handler, self._partial)
-            # aiohttp counts from the last response, and would time out a head that begins late on an idle
-            # connection and is received slowly.
-            handler._next_keepalive_close_time = self._loop.time() + IDLE_TIMEOUT_S
-
-    def connection_lost(self, handler: web.RequestHandler, exc: BaseException | None = None) -> None:
-        super().connection_lost(handler, exc)
-        for state in self._states:
-            state.pop(handler, None)
-        self.state_changed.set()
-        if not self.connected:
-            self.all_closed.set()
-
-    async def wait_until_no_requests(self, until: float) -> None:
-        """Wait until no request is in flight, unread or expected, or until ``until`` on the loop's clock."""
-        while (now := self._loop.time()) < until:
-            self.state_changed.clear()
-            expected_until = (
-                max((*self._new.values(), *self._partial.values()), default=-inf) + NEW_CONNECTION_WAIT_S
-            )
-            if expected_until <= now and not (self._busy or any(map(self._may_have_request, self._idle))):
-                return
-            with suppress(TimeoutError):
-                async with asyncio.timeout_at(min(max(expected_until, now + POLL_INTERVAL_S), until)):
-                    await self.state_changed.wait()
-
-    @property
-    def connected(self) -> bool:
-        return any(self._states)
-
-    @property
-    def exceeds_soft_limit(self) -> bool:
-        """Whether clients hold so many descriptors that others might not be accepted."""
-        return len(self._idle) + len(self._busy) > self._soft_limit
-
-    def request_started(self, handler: web.RequestHandler) -> None:
-        if handler.transport is None:
-            return
-        self._move(handler, self._busy)
-        if self.exceeds_soft_limit and self._idle:
-            # Idle clients would keep others from being accepted until they time out.
-            longest_idle, idle_since = next(iter(self._idle.items()))
-            if idle_since < self._loop.time() - MIN_IDLE_S and not self._may_have_request(longest_idle):
-                del self._idle[longest_idle]
-                self._connections[longest_idle].close()
-
-    def response_sent(self, handler: web.RequestHandler) -> None:
-        """Note that the client has its response, although it is still sending its request."""
-        if handler in self._busy:
-            self._move(handler, self._partial)
-
-    def request_finished(self, handler: web.RequestHandler) -> None:
-        if handler in self._busy:
-            self._move(handler, self._idle)
-
-
 class Server:
     """The HTTP server: accepts clients' connections and responds to each request.
 
