A pause of leadership does not bring back processes that were gone

Its logs, kept: the killed keeper was gone at 11:10:09; at 11:10:21 the primary lost its lease for 73 ms and resumed in the same epoch, and the dead keeper joined again until 11:10:24, with the announcement that it is the primary. ProcessRegistry.resume restarted the timeout of every registration, also of those that had timed out before.

--- a/cherrycove/tier/controlplane/leader_coordinator.py
+++ b/cherrycove/tier/controlplane/leader_coordinator.py
@@ -98,7 +98,7 @@
         self.period.update()
         if self.period.is_leading():
             now = _now()
-            self.directory.registry.remove_expired(now)
+            self.directory.update(now)
             if now >= self._members_due_at:
                 self.topics.publish_members(self.directory.members(now), now)
             self.membership.update_standbys(self.directory.controllers_alive(now))
--- a/cherrycove/tier/controlplane/process_directory.py
+++ b/cherrycove/tier/controlplane/process_directory.py
@@ -27,17 +27,23 @@
         self._state = state
         self.registry = ProcessRegistry()
         self.leading_since = 0.0  # monotonic time in s at which the newest leadership period began
+        self._led_until = 0.0  # monotonic time in s at which this controller was last seen to lead
 
     def resume(self, now: float) -> None:
         """Continue leadership in the same epoch after a pause in which no process could announce itself."""
-        self.leading_since = now
-        self.registry.resume(now)
+        self.registry.resume(now, paused_at=self._led_until)
+        self.leading_since = self._led_until = now
 
     def reset(self, now: float) -> None:
         """Start leadership in a new epoch with an empty registry."""
-        self.leading_since = now
+        self.leading_since = self._led_until = now
         self.registry = ProcessRegistry()
 
+    def update(self, now: float) -> None:
+        """Note that this controller leads at ``now``, and remove the registrations that are too old."""
+        self._led_until = now
+        self.registry.remove_expired(now)
+
     def leading_for_s(self) -> float:
         """Return the seconds since the newest leadership period began."""
         return asyncio.get_running_loop().time() - self.leading_since
--- a/cherrycove/tier/controlplane/process_registry.py
+++ b/cherrycove/tier/controlplane/process_registry.py
@@ -56,10 +56,11 @@
             if key not in self._entries:
                 self._entries[key] = Registration(announcement=member, last_seen_at=now, is_unconfirmed=True)
 
-    def resume(self, now: float) -> None:
-        """Restart the timeout of every process, after a pause in which none could announce itself."""
+    def resume(self, now: float, paused_at: float) -> None:
+        """Restart the timeout of those alive at ``paused_at``: since then none could announce itself."""
         for entry in self._entries.values():
-            entry.last_seen_at = now
+            if entry.is_alive(paused_at):
+                entry.last_seen_at = now
             entry.is_unconfirmed = True
 
     def announce(self, announcement: Announcement, now: float) -> None:
--- a/tests/tier/test_control_process_registry.py
+++ b/tests/tier/test_control_process_registry.py
@@ -79,10 +79,22 @@
     assert [entry.is_unconfirmed for entry in registry.alive(0.5)] == [False, True]
     registry.announce(store("s2"), 0.6)
     assert [entry.is_unconfirmed for entry in registry.alive(0.6)] == [False, False]
-    registry.resume(30.0)
+    registry.resume(30.0, paused_at=1.0)
     assert [entry.is_unconfirmed for entry in registry.alive(30.0)] == [True, True]
 
 
+def test_a_pause_of_leadership_does_not_bring_back_a_process_that_was_gone_before() -> None:
+    registry = ProcessRegistry()
+    registry.announce(store("s1"), 0.0)
+    registry.announce(store("s2"), MEMBER_TIMEOUT_S)
+    paused_at = MEMBER_TIMEOUT_S + 0.1
+    assert names(registry, paused_at) == ["s2"]
+    registry.resume(20.0, paused_at)
+    assert names(registry, 20.0 + MEMBER_TIMEOUT_S - 0.1) == ["s2"]
+    assert names(registry, 20.0 + MEMBER_TIMEOUT_S) == []
+    assert len(registry.recently_seen("store")) == 2
+
+
 def proxy(rate: float, configuration_version: int = 1, leaving: bool = False) -> MemberList:
     announcement = Announcement(
         node_name="f1", program="proxy", configuration_version=configuration_version, leaving=leaving
--- a/tests/tier/test_links_members.py
+++ b/tests/tier/test_links_members.py
@@ -7,13 +7,15 @@
 
 import pytest
 from acknowledged import STANDBY, AcknowledgedChanges, machine_names, until_machines_are_members
-from linked_operator import Operator, retire_request, retirement_request
-from linked_tier import LinkedTier, until
+from linked_operator import Operator, change_request, retire_request, retirement_request
+from linked_tier import LinkedTier, configuration, until
 from test_real_processes import held_stream
 
 from examples.tier_processes import Sizes
 from examples.toy_broker import ToyBroker
 
+PUBLICATION_INTERVAL_S = 0.5  # in which a change of the members is published, with a margin
+
 
 def test_nothing_acknowledged_is_lost_while_one_machine_after_the_other_loses_its_disks(
     tmp_path: Path,
@@ -101,3 +103,45 @@
         return bool(response.json() == {"state": "completed"})
 
     await until(f"{machine} is retired", completed)
+
+
+def test_a_dead_keeper_does_not_come_back_when_leadership_resumes_after_a_pause(tmp_path: Path) -> None:
+    """The acknowledgements of the only other keeper are held, so that the lease ends without an election."""
+
+    async def scenario() -> None:
+        async with LinkedTier(tmp_path, [], Sizes(keepers=3, stores=0, proxies=0)) as tier:
+            operator = Operator("operator", tier.links)
+            assert (await operator.settle(tier.keepers, change_request(configuration(1), 0))).status == 200
+            primary = await tier.primary_keeper(min_version=1)
+            dead, other = (keeper for keeper in tier.keepers if keeper is not primary)
+
+            def changes(kind: str) -> list[str]:
+                return [each for line in tier.events(primary, "members_changed") for each in line[kind]]
+
+            async def all_joined() -> bool:
+                return {f"keeper/{keeper.name}" for keeper in (dead, other)} <= set(changes("joined"))
+
+            async def is_gone() -> bool:
+                return f"keeper/{dead.name}" in changes("gone")
+
+            async def has_stopped_leading() -> bool:
+                return bool(tier.events(primary, "leadership_stopped"))
+
+            async def has_resumed() -> bool:
+                return len(tier.events(primary, "leadership_started")) == 2
+
+            await until("the primary knows both others", all_joined)
+            await dead.kill()
+            await until("the primary misses the dead keeper", is_gone)
+            joined = changes("joined")
+            acknowledgements = tier.links.flow(other.name, primary.name)
+            acknowledgements.block()
+            await until("leadership has stopped", has_stopped_leading)
+            acknowledgements.unblock()
+            await until("leadership has resumed", has_resumed)
+            first, second = tier.events(primary, "leadership_started")
+            assert first["epoch"] == second["epoch"]
+            await asyncio.sleep(2 * PUBLICATION_INTERVAL_S)
+            assert changes("joined") == joined
+
+    asyncio.run(scenario())
