--- a/tests/test_graceful_shutdown.py
+++ b/tests/test_graceful_shutdown.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 from support import Node, World, answer, fuzz, message, run
 
-from cherrycove.broker.http1 import server
+from cherrycove.broker.http1 import client_connections
 from cherrycove.broker.lifecycle import shutdown_timetable
 from cherrycove.broker.lifecycle.shutdown_timetable import ShutdownTimetable
 
@@ -77,7 +77,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Closing a connection for being idle left its client without a broker at this address."""
-    monkeypatch.setattr(server, "IDLE_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(client_connections, "IDLE_TIMEOUT_S", 0.2)
 
     async def scenario() -> None:
         async with World(await Node("ok", "ok").start()) as world:
