--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import base64
 import json
 import os
 import secrets
@@ -561,13 +560,13 @@
     }
 
 
-def item(item_id: str, out_tokens: int = 120, body: bytes = b"a receipt") -> dict:
-    """Return one item of a batch job."""
+def item(item_id: str, out_tokens: int, body: str) -> dict:
+    """Return one item of a batch job; ``body`` is base64."""
     return {
         "instanceId": item_id,
         "path": f"/batch/{item_id}",
         "headers": {"Model": "m", "Token-Usage": f"60,{out_tokens}", "Prompt-Prefix": f"a1:40,{item_id}:20"},
-        "body": base64.b64encode(body).decode(),
+        "body": body,
         "tokens": 60 + out_tokens,
     }
 
