--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -22,6 +22,7 @@
 import yaml
 
 ROOT = Path(__file__).resolve().parents[2]
+TIME_LIMIT_S = 112.0  # of a case
 SIGNATURE = "3e1b.07.5a2.600.0.c9f2a4d1"
 HOST = "review.example"
 # The bounds of the users' small sites (SYSTEM.md).
@@ -575,10 +576,11 @@
     """Run ``case`` and exit with 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
     record = Record(folder / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # ends the daemons too
     record.say(f"TROUBLE={int(trouble)}")
     try:
-        broken = asyncio.run(case(record, trouble))
-    except (CannotRunError, Exception) as error:  # noqa: BLE001
+        broken = asyncio.run(asyncio.wait_for(case(record, trouble), TIME_LIMIT_S))
+    except (Exception, KeyboardInterrupt) as error:  # noqa: BLE001
         record.say(f"could not run: {type(error).__name__}: {error}")
         sys.exit(2)
     record.say("BROKEN" if broken else "HELD")
