--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 PYTHONPATH=target/deps python3 -c "import yaml"
-python3 -m py_compile review/common/rig.py review/*/case.py
+python3 -m py_compile review/1/rig.py review/1/case.py
