Proxy: what clients make it hold is accounted before it is taken

Callers saw a proxy end for want of memory while clients stayed inside the limits: heads of many short lines (45 bytes of objects for a byte sent), large bodies that stop one byte short or wait for a broker, trailers without any limit, pipelined heads, responses that nobody reads, more connections than descriptors. Cause: nothing read limits.memoryMb; each connection was bounded, the sum was not. A head line 'a:' is four bytes on the wire and counted as five, so legal heads got 431.

The listeners of a proxy (frontend and readiness) now read a socket only into memory that is reserved in the process's ClientMemory (0.4 of memoryMb): a head is parsed when it is whole and its objects are reserved, a body longer than 32 kB is reserved as a whole before more of it is read, trailers are counted and dropped, a pipelined request waits unparsed until the one before it is answered, a response that is not streamed is reserved before it is read from the broker. What does not fit is not read. Then whoever makes no progress gives way, largest first, and for a small request whoever holds more than it; large requests together get three quarters, so an ordinary one passes them. Refusals: 503 with Retry-After where nothing ran, 408, 413, 431 as before. Above its share of fileDescriptors, idle connections and incomplete heads give way to new ones. Small chunks are parsed 2 kB a turn of the event loop.

--- a/cherrycove/tier/controlplane/operator_api.py
+++ b/cherrycove/tier/controlplane/operator_api.py
@@ -25,7 +25,7 @@
 )
 from cherrycove.tier.controlplane.retirement import RetirementService
 from cherrycove.tier.errors import ErrorKind, Failure
-from cherrycove.tier.protocol.server_log import server_logger
+from cherrycove.tier.listener.server_log import server_logger
 
 CONFIGURATION_PATH = "/api/configuration"
 RETIRE_PATH = "/api/retire/{node}"
--- a/cherrycove/tier/dataplane/client_exchange.py
+++ b/cherrycove/tier/dataplane/client_exchange.py
@@ -5,12 +5,14 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from functools import partial
 from http import HTTPStatus
 from math import inf
 
 import attrs
 from aiohttp import web
 
+from cherrycove.broker.timeouts import ArrivalTimeout
 from cherrycove.tier.configuration import Route
 from cherrycove.tier.dataplane.admission import AdmissionRequest, AttemptOutcome, Reject
 from cherrycove.tier.dataplane.admission_controller import AdmissionController, Permit
@@ -28,11 +30,13 @@
     UpstreamRequest,
 )
 from cherrycove.tier.dataplane.upstream_response import IncompleteResponseError, UpstreamResponse
+from cherrycove.tier.listener.client_server import connection_of, reserve_for
 
 _log = logging.getLogger(__name__)
 
 MAX_ATTEMPTS_STARTED = 24  # per request, including attempts that brokers rejected
 MIN_RETRY_AFTER_S = 0.01
+RESPONSE_COPIES = 2  # in memory at a time, of a response that is not streamed
 
 
 @attrs.frozen
@@ -80,8 +84,8 @@
     async def run(self) -> web.StreamResponse:
         """Return the response, at the deadline at the latest."""
         try:
-            async with self.drain.limit(self.admission_request.deadline):
-                return await self._attempt_until_final()
+            async with self.drain.limit(self.admission_request.deadline) as limit:
+                return await self._attempt_until_final(limit)
         except TimeoutError:
             return self._failure_response(HTTPStatus.GATEWAY_TIMEOUT)
         except ConnectionError:
@@ -101,11 +105,11 @@
         }
         _log.exception("request_failed", extra=details)
 
-    async def _attempt_until_final(self) -> web.StreamResponse:
+    async def _attempt_until_final(self, limit: ArrivalTimeout) -> web.StreamResponse:
         while True:
             if self._relay.has_begun:  # its client, which has the first events, waits until the deadline
                 self.admission_request.silence_limit_s = inf
-            permit = await self.admission.acquire(self.admission_request, self.timeline)
+            permit = await self._acquire(limit)
             if isinstance(permit, Reject):
                 return self._failure_response(HTTPStatus.BAD_GATEWAY, permit.retry_after_s)
             response = await self._attempt(permit)
@@ -114,6 +118,21 @@
             if not self._may_retry():
                 return self._failure_response(HTTPStatus.BAD_GATEWAY)
 
+    async def _acquire(self, limit: ArrivalTimeout) -> Permit | Reject:
+        """Wait for a broker; meanwhile the request may be refused in favour of clients that hold less."""
+        connection = connection_of(self.request)
+        if connection is not None and not self._executions and not self._relay.has_begun:
+            connection.give_way_early = partial(_expire, limit)
+        try:
+            return await self.admission.acquire(self.admission_request, self.timeline)
+        finally:
+            if connection is not None:
+                connection.give_way_early = None
+
+    async def _reserve_response(self, size: int) -> None:
+        """Reserve memory for a response, which the client may read slowly, before it is received."""
+        await reserve_for(self.request, RESPONSE_COPIES * size)
+
     def _may_retry(self) -> bool:
         if self.admission_request.attempts >= MAX_ATTEMPTS_STARTED:
             return False
@@ -182,7 +201,7 @@
             response = await self._relay.forward(upstream, permit.body_received)
             self.is_complete = True
             return response
-        body = await upstream.read()
+        body = await upstream.read(self._reserve_response)
         permit.body_received()
         if self._relay.has_begun or (
             upstream.status == HTTPStatus.INTERNAL_SERVER_ERROR and self._may_retry()
@@ -210,3 +229,8 @@
             close=close,
             retry_after_s=max(retry_after_s, MIN_RETRY_AFTER_S),
         )
+
+
+def _expire(limit: ArrivalTimeout) -> None:
+    if not limit.expired():
+        limit.reschedule(asyncio.get_running_loop().time())
--- a/cherrycove/tier/dataplane/data_plane.py
+++ b/cherrycove/tier/dataplane/data_plane.py
@@ -6,6 +6,8 @@
 import logging
 import random
 
+import attrs
+
 from cherrycove.tier.batch.execution import ItemExecutor
 from cherrycove.tier.dataplane.admission_controller import AdmissionController
 from cherrycove.tier.dataplane.draining import UNREADY_PROPAGATION_S, DrainDeadline
@@ -16,6 +18,8 @@
 from cherrycove.tier.dataplane.request_forwarder import RequestForwarder
 from cherrycove.tier.dataplane.upstream import UpstreamClient
 from cherrycove.tier.distribution.cluster_view import ClusterView
+from cherrycove.tier.listener.client_memory import ClientMemory
+from cherrycove.tier.listener.client_server import ListenerBudget
 from cherrycove.tier.settings import Settings
 
 _log = logging.getLogger(__name__)
@@ -23,6 +27,9 @@
 RESERVED_DESCRIPTORS = 400  # of the file descriptor limit, for files, internal calls and listeners
 MIN_DESCRIPTORS = 64
 CLIENT_FRACTION = 0.5  # of the remaining descriptors, for clients; the rest is for brokers
+CLIENT_MEMORY_FRACTION = 0.4  # of the memory limit, for what clients make the process hold
+MAX_READINESS_CONNECTIONS = 32
+BYTES_PER_MB = 1_000_000
 IDLE_PERIOD_S = 0.3  # time without an open request after which a drain expects no further requests
 POLL_INTERVAL_S = 0.05
 
@@ -41,14 +48,21 @@
         self._is_draining = False
         descriptors = max(settings.limits.file_descriptors - RESERVED_DESCRIPTORS, MIN_DESCRIPTORS)
         self._max_connections = int(descriptors * (1 - CLIENT_FRACTION))
+        budget = ListenerBudget(
+            ClientMemory(int(settings.limits.memory_mb * BYTES_PER_MB * CLIENT_MEMORY_FRACTION)),
+            int(descriptors * CLIENT_FRACTION),
+        )
         self._upstream = UpstreamClient(self._max_connections)
         self._admission = AdmissionController(cluster_view, rng)
         self._drain = DrainDeadline()
         self._losses = LossRecord()
         forwarder = RequestForwarder(self._admission, self._upstream, rng, self._drain, self._losses)
-        self._ingress = Ingress(settings, cluster_view, forwarder, self._drain, self._losses)
+        self._ingress = Ingress(settings, cluster_view, forwarder, self._drain, self._losses, budget)
         self._readiness = ReadinessServer(
-            settings.listen_addresses.readiness, self._is_ready, self._losses.totals_document
+            settings.listen_addresses.readiness,
+            self._is_ready,
+            self._losses.totals_document,
+            attrs.evolve(budget, max_connections=MAX_READINESS_CONNECTIONS),
         )
         self.executor: ItemExecutor = BrokerItemExecutor(
             cluster_view, self._admission, self._upstream, rng, self._losses
--- a/cherrycove/tier/dataplane/ingress.py
+++ b/cherrycove/tier/dataplane/ingress.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from aiohttp import web
-from aiohttp.http import HttpProcessingError
+from aiohttp.http import HttpProcessingError, RawRequestMessage
 
 from cherrycove.tier.batch.frontend.http_api import MAX_BATCH_CALL_S
 from cherrycove.tier.configuration import ClientLimits, Route
@@ -18,7 +18,6 @@
     find_batch_route,
     is_batch_api_request,
 )
-from cherrycove.tier.dataplane.client_connection import ClientServer
 from cherrycove.tier.dataplane.client_request import ClientRequestError, read_request_body
 from cherrycove.tier.dataplane.draining import DrainDeadline
 from cherrycove.tier.dataplane.headers import REQUEST_ID
@@ -28,9 +27,10 @@
 from cherrycove.tier.dataplane.request_forwarder import RequestForwarder, response_deadline
 from cherrycove.tier.dataplane.responses import proxy_response
 from cherrycove.tier.distribution.cluster_view import ClusterView
+from cherrycove.tier.listener.client_server import DEFAULT_BODY_FACTOR, ClientServer, ListenerBudget
 from cherrycove.tier.settings import Settings
 
-LISTEN_BACKLOG = 1024
+BATCH_BODY_FACTOR = 6  # the body, its text, the parsed job, the message to a store, and its copy
 UNCONFIGURED_RETRY_AFTER_S = 0.5
 DRAINING_RETRY_AFTER_S = 0.05  # another proxy can serve it at once
 SHUTDOWN_TIMEOUT_S = 0.3
@@ -61,8 +61,10 @@
         forwarder: RequestForwarder,
         drain: DrainDeadline,
         losses: LossRecord,
+        budget: ListenerBudget | None = None,
     ) -> None:
         self._settings = settings
+        self._budget = budget
         self._cluster_view = cluster_view
         self._forwarder = forwarder
         self._drain = drain
@@ -83,11 +85,16 @@
 
     async def start(self) -> None:
         """Listen on the frontend address. Raises ``OSError`` if it is in use."""
-        server = ClientServer(self.handle, lambda: self.limits)
-        self._runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
-        await self._runner.setup()
-        host, _, port = self._settings.listen_addresses.frontend.rpartition(":")
-        await web.TCPSite(self._runner, host, int(port), backlog=LISTEN_BACKLOG).start()
+        server = ClientServer(self.handle, lambda: self.limits, self._budget, body_factor=self._body_factor)
+        self._runner = await server.listen(self._settings.listen_addresses.frontend, SHUTDOWN_TIMEOUT_S)
+
+    def _body_factor(self, message: RawRequestMessage) -> int:
+        """Bytes of memory that a byte of the body takes until its request is answered."""
+        configuration = self._cluster_view.configuration
+        if configuration is None:
+            return DEFAULT_BODY_FACTOR
+        route = configuration.match(message.headers.get("Host", ""), message.path.partition("?")[0])
+        return BATCH_BODY_FACTOR if route is not None and route.is_batch else DEFAULT_BODY_FACTOR
 
     async def stop(self) -> None:
         """Close the listener and all connections."""
@@ -125,7 +132,9 @@
         try:
             body = await read_request_body(request, self.limits)
         except ClientRequestError as error:
-            return self._proxy_response(request, error.status, error.reason, is_request_read=False)
+            return self._proxy_response(
+                request, error.status, error.reason, is_request_read=False, retry_after_s=error.retry_after_s
+            )
         return await self._route(request, body, arrived_at)
 
     async def _route(self, request: web.BaseRequest, body: bytes, arrived_at: float) -> web.StreamResponse:
--- a/cherrycove/tier/dataplane/readiness.py
+++ b/cherrycove/tier/dataplane/readiness.py
@@ -7,11 +7,13 @@
 
 from aiohttp import web
 
+from cherrycove.tier.configuration import ClientLimits
 from cherrycove.tier.dataplane.loss_record import LOSSES_PATH
-from cherrycove.tier.protocol.server_log import server_logger
+from cherrycove.tier.listener.client_server import ClientServer, ListenerBudget
 
 READINESS_PATH = "/api/readiness"
 SHUTDOWN_TIMEOUT_S = 0.1
+LIMITS = ClientLimits(max_body_bytes=0, idle_timeout_ms=60_000.0)  # nobody sends a body there
 
 
 class ReadinessServer:
@@ -22,21 +24,23 @@
     Owned by the ``DataPlane``. The separate listener responds even while the frontend address is saturated.
     """
 
-    def __init__(self, address: str, is_ready: Callable[[], bool], losses: Callable[[], bytes]) -> None:
+    def __init__(
+        self,
+        address: str,
+        is_ready: Callable[[], bool],
+        losses: Callable[[], bytes],
+        budget: ListenerBudget | None = None,
+    ) -> None:
         self._address = address
         self._is_ready = is_ready
         self._losses = losses
+        self._budget = budget
         self._runner: web.ServerRunner | None = None
 
     async def start(self) -> None:
         """Listen on the readiness address. Raises ``OSError`` if it is in use."""
-        host, _, port = self._address.rpartition(":")
-        self._runner = web.ServerRunner(
-            web.Server(self._handle, access_log=None, logger=server_logger()),
-            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
-        )
-        await self._runner.setup()
-        await web.TCPSite(self._runner, host, int(port)).start()
+        server = ClientServer(self._handle, lambda: LIMITS, self._budget)
+        self._runner = await server.listen(self._address, SHUTDOWN_TIMEOUT_S)
 
     async def stop(self) -> None:
         """Close the listener and its connections."""
--- a/cherrycove/tier/dataplane/upstream_response.py
+++ b/cherrycove/tier/dataplane/upstream_response.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from enum import Enum
 
@@ -17,6 +18,13 @@
 MAX_DISCARDED_BYTES = 64 * 1024
 
 
+ReserveMemory = Callable[[int], Awaitable[None]]
+
+
+async def _reserve_nothing(size: int) -> None:  # noqa: ARG001 (a ``ReserveMemory``)
+    """Account nothing: no client waits for the response."""
+
+
 class ResponseFault(Enum):
     """What is wrong with a response, caused by the broker or its connection."""
 
@@ -65,10 +73,19 @@
             # aiohttp raises RuntimeError if the connection was closed by this process.
             raise IncompleteResponseError(ResponseFault.CLOSED, str(error)) from error
 
-    async def read(self) -> bytes:
-        """Return the complete body. Raises ``IncompleteResponseError``, also if the body is too long."""
+    async def read(self, reserve: ReserveMemory = _reserve_nothing) -> bytes:
+        """Return the complete body. Raises ``IncompleteResponseError``, also if the body is too long.
+
+        ``reserve`` waits until the memory for so many further bytes is reserved.
+        """
+        reserved_bytes = min(self._response.content_length or 0, MAX_BUFFERED_BYTES)
+        await reserve(reserved_bytes)
         body = bytearray()
         while chunk := await self.read_chunk():
+            if len(body) + len(chunk) > reserved_bytes:
+                step_bytes = max(len(chunk), len(body))
+                await reserve(step_bytes)
+                reserved_bytes += step_bytes
             body += chunk
             if len(body) > MAX_BUFFERED_BYTES:
                 raise IncompleteResponseError(
--- a/cherrycove/tier/protocol/_rpc_server.py
+++ b/cherrycove/tier/protocol/_rpc_server.py
@@ -20,7 +20,7 @@
     failure_response,
 )
 from cherrycove.tier.protocol.calls import HandlerTable
-from cherrycove.tier.protocol.server_log import server_logger
+from cherrycove.tier.listener.server_log import server_logger
 
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 SHUTDOWN_TIMEOUT_S = 0.2
--- a/examples/small_tier.py
+++ b/examples/small_tier.py
@@ -9,7 +9,7 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from types import TracebackType
-from typing import Any
+from typing import Any, Self
 
 import aiohttp
 import attrs
@@ -84,7 +84,7 @@
             raise TierError("the tier is not started")
         return self._reservation.network
 
-    async def __aenter__(self) -> SmallTier:
+    async def __aenter__(self) -> Self:
         self.platform = ToyPlatform(service=SERVICE, brokers=self.brokers)
         self._reservation = reserve_network()
         try:
--- a/tests/crowds/test_broker_crowds.py
+++ b/tests/crowds/test_broker_crowds.py
@@ -16,9 +16,9 @@
 
 import attrs
 from crowd import Crowd, ProcessUsage, answered, crowd_of
+from support import Node, raw
 
 from examples.tier_processes import ROOT, reserve_network
-from tests.support import Node, raw
 
 MEMORY_MB = 100
 DESCRIPTORS = 512
--- a/tests/crowds/test_proxy_crowds.py
+++ b/tests/crowds/test_proxy_crowds.py
@@ -10,6 +10,7 @@
 import json
 from pathlib import Path
 
+import pytest
 from crowd import Crowd, CrowdClient, crowd_of
 from crowded_tier import (
     BODY_BYTES,
@@ -168,6 +169,33 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("row", [
+    "incomplete heads", "heads without bodies", "waiting heads", "bodies", "chunks", "small chunks",
+    "waiting bodies", "trailers",
+])  # fmt: skip
+def test_crowds_with_descriptors_to_spare(tmp_path: Path, row: str) -> None:
+    chunk = b"10000\r\n" + bytes(0x10000) + b"\r\n"
+    chunked = head("/chat/1", "Transfer-Encoding: chunked")
+    payload, count = {
+        "incomplete heads": ([filled_head("/chat/1", is_complete=False)], 300),
+        "heads without bodies": ([filled_head("/chat/1", "Content-Length: 1")], 300),
+        "waiting heads": ([filled_head("/waiting/1", "Content-Length: 1") + b"x"], 200),
+        "bodies": ([head("/chat/1", f"Content-Length: {BODY_BYTES}"), bytes(BODY_BYTES - 1)], 50),
+        "chunks": ([chunked, chunk * (BODY_BYTES // 0x10000)], 50),
+        "small chunks": ([chunked, b"1\r\nx\r\n" * 100_000], 300),
+        "waiting bodies": ([head("/waiting/1", f"Content-Length: {BODY_BYTES}"), bytes(BODY_BYTES)], 50),
+        "trailers": ([chunked + b"1\r\nx\r\n0\r\n", SHORT_LINE * 4000], 300),
+    }[row]
+
+    async def scenario() -> None:
+        async with crowded_tier(tmp_path, ONE_PROXY, fileDescriptors=4096) as tier:
+            await tier.serve()
+            (proxy,) = tier.proxies
+            await tier.check_after(crowd_of(count, proxy.frontend, *payload), proxy)
+
+    asyncio.run(scenario())
+
+
 def test_a_head_of_exactly_the_limit_is_served(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with crowded_tier(tmp_path, ONE_PROXY) as tier:
--- a/tests/tier/test_dataplane_drain.py
+++ b/tests/tier/test_dataplane_drain.py
@@ -9,9 +9,9 @@
 from test_dataplane_items import RecordingBatchApi
 
 from cherrycove.tier.configuration import ClientLimits
-from cherrycove.tier.dataplane.client_connection import ClientServer
 from cherrycove.tier.dataplane.draining import EXIT_RESERVE_S, DrainDeadline
 from cherrycove.tier.dataplane.request_durations import RecentMaxDuration
+from cherrycove.tier.listener.client_server import ClientServer
 from examples.toy_broker import Received, ToyBroker, Wire, stream
 
 ROUTES = [
