Internal and operators' listeners: callers' memory and connections are bounded together

A controller or store could be made to hold a megabyte a head and 16 or 64 MB a body, for every connection, and one connection a descriptor: 162 to 314 MB of 160 and 714 descriptors of 512. They now use the listener of the proxy with a quarter of memoryMb, shared by both addresses. An internal message has at most 24 MiB (a batch of 4 MiB that is nearly complete and a message with the largest configuration, 16 MiB), it was 64; a call whose body does not come within 10 s, or gives way, fails as OVERLOADED, so nothing ran. The objects of an operator's document are reserved before it is decoded; 413 if the process could never hold them. The operators' paths are matched without aiohttp's application, whose server would not take the connections.

--- a/cherrycove/tier/controlplane/controller.py
+++ b/cherrycove/tier/controlplane/controller.py
@@ -23,6 +23,7 @@
 from cherrycove.tier.controlplane.topics import ControlTopics
 from cherrycove.tier.distribution.cluster_view import ClusterView
 from cherrycove.tier.distribution.publisher import Publisher
+from cherrycove.tier.listener.client_server import ListenerBudget
 from cherrycove.tier.protocol.calls import Caller, CallRegistry
 from cherrycove.tier.protocol.control_pb2 import PullRequest
 from cherrycove.tier.protocol.controller_methods import STATUS
@@ -48,6 +49,7 @@
         cluster_view: ClusterView | None = None,
         reader: BrokerReader | None = None,
         contacts: ControllerContacts | None = None,
+        listener_budget: ListenerBudget | None = None,
     ) -> None:
         """Connect the parts and register the calls ``pull`` and ``status`` with ``server``.
 
@@ -55,13 +57,15 @@
         machine. ``cluster_view`` is what a ``Puller`` of this process receives from the primary while this
         controller does not lead. ``reader`` replaces the client that reads the platform's broker list.
         ``contacts`` provides the other controllers that this process knows; without it this controller
-        introduces itself to no other controller.
+        introduces itself to no other controller. ``listener_budget`` is what operators may take of the
+        process's memory and descriptors.
         """
         self._settings = settings
         self._group = group
         self._state = state
         self._cluster_view = ClusterView() if cluster_view is None else cluster_view
         self._contacts = contacts or ControllerContacts()
+        self._listener_budget = listener_budget
         self._leadership = Leadership(group, self._cluster_view)
         self._period = self._assemble_period()
         self._publisher = self._assemble_publisher()
@@ -154,7 +158,7 @@
             self._coordinator.stores_had_time_to_announce,
             target_group_size(self._settings.fault_tolerance.machine_failures),
         )
-        return OperatorApi(self._leadership, configuration, retirement)
+        return OperatorApi(self._leadership, configuration, retirement, self._listener_budget)
 
     def _register(self, server: CallRegistry) -> None:
         """Register the calls with ``server``, and the callbacks with the replicated state and the group."""
--- a/cherrycove/tier/controlplane/operator_api.py
+++ b/cherrycove/tier/controlplane/operator_api.py
@@ -13,6 +13,7 @@
 from aiohttp.http import HttpProcessingError
 from result import Err, Ok, Result
 
+from cherrycove.tier.configuration import ClientLimits
 from cherrycove.tier.controlplane.configuration_service import MAX_VERSION, ConfigurationService
 from cherrycove.tier.controlplane.leadership import Leadership
 from cherrycove.tier.controlplane.operator_answers import (
@@ -25,12 +26,17 @@
 )
 from cherrycove.tier.controlplane.retirement import RetirementService
 from cherrycove.tier.errors import ErrorKind, Failure
-from cherrycove.tier.listener.server_log import server_logger
+from cherrycove.tier.listener.client_server import ClientServer, ListenerBudget, reserve_for
+from cherrycove.tier.listener.errors import BodyTooLargeError, GaveWayError
+from cherrycove.tier.listener.json_cost import decoded_cost_bytes
+from cherrycove.tier.listener.request_body import read_body
 
 CONFIGURATION_PATH = "/api/configuration"
-RETIRE_PATH = "/api/retire/{node}"
+_RETIRE_PATH = re.compile("/api/retire/([^/]+)")
 MAX_BODY_BYTES = 16 * 1024 * 1024
 BODY_TIMEOUT_S = 10.0  # time limit for receiving a request body
+LIMITS = ClientLimits(max_body_bytes=MAX_BODY_BYTES, header_timeout_ms=10_000.0, idle_timeout_ms=120_000.0)
+MEMORY_TIMEOUT_S = 1.0  # time limit of the wait for memory to decode a document
 SHUTDOWN_TIMEOUT_S = 0.5  # time limit for requests in flight when the interface stops
 
 _VERSION = re.compile(r'"?([0-9]{1,19})"?', re.ASCII)
@@ -44,13 +50,18 @@
     """
 
     def __init__(
-        self, leadership: Leadership, configuration: ConfigurationService, retirement: RetirementService
+        self,
+        leadership: Leadership,
+        configuration: ConfigurationService,
+        retirement: RetirementService,
+        budget: ListenerBudget | None = None,
     ) -> None:
         self._leadership = leadership
         self._configuration = configuration
         self._retirement = retirement
+        self._budget = budget
         self._port = 0
-        self._runner: web.AppRunner | None = None
+        self._runner: web.ServerRunner | None = None
 
     async def start(self, address: str) -> None:
         """Listen on ``address`` (host:port); if it is empty, only direct calls of ``answer`` are served.
@@ -59,18 +70,9 @@
         """
         if not address:
             return
-        host, _, port = address.rpartition(":")
-        self._port = int(port)
-        application = web.Application(client_max_size=MAX_BODY_BYTES)
-        application.router.add_put(CONFIGURATION_PATH, self._put_configuration)
-        application.router.add_get(CONFIGURATION_PATH, self._get_configuration, allow_head=False)
-        application.router.add_post(RETIRE_PATH, self._post_retire)
-        application.router.add_get(RETIRE_PATH, self._get_retire, allow_head=False)
-        self._runner = web.AppRunner(
-            application, access_log=None, logger=server_logger(), shutdown_timeout=SHUTDOWN_TIMEOUT_S
-        )
-        await self._runner.setup()
-        await web.TCPSite(self._runner, host, self._port).start()
+        self._port = int(address.rpartition(":")[2])
+        server = ClientServer(self.answer, lambda: LIMITS, self._budget)
+        self._runner = await server.listen(address, SHUTDOWN_TIMEOUT_S)
 
     async def stop(self) -> None:
         """Close the listener; requests in flight have ``SHUTDOWN_TIMEOUT_S`` to finish."""
@@ -78,39 +80,44 @@
             await self._runner.cleanup()
             self._runner = None
 
-    async def answer(self, request: web.Request) -> web.Response:
-        """Answer one request that was not received by the listener, such as one of a simulated operator."""
-        if request.method == "PUT":
-            return await self._put_configuration(request)
-        if request.method == "POST":
-            return await self._post_retire(request)
-        if request.path == CONFIGURATION_PATH:
-            return await self._get_configuration(request)
-        return await self._get_retire(request)
+    async def answer(self, request: web.BaseRequest) -> web.Response:
+        """Answer one request, received by the listener or made by a simulated operator.
 
-    async def _put_configuration(self, request: web.Request) -> web.Response:
+        Raises ``web.HTTPNotFound`` and ``web.HTTPMethodNotAllowed`` for what the interface does not have.
+        """
+        if request.path == CONFIGURATION_PATH:
+            handlers = {"PUT": self._put_configuration, "GET": self._get_configuration}
+        elif _retired_node(request):
+            handlers = {"POST": self._post_retire, "GET": self._get_retire}
+        else:
+            raise web.HTTPNotFound
+        if request.method not in handlers:
+            raise web.HTTPMethodNotAllowed(request.method, handlers)
+        return await handlers[request.method](request)
+
+    async def _put_configuration(self, request: web.BaseRequest) -> web.Response:
         return self._respond(request, await self._change_configuration(request))
 
-    async def _get_configuration(self, request: web.Request) -> web.Response:
+    async def _get_configuration(self, request: web.BaseRequest) -> web.Response:
         confirmed = await self._leadership.wait_until_confirmed()
         if isinstance(confirmed, Err):
             return self._respond(request, confirmed)
         return self._respond(request, self._configuration.current().map(CurrentConfiguration))
 
-    async def _post_retire(self, request: web.Request) -> web.Response:
+    async def _post_retire(self, request: web.BaseRequest) -> web.Response:
         confirmed = await self._leadership.wait_until_confirmed()
         if isinstance(confirmed, Err):
             return self._respond(request, confirmed)
-        outcome = await self._retirement.order(request.match_info["node"])
+        outcome = await self._retirement.order(_retired_node(request))
         return self._respond(request, outcome.map(lambda _: Accepted()))
 
-    async def _get_retire(self, request: web.Request) -> web.Response:
+    async def _get_retire(self, request: web.BaseRequest) -> web.Response:
         confirmed = await self._leadership.wait_until_confirmed()
         if isinstance(confirmed, Err):
             return self._respond(request, confirmed)
-        return self._respond(request, self._retirement.state(request.match_info["node"]).map(RetireStatus))
+        return self._respond(request, self._retirement.state(_retired_node(request)).map(RetireStatus))
 
-    async def _change_configuration(self, request: web.Request) -> Result[OperatorAnswer, Failure]:
+    async def _change_configuration(self, request: web.BaseRequest) -> Result[OperatorAnswer, Failure]:
         body = await _read_body(request)
         confirmed = await self._leadership.wait_until_confirmed()
         if isinstance(confirmed, Err):
@@ -120,9 +127,27 @@
         base_version = _base_version(request)
         if base_version is None:
             return self._final_error(Failure(ErrorKind.INVALID, "If-Match must be a version"))
+        reserved = await self._reserve_for_document(request, body.ok_value)
+        if isinstance(reserved, Err):
+            return reserved
         outcome = await self._configuration.put(body.ok_value, base_version)
         return outcome.map(lambda _: Accepted())
 
+    async def _reserve_for_document(self, request: web.BaseRequest, body: bytes) -> Result[None, Failure]:
+        """Reserve the memory that a document takes once it is decoded.
+
+        TOO_LARGE if this process could never decode it, OVERLOADED if it cannot now.
+        """
+        cost_bytes = decoded_cost_bytes(body)
+        if self._budget is not None and cost_bytes > self._budget.memory.limit_bytes:
+            return self._final_error(Failure(ErrorKind.TOO_LARGE, "the document has too many values"))
+        try:
+            async with asyncio.timeout(MEMORY_TIMEOUT_S):
+                await reserve_for(request, cost_bytes)
+        except TimeoutError:
+            return Err(Failure(ErrorKind.OVERLOADED, "no memory for the document now"))
+        return Ok(None)
+
     def _final_error(self, failure: Failure) -> Err[Failure]:
         """Return ``failure``, or NOT_PRIMARY if this is not the confirmed primary.
 
@@ -131,30 +156,38 @@
         confirmed = self._leadership.is_confirmed_primary()
         return Err(failure if confirmed else self._leadership.not_primary_failure())
 
-    def _respond(self, request: web.Request, outcome: Result[OperatorAnswer, Failure]) -> web.Response:
+    def _respond(self, request: web.BaseRequest, outcome: Result[OperatorAnswer, Failure]) -> web.Response:
         if isinstance(outcome, Err):
             return failure_response(outcome.err_value, request.raw_path, self._port)
         return success_response(outcome.ok_value)
 
 
-async def _read_body(request: web.Request) -> Result[bytes, Failure]:
+async def _read_body(request: web.BaseRequest) -> Result[bytes, Failure]:
     """Read the complete body, even if it is not used.
 
     Closing the connection before the end of the body would reset it, and the client could miss the response.
     """
     try:
-        return Ok(await asyncio.wait_for(request.read(), BODY_TIMEOUT_S))
+        return Ok(await asyncio.wait_for(read_body(request, MAX_BODY_BYTES), BODY_TIMEOUT_S))
+    except GaveWayError as error:
+        return Err(Failure(ErrorKind.OVERLOADED, f"the body did not arrive: {error}"))
+    except BodyTooLargeError as error:
+        return Err(Failure(ErrorKind.TOO_LARGE, str(error)))
     except TimeoutError:
         return Err(Failure(ErrorKind.UNAVAILABLE, "the body did not arrive in time"))
     except ConnectionError as error:  # nobody receives the response
         return Err(Failure(ErrorKind.UNAVAILABLE, f"the body did not arrive: {error}"))
     except (web.RequestPayloadError, HttpProcessingError) as error:
         return Err(Failure(ErrorKind.INVALID, f"the body is malformed: {error}"))
-    except web.HTTPRequestEntityTooLarge as error:
-        return Err(Failure(ErrorKind.TOO_LARGE, str(error.text)))
 
 
-def _base_version(request: web.Request) -> int | None:
+def _retired_node(request: web.BaseRequest) -> str:
+    """Return the machine that a path of the retirement interface names; empty for any other path."""
+    match = _RETIRE_PATH.fullmatch(request.path)
+    return match.group(1) if match else ""
+
+
+def _base_version(request: web.BaseRequest) -> int | None:
     """Return the version in If-Match (RFC 9110, section 13.1.1); None unless there is exactly one."""
     values = request.headers.getall("If-Match", [])
     match = _VERSION.fullmatch(values[0].strip()) if len(values) == 1 else None
--- a/cherrycove/tier/programs/controller.py
+++ b/cherrycove/tier/programs/controller.py
@@ -30,6 +30,7 @@
             self._client,
             self._cluster_view,
             contacts=PullerContacts(self._puller, self._announce),
+            listener_budget=self._listener_budget,
         )
 
     def _initial_members(self) -> Sequence[MemberIdentity]:
--- a/cherrycove/tier/programs/replica_program.py
+++ b/cherrycove/tier/programs/replica_program.py
@@ -8,6 +8,7 @@
 
 from cherrycove.tier.distribution.cluster_view import ClusterView
 from cherrycove.tier.distribution.puller import Puller
+from cherrycove.tier.listener.client_server import ListenerBudget
 from cherrycove.tier.programs.process import new_incarnation
 from cherrycove.tier.programs.replica import DISK_FRACTION, open_group, replica_announcement
 from cherrycove.tier.protocol.control_pb2 import Announcement
@@ -15,6 +16,10 @@
 from cherrycove.tier.replication.interface import MemberIdentity, StateMachine
 from cherrycove.tier.settings import Settings
 
+CLIENT_MEMORY_FRACTION = 0.25  # of the memory limit, for what callers make the process hold
+RESERVED_DESCRIPTORS = 128  # of the file descriptor limit, for files and calls to other processes
+MAX_LISTENERS = 2  # for internal calls and for operators
+
 
 class Service(Protocol):
     """The service that the program offers on top of its group."""
@@ -46,7 +51,13 @@
         """
         self._program = program
         self._settings = settings
-        self._server = RpcServer()
+        self._listener_budget = ListenerBudget.of(
+            settings.limits,
+            memory_fraction=CLIENT_MEMORY_FRACTION,
+            reserved_descriptors=RESERVED_DESCRIPTORS,
+            listeners=MAX_LISTENERS,
+        )
+        self._server = RpcServer(self._listener_budget)
         self._client = RpcClient()
         self._incarnation = new_incarnation()
         self._leaving = False
--- a/cherrycove/tier/protocol/_rpc_server.py
+++ b/cherrycove/tier/protocol/_rpc_server.py
@@ -5,13 +5,16 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from typing import Any
 
 from aiohttp import web
 from aiohttp.http import HttpProcessingError
 from result import Err
 
+from cherrycove.tier.configuration import ClientLimits
 from cherrycove.tier.errors import ErrorKind, Failure
+from cherrycove.tier.listener.client_server import ClientServer, ListenerBudget
+from cherrycove.tier.listener.errors import GaveWayError
+from cherrycove.tier.listener.request_body import read_body
 from cherrycove.tier.protocol._rpc_wire import (
     CALL_HEADER,
     IDENTITY_HEADERS,
@@ -20,10 +23,13 @@
     failure_response,
 )
 from cherrycove.tier.protocol.calls import HandlerTable
-from cherrycove.tier.listener.server_log import server_logger
 
-MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+# A batch of replicated messages that is nearly complete, and one more with the largest configuration.
+MAX_MESSAGE_BYTES = 24 * 1024 * 1024
+MESSAGE_FACTOR = 4  # copies of a message in memory: received, parsed, as a command, and in the log
+BODY_TIMEOUT_S = 10.0  # time limit for receiving a call
 SHUTDOWN_TIMEOUT_S = 0.2
+LIMITS = ClientLimits(max_body_bytes=MAX_MESSAGE_BYTES, header_timeout_ms=10_000.0, idle_timeout_ms=120_000.0)
 
 _log = logging.getLogger(__name__)
 
@@ -34,8 +40,10 @@
     A call that is addressed to a member other than this process is rejected without running its handler.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, budget: ListenerBudget | None = None) -> None:
+        """``budget`` is what callers may take of the process's memory and descriptors."""
         super().__init__()
+        self._budget = budget
         self._member_id: Callable[[], str] = lambda: ""
         self._runner: web.ServerRunner | None = None
 
@@ -54,13 +62,10 @@
 
     async def start(self, address: str) -> None:
         """Listen on ``address`` (host:port). Raises ``OSError`` if it cannot be bound."""
-        host, _, port = address.rpartition(":")
-        server = web.Server(
-            self._handle, request_factory=_request_factory(), access_log=None, logger=server_logger()
+        server = ClientServer(
+            self._handle, lambda: LIMITS, self._budget, body_factor=lambda _: MESSAGE_FACTOR
         )
-        self._runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
-        await self._runner.setup()
-        await web.TCPSite(self._runner, host, int(port)).start()
+        self._runner = await server.listen(address, SHUTDOWN_TIMEOUT_S)
 
     async def stop(self) -> None:
         """Close the listener and all connections; does nothing if the server is not started."""
@@ -89,8 +94,11 @@
             detail = f"meant for {receiver}, this is {self.member_id}"
             return failure_response(Failure(ErrorKind.MISDIRECTED, detail))
         try:
-            body = await request.read()
-        except (web.HTTPRequestEntityTooLarge, web.RequestPayloadError, HttpProcessingError) as error:
+            async with asyncio.timeout(BODY_TIMEOUT_S):
+                body = await read_body(request, MAX_MESSAGE_BYTES)
+        except (GaveWayError, TimeoutError) as error:
+            return failure_response(Failure(ErrorKind.OVERLOADED, f"{name} did not arrive: {error}"))
+        except (web.RequestPayloadError, HttpProcessingError) as error:
             return failure_response(Failure(ErrorKind.INVALID, f"{name}: {error}"))
         except ConnectionError as error:  # nobody receives the reply
             return failure_response(Failure(ErrorKind.UNAVAILABLE, f"{name} did not arrive: {error}"))
@@ -98,15 +106,3 @@
         if isinstance(outcome, Err):
             return failure_response(outcome.err_value)
         return web.Response(body=outcome.ok_value)
-
-
-def _request_factory() -> Callable[..., web.BaseRequest]:
-    """Return a request factory that allows bodies up to MAX_MESSAGE_BYTES; aiohttp's limit is 1 MiB."""
-    loop = asyncio.get_running_loop()
-
-    def make(message: Any, payload: Any, protocol: Any, writer: Any, task: Any) -> web.BaseRequest:
-        return web.BaseRequest(
-            message, payload, protocol, writer, task, loop, client_max_size=MAX_MESSAGE_BYTES
-        )
-
-    return make
--- a/cherrycove/tier/simulation/control/operator_orders.py
+++ b/cherrycove/tier/simulation/control/operator_orders.py
@@ -32,6 +32,19 @@
 }
 
 
+class ReceivedBody:
+    """Stands in for the stream of a body that has arrived; it can be read again from the start."""
+
+    def __init__(self, body: bytes) -> None:
+        self._body = body
+        self._is_read = False
+
+    async def readany(self) -> bytes:
+        """Return the body, or nothing at its end."""
+        self._is_read = not self._is_read
+        return self._body if self._is_read else b""
+
+
 class Request:
     """Stands in for an HTTP request, with the attributes that the operators' interface reads."""
 
@@ -48,11 +61,8 @@
         self.path = self.raw_path = path
         self.headers = CIMultiDict(headers or {})
         self.match_info = {"node": node}
-        self._body = body
-
-    async def read(self) -> bytes:
-        """Return the body."""
-        return self._body
+        self.content = ReceivedBody(body)
+        self.content_length = len(body)
 
 
 @attrs.frozen
