Batch jobs: objects are reserved before a document is decoded; pending jobs count in the capacity

60 bodies of '[],{},' to a batch route took 409 MB of a proxy: a document is decoded to some 22 bytes a byte. A document with more than 10,000 arrays and objects (a job of 200 items has 402) is refused with 400 before it is decoded, and the estimated cost of its values is reserved; 503 with Retry-After if it does not fit within the time of a submission. 40 whole jobs at once took 420 MB of a store: its capacity counted only jobs in the state, so all that came at the same time were accepted. Jobs that are proposed and not applied yet now count.

--- a/cherrycove/tier/batch/frontend/http_api.py
+++ b/cherrycove/tier/batch/frontend/http_api.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from aiohttp import web
 from result import Err
 
@@ -15,6 +17,8 @@
 from cherrycove.tier.configuration import Route
 from cherrycove.tier.distribution.cluster_view import ClusterView
 from cherrycove.tier.errors import ErrorKind, Failure
+from cherrycove.tier.listener.client_server import reserve_for
+from cherrycove.tier.listener.json_cost import decoded_cost_bytes
 from cherrycove.tier.protocol import batch_pb2 as pb
 
 JOBS_PREFIX = "/api/lots/"  # the job id follows
@@ -59,6 +63,11 @@
         return await self._submit(request, body, route)
 
     async def _submit(self, request: web.BaseRequest, body: bytes, route: Route) -> web.Response:
+        try:
+            async with asyncio.timeout(SUBMIT_BUDGET_S):
+                await reserve_for(request, decoded_cost_bytes(body))
+        except TimeoutError:
+            return _error_response(Failure(ErrorKind.OVERLOADED, "no memory now"))
         parsed = parse_submission(request.headers.get(JOB_ID_HEADER, ""), route, body)
         if isinstance(parsed, Err):
             return _error_response(parsed.err_value)
--- a/cherrycove/tier/batch/frontend/submission.py
+++ b/cherrycove/tier/batch/frontend/submission.py
@@ -16,9 +16,11 @@
 
 MAX_ITEMS = 200
 MAX_TOKENS = 2**32 - 1
+MAX_CONTAINERS = 10_000  # arrays and objects of a document; a job of MAX_ITEMS has 2 + 2 * MAX_ITEMS
 HEADER_NAME = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")  # a token of RFC 9110, section 5.6.2
 CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 WHITESPACE = re.compile(r"\s")
+_TEXT = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"', re.DOTALL)  # a string of JSON (RFC 8259, section 7)
 
 
 def parse_submission(job_id: str, route: Route, body: bytes) -> Result[SubmitRequest, Failure]:
@@ -29,6 +31,8 @@
     """
     if not job_id:
         return _invalid("Request-Id is missing")
+    if _has_too_many_containers(body):
+        return _invalid(f"more than {MAX_CONTAINERS} arrays and objects")
     try:
         document = json.loads(body)
     except (ValueError, RecursionError) as error:
@@ -47,6 +51,14 @@
     return Ok(submission)
 
 
+def _has_too_many_containers(body: bytes) -> bool:
+    """Whether a document has more arrays and objects than any job; decoded, each takes some 100 bytes."""
+    if body.count(b"{") + body.count(b"[") <= MAX_CONTAINERS:
+        return False
+    outside_texts = _TEXT.sub(b"", body)
+    return outside_texts.count(b"{") + outside_texts.count(b"[") > MAX_CONTAINERS
+
+
 def _job_without_items(job_id: str, route: Route) -> SubmitRequest:
     return SubmitRequest(
         job_id=job_id,
--- a/cherrycove/tier/batch/store/call_handlers.py
+++ b/cherrycove/tier/batch/store/call_handlers.py
@@ -15,7 +15,7 @@
 from cherrycove.tier.batch.leasing.lease_types import LeaseCall
 from cherrycove.tier.batch.store.capacity_forecast import seconds_until_capacity
 from cherrycove.tier.batch.store.context import StoreContext
-from cherrycove.tier.batch.store.job_capacity import demand_of
+from cherrycove.tier.batch.store.job_capacity import SubmissionSize, demand_of
 from cherrycove.tier.batch.store.proposals import PROPOSE_TIMEOUT_S, SingleFlightProposals
 from cherrycove.tier.batch.store.replies import lease_reply, read_reply
 from cherrycove.tier.batch.store.result_waiters import ResultWaiters
@@ -40,6 +40,7 @@
         self._clocks = context.clocks
         self._waiters = waiters
         self._submissions = SingleFlightProposals(context.group)
+        self._pending = SubmissionSize()  # of jobs that are proposed and not in the state yet
 
     def register_at(self, server: CallRegistry) -> None:
         """Register all batch calls at ``server``."""
@@ -59,13 +60,19 @@
             return Ok(pb.SubmitReply())
         if len({item.item_id for item in request.items}) != len(request.items):
             return Err(Failure(ErrorKind.INVALID, "two items have the same id"))
-        excess_bytes = self._capacity.excess_bytes(demand_of(self._state, request))
-        if excess_bytes:
-            return self._over_capacity(excess_bytes)
+        size = SubmissionSize.of(request)
+        if not self._submissions.is_pending(request.job_id):
+            excess_bytes = self._capacity.excess_bytes(demand_of(self._state, self._pending + size))
+            if excess_bytes:
+                return self._over_capacity(excess_bytes)
         received_unix_ms = int(self._clocks.unix_s() * 1000)
-        outcome = await self._submissions.propose(
-            request.job_id, lambda: accept_command(request, received_unix_ms)
-        )
+        self._pending += size
+        try:
+            outcome = await self._submissions.propose(
+                request.job_id, lambda: accept_command(request, received_unix_ms)
+            )
+        finally:
+            self._pending -= size
         return outcome if isinstance(outcome, Err) else Ok(pb.SubmitReply())
 
     async def read(self, request: pb.ReadRequest) -> Result[pb.ReadReply, Failure]:
--- a/cherrycove/tier/batch/store/job_capacity.py
+++ b/cherrycove/tier/batch/store/job_capacity.py
@@ -98,22 +98,38 @@
         return self.fraction_in_use(demand) > EARLY_FORGET_FRACTION
 
 
-def demand_of(state: JobsState, submission: SubmitRequest | None = None) -> JobsDemand:
-    """Return the demand of the jobs in ``state``, including ``submission`` if it is given."""
+@attrs.frozen
+class SubmissionSize:
+    """Holds the size of submitted jobs that are not in the state yet."""
+
+    items: int = 0
+    size_bytes: int = 0
+
+    @classmethod
+    def of(cls, submission: SubmitRequest) -> SubmissionSize:
+        """Return the size of one job."""
+        return cls(len(submission.items), submission.ByteSize())
+
+    def __add__(self, other: SubmissionSize) -> SubmissionSize:
+        return SubmissionSize(self.items + other.items, self.size_bytes + other.size_bytes)
+
+    def __sub__(self, other: SubmissionSize) -> SubmissionSize:
+        return SubmissionSize(self.items - other.items, self.size_bytes - other.size_bytes)
+
+
+def demand_of(state: JobsState, submitted: SubmissionSize | None = None) -> JobsDemand:
+    """Return the demand of the jobs in ``state``, including ``submitted`` ones if they are given."""
+    submitted = submitted or SubmissionSize()
     usage = state.usage
-    unfinished_items = usage.unfinished_items
-    open_bytes = usage.open_payload_bytes
-    body_bytes = usage.unfinished_body_bytes
-    if submission is not None:
-        unfinished_items += len(submission.items)
-        open_bytes += submission.ByteSize()
-        body_bytes += submission.ByteSize()
+    unfinished_items = usage.unfinished_items + submitted.items
+    open_bytes = usage.open_payload_bytes + submitted.size_bytes
+    body_bytes = usage.unfinished_body_bytes + submitted.size_bytes
     result_bytes = unfinished_items * mean_result_bytes(state)
     return JobsDemand(
         finished_bytes=usage.finished_bytes,
         # An item's body is dropped when its result arrives, so no job holds all of both at once.
         open_bytes=open_bytes + max(result_bytes - body_bytes, 0.0) + state.recent_bytes,
-        open_records=usage.open_items + (len(submission.items) if submission is not None else 0),
+        open_records=usage.open_items + submitted.items,
     )
 
 
--- a/cherrycove/tier/batch/store/proposals.py
+++ b/cherrycove/tier/batch/store/proposals.py
@@ -29,6 +29,10 @@
         self._group = group
         self._tasks: dict[str, asyncio.Task[Result[object, Failure]]] = {}
 
+    def is_pending(self, key: str) -> bool:
+        """Return whether a proposal for ``key`` is pending."""
+        return key in self._tasks
+
     async def propose(self, key: str, command: Callable[[], bytes]) -> Result[object, Failure]:
         """Return the outcome of the pending proposal for ``key``, or of a new proposal of ``command()``."""
         task = self._tasks.get(key)
