--- a/cherrycove/tier/dataplane/ingress.py
+++ b/cherrycove/tier/dataplane/ingress.py
@@ -27,7 +27,8 @@
 from cherrycove.tier.dataplane.request_forwarder import RequestForwarder, response_deadline
 from cherrycove.tier.dataplane.responses import proxy_response
 from cherrycove.tier.distribution.cluster_view import ClusterView
-from cherrycove.tier.listener.client_server import DEFAULT_BODY_FACTOR, ClientServer, ListenerBudget
+from cherrycove.tier.listener.client_connection import DEFAULT_BODY_FACTOR
+from cherrycove.tier.listener.client_server import ClientServer, ListenerBudget
 from cherrycove.tier.settings import Settings
 
 BATCH_BODY_FACTOR = 6  # the body, its text, the parsed job, the message to a store, and its copy
--- a/cherrycove/tier/listener/client_connection.py
+++ b/cherrycove/tier/listener/client_connection.py
@@ -39,6 +39,7 @@
 CONNECTION_BYTES = 12 * 1024  # of a connection without a request
 HEAD_BYTE_COST = 4  # of each byte of a head, once parsed
 HEAD_LINE_COST = 400  # of each line of a head, once parsed, in addition to its bytes
+DEFAULT_BODY_FACTOR = 2  # bytes of memory for a byte of a body: itself, and its copy on the way to a broker
 SMALL_BODY_BYTES = 32 * 1024  # longer bodies are reserved as a whole before more of them is read
 SMALL_CHUNK_BYTES = 256  # many smaller chunks take long to parse, for the bytes that they are
 SMALL_CHUNKS_PIECE_BYTES = 2 * 1024  # of which so much is parsed in one turn of the event loop
@@ -325,15 +326,18 @@
             self._phase = ConnectionPhase.DISCARD
             return
         self._payload = payload
-        self._body_factor = self._server.body_factor(message)
         if payload is EMPTY_PAYLOAD:
             self._phase = ConnectionPhase.COMPLETE
             return
         self._phase = ConnectionPhase.BODY
+        self._body_factor = DEFAULT_BODY_FACTOR
         if message.chunked:
             self._chunked = ChunkedScanner()
+            self._body_factor = self._server.body_factor(message)
             return
         self._body_remaining = int(message.headers.get("Content-Length", "0"))
+        if self._body_remaining > SMALL_BODY_BYTES:
+            self._body_factor = self._server.body_factor(message)
         if self._body_remaining > self._server.limits().max_body_bytes:
             self._phase = ConnectionPhase.DISCARD  # the handler refuses it without reading it
         elif not self._body_remaining:
@@ -476,7 +480,7 @@
 
     def _consume(self, size: int) -> None:
         """Drop bytes from the start of the input."""
-        if size:
+        if size > 0:
             del self._input[:size]
             self.account.release(size)
 
@@ -488,8 +492,9 @@
         self._release_credit()
 
     def _release_credit(self) -> None:
-        released, self._credit_bytes = self._credit_bytes, 0
-        self.account.release(released)
+        if self._credit_bytes:
+            released, self._credit_bytes = self._credit_bytes, 0
+            self.account.release(released)
 
     def _begin_progress(self) -> None:
         self._progress_since = self._loop.time()
--- a/cherrycove/tier/listener/client_memory.py
+++ b/cherrycove/tier/listener/client_memory.py
@@ -80,7 +80,8 @@
     def release(self, size: int) -> None:
         """Release ``size`` reserved bytes."""
         self.memory.add(self, -min(size, self.held_bytes))
-        self.memory.grant_waiting()
+        if self.memory.waiting:
+            self.memory.grant_waiting()
 
     def close(self) -> None:
         """Release everything; the account cannot be used any more."""
@@ -137,7 +138,9 @@
     def try_reserve(self, account: MemoryAccount, size: int) -> bool:
         """Reserve ``size`` bytes for ``account`` if they fit now and nothing of its kind waits."""
         is_large = _is_large(account.held_bytes + size)
-        if any(_is_large(each.account.held_bytes + each.size) == is_large for each in self._waiting):
+        if self._waiting and any(
+            _is_large(each.account.held_bytes + each.size) == is_large for each in self._waiting
+        ):
             return False
         if not self._fits(account, size):
             return False
--- a/cherrycove/tier/listener/client_server.py
+++ b/cherrycove/tier/listener/client_server.py
@@ -15,7 +15,7 @@
 
 from cherrycove.broker.sockets import has_unread_input
 from cherrycove.tier.configuration import ClientLimits
-from cherrycove.tier.listener.client_connection import READ_BYTES, ClientConnection
+from cherrycove.tier.listener.client_connection import DEFAULT_BODY_FACTOR, READ_BYTES, ClientConnection
 from cherrycove.tier.listener.client_memory import ClientMemory
 from cherrycove.tier.listener.server_log import server_logger
 from cherrycove.tier.settings import ProcessLimits
@@ -25,7 +25,6 @@
 MAX_PARSER_LINE_BYTES = 256 * 1024  # limit of aiohttp's parser; the connection's limit on heads is lower
 MIN_FIELD_BYTES = len("n:\r\n")  # the shortest header field; aiohttp limits the number of fields, not bytes
 MIN_MAX_FIELDS = 128  # lower bound of the number of header fields that aiohttp is set to allow
-DEFAULT_BODY_FACTOR = 2  # bytes of memory for a byte of a body: itself, and its copy on the way to a broker
 MIN_CONNECTIONS = 16
 BYTES_PER_MB = 1_000_000
 
@@ -77,7 +76,7 @@
         *,
         body_factor: BodyFactor = lambda _: DEFAULT_BODY_FACTOR,
     ) -> None:
-        """``body_factor`` tells how many bytes of memory a byte of a request's body takes."""
+        """``body_factor`` tells how many bytes of memory a byte of a body that is not small takes."""
         super().__init__(handler, request_factory=self._make_request, handler_cancellation=True)
         budget = budget or default_budget()
         self.limits = limits
