Storage broker: heads and trailers of all clients are accounted together

A head of the storage broker could have 128 lines of 8 kB, a megabyte for each of some 590 connections, pipelined ones up to 32 for each, and trailers as much: crowds of 200 clients took 111 to 189 MB of 100. Only bodies were accounted (BodyMemory). Cause as in the tier, so the connection that mends it there moves to cherrycove/http_listener, for both programs. Heads share a quarter of the memory for bodies, in addition to it; a head has at most 64 kB (new; the platform's have less than one), 431 above it; trailers are counted and dropped; a pipelined request waits unparsed. A request in flight never gives way.

--- a/cherrycove/broker/http1/client_connections.py
+++ b/cherrycove/broker/http1/client_connections.py
@@ -6,18 +6,24 @@
 import logging
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from dataclasses import dataclass
 from itertools import chain
 from math import inf
+from typing import Any
 
 from aiohttp import web
-from aiohttp.http import HttpProcessingError
+from aiohttp.http import HttpProcessingError, RawRequestMessage
 
+from cherrycove.broker.http1.body import MAX_BODY_BYTES
 from cherrycove.broker.http1.node_connection import READ_CHUNK_BYTES
 from cherrycove.broker.sockets import POLL_INTERVAL_S, DisconnectWatcher, has_unread_input
+from cherrycove.http_listener import client_connection as http_listener
+from cherrycove.http_listener.client_memory import ClientMemory
 
 # Used by aiohttp, which logs requests that it could not parse.
 clients_log = logging.getLogger("cherrycove.http1.clients")
 
+MAX_HEAD_BYTES = 64 * 1024  # of a request; those of the platform have less than one
 IDLE_TIMEOUT_S = 2.4  # until a complete head is received, on a new connection or after a response
 MIN_IDLE_S = 0.2  # after which an idle connection may be closed in favour of another client
 NEW_CONNECTION_WAIT_S = 0.1  # for a new connection to send its request, or the rest of its head
@@ -31,11 +37,24 @@
 clients_log.addFilter(_is_not_caused_by_client)
 
 
-class ClientConnection(web.RequestHandler):
-    """aiohttp's connection to a client, which notifies its owner of received data."""
+@dataclass(frozen=True, slots=True)
+class HeadLimits:
+    """Limits of a connection; bodies have limits of their own (``body``)."""
+
+    max_header_bytes: int = MAX_HEAD_BYTES
+    max_body_bytes: int = MAX_BODY_BYTES
+    header_timeout_ms: float = 1000 * (IDLE_TIMEOUT_S + MIN_IDLE_S)  # the idle timeout comes first
+
+
+class ClientConnection(http_listener.ClientConnection):
+    """A connection to a client, which notifies its owner of received data; it accounts heads, not bodies."""
 
     _disconnect_watcher: DisconnectWatcher | None = None  # created when reading is first paused
 
+    def __init__(self, manager: ClientConnections, **settings: Any) -> None:
+        """``settings`` are those of aiohttp's handler."""
+        super().__init__(manager, manager, limits=HeadLimits(), **settings)
+
     def data_received(self, data: bytes) -> None:
         """Tell the owner, then parse; called by the event loop."""
         if isinstance(self._manager, ClientConnections):
@@ -50,6 +69,10 @@
         """
         self._next_keepalive_close_time = self._loop.time() + IDLE_TIMEOUT_S
 
+    def can_give_way(self) -> bool:
+        """Whether no request of the client is in flight."""
+        return not self.has_request and super().can_give_way()
+
     def _pause_transport_reading(self) -> None:
         super()._pause_transport_reading()
         if self.transport is not None:
@@ -83,6 +106,7 @@
         handle: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
         max_connections: int,
         soft_limit: int,
+        head_memory_bytes: int,
     ) -> None:
         # By default aiohttp waits an hour for a head, and goes on reading for ten seconds after an error.
         super().__init__(
@@ -97,6 +121,8 @@
             read_bufsize=READ_CHUNK_BYTES // 2,
         )
         self._max_connections, self._soft_limit = max_connections, soft_limit
+        self.memory = ClientMemory(head_memory_bytes)
+        self.read_buffer = memoryview(bytearray(http_listener.READ_BYTES))
         # The connections in each state, in the order of entering it, with that time.
         self._new: dict[web.RequestHandler, float] = {}  # nothing received yet
         self._partial: dict[web.RequestHandler, float] = {}  # a part of a head, or input after a response
@@ -113,6 +139,20 @@
         """Return the protocol of a new connection; called by the event loop."""
         return ClientConnection(self, loop=self._loop, **self._kwargs)
 
+    def limits(self) -> HeadLimits:
+        """Return the limits of connections."""
+        return HeadLimits()
+
+    def body_factor(self, _message: RawRequestMessage) -> int:
+        """Return 0: the memory of bodies is accounted by ``BodyMemory``."""
+        return 0
+
+    def connection_opened(self, connection: http_listener.ClientConnection) -> None:
+        """Do nothing: ``connection_made`` takes new connections."""
+
+    def connection_closed(self, connection: http_listener.ClientConnection) -> None:
+        """Do nothing: ``connection_lost`` forgets connections."""
+
     def _move(self, handler: web.RequestHandler, to: dict[web.RequestHandler, float]) -> None:
         for state in self._states:
             state.pop(handler, None)
--- a/cherrycove/broker/http1/server.py
+++ b/cherrycove/broker/http1/server.py
@@ -51,6 +51,7 @@
 ACCEPT_TURNS = 3  # turns of the loop between accepting a connection and its ``connection_made``
 LISTEN_BACKLOG = 1024  # connections that are not accepted yet
 MAX_ACCEPTED_PER_TURN = 4  # connections per turn of the loop; closing others for them takes some turns
+HEAD_MEMORY_FRACTION = 0.25  # of the memory for bodies, in addition to it
 OVERLOAD_RETRY_AFTER_S = 1.0  # when memory may have become free, or another process serve
 CLOSE_TIMEOUT_S = 1.0  # for clients to read their responses when the broker shuts down
 
@@ -77,7 +78,9 @@
         self._server: asyncio.Server | None = None
         self._further_servers: list[asyncio.Server] = []  # on sockets that another process passed on late
         self.listener: socket.socket
-        self._web = ClientConnections(self._handle, max_connections, soft_limit)
+        self._web = ClientConnections(
+            self._handle, max_connections, soft_limit, int(body_memory_bytes * HEAD_MEMORY_FRACTION)
+        )
         self.body_memory = BodyMemory(body_memory_bytes)
         self._open_ids: set[str] = set()  # of requests in flight
         self.last_request = 0.0  # time of the latest request, on the loop's clock
@@ -132,6 +135,7 @@
 
     def resize(self, max_connections: int, body_memory_bytes: int) -> None:
         self._web.resize(max_connections)
+        self._web.memory.limit_bytes = int(body_memory_bytes * HEAD_MEMORY_FRACTION)
         self.body_memory.resize(body_memory_bytes)
 
     def drain(self, close_connections: bool = True) -> None:
--- a/cherrycove/tier/listener/client_connection.py
+++ b/cherrycove/http_listener/client_connection.py
@@ -13,16 +13,16 @@
 from collections.abc import Callable
 from enum import Enum
 from http import HTTPStatus
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 from aiohttp import web
 from aiohttp.http import RawRequestMessage
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 
 from cherrycove.broker.sockets import DisconnectWatcher
-from cherrycove.tier.configuration import ClientLimits
-from cherrycove.tier.listener.errors import GaveWayError, MalformedBodyError, TrailersTooLargeError
-from cherrycove.tier.listener.request_framing import (
+from cherrycove.http_listener.client_memory import ClientMemory
+from cherrycove.http_listener.errors import GaveWayError, MalformedBodyError, TrailersTooLargeError
+from cherrycove.http_listener.request_framing import (
     ChunkedScanner,
     ChunkedState,
     HeadScanner,
@@ -30,9 +30,6 @@
     leading_line_ends,
 )
 
-if TYPE_CHECKING:
-    from cherrycove.tier.listener.client_server import ClientServer
-
 READ_BYTES = 32 * 1024  # read from a socket at a time, and passed to the parser at a time
 UNACKNOWLEDGED_TIMEOUT_MS = 20_000  # TCP_USER_TIMEOUT: closes connections whose client acknowledges no data
 # Memory of the process, for accounting; docs/design/client-limits.md has the measurements.
@@ -50,6 +47,41 @@
 _REQUEST_ID = re.compile(rb"\r?\n(Request-Id:[^\r\n]{1,256})\r?\n", re.IGNORECASE)
 
 
+class ConnectionLimits(Protocol):
+    """Limits of one connection."""
+
+    @property
+    def max_header_bytes(self) -> int:
+        """Of method, target and fields of a head; of the trailers as well."""
+
+    @property
+    def max_body_bytes(self) -> int:
+        """Of a body without its framing."""
+
+    @property
+    def header_timeout_ms(self) -> float:
+        """From the first byte of a head to its end."""
+
+
+class ConnectionOwner(Protocol):
+    """The server of a connection, besides what aiohttp needs of it."""
+
+    memory: ClientMemory
+    read_buffer: memoryview  # of ``READ_BYTES``, for all connections: each read is copied out at once
+
+    def limits(self) -> ConnectionLimits:
+        """Return the limits in force."""
+
+    def body_factor(self, message: RawRequestMessage) -> int:
+        """Return how many bytes of memory a byte of a body that is not small takes."""
+
+    def connection_opened(self, connection: ClientConnection) -> None:
+        """Called when a client has connected."""
+
+    def connection_closed(self, connection: ClientConnection) -> None:
+        """Called when the connection is closed."""
+
+
 class ConnectionPhase(Enum):
     """What the next bytes of a connection are used for."""
 
@@ -66,11 +98,14 @@
     first byte on. Holds an account of the process's ``ClientMemory``, as a ``MemoryHolder``.
     """
 
-    def __init__(self, manager: ClientServer, *, limits: ClientLimits, **settings: Any) -> None:
+    def __init__(
+        self, manager: web.Server, owner: ConnectionOwner, *, limits: ConnectionLimits, **settings: Any
+    ) -> None:
+        """``owner`` is the same server as ``manager``, which is what aiohttp calls it."""
         super().__init__(manager, **settings)
-        self._server = manager
+        self._server = owner
         self._limits = limits
-        self.account = manager.memory.open_account(self, CONNECTION_BYTES)
+        self.account = owner.memory.open_account(self, CONNECTION_BYTES)
         self.give_way_early: Callable[[], None] | None = None  # ends a request that no broker has
         self.last_active_at = 0.0
         self._phase = ConnectionPhase.HEAD
--- a/cherrycove/tier/controlplane/operator_api.py
+++ b/cherrycove/tier/controlplane/operator_api.py
@@ -13,6 +13,7 @@
 from aiohttp.http import HttpProcessingError
 from result import Err, Ok, Result
 
+from cherrycove.http_listener.errors import BodyTooLargeError, GaveWayError
 from cherrycove.tier.configuration import ClientLimits
 from cherrycove.tier.controlplane.configuration_service import MAX_VERSION, ConfigurationService
 from cherrycove.tier.controlplane.leadership import Leadership
@@ -27,7 +28,6 @@
 from cherrycove.tier.controlplane.retirement import RetirementService
 from cherrycove.tier.errors import ErrorKind, Failure
 from cherrycove.tier.listener.client_server import ClientServer, ListenerBudget, reserve_for
-from cherrycove.tier.listener.errors import BodyTooLargeError, GaveWayError
 from cherrycove.tier.listener.json_cost import decoded_cost_bytes
 from cherrycove.tier.listener.request_body import read_body
 
--- a/cherrycove/tier/dataplane/client_request.py
+++ b/cherrycove/tier/dataplane/client_request.py
@@ -8,11 +8,11 @@
 import aiohttp
 from aiohttp import web
 
+from cherrycove.http_listener.client_connection import GAVE_WAY_RETRY_AFTER_S
+from cherrycove.http_listener.errors import BodyTooLargeError, GaveWayError, TrailersTooLargeError
 from cherrycove.tier.configuration import ClientLimits
 from cherrycove.tier.dataplane.errors import DataPlaneError
-from cherrycove.tier.listener.client_connection import GAVE_WAY_RETRY_AFTER_S
 from cherrycove.tier.listener.client_server import connection_of
-from cherrycove.tier.listener.errors import BodyTooLargeError, GaveWayError, TrailersTooLargeError
 from cherrycove.tier.listener.request_body import read_body
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
--- a/cherrycove/tier/dataplane/data_plane.py
+++ b/cherrycove/tier/dataplane/data_plane.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from cherrycove.http_listener.client_memory import ClientMemory
 from cherrycove.tier.batch.execution import ItemExecutor
 from cherrycove.tier.dataplane.admission_controller import AdmissionController
 from cherrycove.tier.dataplane.draining import UNREADY_PROPAGATION_S, DrainDeadline
@@ -18,7 +19,6 @@
 from cherrycove.tier.dataplane.request_forwarder import RequestForwarder
 from cherrycove.tier.dataplane.upstream import UpstreamClient
 from cherrycove.tier.distribution.cluster_view import ClusterView
-from cherrycove.tier.listener.client_memory import ClientMemory
 from cherrycove.tier.listener.client_server import ListenerBudget
 from cherrycove.tier.settings import Settings
 
--- a/cherrycove/tier/dataplane/ingress.py
+++ b/cherrycove/tier/dataplane/ingress.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 from aiohttp.http import HttpProcessingError, RawRequestMessage
 
+from cherrycove.http_listener.client_connection import DEFAULT_BODY_FACTOR
 from cherrycove.tier.batch.frontend.http_api import MAX_BATCH_CALL_S
 from cherrycove.tier.configuration import ClientLimits, Route
 from cherrycove.tier.dataplane.arrival_rates import ArrivalRates
@@ -27,7 +28,6 @@
 from cherrycove.tier.dataplane.request_forwarder import RequestForwarder, response_deadline
 from cherrycove.tier.dataplane.responses import proxy_response
 from cherrycove.tier.distribution.cluster_view import ClusterView
-from cherrycove.tier.listener.client_connection import DEFAULT_BODY_FACTOR
 from cherrycove.tier.listener.client_server import ClientServer, ListenerBudget
 from cherrycove.tier.settings import Settings
 
--- a/cherrycove/tier/listener/client_server.py
+++ b/cherrycove/tier/listener/client_server.py
@@ -14,9 +14,9 @@
 from aiohttp.streams import StreamReader
 
 from cherrycove.broker.sockets import has_unread_input
+from cherrycove.http_listener.client_connection import DEFAULT_BODY_FACTOR, READ_BYTES, ClientConnection
+from cherrycove.http_listener.client_memory import ClientMemory
 from cherrycove.tier.configuration import ClientLimits
-from cherrycove.tier.listener.client_connection import DEFAULT_BODY_FACTOR, READ_BYTES, ClientConnection
-from cherrycove.tier.listener.client_memory import ClientMemory
 from cherrycove.tier.listener.server_log import server_logger
 from cherrycove.tier.settings import ProcessLimits
 
@@ -79,9 +79,9 @@
         """``body_factor`` tells how many bytes of memory a byte of a body that is not small takes."""
         super().__init__(handler, request_factory=self._make_request, handler_cancellation=True)
         budget = budget or default_budget()
-        self.limits = limits
+        self._limits = limits
         self.memory = budget.memory
-        self.body_factor = body_factor
+        self._body_factor = body_factor
         self.read_buffer = memoryview(bytearray(READ_BYTES))  # each read is copied out at once
         self._max_connections = budget.max_connections
         self._open: set[ClientConnection] = set()
@@ -90,7 +90,7 @@
         """Create the protocol of a new connection; called by the event loop."""
         limits = self.limits()
         return ClientConnection(
-            self, limits=limits, logger=server_logger(),
+            self, self, limits=limits, logger=server_logger(),
             loop=asyncio.get_running_loop(), access_log=None,
             keepalive_timeout=limits.idle_timeout_ms / 1000, auto_decompress=False,
             max_line_size=MAX_PARSER_LINE_BYTES, max_field_size=MAX_PARSER_LINE_BYTES,
@@ -98,6 +98,14 @@
             lingering_time=0.0, read_bufsize=READ_BYTES,
         )  # fmt: skip
 
+    def limits(self) -> ClientLimits:
+        """Return the limits in force."""
+        return self._limits()
+
+    def body_factor(self, message: RawRequestMessage) -> int:
+        """Return how many bytes of memory a byte of a body that is not small takes."""
+        return self._body_factor(message)
+
     async def listen(self, address: str, shutdown_timeout_s: float) -> web.ServerRunner:
         """Listen on ``address`` (host:port); return the runner, whose ``cleanup`` stops the server.
 
--- a/cherrycove/tier/listener/request_body.py
+++ b/cherrycove/tier/listener/request_body.py
@@ -4,7 +4,7 @@
 
 from typing import Protocol
 
-from cherrycove.tier.listener.errors import BodyTooLargeError
+from cherrycove.http_listener.errors import BodyTooLargeError
 
 
 class BodyStream(Protocol):
--- a/cherrycove/tier/protocol/_rpc_server.py
+++ b/cherrycove/tier/protocol/_rpc_server.py
@@ -10,10 +10,10 @@
 from aiohttp.http import HttpProcessingError
 from result import Err
 
+from cherrycove.http_listener.errors import GaveWayError
 from cherrycove.tier.configuration import ClientLimits
 from cherrycove.tier.errors import ErrorKind, Failure
 from cherrycove.tier.listener.client_server import ClientServer, ListenerBudget
-from cherrycove.tier.listener.errors import GaveWayError
 from cherrycove.tier.listener.request_body import read_body
 from cherrycove.tier.protocol._rpc_wire import (
     CALL_HEADER,
--- a/tests/tier/test_listener_connection.py
+++ b/tests/tier/test_listener_connection.py
@@ -7,7 +7,7 @@
 import pytest
 from dataplane_harness import HOST, TIMEOUT_S, DataPlaneHarness, configuration_bytes
 
-from cherrycove.tier.listener import client_connection
+from cherrycove.http_listener import client_connection
 from cherrycove.tier.listener.client_server import ClientServer
 from examples.toy_broker import Received, ToyBroker, Wire
 
--- a/tests/tier/test_listener_framing.py
+++ b/tests/tier/test_listener_framing.py
@@ -6,14 +6,14 @@
 
 import pytest
 
-from cherrycove.tier.listener.json_cost import decoded_cost_bytes
-from cherrycove.tier.listener.request_framing import (
+from cherrycove.http_listener.request_framing import (
     ChunkedScanner,
     ChunkedState,
     HeadScanner,
     counted_head_bytes,
     leading_line_ends,
 )
+from cherrycove.tier.listener.json_cost import decoded_cost_bytes
 
 HEAD = b"GET / HTTP/1.1\r\nHost: h\r\na:\r\n\r\n"
 
--- a/tests/tier/test_listener_memory.py
+++ b/tests/tier/test_listener_memory.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from cherrycove.tier.listener.client_memory import (
+from cherrycove.http_listener.client_memory import (
     LARGE_FRACTION,
     SMALL_ACCOUNT_BYTES,
     ClientMemory,
