Storage broker: each new connection of an operator beyond the limit closes another one

Up to eight connections are accepted in a turn of the event loop, and each one beyond the limit aborted the oldest: the same one each time, as it is closed only later in the turn. A crowd of 700 connections that send nothing left 614 descriptors open of 512, of which clients of volumes need some. The oldest now leaves the list when it is aborted.

test_connections_that_send_nothing_to_the_operators_listener failed (614 and 618 of 512) and holds.

--- a/cherrycove/broker/admin.py
+++ b/cherrycove/broker/admin.py
@@ -129,7 +129,10 @@
         if len(self._connections) > MAX_CONNECTIONS:
             # Callers that keep connections open must not exhaust the file descriptors for others.
             others = list(self._connections)[:-1]
-            next((each for each in others if not each.has_call), others[0]).abort()
+            oldest = next((each for each in others if not each.has_call), others[0])
+            # It is closed later in this turn of the loop, in which more connections may be added.
+            self.remove(oldest)
+            oldest.abort()
 
     def remove(self, connection: _Connection) -> None:
         """Remove a closed connection."""
