Result pages: large replies are reserved by the store and the proxy, and not kept after the answer

300 clients that read the same page of 768 kB took 314 MB of a store (and 147 of the proxy): a store built as many replies as were asked for, a proxy received as many, and aiohttp keeps the last response of each idle connection, body included. Replies above 32 kB are now reserved with the request that they answer: by the store before it builds one, by the proxy before it reads one; a written response gives up its body. What a request that was cancelled holds lives until the garbage collector has run, since the exception and the task refer to each other: it stays accounted until a collection of the young objects, which is made soon after.

--- a/cherrycove/http_listener/client_connection.py
+++ b/cherrycove/http_listener/client_connection.py
@@ -176,7 +176,7 @@
         """Release what the connection holds."""
         self._cancel_header_timer()
         self._server.connection_closed(self)
-        self.account.close()
+        self.account.close(has_request=self.has_request)
         self._input.clear()
         super().connection_lost(exc)
 
@@ -194,6 +194,8 @@
             return await super().finish_response(request, resp, start_time)
         finally:
             self._is_writing = False
+            if isinstance(resp, web.Response):
+                resp.body = None  # aiohttp keeps the response until the next one
             self._request_answered()
 
     def close(self) -> None:
@@ -212,6 +214,13 @@
 
     # Called by handlers
 
+    def try_reserve_response(self, size: int) -> bool:
+        """Like ``reserve_response``, but without waiting; False if the memory does not fit now."""
+        if not self.account.try_reserve(size):
+            return False
+        self._response_cost += size
+        return True
+
     async def reserve_response(self, size: int) -> None:
         """Reserve ``size`` bytes for the response, or for preparing it, until it is written."""
         await self.account.reserve(size)
--- a/cherrycove/http_listener/client_memory.py
+++ b/cherrycove/http_listener/client_memory.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 from collections.abc import Callable
 from typing import Protocol
 
@@ -14,6 +15,8 @@
 
 SMALL_ACCOUNT_BYTES = 128 * 1024  # up to this size an account may use the whole limit
 LARGE_FRACTION = 0.75  # of the limit, for all larger accounts together
+COLLECTION_DELAY_S = 0.05  # in which the tasks of a cancelled request end
+COLLECTED_GENERATION = 1  # of the garbage collector: what lives for as long as a request
 REVIEW_INTERVAL_S = 0.2  # between two searches for holders that make no progress, while an account waits
 
 
@@ -83,9 +86,12 @@
         if self.memory.waiting:
             self.memory.grant_waiting()
 
-    def close(self) -> None:
-        """Release everything; the account cannot be used any more."""
-        self.memory.close_account(self)
+    def close(self, *, has_request: bool = False) -> None:
+        """Release everything; the account cannot be used any more.
+
+        ``has_request``: its request is cancelled and may live until the garbage collector has run.
+        """
+        self.memory.close_account(self, has_request=has_request)
 
 
 @attrs.frozen(eq=False)
@@ -112,6 +118,8 @@
         self._accounts: set[MemoryAccount] = set()
         self._waiting: list[Reservation] = []
         self._review: asyncio.TimerHandle | None = None
+        self._abandoned_bytes = 0  # of ``reserved_bytes``, in cancelled requests that are not collected yet
+        self._collection: asyncio.TimerHandle | None = None
 
     @property
     def waiting(self) -> int:
@@ -125,18 +133,22 @@
         self.add(account, size)
         return account
 
-    def close_account(self, account: MemoryAccount) -> None:
+    def close_account(self, account: MemoryAccount, *, has_request: bool) -> None:
         """Release what ``account`` holds and withdraw what it waits for."""
         if account.is_closed:
             return
         account.is_closed = True
         self.withdraw(account)
+        if has_request and _is_large(account.held_bytes):
+            self._await_collection(account.held_bytes)
         self.add(account, -account.held_bytes)
         self._accounts.discard(account)
         self.grant_waiting()
 
     def try_reserve(self, account: MemoryAccount, size: int) -> bool:
         """Reserve ``size`` bytes for ``account`` if they fit now and nothing of its kind waits."""
+        if account.is_closed:  # whoever still works for the client will be cancelled
+            return True
         is_large = _is_large(account.held_bytes + size)
         if self._waiting and any(
             _is_large(each.account.held_bytes + each.size) == is_large for each in self._waiting
@@ -182,6 +194,24 @@
             self.add(reservation.account, reservation.size)
             reservation.on_reserved()
 
+    def _await_collection(self, size: int) -> None:
+        """Keep ``size`` bytes reserved until the garbage collector has run.
+
+        The exception that cancels a task refers to its frames, and they to the task: this cycle keeps what
+        the request held.
+        """
+        self.reserved_bytes += size
+        self._abandoned_bytes += size
+        if self._collection is None:
+            self._collection = asyncio.get_running_loop().call_later(COLLECTION_DELAY_S, self._collect)
+
+    def _collect(self) -> None:
+        self._collection = None
+        gc.collect(COLLECTED_GENERATION)
+        collected_bytes, self._abandoned_bytes = self._abandoned_bytes, 0
+        self.reserved_bytes -= collected_bytes
+        self.grant_waiting()
+
     def _fits(self, account: MemoryAccount, size: int) -> bool:
         if account.is_closed:
             return False
@@ -190,7 +220,7 @@
         if not _is_large(held_bytes):
             return is_within_limit
         others_bytes = self._large_bytes - _large_part(account.held_bytes)
-        if not others_bytes:
+        if not others_bytes and not self._abandoned_bytes:
             return True
         return is_within_limit and others_bytes + held_bytes <= self.limit_bytes * LARGE_FRACTION
 
--- a/cherrycove/tier/batch/frontend/http_api.py
+++ b/cherrycove/tier/batch/frontend/http_api.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-import asyncio
+from functools import partial
 
 from aiohttp import web
 from result import Err
@@ -17,9 +17,10 @@
 from cherrycove.tier.configuration import Route
 from cherrycove.tier.distribution.cluster_view import ClusterView
 from cherrycove.tier.errors import ErrorKind, Failure
-from cherrycove.tier.listener.client_server import reserve_for
+from cherrycove.tier.listener.client_server import reserve_for, reserve_within
 from cherrycove.tier.listener.json_cost import decoded_cost_bytes
 from cherrycove.tier.protocol import batch_pb2 as pb
+from cherrycove.tier.protocol.reply_memory import reserving_received_replies
 
 JOBS_PREFIX = "/api/lots/"  # the job id follows
 ITEMS_PREFIX = "/api/items/"  # the job id follows; the item id is a query parameter
@@ -49,6 +50,10 @@
 
     async def handle(self, request: web.BaseRequest, body: bytes, route: Route | None) -> web.StreamResponse:
         """Answer one request with its full ``body``. ``route`` is the batch route that it matches, if any."""
+        with reserving_received_replies(partial(reserve_for, request)):
+            return await self._answer(request, body, route)
+
+    async def _answer(self, request: web.BaseRequest, body: bytes, route: Route | None) -> web.Response:
         method, path = request.method, request.path
         if path.startswith(JOBS_PREFIX) and method == "GET":
             return await self._read(request, path.removeprefix(JOBS_PREFIX))
@@ -63,10 +68,7 @@
         return await self._submit(request, body, route)
 
     async def _submit(self, request: web.BaseRequest, body: bytes, route: Route) -> web.Response:
-        try:
-            async with asyncio.timeout(SUBMIT_BUDGET_S):
-                await reserve_for(request, decoded_cost_bytes(body))
-        except TimeoutError:
+        if not await reserve_within(request, decoded_cost_bytes(body), SUBMIT_BUDGET_S):
             return _error_response(Failure(ErrorKind.OVERLOADED, "no memory now"))
         parsed = parse_submission(request.headers.get(JOB_ID_HEADER, ""), route, body)
         if isinstance(parsed, Err):
--- a/cherrycove/tier/batch/store/call_handlers.py
+++ b/cherrycove/tier/batch/store/call_handlers.py
@@ -17,12 +17,13 @@
 from cherrycove.tier.batch.store.context import StoreContext
 from cherrycove.tier.batch.store.job_capacity import SubmissionSize, demand_of
 from cherrycove.tier.batch.store.proposals import PROPOSE_TIMEOUT_S, SingleFlightProposals
-from cherrycove.tier.batch.store.replies import lease_reply, read_reply
+from cherrycove.tier.batch.store.replies import lease_reply, max_read_reply_bytes, read_reply
 from cherrycove.tier.batch.store.result_waiters import ResultWaiters
 from cherrycove.tier.errors import ErrorKind, Failure
 from cherrycove.tier.protocol import batch_methods
 from cherrycove.tier.protocol import batch_pb2 as pb
 from cherrycove.tier.protocol.calls import CallRegistry
+from cherrycove.tier.protocol.reply_memory import SMALL_REPLY_BYTES, reserve_sent_reply
 from cherrycove.tier.replication.interface import not_primary_failure
 
 MAX_READ_WAIT_S = 2.0
@@ -78,6 +79,7 @@
     async def read(self, request: pb.ReadRequest) -> Result[pb.ReadReply, Failure]:
         """Return results from the cursor on. Waits for the next one for as long as the request allows."""
         deadline = self._clocks.now() + min(request.wait_ms / 1000.0, MAX_READ_WAIT_S)
+        reserved_bytes = SMALL_REPLY_BYTES
         while True:
             if not self._group.is_confirmed_primary():
                 return self._not_primary()
@@ -86,14 +88,23 @@
                 return _unknown_job()
             remaining_s = deadline - self._clocks.now()
             if request.cursor < job.result_count or job.is_done or remaining_s <= 0:
-                return Ok(read_reply(job, request.cursor))
+                reply_bytes = max_read_reply_bytes(job, request.cursor)
+                if reply_bytes <= reserved_bytes:
+                    return Ok(read_reply(job, request.cursor))
+                await reserve_sent_reply(reply_bytes)
+                reserved_bytes = reply_bytes
+                continue
             await self._waiters.wait(request.job_id, remaining_s)
 
     async def body(self, request: pb.BodyRequest) -> Result[pb.BodyReply, Failure]:
         """Return an item's body. NOT_FOUND if the item is unknown or its body was dropped."""
         if not self._group.is_confirmed_primary():
             return self._not_primary()
-        body = self._state.body(ItemKey(request.job_id, request.item_id))
+        key = ItemKey(request.job_id, request.item_id)
+        await reserve_sent_reply(len(self._state.encoded_item(key) or b""))
+        if not self._group.is_confirmed_primary():
+            return self._not_primary()
+        body = self._state.body(key)
         if body is None:
             return Err(Failure(ErrorKind.NOT_FOUND, "no such item, or it is listed"))
         return Ok(pb.BodyReply(body=body))
--- a/cherrycove/tier/batch/store/replies.py
+++ b/cherrycove/tier/batch/store/replies.py
@@ -24,6 +24,15 @@
     return reply
 
 
+def max_read_reply_bytes(job: Job, cursor: int) -> int:
+    """Return an upper bound of the text in ``read_reply``; a single longer result exceeds it."""
+    if isinstance(job, OpenJob):
+        text_bytes = sum(len(result.text) for result in job.results[cursor:])
+    else:
+        text_bytes = job.block.state_bytes
+    return min(text_bytes, MAX_READ_BYTES)
+
+
 def lease_reply(
     decision: LeaseDecision, state: JobsState, epoch: int, lease_s: float, now: float
 ) -> pb.LeaseReply:
--- a/cherrycove/tier/controlplane/operator_api.py
+++ b/cherrycove/tier/controlplane/operator_api.py
@@ -27,7 +27,7 @@
 )
 from cherrycove.tier.controlplane.retirement import RetirementService
 from cherrycove.tier.errors import ErrorKind, Failure
-from cherrycove.tier.listener.client_server import ClientServer, ListenerBudget, reserve_for
+from cherrycove.tier.listener.client_server import ClientServer, ListenerBudget, reserve_within
 from cherrycove.tier.listener.json_cost import decoded_cost_bytes
 from cherrycove.tier.listener.request_body import read_body
 
@@ -141,10 +141,7 @@
         cost_bytes = decoded_cost_bytes(body)
         if self._budget is not None and cost_bytes > self._budget.memory.limit_bytes:
             return self._final_error(Failure(ErrorKind.TOO_LARGE, "the document has too many values"))
-        try:
-            async with asyncio.timeout(MEMORY_TIMEOUT_S):
-                await reserve_for(request, cost_bytes)
-        except TimeoutError:
+        if not await reserve_within(request, cost_bytes, MEMORY_TIMEOUT_S):
             return Err(Failure(ErrorKind.OVERLOADED, "no memory for the document now"))
         return Ok(None)
 
--- a/cherrycove/tier/listener/client_server.py
+++ b/cherrycove/tier/listener/client_server.py
@@ -174,6 +174,19 @@
         await connection.reserve_response(size)
 
 
+async def reserve_within(request: Any, size: int, timeout_s: float) -> bool:
+    """Reserve ``size`` bytes for answering ``request``; False if they do not fit within ``timeout_s``."""
+    connection = connection_of(request)
+    if connection is None or connection.try_reserve_response(size):
+        return True
+    try:
+        async with asyncio.timeout(timeout_s):
+            await connection.reserve_response(size)
+    except TimeoutError:
+        return False
+    return True
+
+
 def connection_of(request: Any) -> ClientConnection | None:
     """Return the connection of a request; None if it was not received by a ``ClientServer``."""
     protocol = getattr(request, "protocol", None)
--- a/cherrycove/tier/protocol/_rpc_client.py
+++ b/cherrycove/tier/protocol/_rpc_client.py
@@ -24,6 +24,7 @@
 )
 from cherrycove.tier.protocol.calls import Caller, OutgoingCall, ReplyT, RequestT
 from cherrycove.tier.protocol.errors import StrayReplyError
+from cherrycove.tier.protocol.reply_memory import reserve_received_reply
 from cherrycove.tier.protocol.sessions import (
     NoRetryConnection,
     NoRetryConnector,
@@ -109,6 +110,7 @@
                     allow_redirects=False,
                 ) as response,
             ):
+                await reserve_received_reply(response.content_length or 0)
                 body = await response.read()
                 if response.status == 200:
                     return Ok(call.method.reply_type.FromString(body))
--- a/cherrycove/tier/protocol/_rpc_server.py
+++ b/cherrycove/tier/protocol/_rpc_server.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from functools import partial
 
 from aiohttp import web
 from aiohttp.http import HttpProcessingError
@@ -13,7 +14,7 @@
 from cherrycove.http_listener.errors import GaveWayError
 from cherrycove.tier.configuration import ClientLimits
 from cherrycove.tier.errors import ErrorKind, Failure
-from cherrycove.tier.listener.client_server import ClientServer, ListenerBudget
+from cherrycove.tier.listener.client_server import ClientServer, ListenerBudget, reserve_for
 from cherrycove.tier.listener.request_body import read_body
 from cherrycove.tier.protocol._rpc_wire import (
     CALL_HEADER,
@@ -23,6 +24,7 @@
     failure_response,
 )
 from cherrycove.tier.protocol.calls import HandlerTable
+from cherrycove.tier.protocol.reply_memory import reserving_sent_replies
 
 # A batch of replicated messages that is nearly complete, and one more with the largest configuration.
 MAX_MESSAGE_BYTES = 24 * 1024 * 1024
@@ -102,7 +104,8 @@
             return failure_response(Failure(ErrorKind.INVALID, f"{name}: {error}"))
         except ConnectionError as error:  # nobody receives the reply
             return failure_response(Failure(ErrorKind.UNAVAILABLE, f"{name} did not arrive: {error}"))
-        outcome = await self.serve(name, body)
+        with reserving_sent_replies(partial(reserve_for, request)):
+            outcome = await self.serve(name, body)
         if isinstance(outcome, Err):
             return failure_response(outcome.err_value)
         return web.Response(body=outcome.ok_value)
--- a/tests/crowds/test_proxy_crowds.py
+++ b/tests/crowds/test_proxy_crowds.py
@@ -23,6 +23,7 @@
     head,
 )
 
+from examples import tier_client
 from examples.tier_processes import Sizes
 from examples.toy_broker import Received, ToyBroker, Wire, stream
 
@@ -212,3 +213,46 @@
                 writer.close()
 
     asyncio.run(scenario())
+
+
+def test_streams_that_nobody_reads(tmp_path: Path) -> None:
+    async def endless_stream(wire: Wire, request: Received) -> None:
+        if request.target != "/chat/large":
+            return await wire.answer(request, b"")
+        await wire.stream_head(request)
+        for number in range(1, 13):
+            await wire.event(number, "x" * 1_000_000)
+        await wire.end_stream()
+
+    async def scenario() -> None:
+        broker = ToyBroker(script=endless_stream, slots=64)
+        async with crowded_tier(tmp_path, ONE_PROXY, broker, fileDescriptors=4096) as tier:
+            await tier.serve()
+            (proxy,) = tier.proxies
+            request = head("/chat/large", method="GET")
+            crowd = crowd_of(60, proxy.frontend, request, receive_buffer_bytes=SMALL_RECEIVE_BUFFER_BYTES)
+            await tier.check_after(crowd, proxy)
+
+    asyncio.run(scenario())
+
+
+def test_reads_of_large_result_pages(tmp_path: Path) -> None:
+    async def large_result(wire: Wire, request: Received) -> None:
+        await wire.stream_head(request)
+        await wire.event(1, "x" * 30_000)
+        await wire.end_stream()
+
+    async def scenario() -> None:
+        broker = ToyBroker(script=large_result, slots=64)
+        async with crowded_tier(tmp_path, ONE_STORE, broker, fileDescriptors=4096, diskMb=2000) as tier:
+            await tier.serve()
+            (proxy,) = tier.proxies
+            await tier_client.submit(proxy.frontend, "large", [f"item-{number}" for number in range(60)])
+            await tier_client.results(proxy.frontend, "large")
+            request = head("/api/lots/large?pageCursor=0", method="GET")
+            crowd = crowd_of(
+                300, proxy.frontend, request, request, receive_buffer_bytes=SMALL_RECEIVE_BUFFER_BYTES
+            )
+            await tier.check_after(crowd, proxy, *tier.running_daemons("store"), serves_batch_jobs=True)
+
+    asyncio.run(scenario())
