--- a/cherrycove/http_listener/request_framing.py
+++ b/cherrycove/http_listener/request_framing.py
@@ -8,6 +8,7 @@
 import re
 from enum import Enum
 
+USUAL_HEAD_END = b"\r\n\r\n"
 HEAD_END = re.compile(rb"\n\r?\n")
 MAX_TERMINATOR_BYTES = 3  # of a head's last line end and the empty line, less one byte
 REQUEST_LINE_FRAMING_BYTES = len("  HTTP/1.1\r\n\r\n")  # of a head, besides method, target and fields
@@ -24,7 +25,12 @@
 
     def end_of(self, buffer: bytearray) -> int | None:
         """Return how many bytes the head at the start of ``buffer`` has; None while it is incomplete."""
-        found = HEAD_END.search(buffer, max(self._scanned_bytes - MAX_TERMINATOR_BYTES, 0))
+        start = max(self._scanned_bytes - MAX_TERMINATOR_BYTES, 0)
+        usual_end = buffer.find(USUAL_HEAD_END, start)
+        if usual_end >= 0:
+            self._scanned_bytes = 0
+            return usual_end + len(USUAL_HEAD_END)
+        found = HEAD_END.search(buffer, start)
         if found is None:
             self._scanned_bytes = len(buffer)
             return None
@@ -43,6 +49,8 @@
 
 def leading_line_ends(buffer: bytearray) -> int:
     """Return the number of bytes in empty lines before a request line, to be ignored (RFC 9112, 2.2)."""
+    if not buffer or buffer[0] not in b"\r\n":
+        return 0
     return len(buffer) - len(buffer.lstrip(b"\r\n"))
 
 
