--- a/cherrycove/http_listener/client_connection.py
+++ b/cherrycove/http_listener/client_connection.py
@@ -8,20 +8,21 @@
 from __future__ import annotations
 
 import asyncio
-import re
 import socket
 from collections.abc import Callable
 from enum import Enum
 from http import HTTPStatus
-from typing import Any, Protocol
+from typing import Any
 
 from aiohttp import web
 from aiohttp.http import RawRequestMessage
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 
 from cherrycove.broker.sockets import DisconnectWatcher
-from cherrycove.http_listener.client_memory import ClientMemory
+from cherrycove.http_listener.connection_owner import ConnectionLimits, ConnectionOwner
 from cherrycove.http_listener.errors import GaveWayError, MalformedBodyError, TrailersTooLargeError
+from cherrycove.http_listener.memory_credit import MemoryCredit
+from cherrycove.http_listener.refusal import refusal
 from cherrycove.http_listener.request_framing import (
     ChunkedScanner,
     ChunkedState,
@@ -29,6 +30,7 @@
     counted_head_bytes,
     leading_line_ends,
 )
+from cherrycove.http_listener.transfer_progress import TransferProgress
 
 READ_BYTES = 32 * 1024  # read from a socket at a time, and passed to the parser at a time
 UNACKNOWLEDGED_TIMEOUT_MS = 20_000  # TCP_USER_TIMEOUT: closes connections whose client acknowledges no data
@@ -40,47 +42,8 @@
 SMALL_BODY_BYTES = 32 * 1024  # longer bodies are reserved as a whole before more of them is read
 SMALL_CHUNK_BYTES = 256  # many smaller chunks take long to parse, for the bytes that they are
 SMALL_CHUNKS_PIECE_BYTES = 2 * 1024  # of which so much is parsed in one turn of the event loop
-STALL_TIME_S = 1.0  # in which a client may send or read nothing before it counts as stalled
-MIN_PROGRESS_BYTES = 16 * 1024  # what a client sends or reads in that time if it makes progress
 GAVE_WAY_RETRY_AFTER_S = 1.0
 
-_REQUEST_ID = re.compile(rb"\r?\n(Request-Id:[^\r\n]{1,256})\r?\n", re.IGNORECASE)
-
-
-class ConnectionLimits(Protocol):
-    """Limits of one connection."""
-
-    @property
-    def max_header_bytes(self) -> int:
-        """Of method, target and fields of a head; of the trailers as well."""
-
-    @property
-    def max_body_bytes(self) -> int:
-        """Of a body without its framing."""
-
-    @property
-    def header_timeout_ms(self) -> float:
-        """From the first byte of a head to its end."""
-
-
-class ConnectionOwner(Protocol):
-    """The server of a connection, besides what aiohttp needs of it."""
-
-    memory: ClientMemory
-    read_buffer: memoryview  # of ``READ_BYTES``, for all connections: each read is copied out at once
-
-    def limits(self) -> ConnectionLimits:
-        """Return the limits in force."""
-
-    def body_factor(self, message: RawRequestMessage) -> int:
-        """Return how many bytes of memory a byte of a body that is not small takes."""
-
-    def connection_opened(self, connection: ClientConnection) -> None:
-        """Called when a client has connected."""
-
-    def connection_closed(self, connection: ClientConnection) -> None:
-        """Called when the connection is closed."""
-
 
 class ConnectionPhase(Enum):
     """What the next bytes of a connection are used for."""
@@ -110,11 +73,10 @@
         self.last_active_at = 0.0
         self._phase = ConnectionPhase.HEAD
         self._input = bytearray()
-        self._credit_bytes = 0  # reserved and not used yet
+        self._credit = MemoryCredit(self.account, self._memory_granted)
         self._head_cost = 0  # reserved for the latest head, which lives until the next one
         self._body_cost = 0  # reserved for the body of the request in progress
         self._response_cost = 0  # reserved for its response
-        self._waiting_since: float | None = None
         self._head_scanner = HeadScanner()
         self._chunked: ChunkedScanner | None = None
         self._body_remaining = 0  # of a body with a length
@@ -122,9 +84,7 @@
         self._is_body_reserved = False
         self._payload: StreamReader | None = None
         self._header_timer: asyncio.TimerHandle | None = None
-        self._progress_since = 0.0
-        self._progress_bytes = 0  # of the request or response in transfer
-        self._noted_progress_bytes = 0  # of these, at ``_progress_since``
+        self._progress = TransferProgress()  # of the request or response in transfer
         self._response_bytes = 0
         self._is_writing = False
         self._holds_input = False
@@ -158,9 +118,7 @@
             self._pass_to_parser(b"")
             self._advance()
             return
-        used = min(len(data), self._credit_bytes)
-        self._credit_bytes -= used
-        self.account.reserve_unchecked(len(data) - used)
+        self.account.reserve_unchecked(len(data) - self._credit.use(len(data)))
         self.last_active_at = self._loop.time()
         if self._phase is ConnectionPhase.HEAD and self._header_timer is None:
             self._header_timer = self._loop.call_later(
@@ -170,7 +128,7 @@
         self._input += data
         self._advance()
         if not self.waits_for_memory and not self._is_body_reserved:
-            self._release_credit()
+            self._credit.release()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Release what the connection holds."""
@@ -248,7 +206,7 @@
     @property
     def waits_for_memory(self) -> bool:
         """Whether it does not read on since its memory is not reserved yet."""
-        return self._waiting_since is not None
+        return self._credit.is_waiting
 
     # MemoryHolder
 
@@ -261,15 +219,13 @@
         return self.give_way_early is not None
 
     def is_stalled(self, now: float) -> bool:
-        """Whether the client has neither sent nor read much for ``STALL_TIME_S``; an idle one is stalled."""
+        """Whether the client sends or reads next to nothing; an idle one is stalled."""
         if self.waits_for_memory or (self._phase is ConnectionPhase.COMPLETE and not self._is_writing):
             return False
-        progress_bytes = self._progress_bytes
         if self._is_writing and self.transport is not None:
-            progress_bytes = max(self._response_bytes - self.transport.get_write_buffer_size(), 0)
-        if progress_bytes - self._noted_progress_bytes >= MIN_PROGRESS_BYTES:
-            self._progress_since, self._noted_progress_bytes = now, progress_bytes
-        return now - self._progress_since > STALL_TIME_S
+            unsent_bytes = self.transport.get_write_buffer_size()
+            self._progress.transferred_bytes = max(self._response_bytes - unsent_bytes, 0)
+        return self._progress.is_stalled(now)
 
     def give_way(self) -> None:
         """Refuse the request that is being received or waits for a broker, or close the connection."""
@@ -288,19 +244,7 @@
         """Answer a request whose head is not parsed, and close the connection."""
         if self.transport is None:
             return
-        request_id = _REQUEST_ID.search(self._input)
-        body = reason.encode() + b"\n"
-        lines = [
-            b"HTTP/1.1 %d %s" % (status, status.phrase.encode()),
-            b"Content-Type: text/plain",
-            b"Content-Length: %d" % len(body),
-            b"Connection: close",
-        ]
-        if request_id is not None:
-            lines.append(request_id.group(1))
-        if retry_after_s is not None:
-            lines.append(b"Retry-After: %.3f" % retry_after_s)
-        self.transport.write(b"\r\n".join([*lines, b"", body]))
+        self.transport.write(refusal(self._input, status, reason, retry_after_s))
         self._discard_input()
         self.force_close()
 
@@ -352,7 +296,7 @@
         if not self._reserve(cost):
             self._head_scanner.reset()
             return False
-        self._credit_bytes -= cost
+        self._credit.use(cost)
         self.account.release(self._head_cost)  # of the head before, which the parser now forgets
         self._head_cost = cost
         self._cancel_header_timer()
@@ -403,13 +347,12 @@
             is_complete = self._chunked.state is ChunkedState.COMPLETE
         del self._input[:size]
         cost = self._body_factor * size  # of which ``size`` was reserved when it was read
-        used = min(cost, self._credit_bytes + size)
-        self._credit_bytes += size - used
-        self._body_cost += used
-        self._progress_bytes += size
+        self._credit.free_bytes += size
+        self._body_cost += self._credit.use(cost)
+        self._progress.transferred_bytes += size
         if is_complete and self._phase is ConnectionPhase.BODY:
             self._phase = ConnectionPhase.COMPLETE
-            self._release_credit()
+            self._credit.release()
         return True
 
     def _reserve_body(self, size: int) -> bool:
@@ -499,27 +442,14 @@
     # Memory
 
     def _reserve(self, size: int) -> bool:
-        """Have ``size`` bytes of credit; if they do not fit now, wait for them and return False."""
-        missing = size - self._credit_bytes
-        if missing > 0:
-            if self.waits_for_memory:
-                return False
-            if not self.account.try_reserve(missing):
-                self._wait_for(missing)
-                return not self.waits_for_memory
-            self._credit_bytes += missing
-        return True
-
-    def _wait_for(self, size: int) -> None:
-        self._waiting_since = self._loop.time()
+        """Have ``size`` bytes of credit; if they do not fit now, stop reading until they do."""
+        if self._credit.reserve(size):
+            return True
         self._hold_input(True)
-        self.account.reserve_when_free(size, lambda: self._reserved(size))
+        return False
 
-    def _reserved(self, size: int) -> None:
-        assert self._waiting_since is not None
-        self._progress_since += self._loop.time() - self._waiting_since
-        self._waiting_since = None
-        self._credit_bytes += size
+    def _memory_granted(self, waited_s: float) -> None:
+        self._progress.exclude(waited_s)
         self._loop.call_soon(self._advance)
 
     def _consume(self, size: int) -> None:
@@ -529,20 +459,11 @@
             self.account.release(size)
 
     def _discard_input(self) -> None:
-        if self.waits_for_memory:
-            self.account.cancel_waiting()
-            self._waiting_since = None
         self._consume(len(self._input))
-        self._release_credit()
-
-    def _release_credit(self) -> None:
-        if self._credit_bytes:
-            released, self._credit_bytes = self._credit_bytes, 0
-            self.account.release(released)
+        self._credit.cancel()
 
     def _begin_progress(self) -> None:
-        self._progress_since = self._loop.time()
-        self._progress_bytes = self._noted_progress_bytes = 0
+        self._progress.begin(self._loop.time())
 
     def _hold_input(self, holds: bool) -> None:  # noqa: FBT001
         """Stop reading the socket, or read it again."""
--- a/tests/tier/test_listener_connection.py
+++ b/tests/tier/test_listener_connection.py
@@ -7,7 +7,7 @@
 import pytest
 from dataplane_harness import HOST, TIMEOUT_S, DataPlaneHarness, configuration_bytes
 
-from cherrycove.http_listener import client_connection
+from cherrycove.http_listener import transfer_progress
 from cherrycove.tier.listener.client_server import ClientServer
 from examples.toy_broker import Received, ToyBroker, Wire
 
@@ -182,7 +182,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def scenario() -> None:
-        monkeypatch.setattr(client_connection, "STALL_TIME_S", 0.05)
+        monkeypatch.setattr(transfer_progress, "STALL_TIME_S", 0.05)
         document = configuration_bytes(maxBodyBytes=1_000_000)
         async with DataPlaneHarness([ToyBroker()], document=document) as harness:
             memory = servers(harness).memory
