Test: a proxy ends in order, within its grace period, while a crowd holds on

80 clients with incomplete heads, bodies one byte short, waiting whole bodies and pipelined requests: the process ends with 0 after SIGTERM.

--- a/tests/crowds/test_proxy_crowds.py
+++ b/tests/crowds/test_proxy_crowds.py
@@ -256,3 +256,23 @@
             await tier.check_after(crowd, proxy, *tier.running_daemons("store"), serves_batch_jobs=True)
 
     asyncio.run(scenario())
+
+
+def test_a_process_ends_in_order_while_a_crowd_stays(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with crowded_tier(tmp_path, ONE_PROXY, fileDescriptors=4096) as tier:
+            await tier.serve()
+            (proxy,) = tier.proxies
+            body = head("/chat/1", f"Content-Length: {BODY_BYTES}")
+            rows = [
+                [filled_head("/chat/1", is_complete=False)],
+                [body, bytes(BODY_BYTES - 1)],
+                [head("/waiting/1", f"Content-Length: {BODY_BYTES}"), bytes(BODY_BYTES)],
+                [filled_head("/waiting/1", "Content-Length: 0") * 40],
+            ]
+            crowd = Crowd([CrowdClient(proxy.frontend, row) for row in rows for _ in range(20)])
+            async with crowd:
+                await crowd.wait_until_at_rest()
+                assert await proxy.terminate() == 0, proxy.log_tail()
+
+    asyncio.run(scenario())
