--- a/cherrycove/http_listener/client_memory.py
+++ b/cherrycove/http_listener/client_memory.py
@@ -9,6 +9,7 @@
 import asyncio
 import gc
 from collections.abc import Callable
+from math import inf
 from typing import Protocol
 
 import attrs
@@ -118,6 +119,7 @@
         self._accounts: set[MemoryAccount] = set()
         self._waiting: list[Reservation] = []
         self._review: asyncio.TimerHandle | None = None
+        self._searched_at = -inf  # when holders were last asked to give way
         self._abandoned_bytes = 0  # of ``reserved_bytes``, in cancelled requests that are not collected yet
         self._collection: asyncio.TimerHandle | None = None
 
@@ -163,9 +165,12 @@
         """Let a reservation wait, and ask holders to give way for it."""
         self._waiting.append(reservation)
         self.grant_waiting()
-        if self._waiting:
+        if not self._waiting:
+            return
+        # A search looks at every account, so many clients that begin to wait share one.
+        if asyncio.get_running_loop().time() >= self._searched_at + REVIEW_INTERVAL_S:
             self._make_room()
-            self._schedule_review()
+        self._schedule_review()
 
     def withdraw(self, account: MemoryAccount) -> None:
         """Drop the waiting reservation of ``account``, if any."""
@@ -226,6 +231,7 @@
 
     def _make_room(self) -> None:
         """Ask holders to give way for the first waiting reservation of each kind."""
+        self._searched_at = asyncio.get_running_loop().time()
         small = [each for each in self._waiting if not _is_large(each.account.held_bytes + each.size)]
         large = [each for each in self._waiting if _is_large(each.account.held_bytes + each.size)]
         for reservations in (small, large):
