--- a/tests/tier/test_listener_connection.py
+++ b/tests/tier/test_listener_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
 import pytest
 from dataplane_harness import HOST, TIMEOUT_S, DataPlaneHarness, configuration_bytes
@@ -203,3 +204,53 @@
             stalled.writer.close()
 
     asyncio.run(scenario())
+
+
+def configuration_with_waiting_route() -> bytes:
+    """Return a configuration whose route ``/waiting/`` has a service without brokers."""
+    document = json.loads(configuration_bytes())
+    document["services"].append({**document["services"][0], "name": "absent"})
+    waiting = {**document["routes"][1], "name": "waiting", "pathPrefix": "/waiting/", "service": "absent"}
+    document["routes"].append(waiting)
+    return json.dumps(document).encode()
+
+
+def test_a_request_that_waits_for_a_broker_gives_way_to_one_that_holds_less() -> None:
+    async def scenario() -> None:
+        document = configuration_with_waiting_route()
+        async with DataPlaneHarness([ToyBroker()], document=document) as harness:
+            memory = servers(harness).memory
+            memory.limit_bytes = 200_000
+            waiting = await harness.client()
+            lines = ["a:"] * 900
+            waiting.writer.write(head("Request-Id: r1", "Content-Length: 0", *lines, target="/waiting/x"))
+            async with asyncio.timeout(TIMEOUT_S):
+                while memory.reserved_bytes < memory.limit_bytes:
+                    await asyncio.sleep(0)
+                assert await exchange(harness, head("Request-Id: r2", "Content-Length: 2") + b"ab") == 200
+                reply = await waiting.reply()
+            assert (reply.status, reply.headers["request-id"]) == (503, "r1")
+            assert float(reply.headers["retry-after"]) > 0
+            assert [each.headers["request-id"] for each in harness.brokers[0].received] == ["r2"]
+            waiting.writer.close()
+            async with asyncio.timeout(TIMEOUT_S):
+                while memory.reserved_bytes:
+                    await asyncio.sleep(0)
+
+    asyncio.run(scenario())
+
+
+def test_a_body_that_does_not_come_in_time_gets_408_and_returns_what_it_reserved() -> None:
+    async def scenario() -> None:
+        document = configuration_bytes(idleTimeoutMs=200)
+        async with DataPlaneHarness([ToyBroker()], document=document) as harness:
+            client = await harness.client()
+            client.writer.write(head("Request-Id: r1", "Content-Length: 90000") + bytes(50_000))
+            async with asyncio.timeout(TIMEOUT_S):
+                reply = await client.reply()
+                assert (reply.status, harness.brokers[0].received) == (408, [])
+                client.writer.close()
+                while servers(harness).memory.reserved_bytes:
+                    await asyncio.sleep(0)
+
+    asyncio.run(scenario())
