Listener: a body that could not be received is given up at once

What kept them is the frame that read them, which lives on with its exception; it is emptied now. Not reproduced within one process: the tests of an abandoned body (gives way, client leaves, times out) hold with and without it.

--- a/cherrycove/tier/listener/request_body.py
+++ b/cherrycove/tier/listener/request_body.py
@@ -35,8 +35,14 @@
     if (request.content_length or 0) > max_bytes:
         raise BodyTooLargeError(f"the body has more than {max_bytes} bytes")
     body = bytearray()
-    while chunk := await request.content.readany():
-        body += chunk
-        if len(body) > max_bytes:
-            raise BodyTooLargeError(f"the body has more than {max_bytes} bytes")
+    try:
+        while chunk := await request.content.readany():
+            body += chunk
+            if len(body) > max_bytes:
+                raise BodyTooLargeError(f"the body has more than {max_bytes} bytes")
+    except BaseException:
+        # The exception of a stream refers to this frame, and the stream to the exception: until the garbage
+        # collector finds that cycle, the frame lives.
+        body.clear()
+        raise
     return bytes(body)
--- a/tests/tier/test_listener_connection.py
+++ b/tests/tier/test_listener_connection.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import json
+import tracemalloc
 
 import pytest
 from dataplane_harness import HOST, TIMEOUT_S, DataPlaneHarness, configuration_bytes
@@ -254,3 +256,43 @@
                     await asyncio.sleep(0)
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("ending", ["gives way", "client leaves", "times out"])
+def test_an_abandoned_body_is_freed_although_its_request_is_old(ending: str) -> None:
+    async def scenario() -> None:
+        idle_timeout_ms = 400 if ending == "times out" else 15_000
+        document = configuration_bytes(maxBodyBytes=4_000_000, idleTimeoutMs=idle_timeout_ms)
+        async with DataPlaneHarness([ToyBroker()], document=document) as harness:
+            memory = servers(harness).memory
+            before, _ = tracemalloc.get_traced_memory()
+            for number in range(4):
+                client = await harness.client()
+                start = head(f"Request-Id: r{number}", "Transfer-Encoding: chunked")
+                client.writer.write(start + b"%x\r\n" % 3_000_000 + bytes(2_900_000))
+                async with asyncio.timeout(TIMEOUT_S):
+                    while not any(account.held_bytes > 5_000_000 for account in memory._accounts):
+                        await asyncio.sleep(0)
+                    while client.writer.transport.get_write_buffer_size():  # type: ignore[attr-defined]
+                        await asyncio.sleep(0)
+                    (account,) = (each for each in memory._accounts if each.held_bytes > 5_000_000)
+                    gc.collect()  # the request is of the oldest generation from now on
+                    if ending == "client leaves":
+                        client.writer.transport.abort()
+                    else:
+                        if ending == "gives way":
+                            account.holder.give_way()
+                        assert (await client.reply()).status == (503 if ending == "gives way" else 408)
+                        client.writer.close()
+                    while memory.reserved_bytes:
+                        await asyncio.sleep(0)
+            after, _ = tracemalloc.get_traced_memory()
+            assert after - before < 3_000_000
+
+    tracemalloc.start()
+    gc.disable()
+    try:
+        asyncio.run(scenario())
+    finally:
+        gc.enable()
+        tracemalloc.stop()
